--- /dev/null
+++ b/crates/core/src/budget.rs
@@ -0,0 +1,81 @@
+//! Budgets: fleet-wide limits that many hosts spend at once.
+//!
+//! See docs/design.md §7.
+
+use std::{sync::Arc, time::Duration};
+
+/// Name of a budget.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Budget {
+    /// Requests of a workspace to a service.
+    Workspace {
+        /// Service that owns the document.
+        service: Arc<str>,
+        /// Workspace that pays for the rate.
+        workspace: Arc<str>,
+    },
+    /// Bytes of a service that cross regions.
+    CrossRegion {
+        /// Service that owns the document.
+        service: Arc<str>,
+    },
+    /// Requests of a service that run in a region at the same time.
+    Region {
+        /// Service that owns the document.
+        service: Arc<str>,
+        /// Region of the backend servers.
+        region: Arc<str>,
+    },
+}
+
+/// Amount that a host could lend at the time of a heartbeat.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Spare {
+    /// Budget of the amount.
+    pub budget: Budget,
+    /// Whole tokens or slots.
+    pub amount: u64,
+}
+
+/// Request for a loan.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LoanRequest {
+    /// Number of the request, unique for the borrower's incarnation.
+    pub id: u64,
+    /// Budget to borrow from.
+    pub budget: Budget,
+    /// Whole tokens or slots that the borrower can use at once.
+    pub wanted: u64,
+    /// Rate that the borrower lacks, in thousandths of a token per second.
+    pub rate_wanted: u64,
+}
+
+/// Capacity that moves from a lender to a borrower. The lender has already deducted it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Loan {
+    /// Number of the request that is answered.
+    pub id: u64,
+    /// Budget of the loan.
+    pub budget: Budget,
+    /// Whole tokens (rate budgets) or slots (concurrency budgets) that move.
+    pub tokens: u64,
+    /// Burst capacity that moves for the term, in whole tokens; at least `tokens`.
+    pub burst: u64,
+    /// Rate that moves for the term, in thousandths of a token per second.
+    pub rate: u64,
+    /// Term of a rate loan; the borrower counts it from sending its request.
+    pub term: Duration,
+    /// What the lender could still lend afterwards.
+    pub spare: u64,
+}
+
+/// Return of borrowed slots of a concurrency budget.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LoanReturn {
+    /// Number of the loan.
+    pub id: u64,
+    /// Budget of the loan.
+    pub budget: Budget,
+    /// Slots that go back to the lender.
+    pub slots: u64,
+}
--- /dev/null
+++ b/crates/core/src/claim.rs
@@ -0,0 +1,127 @@
+//! Claims: a request with an idempotency key runs at most once.
+//!
+//! See docs/design.md §8.
+
+use std::sync::Arc;
+
+/// Name of a claim.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Name {
+    /// Service that runs the request.
+    pub service: Arc<str>,
+    /// Workspace of the caller.
+    pub workspace: Arc<str>,
+    /// Value of the `Idempotency-Key` header.
+    pub key: Arc<str>,
+}
+
+/// Answer of a backend server, kept so that a repeated request gets the same answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Outcome {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers that belong to the answer itself.
+    pub headers: Vec<(Arc<str>, Arc<str>)>,
+    /// Body, at most [`crate::constants::CLAIM_BODY_LIMIT`] bytes.
+    pub body: Arc<[u8]>,
+}
+
+/// State of a claim.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum State {
+    /// The request may be running at a backend server.
+    Running,
+    /// The request ran and this is its answer.
+    Done(Outcome),
+    /// The request ran, but its answer is too large to keep.
+    DoneWithoutAnswer,
+    /// Whether the request ran cannot be told.
+    Unknown,
+}
+
+/// A claim as its owner and its backup hold it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record {
+    /// Name of the claim.
+    pub name: Name,
+    /// Hash of method, path and body headers; a repeated request must have the same one.
+    pub fingerprint: u64,
+    /// Host that forwards the request.
+    pub holder: Arc<str>,
+    /// Incarnation of the holder.
+    pub incarnation: u64,
+    /// State of the claim.
+    pub state: State,
+    /// Age of the claim in milliseconds when the record was sent.
+    pub age_ms: u64,
+}
+
+/// Question to the owner whether a request may run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Request {
+    /// Number of the question, unique for the asking incarnation.
+    pub id: u64,
+    /// Name of the claim.
+    pub name: Name,
+    /// See [`Record::fingerprint`].
+    pub fingerprint: u64,
+    /// Revision of the asking host's catalog.
+    pub revision: u64,
+}
+
+/// What the owner answers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The request may be sent; owner and backup have recorded it.
+    Granted,
+    /// The same request is running.
+    Running,
+    /// The request ran before.
+    Done(Outcome),
+    /// The request ran before, but its answer was not kept.
+    DoneWithoutAnswer,
+    /// Whether the request ran cannot be told.
+    Unknown,
+    /// The key was used for another request.
+    Mismatch,
+    /// The owner cannot answer now; nothing was recorded for this question.
+    Unavailable,
+}
+
+/// Answer to a [`Request`].
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reply {
+    /// Number of the question.
+    pub id: u64,
+    /// The owner's answer.
+    pub verdict: Verdict,
+}
+
+/// Record that the owner sends to the backup before it grants.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Copy {
+    /// Number of the copy, unique for the owner's incarnation.
+    pub id: u64,
+    /// The record to keep.
+    pub record: Record,
+}
+
+/// Result of a request, sent by its holder to owner and backup.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Completion {
+    /// Name of the claim.
+    pub name: Name,
+    /// Final state; `None` when no byte left for a backend server, so that the claim is dropped.
+    pub state: Option<State>,
+}
+
+/// Records for the new holders after a change of members.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Handover {
+    /// Revision of the change of members.
+    pub revision: u64,
+    /// Records whose new pair contains the receiver.
+    pub records: Vec<Record>,
+    /// Whether the sender has sent everything for this revision.
+    pub complete: bool,
+}
--- /dev/null
+++ b/crates/core/src/finding.rs
@@ -0,0 +1,78 @@
+//! Findings of a check, collected with their place and reported together.
+
+use std::fmt;
+
+/// One fault in a settings file or a service document.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Finding {
+    /// Line in the file, counted from 1; 0 when the fault belongs to the file as a whole.
+    pub line: usize,
+    /// Dotted path of the key, for instance `workspace[1].rate_per_second`.
+    pub key: String,
+    /// What is wrong and what is expected.
+    pub text: String,
+}
+
+impl fmt::Display for Finding {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match (self.line, self.key.as_str()) {
+            (0, "") => write!(f, "{}", self.text),
+            (0, key) => write!(f, "{key}: {}", self.text),
+            (line, "") => write!(f, "line {line}: {}", self.text),
+            (line, key) => write!(f, "line {line}: {key}: {}", self.text),
+        }
+    }
+}
+
+/// Findings of one check in the order in which they were met.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Findings(Vec<Finding>);
+
+impl Findings {
+    /// Adds a finding at the byte `offset` of `source`.
+    pub fn add(&mut self, source: &str, offset: Option<usize>, key: &str, text: impl Into<String>) {
+        let line = offset.map_or(0, |offset| line_of(source, offset));
+        self.0.push(Finding {
+            line,
+            key: key.to_owned(),
+            text: text.into(),
+        });
+    }
+
+    /// Whether the check found nothing.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Number of findings.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    /// The findings in order.
+    pub fn iter(&self) -> impl Iterator<Item = &Finding> {
+        self.0.iter()
+    }
+}
+
+impl fmt::Display for Findings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, finding) in self.0.iter().enumerate() {
+            if index > 0 {
+                writeln!(f)?;
+            }
+            write!(f, "{finding}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Findings {}
+
+fn line_of(source: &str, offset: usize) -> usize {
+    let end = offset.min(source.len());
+    1 + source.as_bytes()[..end]
+        .iter()
+        .filter(|&&byte| byte == b'\n')
+        .count()
+}
--- /dev/null
+++ b/crates/core/src/rendezvous.rs
@@ -0,0 +1,35 @@
+//! Rendezvous hashing: every host ranks the same candidates in the same order without talking.
+//!
+//! Thaler and Ravishankar, "A Name-Based Mapping Scheme for Rendezvous", 1996. Removing a candidate
+//! leaves the order of the others unchanged, which the budget split relies on (docs/design.md §7).
+
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// Weight of `candidate` for `key`; the candidate with the largest weight ranks first.
+pub fn weight(key: &str, candidate: &str) -> u64 {
+    let separated = key.bytes().chain([0]).chain(candidate.bytes());
+    let hash = separated.fold(FNV_OFFSET, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
+    });
+    finalize(hash)
+}
+
+/// Indexes of `candidates` from the first rank to the last.
+pub fn rank<'a>(key: &str, candidates: impl Iterator<Item = &'a str>) -> Vec<usize> {
+    let mut order: Vec<(u64, &str, usize)> = candidates
+        .enumerate()
+        .map(|(index, name)| (weight(key, name), name, index))
+        .collect();
+    order.sort_by(|a, b| (b.0, b.1).cmp(&(a.0, a.1)));
+    order.into_iter().map(|(_, _, index)| index).collect()
+}
+
+/// Mixes the bits of an FNV-1a hash, whose high bits vary too little between similar names.
+fn finalize(mut hash: u64) -> u64 {
+    hash ^= hash >> 33;
+    hash = hash.wrapping_mul(0xff51_afd7_ed55_8ccd);
+    hash ^= hash >> 33;
+    hash = hash.wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    hash ^ (hash >> 33)
+}
--- /dev/null
+++ b/crates/link/src/lib.rs
@@ -0,0 +1,3 @@
+//! The I/O boundary of marjorampick. See docs/design.md §4.
+
+pub mod generated;
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! marjorampick load.
--- /dev/null
+++ b/crates/scenario/src/lib.rs
@@ -0,0 +1,1 @@
+//! marjorampick scenario.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! marjorampick standin.
