Add the host: chain, members, currency and edits

Cause: the control thread needs the decisions of docs/design.md §5 behind Host::handle and Host::tick. New events Leave and Weights, new action Weights.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -32,3 +32,21 @@
 /// Bound within which a change is in force everywhere, and within which a withdrawn key or a
 /// leaving backend server is honoured.
 pub const IN_FORCE_BOUND: Duration = Duration::from_secs(4);
+
+/// Added to the currency term when a host waits for a change to be in force; covers the time between
+/// two ticks of the control thread.
+pub const IN_FORCE_MARGIN: Duration = Duration::from_millis(50);
+
+/// Interval between two attempts to settle a write whose answer is unknown.
+pub const WRITE_RETRY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Largest random wait before a host writes a change of members, so that hosts that start together
+/// rarely collide.
+pub const MEMBERS_JITTER: Duration = Duration::from_millis(100);
+
+/// Largest number of earlier member tables in the `members` record. 32 tables of 60 members take
+/// about half of the store's largest value.
+pub const EARLIER_TABLES_LIMIT: usize = 32;
+
+/// Largest number of edits that wait in one host.
+pub const EDIT_QUEUE_LENGTH: usize = 64;
--- a/crates/core/src/host/event.rs
+++ b/crates/core/src/host/event.rs
@@ -55,8 +55,13 @@
     },
     /// A claimed request ended.
     Completed(claim::Completion),
-    /// The process was asked to stop.
+    /// The process was asked to stop: the host tells its peers and lends nothing more.
     Drain,
+    /// Every open request has ended after [`Event::Drain`]: the host leaves the members and answers
+    /// [`Action::Left`].
+    Leave,
+    /// The host's own actual region weights, for peers that start.
+    Weights(Vec<message::ServiceWeights>),
 }
 
 /// How a write to the store ended.
@@ -192,6 +197,8 @@
     Borrowed(budget::Budget),
     /// Documents or members changed; build a new snapshot for the request path.
     Publish,
-    /// The host has left the members; the process may end.
+    /// A peer's actual region weights, asked for at the start.
+    Weights(Vec<message::ServiceWeights>),
+    /// The host has left the members, or another incarnation has taken its place; the process may end.
     Left,
 }
--- a/crates/core/src/member.rs
+++ b/crates/core/src/member.rs
@@ -6,7 +6,12 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::budget;
+use crate::{budget, message::Sender};
+
+pub mod currency;
+pub mod held;
+pub mod peers;
+pub mod roster;
 
 /// One host that holds shares.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -25,6 +30,17 @@
     pub callers: SocketAddr,
 }
 
+impl Member {
+    /// The member as the sender of a message.
+    pub fn sender(&self) -> Sender {
+        Sender {
+            host: self.host.clone(),
+            incarnation: self.incarnation,
+            peer: self.peer,
+        }
+    }
+}
+
 /// Question to a peer whether it knows a larger revision.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Heartbeat {
