Test the host in virtual time

Cause: membership, currency and edits had no test. Change: crates/core/tests/fleet holds a network and a store in virtual time with loss, duplicates, delays, pauses, kills, cuts, outages and lost answers; after every event it checks that no host goes back, that accepted edits are in the chain, that the member tables form one chain, and that no current host lacks a change that is in force or was accepted 4 s ago. Changes of members are driven by tick only, suspicions are counted once per tick, held revisions are computed only while one is missing, and heartbeats keep their period.

--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -142,14 +142,15 @@
     pub fn tick(&mut self, now: Duration) -> Vec<Action> {
         self.note_self(now);
         if now >= self.next_head_read {
-            self.next_head_read = now + HEAD_READ_INTERVAL;
+            self.next_head_read = following(self.next_head_read, now, HEAD_READ_INTERVAL);
             self.actions.push(Action::ReadHead);
         }
         if now >= self.next_heartbeat {
-            self.next_heartbeat = now + HEARTBEAT_INTERVAL;
+            self.next_heartbeat = following(self.next_heartbeat, now, HEARTBEAT_INTERVAL);
             self.send_heartbeats(now);
         }
         self.settle(now);
+        self.drive_membership(now);
         std::mem::take(&mut self.actions)
     }
 
@@ -205,11 +206,10 @@
         self.identity.member.sender()
     }
 
-    /// What follows from any input: revisions may be held or in force, writes may be due.
+    /// What follows from any input: revisions may be held or in force, edits may go on.
     fn settle(&mut self, now: Duration) {
         self.observe_held(now);
         self.drive_edits(now);
-        self.drive_membership(now);
     }
 
     /// The host counts as its own peer where members are counted.
@@ -274,3 +274,9 @@
         }
     }
 }
+
+/// The next time of a periodic action that was due at `due`; times that were missed are left out.
+fn following(due: Duration, now: Duration, interval: Duration) -> Duration {
+    let next = due + interval;
+    if next > now { next } else { now + interval }
+}
--- a/crates/core/src/host/gossip.rs
+++ b/crates/core/src/host/gossip.rs
@@ -1,6 +1,6 @@
 //! Messages between hosts that carry revisions: heartbeats, their replies and updates.
 
-use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
 
 use super::{Host, Source, event::Action};
 use crate::{
@@ -52,14 +52,13 @@
 
     /// Notes which revision is held now.
     pub(super) fn observe_held(&mut self, now: Duration) {
-        if self.roster.members.is_empty() {
-            return;
-        }
-        let current = self.revisions(now, &self.roster.members);
-        let previous = self.revisions(now, self.roster.previous());
         let before = self.held.revision();
-        let held = held::held(current, previous, self.roster_revision, before);
-        self.held.observe(now, held.min(self.catalog.revision()));
+        if before < self.catalog.revision() && !self.roster.members.is_empty() {
+            let current = self.revisions(now, &self.roster.members);
+            let previous = self.revisions(now, self.roster.previous());
+            let held = held::held(current, previous, self.roster_revision, before);
+            self.held.observe(now, held.min(self.catalog.revision()));
+        }
         // TODO: tell budgets and claims.
         self.held.advance(now);
     }
@@ -127,13 +126,18 @@
         }
     }
 
+    /// Names of the members from which this host hears nothing.
+    pub(super) fn silent_members(&self, now: Duration) -> impl Iterator<Item = &Arc<str>> {
+        let silent = move |member: &&Member| self.peers.is_silent(now, member);
+        let members = self.roster.members.iter().filter(silent);
+        members.map(|member| &member.host)
+    }
+
     fn own_heartbeat(&self, now: Duration) -> Heartbeat {
-        let silent = |member: &&Member| self.peers.is_silent(now, member);
-        let suspected = self.roster.members.iter().filter(silent);
         Heartbeat {
             sequence: self.sequence,
             revision: self.catalog.revision(),
-            suspected: suspected.map(|member| member.host.clone()).collect(),
+            suspected: self.silent_members(now).cloned().collect(),
             spare: Vec::new(),
             leaving: self.membership.is_leaving(),
         }
--- a/crates/core/src/host/membership.rs
+++ b/crates/core/src/host/membership.rs
@@ -1,6 +1,10 @@
 //! Changes of the members: joining, leaving and removing.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use super::{
     Host,
@@ -142,28 +146,33 @@
         if !self.is_member() && !self.membership.draining {
             return Some(self.roster.with(own, revision, age));
         }
-        let members = self.roster.members.iter();
-        let lost: Vec<Arc<str>> = members
-            .filter(|member| self.is_lost(now, member))
-            .map(|member| member.host.clone())
-            .collect();
+        let lost = self.lost(now);
         (!lost.is_empty()).then(|| self.roster.without(&lost, revision, age))
     }
 
-    /// Whether more than half of the members hear nothing from `member`, or the platform says that it
-    /// is gone.
-    fn is_lost(&self, now: Duration, member: &Member) -> bool {
+    /// Names of the members from which more than half of the members hear nothing, or which the
+    /// platform reports as gone.
+    fn lost(&self, now: Duration) -> Vec<Arc<str>> {
         let own = &self.identity.member;
-        if member.incarnation == own.incarnation && member.host == own.host {
-            return false;
+        let mut counts: BTreeMap<&Arc<str>, usize> = BTreeMap::new();
+        for member in &self.roster.members {
+            let itself = member.host == own.host && member.incarnation == own.incarnation;
+            let suspects = if itself {
+                self.silent_members(now).collect()
+            } else {
+                self.peers.suspects(now, member)
+            };
+            for suspect in suspects {
+                *counts.entry(suspect).or_default() += 1;
+            }
         }
-        let suspects = |other: &&Member| {
-            let itself = other.host == own.host && other.incarnation == own.incarnation;
-            (itself && self.peers.is_silent(now, member))
-                || self.peers.suspects(now, other, &member.host)
+        let half = self.roster.members.len() / 2;
+        let is_lost = |member: &&Member| {
+            let suspected = counts.get(&member.host).is_some_and(|count| *count > half);
+            member.host != own.host && (suspected || self.peers.is_listed_gone(now, member))
         };
-        let count = self.roster.members.iter().filter(suspects).count();
-        2 * count > self.roster.members.len() || self.peers.is_listed_gone(now, member)
+        let lost = self.roster.members.iter().filter(is_lost);
+        lost.map(|member| member.host.clone()).collect()
     }
 
     fn propose(&mut self, now: Duration, roster: &Roster) {
--- a/crates/core/src/member/peers.rs
+++ b/crates/core/src/member/peers.rs
@@ -118,18 +118,11 @@
         replaced || superseded || self.is_listed_gone(now, member)
     }
 
-    /// Whether the member named `suspect` is suspected by `member` now.
-    pub fn suspects(&self, now: Duration, member: &Member, suspect: &str) -> bool {
-        self.get(member).is_some_and(|peer| {
-            let fresh = now.saturating_sub(peer.suspected_at) < SUSPICION_AFTER;
-            fresh && peer.suspected.contains(suspect)
-        })
-    }
-
-    /// Addresses of the incarnations heard within the last `within`.
-    pub fn recent(&self, now: Duration, within: Duration) -> impl Iterator<Item = SocketAddr> {
-        let recent = move |peer: &&Peer| now.saturating_sub(peer.heard) < within;
-        self.known.values().filter(recent).map(|peer| peer.address)
+    /// Names that `member` suspects now.
+    pub fn suspects(&self, now: Duration, member: &Member) -> Vec<&Arc<str>> {
+        let fresh = |peer: &&Peer| now.saturating_sub(peer.suspected_at) < SUSPICION_AFTER;
+        let peer = self.get(member).filter(fresh);
+        peer.map_or_else(Vec::new, |peer| peer.suspected.iter().collect())
     }
 
     /// Whether an incarnation that is too new for any table uses the member's address.
--- /dev/null
+++ b/crates/core/tests/host.rs
@@ -0,0 +1,392 @@
+//! Properties of docs/design.md §3 and §5 in virtual time.
+
+mod fleet;
+
+use std::{collections::BTreeSet, thread, time::Duration};
+
+use arbtest::{
+    arbitrary::{Result, Unstructured},
+    arbtest,
+};
+use fleet::{Fleet, HOSTS};
+use marjorampick_core::host::{
+    Source,
+    event::{Edited, Event},
+};
+
+/// Longest time for which a host may be current after it was cut off.
+const CURRENCY_MS: u64 = 3000;
+
+/// Runs with fixed seeds, so that every run gives the same verdict. The low half of a seed is the
+/// number of random bytes.
+fn seeds(count: u64, run: fn(&mut Unstructured<'_>) -> Result<()>) {
+    const THREADS: u64 = 4;
+    thread::scope(|scope| {
+        for first in 0..THREADS {
+            let seeds = (first..count).step_by(THREADS as usize);
+            scope.spawn(|| seeds.for_each(|seed| arbtest(run).seed((seed << 32) | 512).run()));
+        }
+    });
+}
+
+/// Expects that a new document is accepted from node `index`.
+fn accept(fleet: &mut Fleet, index: usize, service: &str) -> u64 {
+    let edit = fleet.edit(index, service, 0, 10);
+    fleet.run_ms(4500);
+    match fleet.ended(edit) {
+        Some(Edited::Accepted { revision }) => *revision,
+        other => panic!("the edit ended as {other:?}"),
+    }
+}
+
+fn cut_off(fleet: &mut Fleet, index: usize) {
+    fleet.nodes[index].group = 1;
+    fleet.nodes[index].sees_store = false;
+}
+
+fn kill(fleet: &mut Fleet, count: usize) -> BTreeSet<usize> {
+    let killed = 0..count;
+    killed
+        .clone()
+        .for_each(|index| fleet.nodes[index].alive = false);
+    killed.collect()
+}
+
+/// Guards against a fleet that cannot start from an empty store, and joins that collide forever.
+#[test]
+fn a_fleet_forms_from_nothing() {
+    let mut fleet = Fleet::formed(1, HOSTS);
+    assert_eq!(fleet.current().len(), HOSTS);
+    let edit = fleet.edit(3, "signing", 0, 10);
+    fleet.run_ms(500);
+    assert!(matches!(fleet.ended(edit), Some(Edited::Accepted { .. })));
+    let known = |node: &fleet::Node| node.host.documents()["signing"].revision;
+    let revisions: BTreeSet<u64> = fleet.nodes.iter().map(known).collect();
+    assert_eq!(revisions.len(), 1);
+}
+
+/// Guards against a host that honours keys which were withdrawn behind its back.
+#[test]
+fn a_cut_off_host_stops_and_comes_back() {
+    let mut fleet = Fleet::formed(2, HOSTS);
+    cut_off(&mut fleet, 0);
+    fleet.run_ms(CURRENCY_MS);
+    assert_eq!(fleet.current().len(), HOSTS - 1);
+    let edit = fleet.edit(0, "signing", 0, 10);
+    let revision = accept(&mut fleet, 1, "signing");
+    assert_eq!(fleet.ended(edit), Some(&Edited::Unavailable));
+    assert_eq!(fleet.nodes[1].host.members().len(), HOSTS - 1);
+    fleet.nodes[0].group = 0;
+    fleet.nodes[0].sees_store = true;
+    fleet.run_ms(3000);
+    assert!(fleet.nodes[0].host.catalog().revision() >= revision);
+    assert_eq!(fleet.nodes[0].host.members().len(), HOSTS);
+    assert_eq!(fleet.current().len(), HOSTS);
+}
+
+/// Guards against a fleet that stops with the store, and a starting host that takes a seat then.
+#[test]
+fn connected_hosts_outlast_the_store() {
+    let mut fleet = Fleet::formed(3, HOSTS);
+    let revision = accept(&mut fleet, 0, "signing");
+    fleet.store.up = false;
+    fleet.loss = 5;
+    for _ in 0..300 {
+        fleet.run_ms(200);
+        assert_eq!(fleet.current().len(), HOSTS);
+    }
+    fleet.start(0);
+    let edit = fleet.edit(1, "uploads", 0, 10);
+    fleet.run_ms(5000);
+    assert_eq!(fleet.ended(edit), Some(&Edited::Unknown));
+    assert_eq!(fleet.current().len(), HOSTS, "a guest is current, too");
+    assert_eq!(fleet.nodes[0].host.catalog().revision(), revision);
+    assert!(!fleet.nodes[0].host.is_member());
+    kill(&mut fleet, 4);
+    fleet.run_ms(CURRENCY_MS + 100);
+    assert_eq!(fleet.current(), [], "half of the members are no evidence");
+}
+
+/// Guards against members that confirm a host which is set to rely on the store only.
+#[test]
+fn the_store_alone_confirms_if_set() {
+    let mut fleet = Fleet::new(4, 0);
+    fleet.source = Source::Store;
+    (0..HOSTS).for_each(|index| fleet.start(index));
+    fleet.run_ms(6000);
+    assert_eq!(fleet.current().len(), HOSTS);
+    fleet.store.up = false;
+    fleet.run_ms(CURRENCY_MS);
+    assert_eq!(fleet.current(), []);
+}
+
+/// Guards against a paused host that acts on what it knew before, and one whose seat was taken.
+#[test]
+fn a_paused_host_is_confirmed_before_it_acts() {
+    let mut fleet = Fleet::formed(5, HOSTS);
+    for index in [6, 7] {
+        fleet.nodes[index].paused_until = fleet.now + Duration::from_secs(12);
+    }
+    fleet.start_as(HOSTS, 7);
+    let revision = accept(&mut fleet, 0, "signing");
+    fleet.run_ms(7000);
+    assert!(!fleet.current().contains(&6));
+    fleet.run_ms(3000);
+    assert!(fleet.nodes[6].host.catalog().revision() >= revision);
+    assert!(fleet.current().contains(&6));
+    assert!(fleet.nodes[7].left && !fleet.current().contains(&7));
+    assert!(fleet.nodes[HOSTS].host.is_member());
+}
+
+/// Guards against two winners of a race, and against a race without one.
+#[test]
+fn exactly_one_of_racing_edits_wins() {
+    for seed in 10..20 {
+        let mut fleet = Fleet::formed(seed, HOSTS);
+        fleet.store.lost_answers = (seed % 2) * 40;
+        let edits: Vec<usize> = (0..HOSTS)
+            .map(|i| fleet.edit(i, "signing", 0, i as u64 + 1))
+            .collect();
+        fleet.run_ms(5000);
+        let ended: Vec<&Edited> = edits.iter().filter_map(|&edit| fleet.ended(edit)).collect();
+        let won = ended
+            .iter()
+            .filter(|e| matches!(e, Edited::Accepted { .. }))
+            .count();
+        let lost = ended
+            .iter()
+            .filter(|e| matches!(e, Edited::Conflict { .. }))
+            .count();
+        assert_eq!((won, lost), (1, HOSTS - 1), "seed {seed}: {ended:?}");
+    }
+}
+
+/// Guards against an edit that is reported as failed, or written twice, because an answer was lost.
+#[test]
+fn a_lost_answer_after_a_write_is_read_back() {
+    let mut fleet = Fleet::formed(6, HOSTS);
+    fleet.store.lost_answers = 100;
+    let edit = fleet.edit(2, "signing", 0, 10);
+    fleet.run_ms(1200);
+    fleet.store.lost_answers = 0;
+    fleet.run_ms(800);
+    assert!(matches!(fleet.ended(edit), Some(Edited::Accepted { .. })));
+    let writes = fleet
+        .store
+        .log
+        .iter()
+        .filter(|(_, write)| write.id == fleet.edits[edit].id);
+    assert_eq!(writes.count(), 1);
+}
+
+/// Guards against a restart of all hosts after which nobody may change the members.
+#[test]
+fn a_whole_fleet_restarts() {
+    let mut fleet = Fleet::formed(7, HOSTS);
+    let revision = accept(&mut fleet, 0, "signing");
+    fleet.store.up = false;
+    (0..HOSTS).for_each(|index| fleet.start(index));
+    fleet.run_ms(5000);
+    assert_eq!(
+        fleet.current(),
+        [],
+        "nobody knows the chain while the store is away"
+    );
+    fleet.store.up = true;
+    fleet.run_ms(8000);
+    assert!(fleet.nodes.iter().all(|node| node.host.is_member()));
+    assert_eq!(
+        fleet.nodes[5].host.documents()["signing"].revision,
+        revision
+    );
+    accept(&mut fleet, 4, "uploads");
+}
+
+/// Guards against an acceptance without more than half, and a fleet that stays blocked for good.
+#[test]
+fn more_than_half_lost_with_the_store_up() {
+    let mut fleet = Fleet::formed(8, HOSTS);
+    let gone = kill(&mut fleet, 5);
+    fleet.run_ms(5000);
+    assert_eq!(fleet.current().len(), HOSTS - 5);
+    let edit = fleet.edit(6, "signing", 0, 10);
+    fleet.run_ms(4200);
+    assert!(matches!(fleet.ended(edit), Some(Edited::NotInForce { .. })));
+    fleet.list_gone(&gone);
+    fleet.run_ms(1000);
+    assert_eq!(fleet.nodes[6].host.members().len(), HOSTS - 5);
+    accept(&mut fleet, 7, "uploads");
+}
+
+/// Guards against confirmations by hosts that restarted and so forgot what they had: two of the five
+/// holders of a change restart next to the three that do not know it.
+#[test]
+fn restarted_hosts_confirm_nothing() {
+    let mut fleet = Fleet::formed(11, HOSTS);
+    (5..HOSTS).for_each(|index| cut_off(&mut fleet, index));
+    let edit = fleet.edit(0, "signing", 0, 10);
+    fleet.run_ms(200);
+    assert!(matches!(fleet.ended(edit), Some(Edited::Accepted { .. })));
+    fleet.store.up = false;
+    for index in [0, 1] {
+        fleet.start(index);
+        cut_off(&mut fleet, index);
+    }
+    fleet.run_ms(10_000);
+    assert_eq!(fleet.current(), []);
+}
+
+/// Guards against a change that counts as in force while a host may still act on the one before: the
+/// cut-off host was confirmed at any time within the heartbeat interval before the change.
+#[test]
+fn a_change_is_in_force_only_after_every_confirmation() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::formed(seed, 3);
+        fleet.run_ms(30 * seed);
+        cut_off(&mut fleet, 2);
+        accept(&mut fleet, 0, "signing");
+    }
+}
+
+/// Guards against a table that is held by its own members only: the old host 0 and host 2 can confirm
+/// each other while the new host 0 and host 1 change the members.
+#[test]
+fn a_table_is_held_by_the_one_before_too() {
+    let mut fleet = Fleet::formed(12, 3);
+    fleet.start_as(3, 0);
+    while fleet.nodes[3].host.held() == 0 {
+        fleet.run_ms(1);
+    }
+    cut_off(&mut fleet, 0);
+    cut_off(&mut fleet, 2);
+    fleet.run_ms(2000);
+    assert!(fleet.nodes[3].host.is_member());
+    let edit = fleet.edit(3, "signing", 0, 10);
+    fleet.run_ms(4200);
+    assert!(matches!(fleet.ended(edit), Some(Edited::NotInForce { .. })));
+    assert_eq!(fleet.current().len(), 4);
+}
+
+/// Guards against a minority that becomes a majority by one join after the other, while the others
+/// confirm each other by the first table.
+#[test]
+fn a_minority_cannot_outgrow_the_others() {
+    let mut fleet = Fleet::formed(13, HOSTS);
+    (3..HOSTS).for_each(|index| cut_off(&mut fleet, index));
+    (HOSTS..2 * HOSTS).for_each(|index| fleet.start(index));
+    fleet.run_ms(10_000);
+    let edit = fleet.edit(0, "signing", 0, 10);
+    fleet.run_ms(4200);
+    assert!(matches!(fleet.ended(edit), Some(Edited::NotInForce { .. })));
+    assert_eq!(fleet.current().len(), 2 * HOSTS);
+}
+
+/// Guards against a leaving host that keeps its seat, and a fleet of one that cannot leave.
+#[test]
+fn hosts_leave_gracefully() {
+    for count in [1, 4] {
+        let mut fleet = Fleet::formed(9, count);
+        fleet.give(0, Event::Drain);
+        fleet.run_ms(200);
+        assert!(!fleet.nodes[0].left);
+        let serving = fleet.nodes[count - 1].host.serving_members().count();
+        assert!(count == 1 || serving == count - 1);
+        fleet.give(0, Event::Leave);
+        fleet.run_ms(2000);
+        assert!(fleet.nodes[0].left);
+        let members = fleet.nodes[count - 1].host.members();
+        assert!(
+            members
+                .iter()
+                .all(|member| member.host.as_ref() != "host-0")
+        );
+    }
+}
+
+/// Guards against any mix of faults after which an accepted edit reverts, a host acts on an old
+/// configuration, or the fleet does not recover. `Fleet` checks the first two after every step.
+#[test]
+fn accepted_edits_hold_under_any_mix_of_faults() {
+    seeds(40, |u| {
+        let mut fleet = Fleet::formed(u.arbitrary()?, HOSTS);
+        let mut gone = BTreeSet::new();
+        for _ in 0..u.int_in_range(10..=30)? {
+            disturb(&mut fleet, &mut gone, u)?;
+            fleet.run_ms(u.int_in_range(0..=2000)?);
+        }
+        recover(&mut fleet);
+        Ok(())
+    });
+}
+
+fn disturb(fleet: &mut Fleet, gone: &mut BTreeSet<usize>, u: &mut Unstructured<'_>) -> Result<()> {
+    let index = u.choose_index(HOSTS)?;
+    match u.int_in_range(0..=11)? {
+        0 if !gone.contains(&index) => fleet.start(index),
+        1 => fleet.nodes[index].alive = false,
+        2 => {
+            let pause = Duration::from_millis(u.int_in_range(0..=8000)?);
+            fleet.nodes[index].paused_until = fleet.now + pause;
+        }
+        3 => {
+            for node in &mut fleet.nodes {
+                node.group = u.int_in_range(0..=1)?;
+                node.sees_store = u.ratio(2, 3)?;
+            }
+        }
+        4 => cut_off(fleet, index),
+        5 => fleet.store.up = u.ratio(1, 3)?,
+        6 => fleet.store.lost_answers = u.int_in_range(0..=50)?,
+        7 => fleet.store.delay = u.int_in_range(1..=1500)?,
+        8 => {
+            (fleet.loss, fleet.duplicates, fleet.delay) = u.arbitrary().map(mild)?;
+        }
+        9 => {
+            let dead = fleet
+                .nodes
+                .iter()
+                .enumerate()
+                .filter(|(_, node)| !node.alive);
+            *gone = dead.map(|(index, _)| index).collect();
+            fleet.list_gone(gone);
+        }
+        10 => heal(fleet),
+        _ => {
+            let known = fleet.nodes[index].host.documents().get("signing");
+            let base = known.map_or(0, |known| known.revision);
+            fleet.edit(index, "signing", base, u.int_in_range(1..=1000)?);
+        }
+    }
+    Ok(())
+}
+
+fn mild((loss, duplicates, delay): (u8, u8, u8)) -> (u64, u64, u64) {
+    (
+        u64::from(loss) % 30,
+        u64::from(duplicates) % 30,
+        1 + 2 * u64::from(delay),
+    )
+}
+
+fn heal(fleet: &mut Fleet) {
+    for node in &mut fleet.nodes {
+        node.group = 0;
+        node.sees_store = true;
+    }
+    (fleet.loss, fleet.duplicates, fleet.delay) = (0, 0, 25);
+    (fleet.store.up, fleet.store.lost_answers, fleet.store.delay) = (true, 0, 5);
+}
+
+fn recover(fleet: &mut Fleet) {
+    heal(fleet);
+    fleet.list_gone(&BTreeSet::new());
+    for index in 0..HOSTS {
+        if !fleet.nodes[index].alive || fleet.nodes[index].left {
+            fleet.start(index);
+        }
+    }
+    fleet.run_ms(20_000);
+    assert_eq!(fleet.current().len(), HOSTS);
+    assert!(fleet.nodes.iter().all(|node| node.host.is_member()));
+    accept(fleet, 0, "uploads");
+}
