--- /dev/null
+++ b/crates/core/tests/document.rs
@@ -0,0 +1,79 @@
+//! Checks of the service document.
+
+use marjorampick_core::document::{Digest, Document};
+
+const VALID: &str = r#"
+service = "signing"
+[[route]]
+path = "/sign"
+methods = ["POST"]
+class = "signing"
+[[route]]
+path = "/sign/status"
+class = "status"
+idempotent = true
+open = true
+[[region]]
+name = "ee-north"
+weight = 60
+slots_per_backend = 7
+[[workspace]]
+name = "anchor"
+rate_per_second = 200
+burst = 400
+"#;
+
+/// Guards against a parser that stops at the first fault, so that an operator mends them one by one.
+#[test]
+fn every_fault_is_reported_with_its_line_and_key() {
+    let source = VALID
+        .replace("weight = 60", "weight = \"heavy\"")
+        .replace("burst = 400", "burst = 0\nkeys = [\"plain-text\"]")
+        .replace("idempotent = true", "idempotant = true");
+    let findings = Document::parse(&source).expect_err("a faulty document");
+    let keys: Vec<&str> = findings
+        .iter()
+        .map(|finding| finding.key.as_str())
+        .collect();
+    for key in [
+        "region[0].weight",
+        "workspace[0].burst",
+        "workspace[0].keys",
+        "route[1].idempotant",
+    ] {
+        assert!(keys.contains(&key), "{key} is missing in:\n{findings}");
+    }
+    assert!(
+        findings.iter().all(|finding| finding.line > 1),
+        "{findings}"
+    );
+}
+
+/// Guards against a route that captures paths which only share their first letters with its prefix.
+#[test]
+fn the_longest_prefix_at_a_segment_boundary_wins() {
+    let document = Document::parse(VALID).expect("a valid document");
+    let class = |method, path| {
+        document
+            .route(method, path)
+            .map(|route| route.class.to_string())
+    };
+    assert_eq!(class("GET", "/sign/status/7").as_deref(), Some("status"));
+    assert_eq!(class("POST", "/sign").as_deref(), Some("signing"));
+    assert_eq!(class("POST", "/sign/statuses").as_deref(), Some("signing"));
+    assert_eq!(class("POST", "/signature"), None);
+    assert_eq!(class("GET", "/sign"), None);
+}
+
+/// Guards against one key that opens two workspaces.
+#[test]
+fn a_key_digest_belongs_to_one_workspace() {
+    let digest = Digest::of_key(b"secret").to_text();
+    let again = format!(
+        "keys = [\"{digest}\"]\n[[workspace]]\nname = \"small\"\nrate_per_second = 1\nburst = 1\n\
+         keys = [\"{digest}\"]\n"
+    );
+    let findings = Document::parse(&format!("{VALID}{again}")).expect_err("a digest given twice");
+    assert!(findings.to_string().contains("given twice"), "{findings}");
+    assert_eq!(Digest::parse(&digest), Ok(Digest::of_key(b"secret")));
+}
