Give findings about several keys their line

Cause: the document test failed: a finding reported after its key was taken had no line, and a faulty weight also produced the misleading finding that every region is drained. Change: the reader keeps the offsets of taken keys; the region check runs only when the regions have no faults.

--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -244,6 +244,7 @@
     if !table.has("region") {
         table.report(findings, "region", "is missing: a service needs a region");
     }
+    let faults_before = findings.len();
     let mut regions: Vec<Region> = Vec::new();
     for mut entry in table.tables(findings, "region") {
         let name = name(&mut entry, findings, "name");
@@ -261,11 +262,8 @@
             slots_per_backend,
         });
     }
-    if !regions.is_empty()
-        && regions
-            .iter()
-            .all(|region| region.drain || region.weight == 0.0)
-    {
+    let unusable = |region: &Region| region.drain || region.weight == 0.0;
+    if findings.len() == faults_before && !regions.is_empty() && regions.iter().all(unusable) {
         table.report(
             findings,
             "region",
--- a/crates/core/src/reader.rs
+++ b/crates/core/src/reader.rs
@@ -18,6 +18,8 @@
     path: String,
     offset: Option<usize>,
     entries: Vec<Entry<'a>>,
+    /// Offsets of keys already taken, for findings that follow from several keys.
+    taken: Vec<(String, usize)>,
 }
 
 struct Entry<'a> {
@@ -55,6 +57,7 @@
             path,
             offset,
             entries,
+            taken: Vec::new(),
         }
     }
 
@@ -65,9 +68,7 @@
 
     /// Adds a finding about `key`, or about the table when `key` is empty.
     pub fn report(&self, findings: &mut Findings, key: &str, text: impl Into<String>) {
-        let known = self.entries.iter().find(|entry| entry.key == key);
-        let offset = known.map(|entry| entry.offset).or(self.offset);
-        findings.add(self.source, offset, &self.path_of(key), text);
+        findings.add(self.source, self.offset_of(key), &self.path_of(key), text);
     }
 
     /// Takes a string that must be present.
@@ -196,12 +197,7 @@
     pub fn table(&mut self, findings: &mut Findings, key: &str) -> Self {
         let path = self.path_of(key);
         let Some(entry) = self.take(key) else {
-            return Self {
-                source: self.source,
-                path,
-                offset: self.offset,
-                entries: Vec::new(),
-            };
+            return Self::new(self.source, path, self.offset, DeTable::new());
         };
         if !matches!(entry.value.get_ref(), DeValue::Table(_)) {
             self.mismatch(findings, &entry, "a table");
@@ -257,12 +253,18 @@
 
     fn take(&mut self, key: &str) -> Option<Entry<'a>> {
         let index = self.entries.iter().position(|entry| entry.key == key)?;
-        Some(self.entries.swap_remove(index))
+        let entry = self.entries.swap_remove(index);
+        self.taken.push((entry.key.clone(), entry.offset));
+        Some(entry)
     }
 
     fn offset_of(&self, key: &str) -> Option<usize> {
-        let entry = self.entries.iter().find(|entry| entry.key == key);
-        entry.map(|entry| entry.offset).or(self.offset)
+        let waiting = self.entries.iter().find(|entry| entry.key == key);
+        let taken = || self.taken.iter().find(|(name, _)| name == key);
+        let offset = waiting
+            .map(|entry| entry.offset)
+            .or_else(|| taken().map(|entry| entry.1));
+        offset.or(self.offset)
     }
 
     fn path_of(&self, key: &str) -> String {
