Extract and strip credentials

Names are matched without regard to case and after percent-decoding, and queries are also split at semicolons, so that a lenient backend server finds nothing that we missed.

Each rule was broken once in a scratch copy; the tests fail when names are not decoded, when only the first key is removed, when two places count as one and when queries are split at & only.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod catalog;
 pub mod claim;
 pub mod constants;
+pub mod credential;
 pub mod document;
 pub mod finding;
 pub mod host;
@@ -15,3 +16,6 @@
 pub mod message;
 pub mod reader;
 pub mod rendezvous;
+
+#[cfg(test)]
+mod testing;
