budget: accounts, shares and the ledger's interface

The request path and the host module need the interface of Ledger and Account. Shares follow docs/design.md §7: whole tokens with the remainder by rendezvous rank, the smallest share of all unsettled versions, increases after the change is in force and one loan term has passed. Loans are not built: borrow answers None and lend answers empty loans.

--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -1,9 +1,29 @@
 //! Budgets: fleet-wide limits that many hosts spend at once.
 //!
-//! See docs/design.md §7.
+//! [`Ledger`] holds one [`Account`] for each budget. Hosts spend their shares of a limit and lend
+//! each other what they do not need. See docs/design.md §7.
 
 use std::{sync::Arc, time::Duration};
 
+mod account;
+#[expect(dead_code, reason = "loans are not built yet")]
+mod bucket;
+mod ledger;
+mod limit;
+#[expect(dead_code, reason = "loans are not built yet")]
+mod settings;
+#[expect(dead_code, reason = "loans are not built yet")]
+mod slots;
+mod version;
+
+pub use account::{Account, Short};
+pub use ledger::{Ledger, Send};
+pub use limit::Limit;
+pub use settings::Settings;
+
+#[cfg(test)]
+mod tests;
+
 /// Name of a budget.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Budget {
--- /dev/null
+++ b/crates/core/src/budget/ledger.rs
@@ -0,0 +1,309 @@
+//! Ledger: all accounts of one host.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
+    time::Duration,
+};
+
+use super::{
+    Account, Budget, Limit, Loan, LoanRequest, LoanReturn, Settings, Spare, limit::Share,
+    version::Versions,
+};
+use crate::{
+    constants::{CLOCK_DRIFT_PERCENT, LOAN_TERM},
+    message::Message,
+};
+
+/// How long old members are remembered for the shares of new accounts. Longer than any version
+/// takes to settle: loan term and the longest deadline of a document, which is 10 minutes.
+const MEMBERS_RETENTION: Duration = Duration::from_secs(15 * 60);
+
+/// A message to another host.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Send {
+    /// Name of the receiver.
+    pub host: Arc<str>,
+    /// The message.
+    pub message: Message,
+}
+
+/// All accounts of one host, shared by its threads.
+///
+/// Request threads keep the [`Account`]s that they use and share no lock with each other besides
+/// the account's own. All other calls come from the control thread.
+#[derive(Debug)]
+pub struct Ledger {
+    host: Arc<str>,
+    settings: Settings,
+    accounts: RwLock<HashMap<Budget, Arc<Account>>>,
+    control: Mutex<Control>,
+}
+
+/// State of the control thread.
+#[derive(Debug, Default)]
+struct Control {
+    limits: HashMap<Budget, Limit>,
+    members: Vec<Members>,
+    /// Largest revision known to be in force.
+    in_force: u64,
+}
+
+/// One version of the members.
+#[derive(Clone, Debug)]
+struct Members {
+    revision: u64,
+    hosts: Arc<[Arc<str>]>,
+    in_force: Option<Duration>,
+}
+
+impl Ledger {
+    /// Ledger of a starting host, without accounts and without a share.
+    ///
+    /// `incarnation` makes the numbers of loans differ from those of earlier starts of the host.
+    pub fn new(host: Arc<str>, incarnation: u64, settings: Settings) -> Self {
+        let _ = incarnation;
+        Self {
+            host,
+            settings,
+            accounts: RwLock::default(),
+            control: Mutex::default(),
+        }
+    }
+
+    /// Replaces the limits by those of `revision`.
+    ///
+    /// A smaller share takes effect at once, a larger one when `revision` is in force and settled.
+    /// A new account starts without tokens. The account of a limit that is gone stays, empty, until
+    /// the change has settled, so that its loans are not forgotten if the limit comes back.
+    pub fn configure(&self, now: Duration, limits: &[(Budget, Limit)], revision: u64) {
+        let mut control = self.control();
+        let limits: HashMap<Budget, Limit> = limits.iter().cloned().collect();
+        for (budget, limit) in &limits {
+            self.set_limit(now, &control, budget, *limit, revision);
+        }
+        for (budget, limit) in &control.limits {
+            if !limits.contains_key(budget) {
+                self.set_limit(now, &control, budget, limit.emptied(), revision);
+            }
+        }
+        control.limits = limits;
+    }
+
+    /// Replaces the members by those of `revision`.
+    ///
+    /// `hosts` names this host only if its own incarnation is listed.
+    pub fn set_members(&self, now: Duration, hosts: &[Arc<str>], revision: u64) {
+        let mut control = self.control();
+        let in_force = control.since(now, revision);
+        control.members.push(Members {
+            revision,
+            hosts: hosts.into(),
+            in_force,
+        });
+        control.forget_members(now);
+        for (budget, account) in self.accounts().iter() {
+            let Some(limit) = control.limits.get(budget) else {
+                continue;
+            };
+            let share = self.share(budget, *limit, hosts);
+            account.change(now, |versions| versions.push(revision, share, in_force));
+        }
+    }
+
+    /// Notes that every change up to `revision` is in force: every host knows it or is not current.
+    pub fn in_force(&self, now: Duration, revision: u64) {
+        let mut control = self.control();
+        control.in_force = control.in_force.max(revision);
+        for members in &mut control.members {
+            if members.revision <= revision {
+                members.in_force.get_or_insert(now);
+            }
+        }
+        for account in self.accounts().values() {
+            account.change(now, |versions| versions.in_force(now, revision));
+        }
+    }
+
+    /// Gives up the shares until `revision` is in force and settled.
+    ///
+    /// To be called before the changes of `revision` are applied by a host that was not current when
+    /// it learned of them: it may have missed a version in between in which other hosts held its
+    /// share.
+    pub fn reset(&self, now: Duration, revision: u64) {
+        let mut control = self.control();
+        let hosts = control.hosts();
+        let in_force = control.since(now, revision);
+        control.members = vec![Members {
+            revision,
+            hosts: hosts.clone(),
+            in_force,
+        }];
+        for (budget, account) in self.accounts().iter() {
+            let limit = control.limits.get(budget);
+            let share = limit.map(|limit| self.share(budget, *limit, &hosts));
+            account.change(now, |versions| {
+                versions.clear();
+                versions.push(revision, share.unwrap_or_default(), in_force);
+            });
+        }
+    }
+
+    /// Account of a budget. Request threads keep it.
+    pub fn account(&self, budget: &Budget) -> Option<Arc<Account>> {
+        self.accounts().get(budget).cloned()
+    }
+
+    /// What this host could lend, for its heartbeats.
+    pub fn spare(&self, _now: Duration) -> Vec<Spare> {
+        Vec::new()
+    }
+
+    /// Notes what a peer's heartbeat says that it could lend.
+    pub fn note_spare(&self, _now: Duration, _host: &Arc<str>, _spare: &[Spare]) {}
+
+    /// Asks a peer for a loan of `wanted` tokens or slots; `None` when no peer can be asked, or when
+    /// the loans asked for already cover it (see [`Self::is_borrowing`]).
+    pub fn borrow(
+        &self,
+        _now: Duration,
+        _budget: &Budget,
+        _wanted: u64,
+    ) -> Option<(Arc<str>, LoanRequest)> {
+        None
+    }
+
+    /// Whether an answer to a request for a loan is still expected.
+    pub fn is_borrowing(&self, _now: Duration, _budget: &Budget) -> bool {
+        false
+    }
+
+    /// Answers a request for a loan and deducts what it grants. The caller must be current.
+    pub fn lend(&self, _now: Duration, _borrower: &Arc<str>, request: &LoanRequest) -> Loan {
+        Loan {
+            id: request.id,
+            budget: request.budget.clone(),
+            tokens: 0,
+            burst: 0,
+            rate: 0,
+            term: LOAN_TERM,
+            spare: 0,
+        }
+    }
+
+    /// Adds a loan that this host asked for. Duplicated and late loans add nothing.
+    pub fn receive(&self, _now: Duration, _lender: &Arc<str>, _loan: &Loan) {}
+
+    /// Takes back the slots of a loan.
+    pub fn returned(&self, _now: Duration, _borrower: &Arc<str>, _loan: &LoanReturn) {}
+
+    /// Work that is due every 100 ms or so: borrows ahead of demand and gives back unused slots.
+    pub fn tick(&self, _now: Duration) -> Vec<Send> {
+        Vec::new()
+    }
+
+    /// Notes that the lease in the store was renewed; only [`Settings::Leased`] needs it.
+    pub fn renew_lease(&self, now: Duration) {
+        let Settings::Leased { lease } = self.settings else {
+            return;
+        };
+        for account in self.accounts().values() {
+            account.lock().lease_until = Some(now + lease);
+        }
+    }
+
+    fn share(&self, budget: &Budget, limit: Limit, hosts: &[Arc<str>]) -> Share {
+        if self.settings == Settings::Omniscient {
+            return limit.whole();
+        }
+        limit.share(budget, hosts, &self.host)
+    }
+
+    /// Adds a version of the limit to the account of `budget`, which is opened if need be.
+    fn set_limit(
+        &self,
+        now: Duration,
+        control: &Control,
+        budget: &Budget,
+        limit: Limit,
+        revision: u64,
+    ) {
+        let known = self.account(budget);
+        let account = known.unwrap_or_else(|| self.open(now, control, budget, limit));
+        let share = self.share(budget, limit, &control.hosts());
+        let in_force = control.since(now, revision);
+        account.change(now, |versions| {
+            versions.extend_delay(settling_time(limit));
+            versions.push(revision, share, in_force);
+        });
+    }
+
+    /// Opens an account. Its share is the smallest under all members that some host may still use.
+    fn open(
+        &self,
+        now: Duration,
+        control: &Control,
+        budget: &Budget,
+        limit: Limit,
+    ) -> Arc<Account> {
+        let mut versions = Versions::new(settling_time(limit));
+        for members in &control.members {
+            let share = self.share(budget, limit, &members.hosts);
+            versions.push(members.revision, share, members.in_force);
+        }
+        let account = Arc::new(Account::new(now, budget.clone(), limit, versions));
+        if let Settings::Leased { lease } = self.settings {
+            account.lock().lease_until = Some(now + lease);
+        }
+        let mut accounts = self
+            .accounts
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
+        accounts.insert(budget.clone(), account.clone());
+        account
+    }
+
+    fn accounts(&self) -> std::sync::RwLockReadGuard<'_, HashMap<Budget, Arc<Account>>> {
+        self.accounts.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn control(&self) -> MutexGuard<'_, Control> {
+        self.control.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Control {
+    /// The newest members.
+    fn hosts(&self) -> Arc<[Arc<str>]> {
+        let newest = self.members.last();
+        newest.map_or_else(|| Arc::from([]), |members| members.hosts.clone())
+    }
+
+    /// Since when a change of `revision` that is applied now is in force, if it is.
+    fn since(&self, now: Duration, revision: u64) -> Option<Duration> {
+        (revision <= self.in_force).then_some(now)
+    }
+
+    fn forget_members(&mut self, now: Duration) {
+        let old = |members: &Members| {
+            let settled = members.in_force.map(|at| at + MEMBERS_RETENTION);
+            settled.is_some_and(|at| at <= now)
+        };
+        if let Some(newest) = self.members.iter().rposition(old) {
+            self.members.drain(..newest);
+        }
+    }
+}
+
+/// Time from a change being in force until everything granted before it has ended.
+fn settling_time(limit: Limit) -> Duration {
+    match limit {
+        Limit::Rate { .. } => with_drift(LOAN_TERM),
+        Limit::Concurrency { longest, .. } => with_drift(LOAN_TERM + longest),
+    }
+}
+
+/// Time on this host's clock in which `duration` passes on every other host's clock.
+pub(super) fn with_drift(duration: Duration) -> Duration {
+    duration * 100 / (100 - CLOCK_DRIFT_PERCENT) + Duration::from_nanos(1)
+}
--- /dev/null
+++ b/crates/core/src/budget/limit.rs
@@ -0,0 +1,126 @@
+//! Limits and how they are divided between the members.
+
+use std::{sync::Arc, time::Duration};
+
+use super::Budget;
+use crate::rendezvous;
+
+/// Thousandths in one token. A burst of 2^53 tokens still fits into `u64`.
+pub(super) const MILLI: u64 = 1_000;
+
+/// Limit of a budget over all hosts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Limit {
+    /// Every window of length t admits at most `burst` + `per_second` × t.
+    Rate {
+        /// Thousandths of a token per second.
+        per_second: u64,
+        /// Whole tokens.
+        burst: u64,
+    },
+    /// At most `slots` requests run at the same time.
+    Concurrency {
+        /// Requests that may run at the same time.
+        slots: u64,
+        /// Longest time that a request occupies a slot: the longest deadline of the service.
+        longest: Duration,
+    },
+}
+
+impl Limit {
+    /// Rate limit from a rate in tokens per second, rounded down to thousandths.
+    pub fn rate(per_second: f64, burst: u64) -> Self {
+        Self::Rate {
+            per_second: (per_second * MILLI as f64) as u64,
+            burst,
+        }
+    }
+
+    /// The same kind of limit, but with nothing to spend.
+    pub(super) fn emptied(self) -> Self {
+        match self {
+            Self::Rate { .. } => Self::Rate {
+                per_second: 0,
+                burst: 0,
+            },
+            Self::Concurrency { longest, .. } => Self::Concurrency { slots: 0, longest },
+        }
+    }
+
+    /// The whole limit as one share.
+    pub(super) fn whole(self) -> Share {
+        match self {
+            Self::Rate { per_second, burst } => Share {
+                capacity: burst.saturating_mul(MILLI),
+                rate: per_second,
+            },
+            Self::Concurrency { slots, .. } => Share {
+                capacity: slots,
+                rate: 0,
+            },
+        }
+    }
+
+    /// Share of `host`; nothing when it is not one of `members`.
+    pub(super) fn share(self, budget: &Budget, members: &[Arc<str>], host: &str) -> Share {
+        let Some(place) = place(budget, members, host) else {
+            return Share::default();
+        };
+        let count = members.len() as u64;
+        match self {
+            Self::Rate { per_second, burst } => Share {
+                capacity: part(burst, count, place).saturating_mul(MILLI),
+                rate: part(per_second, count, place),
+            },
+            Self::Concurrency { slots, .. } => Share {
+                capacity: part(slots, count, place),
+                rate: 0,
+            },
+        }
+    }
+}
+
+/// Part of a limit that one host may spend.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Share {
+    /// Burst in thousandths of a token, or slots.
+    pub(super) capacity: u64,
+    /// Thousandths of a token per second; 0 for slots.
+    pub(super) rate: u64,
+}
+
+impl Share {
+    /// The smaller of both in each field.
+    pub(super) fn min(self, other: Self) -> Self {
+        Self {
+            capacity: self.capacity.min(other.capacity),
+            rate: self.rate.min(other.rate),
+        }
+    }
+}
+
+/// Rank of `host` among `members` for `budget`.
+fn place(budget: &Budget, members: &[Arc<str>], host: &str) -> Option<u64> {
+    let names = members.iter().map(AsRef::as_ref);
+    let order = rendezvous::rank(&budget.rank_key(), names);
+    let place = order
+        .into_iter()
+        .position(|index| members[index].as_ref() == host)?;
+    Some(place as u64)
+}
+
+/// Part of `total` for the host at `place` of `count`; the remainder goes to the first places.
+fn part(total: u64, count: u64, place: u64) -> u64 {
+    total / count + u64::from(place < total % count)
+}
+
+impl Budget {
+    /// Key of the budget for rendezvous hashing.
+    fn rank_key(&self) -> String {
+        match self {
+            Self::Workspace { service, workspace } => format!("workspace/{service}/{workspace}"),
+            Self::CrossRegion { service } => format!("cross-region/{service}"),
+            Self::Region { service, region } => format!("region/{service}/{region}"),
+        }
+    }
+}
