Choose regions and backend servers

backend::Status keeps what a host knows of one instance: leaving is never unlearned, health reports only make an instance second choice and lose against newer own answers, consecutive own errors eject, and probes with pauses from 1 s to 32 s bring it back cold. Silence on a reused connection does not count as an error of the instance, since new connections may still work.

route::region takes slots in the order of actual weights, own region, weight; late load reports are no input. Headroom is offered only while another region is lost. route::backend compares two random candidates by in-flight requests per slot.

--- /dev/null
+++ b/crates/core/src/backend/tests.rs
@@ -0,0 +1,91 @@
+//! Guards against new work for instances that leave or fail, and against good ones kept out.
+
+use super::*;
+use crate::testing::check;
+
+const WARMUP: Duration = Duration::from_secs(10);
+
+fn at(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Guards against a late report, an answer or a probe that brings a leaving instance back.
+#[test]
+fn leaving_is_never_unlearned() {
+    check(500, 256, |u| {
+        let mut status = Status::new(Duration::ZERO, WARMUP);
+        let mut now = Duration::ZERO;
+        let mut leaving = false;
+        while !u.is_empty() {
+            let sent = now;
+            now += at(u.int_in_range(0..=3000)?);
+            match u.int_in_range(0..=30)? {
+                0 => (leaving, _) = (true, status.closing()),
+                1 => (leaving, _) = (true, status.listed(None)),
+                2 => (leaving, _) = (true, status.listed(Some(ListedState::Leaving))),
+                3 => (leaving, _) = (true, status.health(now, at(900), Health::Draining)),
+                4..=8 => status.listed(Some(ListedState::Live)),
+                9..=14 => status.health(now, at(0), Health::Serving),
+                15..=19 => status.failed(now, sent),
+                20 => status.probing(now),
+                _ => status.answered(now, sent),
+            }
+            assert_eq!(status.is_leaving(), leaving);
+            assert!(!leaving || status.standing(now) == Standing::Unavailable);
+            assert!(!leaving || !status.probe_due(now));
+        }
+        Ok(())
+    });
+}
+
+/// Guards against probing a dead instance without growing pauses, and against readmission by an
+/// answer to a request from before the ejection.
+#[test]
+fn ejected_instances_come_back_by_probes_with_growing_pauses() {
+    let mut status = Status::new(at(0), WARMUP);
+    (0..2).for_each(|_| status.failed(at(20_000), at(19_000)));
+    assert!(status.eligible(at(20_000)));
+    status.failed(at(20_000), at(19_000));
+    let mut now = at(20_000);
+    for pause in [1, 2, 4, 8, 16, 32, 32] {
+        status.answered(now, at(19_900));
+        assert_eq!(status.standing(now), Standing::Unavailable);
+        assert!(!status.probe_due(now + at(1000 * pause - 1)));
+        now += at(1000 * pause);
+        assert!(status.probe_due(now));
+        status.probing(now);
+        assert!(!status.probe_due(now + at(500)) && status.probe_due(now + PROBE_TIMEOUT));
+        status.failed(now, now);
+    }
+    now += LONGEST_PAUSE;
+    status.answered(now, now);
+    assert_eq!(status.standing(now), Standing::Eligible(COLD_SHARE));
+    assert_eq!(status.standing(now + WARMUP / 2), Standing::Eligible(0.55));
+    assert_eq!(status.standing(now + WARMUP), Standing::Eligible(1.0));
+}
+
+/// Guards against health reports that outrank what the host sees itself, and against a frozen one.
+#[test]
+fn own_answers_outrank_health_reports() {
+    let mut status = Status::new(at(0), Duration::ZERO);
+    status.health(at(5000), at(2000), Health::Failing);
+    status.health(at(5100), at(3000), Health::Serving);
+    assert_eq!(status.standing(at(5100)), Standing::Doubtful(1.0));
+    assert!(status.eligible(at(3000) + HEALTH_VALIDITY));
+    status.answered(at(5200), at(5100));
+    assert!(status.eligible(at(5200)));
+    (0..3).for_each(|_| status.failed(at(6000), at(5300)));
+    status.health(at(6100), at(0), Health::Serving);
+    assert_eq!(status.standing(at(6100)), Standing::Unavailable);
+}
+
+/// Guards against ejecting a good instance for its silent connections, and against using them.
+#[test]
+fn silent_connections_are_not_reused() {
+    let mut status = Status::new(at(0), Duration::ZERO);
+    (0..9).for_each(|_| status.silent(at(5000), at(1000), false));
+    assert!(status.eligible(at(5000)));
+    assert!(!status.reusable(at(4999)) && status.reusable(at(5001)));
+    (0..3).for_each(|_| status.silent(at(6000), at(5500), true));
+    assert!(!status.eligible(at(6000)));
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! an argument. Inputs are typed events and answers are typed actions, so that the entry host and
 //! the scenario runner drive the same code. See `docs/design.md`.
 
+pub mod backend;
 pub mod budget;
 pub mod catalog;
 pub mod claim;
@@ -16,6 +17,7 @@
 pub mod message;
 pub mod reader;
 pub mod rendezvous;
+pub mod route;
 
 #[cfg(test)]
 mod testing;
--- /dev/null
+++ b/crates/core/src/route/tests.rs
@@ -0,0 +1,149 @@
+//! Guards against overloaded regions and backend servers, and against refusals with free slots.
+
+use super::*;
+use crate::testing::check;
+
+fn warm(in_flight: u64) -> Candidate {
+    Candidate {
+        standing: Standing::Eligible(1.0),
+        in_flight,
+        slots: 9,
+    }
+}
+
+/// Guards against a region filled over its slots because a late load report calls it empty, and
+/// against headroom used on an ordinary day. Reports are 50 steps old; the weights follow them.
+#[test]
+fn a_region_that_is_reported_empty_is_never_over_its_slots() {
+    const SLOTS: [u64; 3] = [40, 25, 10];
+    const HEADROOM: u64 = 4;
+    check(60, 8192, |u| {
+        let (mut running, mut volume) = ([0_u64; 3], 100_u64);
+        let mut reports = vec![[0_u64; 3]; 50];
+        let mut lost = None;
+        for step in 0..400 {
+            let late = reports[step];
+            if step >= 200 && step % 40 == 0 {
+                lost = Some(u.int_in_range(0..=2)?);
+            }
+            let region = |index: usize| Region {
+                weight: if late[index] < 5 { 1.0 } else { 0.05 },
+                allowed: true,
+                lost: lost == Some(index),
+                crosses: index != 0,
+            };
+            let left = volume;
+            let take = |index: usize, slots| {
+                let reserve = if slots == Slots::Regular { HEADROOM } else { 0 };
+                running[index] + reserve < SLOTS[index]
+            };
+            match super::region(&[0, 1, 2].map(region), u.arbitrary()?, || left > 0, take) {
+                Ok(index) => {
+                    assert!(lost != Some(index) && (index == 0 || volume > 0));
+                    running[index] += 1;
+                    volume -= u64::from(index != 0);
+                }
+                Err(_) if lost.is_none() => assert!(running[0] >= SLOTS[0] - HEADROOM),
+                Err(_) => assert!(lost == Some(0) || running[0] >= SLOTS[0]),
+            }
+            let reserve = if lost.is_none() { HEADROOM } else { 0 };
+            assert!((0..3).all(|index| running[index] <= SLOTS[index] - reserve));
+            let ended = u.int_in_range(0..=2)?;
+            running[ended] = running[ended].saturating_sub(u.int_in_range(0..=2)?);
+            reports.push(running);
+        }
+        Ok(())
+    });
+}
+
+/// Guards against spilling into a drained region or past the volume, and against wrong refusals.
+#[test]
+fn spilling_obeys_the_document_and_the_volume() {
+    let region = |weight, allowed, lost, crosses| Region {
+        weight,
+        allowed,
+        lost,
+        crosses,
+    };
+    let regions = [
+        region(1.0, true, true, false),
+        region(0.0, false, false, true),
+        region(0.0, true, false, true),
+    ];
+    let free = |_: usize, slots: Slots| slots == Slots::WithHeadroom;
+    assert_eq!(super::region(&regions, 7, || true, free), Ok(2));
+    assert_eq!(
+        super::region(&regions, 7, || false, free),
+        Err(Refusal::VolumeSpent)
+    );
+    assert_eq!(
+        super::region(&regions, 7, || true, |_, _| false),
+        Err(Refusal::RegionFull)
+    );
+    assert_eq!(
+        super::region(&regions[..1], 7, || true, free),
+        Err(Refusal::NoBackend)
+    );
+    assert_eq!(
+        super::region(&[], 7, || true, free),
+        Err(Refusal::NoBackend)
+    );
+}
+
+/// Guards against traffic that does not follow the actual weights.
+#[test]
+fn the_first_choice_follows_the_weights() {
+    let region = |weight| Region {
+        weight,
+        allowed: true,
+        lost: false,
+        crosses: true,
+    };
+    let regions = [0.0, 0.6, 0.3, 0.1].map(region);
+    let mut counts = [0_u64; 4];
+    for step in 0..1000_u64 {
+        let random = step * (u64::MAX / 1000);
+        counts[super::region(&regions, random, || true, |_, _| true).unwrap()] += 1;
+    }
+    assert!(counts[0] == 0 && counts[1].abs_diff(600) < 3 && counts[2].abs_diff(300) < 3);
+}
+
+/// Guards against work for unavailable or full instances while another one could take it.
+#[test]
+fn backend_choice_skips_full_and_unavailable_ones() {
+    let with = |standing, in_flight| Candidate {
+        standing,
+        in_flight,
+        slots: 9,
+    };
+    let away = with(Standing::Unavailable, 0);
+    let doubtful = with(Standing::Doubtful(1.0), 0);
+    check(500, 16, |u| {
+        let random = u.arbitrary()?;
+        assert_eq!(backend(&[away, warm(9), doubtful, warm(8)], random), Ok(3));
+        assert_eq!(backend(&[away, warm(9), doubtful], random), Ok(2));
+        assert_eq!(backend(&[away, warm(9)], random), Err(Refusal::RegionFull));
+        assert_eq!(backend(&[away], random), Err(Refusal::NoBackend));
+        assert_eq!(backend(&[warm(5), warm(2)], random), Ok(1));
+        Ok(())
+    });
+}
+
+/// Guards against a cold instance that gets its full part at once or none at all, idle or loaded.
+#[test]
+fn a_cold_instance_gets_a_rising_part() {
+    let part = |share: f64, in_flight: u64| {
+        let mut candidates = [warm(in_flight); 10];
+        candidates[0].standing = Standing::Eligible(share);
+        let random = |step: u64| step.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let chosen = (0..20_000).map(|step| backend(&candidates, [random(step), random(!step)]));
+        let cold = chosen.filter(|choice| *choice == Ok(0)).count();
+        cold as f64 * 10.0 / 20_000.0
+    };
+    assert!((0.05..=0.2).contains(&part(0.1, 0)), "{}", part(0.1, 0));
+    assert!((0.4..=0.7).contains(&part(0.5, 0)), "{}", part(0.5, 0));
+    assert!(
+        part(0.1, 4) < 0.05,
+        "a cold instance with as much work as warm ones gets no more"
+    );
+}
