budget: loans of tokens and slots

A host that is short had no way to use what its peers hold. Loans move tokens with as much capacity for 300 ms, counted by the borrower from sending its request and by the lender from granting it plus 1% drift, or slots until they are returned. The rate stays with the lender, so that nothing is lost between two loans. Peers are chosen by an estimate: the last reported spare plus the peer's own rate since then.

--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -6,13 +6,13 @@
 use std::{sync::Arc, time::Duration};
 
 mod account;
-#[expect(dead_code, reason = "loans are not built yet")]
+mod borrowing;
 mod bucket;
+mod demand;
 mod ledger;
 mod limit;
-#[expect(dead_code, reason = "loans are not built yet")]
+mod loans;
 mod settings;
-#[expect(dead_code, reason = "loans are not built yet")]
 mod slots;
 mod version;
 
@@ -96,6 +96,7 @@
     pub id: u64,
     /// Budget of the loan.
     pub budget: Budget,
-    /// Slots that go back to the lender.
+    /// Slots of the loan that went back to the lender so far, counted from the grant, so that a
+    /// duplicated return gives nothing back twice.
     pub slots: u64,
 }
--- a/crates/core/src/budget/account.rs
+++ b/crates/core/src/budget/account.rs
@@ -9,6 +9,7 @@
 use super::{
     Budget,
     bucket::Bucket,
+    demand::Demand,
     limit::{Limit, MILLI},
     slots::Slots,
     version::Versions,
@@ -46,8 +47,7 @@
     pub(super) holding: Holding,
     /// End of the lease under which the account may be spent; without one it always may.
     pub(super) lease_until: Option<Duration>,
-    /// Whole tokens or slots that requests asked for since the last tick.
-    pub(super) asked: u64,
+    pub(super) demand: Demand,
 }
 
 /// Tokens or slots.
@@ -68,7 +68,7 @@
         let state = State {
             holding,
             lease_until: None,
-            asked: 0,
+            demand: Demand::default(),
         };
         let account = Self {
             budget,
@@ -93,7 +93,7 @@
     /// [`Short`] when the account does not hold `amount`; nothing is taken then.
     pub fn take(&self, now: Duration, amount: u64) -> Result<(), Short> {
         let mut state = self.lock();
-        state.asked = state.asked.saturating_add(amount);
+        state.demand.ask(amount);
         state.take(now, amount)
     }
 
--- a/crates/core/src/budget/bucket.rs
+++ b/crates/core/src/budget/bucket.rs
@@ -1,6 +1,6 @@
 //! Token bucket of one host for a rate budget.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use super::{
     limit::{MILLI, Share},
@@ -10,12 +10,26 @@
 const NANOS: u128 = 1_000_000_000;
 
 /// Capacity that left with a loan or came with one.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct Moved {
     /// Burst in thousandths of a token and rate.
-    pub(super) share: Share,
+    share: Share,
     /// When it ends, on this host's clock.
-    pub(super) until: Duration,
+    until: Duration,
+    /// The other host.
+    peer: Arc<str>,
+    id: u64,
+}
+
+impl Moved {
+    pub(super) fn new(share: Share, until: Duration, peer: Arc<str>, id: u64) -> Self {
+        Self {
+            share,
+            until,
+            peer,
+            id,
+        }
+    }
 }
 
 /// Tokens that this host may spend.
@@ -80,9 +94,15 @@
         self.tokens.min(self.own().capacity)
     }
 
-    /// Rate of the own share that is not lent.
-    pub(super) fn lendable_rate(&self) -> u64 {
-        self.own().rate
+    /// Whether the whole share could be lent.
+    pub(super) fn is_full(&self) -> bool {
+        self.lendable() >= self.versions.newest().capacity
+    }
+
+    /// What was granted to `borrower` for its request `id`, if that has not ended.
+    pub(super) fn granted(&self, borrower: &str, id: u64) -> Option<Share> {
+        let same = |loan: &&Moved| loan.peer.as_ref() == borrower && loan.id == id;
+        self.lent.iter().find(same).map(|loan| loan.share)
     }
 
     /// Thousandths of a token in the bucket.
--- a/crates/core/src/budget/ledger.rs
+++ b/crates/core/src/budget/ledger.rs
@@ -7,7 +7,7 @@
 };
 
 use super::{
-    Account, Budget, Limit, Loan, LoanRequest, LoanReturn, Settings, Spare, limit::Share,
+    Account, Budget, Limit, Settings, borrowing::Borrowing, limit::Share, loans::SLOT_LOAN_TERM,
     version::Versions,
 };
 use crate::{
@@ -19,6 +19,9 @@
 /// takes to settle: loan term and the longest deadline of a document, which is 10 minutes.
 const MEMBERS_RETENTION: Duration = Duration::from_secs(15 * 60);
 
+/// Bits of a request number that count the requests of one incarnation.
+const REQUEST_NUMBER_BITS: u32 = 32;
+
 /// A message to another host.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Send {
@@ -35,18 +38,21 @@
 #[derive(Debug)]
 pub struct Ledger {
     host: Arc<str>,
-    settings: Settings,
+    pub(super) settings: Settings,
     accounts: RwLock<HashMap<Budget, Arc<Account>>>,
     control: Mutex<Control>,
 }
 
 /// State of the control thread.
 #[derive(Debug, Default)]
-struct Control {
+pub(super) struct Control {
     limits: HashMap<Budget, Limit>,
     members: Vec<Members>,
     /// Largest revision known to be in force.
     in_force: u64,
+    pub(super) borrowings: HashMap<Budget, Borrowing>,
+    /// Number of the next request for a loan.
+    pub(super) next_id: u64,
 }
 
 /// One version of the members.
@@ -62,12 +68,15 @@
     ///
     /// `incarnation` makes the numbers of loans differ from those of earlier starts of the host.
     pub fn new(host: Arc<str>, incarnation: u64, settings: Settings) -> Self {
-        let _ = incarnation;
+        let control = Control {
+            next_id: incarnation << REQUEST_NUMBER_BITS,
+            ..Control::default()
+        };
         Self {
             host,
             settings,
             accounts: RwLock::default(),
-            control: Mutex::default(),
+            control: Mutex::new(control),
         }
     }
 
@@ -88,6 +97,7 @@
             }
         }
         control.limits = limits;
+        self.update_lenders(&mut control);
     }
 
     /// Replaces the members by those of `revision`.
@@ -102,6 +112,7 @@
             in_force,
         });
         control.forget_members(now);
+        self.update_lenders(&mut control);
         for (budget, account) in self.accounts().iter() {
             let Some(limit) = control.limits.get(budget) else {
                 continue;
@@ -154,54 +165,6 @@
         self.accounts().get(budget).cloned()
     }
 
-    /// What this host could lend, for its heartbeats.
-    pub fn spare(&self, _now: Duration) -> Vec<Spare> {
-        Vec::new()
-    }
-
-    /// Notes what a peer's heartbeat says that it could lend.
-    pub fn note_spare(&self, _now: Duration, _host: &Arc<str>, _spare: &[Spare]) {}
-
-    /// Asks a peer for a loan of `wanted` tokens or slots; `None` when no peer can be asked, or when
-    /// the loans asked for already cover it (see [`Self::is_borrowing`]).
-    pub fn borrow(
-        &self,
-        _now: Duration,
-        _budget: &Budget,
-        _wanted: u64,
-    ) -> Option<(Arc<str>, LoanRequest)> {
-        None
-    }
-
-    /// Whether an answer to a request for a loan is still expected.
-    pub fn is_borrowing(&self, _now: Duration, _budget: &Budget) -> bool {
-        false
-    }
-
-    /// Answers a request for a loan and deducts what it grants. The caller must be current.
-    pub fn lend(&self, _now: Duration, _borrower: &Arc<str>, request: &LoanRequest) -> Loan {
-        Loan {
-            id: request.id,
-            budget: request.budget.clone(),
-            tokens: 0,
-            burst: 0,
-            rate: 0,
-            term: LOAN_TERM,
-            spare: 0,
-        }
-    }
-
-    /// Adds a loan that this host asked for. Duplicated and late loans add nothing.
-    pub fn receive(&self, _now: Duration, _lender: &Arc<str>, _loan: &Loan) {}
-
-    /// Takes back the slots of a loan.
-    pub fn returned(&self, _now: Duration, _borrower: &Arc<str>, _loan: &LoanReturn) {}
-
-    /// Work that is due every 100 ms or so: borrows ahead of demand and gives back unused slots.
-    pub fn tick(&self, _now: Duration) -> Vec<Send> {
-        Vec::new()
-    }
-
     /// Notes that the lease in the store was renewed; only [`Settings::Leased`] needs it.
     pub fn renew_lease(&self, now: Duration) {
         let Settings::Leased { lease } = self.settings else {
@@ -212,11 +175,29 @@
         }
     }
 
+    /// Brings the lists of peers that can lend up to date with limits and members.
+    fn update_lenders(&self, control: &mut Control) {
+        let hosts = control.hosts();
+        let Control {
+            limits, borrowings, ..
+        } = control;
+        borrowings.retain(|budget, _| limits.contains_key(budget));
+        for (budget, limit) in limits {
+            let shares = limit.shares(budget, &hosts);
+            let peers = hosts.iter().cloned().zip(shares);
+            let others = peers.filter(|(host, _)| *host != self.host);
+            let borrowing = borrowings.entry(budget.clone()).or_default();
+            borrowing.set_lenders(others);
+        }
+    }
+
     fn share(&self, budget: &Budget, limit: Limit, hosts: &[Arc<str>]) -> Share {
         if self.settings == Settings::Omniscient {
             return limit.whole();
         }
-        limit.share(budget, hosts, &self.host)
+        let own = hosts.iter().position(|host| *host == self.host);
+        let share = own.map(|own| limit.shares(budget, hosts)[own]);
+        share.unwrap_or_default()
     }
 
     /// Adds a version of the limit to the account of `budget`, which is opened if need be.
@@ -263,11 +244,11 @@
         account
     }
 
-    fn accounts(&self) -> std::sync::RwLockReadGuard<'_, HashMap<Budget, Arc<Account>>> {
+    pub(super) fn accounts(&self) -> std::sync::RwLockReadGuard<'_, HashMap<Budget, Arc<Account>>> {
         self.accounts.read().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn control(&self) -> MutexGuard<'_, Control> {
+    pub(super) fn control(&self) -> MutexGuard<'_, Control> {
         self.control.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -299,7 +280,7 @@
 fn settling_time(limit: Limit) -> Duration {
     match limit {
         Limit::Rate { .. } => with_drift(LOAN_TERM),
-        Limit::Concurrency { longest, .. } => with_drift(LOAN_TERM + longest),
+        Limit::Concurrency { longest, .. } => with_drift(SLOT_LOAN_TERM + longest),
     }
 }
 
--- a/crates/core/src/budget/limit.rs
+++ b/crates/core/src/budget/limit.rs
@@ -61,12 +61,19 @@
         }
     }
 
-    /// Share of `host`; nothing when it is not one of `members`.
-    pub(super) fn share(self, budget: &Budget, members: &[Arc<str>], host: &str) -> Share {
-        let Some(place) = place(budget, members, host) else {
-            return Share::default();
-        };
-        let count = members.len() as u64;
+    /// Shares of `members`, in their order.
+    pub(super) fn shares(self, budget: &Budget, members: &[Arc<str>]) -> Vec<Share> {
+        let names = members.iter().map(AsRef::as_ref);
+        let order = rendezvous::rank(&budget.rank_key(), names);
+        let mut shares = vec![Share::default(); members.len()];
+        for (place, index) in order.into_iter().enumerate() {
+            shares[index] = self.share(members.len() as u64, place as u64);
+        }
+        shares
+    }
+
+    /// Share of the host at `place` of `count`.
+    fn share(self, count: u64, place: u64) -> Share {
         match self {
             Self::Rate { per_second, burst } => Share {
                 capacity: part(burst, count, place).saturating_mul(MILLI),
@@ -99,16 +106,6 @@
     }
 }
 
-/// Rank of `host` among `members` for `budget`.
-fn place(budget: &Budget, members: &[Arc<str>], host: &str) -> Option<u64> {
-    let names = members.iter().map(AsRef::as_ref);
-    let order = rendezvous::rank(&budget.rank_key(), names);
-    let place = order
-        .into_iter()
-        .position(|index| members[index].as_ref() == host)?;
-    Some(place as u64)
-}
-
 /// Part of `total` for the host at `place` of `count`; the remainder goes to the first places.
 fn part(total: u64, count: u64, place: u64) -> u64 {
     total / count + u64::from(place < total % count)
--- /dev/null
+++ b/crates/core/src/budget/loans.rs
@@ -0,0 +1,361 @@
+//! The ledger's loans: asking, granting, receiving and giving back.
+
+use std::{sync::Arc, time::Duration};
+
+use super::{
+    Account, Budget, Ledger, Loan, LoanRequest, LoanReturn, Send, Spare,
+    account::{Holding, State},
+    bucket::{Bucket, Moved},
+    ledger::with_drift,
+    limit::{MILLI, Share},
+    slots::{Borrowed, Lent, Slots},
+};
+use crate::message::Message;
+
+/// Term of a loan of tokens. Covers a round trip to the farthest region; until it ends the lender
+/// cannot refill what it lent.
+const TOKEN_LOAN_TERM: Duration = Duration::from_millis(300);
+
+/// Term in which requests may start on borrowed slots.
+pub(super) const SLOT_LOAN_TERM: Duration = Duration::from_secs(10);
+
+/// Time for which a loan covers the lacking rate ahead of demand.
+const AHEAD: Duration = Duration::from_millis(500);
+
+/// Demand may exceed the rate by this part before anything is borrowed ahead, in percent.
+const TOLERANCE_PERCENT: u64 = 10;
+
+impl Ledger {
+    /// What this host could lend, for its heartbeats. Leaves out the budgets of which its whole share
+    /// is unused.
+    pub fn spare(&self, now: Duration) -> Vec<Spare> {
+        if !self.settings.lends() {
+            return Vec::new();
+        }
+        let accounts = self.accounts();
+        let partly_used = accounts.iter().filter_map(|(budget, account)| {
+            let amount = account.lock().partial_spare(now)?;
+            let budget = budget.clone();
+            Some(Spare { budget, amount })
+        });
+        partly_used.collect()
+    }
+
+    /// Notes what a peer's heartbeat says that it could lend; the whole share of the budgets that
+    /// the heartbeat does not name.
+    pub fn note_spare(&self, now: Duration, host: &Arc<str>, spare: &[Spare]) {
+        let mut control = self.control();
+        for (budget, borrowing) in &mut control.borrowings {
+            let named = spare.iter().find(|spare| spare.budget == *budget);
+            borrowing.note(now, host, named.map(|spare| unit(budget) * spare.amount));
+        }
+    }
+
+    /// Asks a peer for a loan of `wanted` tokens or slots; `None` when no peer can be asked, or when
+    /// the loans asked for already cover it (see [`Self::is_borrowing`]).
+    pub fn borrow(
+        &self,
+        now: Duration,
+        budget: &Budget,
+        wanted: u64,
+    ) -> Option<(Arc<str>, LoanRequest)> {
+        if !self.settings.lends() {
+            return None;
+        }
+        let account = self.account(budget)?;
+        let lacking = account.lock().lacking(now);
+        self.ask(now, budget, wanted, lacking)
+    }
+
+    /// Whether an answer to a request for a loan is still expected.
+    pub fn is_borrowing(&self, now: Duration, budget: &Budget) -> bool {
+        let control = self.control();
+        let borrowing = control.borrowings.get(budget);
+        borrowing.is_some_and(|borrowing| borrowing.is_awaited(now))
+    }
+
+    /// Answers a request for a loan and deducts what it grants. The caller must be current.
+    pub fn lend(&self, now: Duration, borrower: &Arc<str>, request: &LoanRequest) -> Loan {
+        let empty = Loan::empty(request);
+        if !self.settings.lends() {
+            return empty;
+        }
+        let Some(account) = self.account(&request.budget) else {
+            return empty;
+        };
+        let mut state = account.lock();
+        match &mut state.holding {
+            Holding::Rate(bucket) => lend_tokens(bucket, now, borrower, request),
+            Holding::Slots(slots) => lend_slots(slots, now, borrower, request),
+        }
+    }
+
+    /// Adds a loan that this host asked for. Duplicated and late loans add nothing.
+    pub fn receive(&self, now: Duration, lender: &Arc<str>, loan: &Loan) {
+        let mut control = self.control();
+        let Some(borrowing) = control.borrowings.get_mut(&loan.budget) else {
+            return;
+        };
+        let Some(pending) = borrowing.answered(loan.id, lender) else {
+            return;
+        };
+        borrowing.note(now, lender, Some(unit(&loan.budget) * loan.spare));
+        drop(control);
+        // Counted from sending the request, so that the loan ends here before it ends at the lender.
+        let until = pending.sent + loan.term;
+        if let Some(account) = self.account(&loan.budget) {
+            account.lock().add(now, lender, loan, until);
+        }
+    }
+
+    /// Takes back the slots of a loan.
+    pub fn returned(&self, now: Duration, borrower: &Arc<str>, loan: &LoanReturn) {
+        let Some(account) = self.account(&loan.budget) else {
+            return;
+        };
+        if let Holding::Slots(slots) = &mut account.lock().holding {
+            slots.advance(now);
+            slots.returned(borrower, loan.id, loan.slots);
+        }
+    }
+
+    /// Work that is due every 100 ms or so: borrows ahead of demand and gives back unused slots.
+    pub fn tick(&self, now: Duration) -> Vec<Send> {
+        if !self.settings.lends() {
+            return Vec::new();
+        }
+        let accounts: Vec<Arc<Account>> = self.accounts().values().cloned().collect();
+        let mut messages = Vec::new();
+        for account in accounts {
+            messages.extend(self.expire(now, account.budget()));
+            messages.extend(give_back(now, &account));
+            messages.extend(self.borrow_ahead(now, &account));
+        }
+        messages
+    }
+
+    /// Gives up requests that were not answered. Slots that such a loan may have moved go back.
+    fn expire(&self, now: Duration, budget: &Budget) -> Vec<Send> {
+        let mut control = self.control();
+        let borrowing = control.borrowings.get_mut(budget);
+        let expired = borrowing.map(|borrowing| borrowing.expire(now));
+        let slots = matches!(budget, Budget::Region { .. });
+        let unanswered = expired.into_iter().flatten().filter(|_| slots);
+        unanswered
+            .map(|pending| return_slots(&pending.lender, budget, pending.id, u64::MAX))
+            .collect()
+    }
+
+    /// Borrows ahead when the demand exceeds the rate and little is left.
+    fn borrow_ahead(&self, now: Duration, account: &Account) -> Option<Send> {
+        let lacking = account.lock().lacking_ahead(now)?;
+        let (host, request) = self.ask(now, account.budget(), 0, lacking)?;
+        let message = Message::LoanRequest(request);
+        Some(Send { host, message })
+    }
+
+    /// Asks the peer that can probably lend most.
+    fn ask(
+        &self,
+        now: Duration,
+        budget: &Budget,
+        wanted: u64,
+        rate_wanted: u64,
+    ) -> Option<(Arc<str>, LoanRequest)> {
+        let mut control = self.control();
+        let id = control.next_id;
+        let borrowing = control.borrowings.get_mut(budget)?;
+        let unit = unit(budget);
+        let claimed = wanted.saturating_mul(unit);
+        if borrowing.claim(now, claimed.max(unit)) {
+            return None;
+        }
+        let (lender, estimate) = borrowing.best(now, unit)?;
+        let ahead = over(rate_wanted, AHEAD).min(estimate.saturating_sub(claimed) / 2);
+        let expected = estimate.min(claimed + ahead);
+        borrowing.ask(now, id, &lender, claimed, expected);
+        control.next_id = id.wrapping_add(1);
+        let request = LoanRequest {
+            id,
+            budget: budget.clone(),
+            wanted,
+            rate_wanted,
+        };
+        Some((lender, request))
+    }
+}
+
+impl Loan {
+    /// Answer that grants nothing.
+    fn empty(request: &LoanRequest) -> Self {
+        Self {
+            id: request.id,
+            budget: request.budget.clone(),
+            tokens: 0,
+            burst: 0,
+            rate: 0,
+            term: Duration::ZERO,
+            spare: 0,
+        }
+    }
+}
+
+impl State {
+    /// What this host could lend, unless that is its whole share.
+    fn partial_spare(&mut self, now: Duration) -> Option<u64> {
+        match &mut self.holding {
+            Holding::Rate(bucket) => {
+                bucket.advance(now);
+                (!bucket.is_full()).then(|| bucket.lendable() / MILLI)
+            }
+            Holding::Slots(slots) => {
+                slots.advance(now);
+                (!slots.is_unused()).then(|| slots.lendable())
+            }
+        }
+    }
+
+    /// Rate by which the demand exceeds what the account gains.
+    fn lacking(&mut self, now: Duration) -> u64 {
+        match &mut self.holding {
+            Holding::Rate(bucket) => {
+                bucket.advance(now);
+                self.demand.rate().saturating_sub(bucket.rate())
+            }
+            Holding::Slots(_) => 0,
+        }
+    }
+
+    /// Like [`Self::lacking`], if it is time to borrow ahead.
+    fn lacking_ahead(&mut self, now: Duration) -> Option<u64> {
+        self.demand.update(now);
+        let lacking = self.lacking(now);
+        let Holding::Rate(bucket) = &self.holding else {
+            return None;
+        };
+        let tolerated = bucket.rate() / 100 * TOLERANCE_PERCENT;
+        let low = bucket.tokens() < over(lacking, AHEAD) / 2;
+        let usable = over(lacking, TOKEN_LOAN_TERM).min(bucket.room()) >= MILLI;
+        (lacking > tolerated && low && usable).then_some(lacking)
+    }
+
+    /// Adds a loan that ends at `until` on this host's clock.
+    fn add(&mut self, now: Duration, lender: &Arc<str>, loan: &Loan, until: Duration) {
+        match &mut self.holding {
+            Holding::Rate(bucket) if until > now => {
+                let share = Share {
+                    capacity: loan.burst.saturating_mul(MILLI),
+                    rate: loan.rate,
+                };
+                let tokens = loan.tokens.min(loan.burst).saturating_mul(MILLI);
+                bucket.advance(now);
+                bucket.borrow(tokens, Moved::new(share, until, lender.clone(), loan.id));
+            }
+            Holding::Rate(_) => (),
+            Holding::Slots(slots) if loan.tokens > 0 => slots.borrow(Borrowed {
+                lender: lender.clone(),
+                id: loan.id,
+                slots: loan.tokens,
+                returned: 0,
+                until,
+            }),
+            Holding::Slots(_) => (),
+        }
+    }
+}
+
+/// Lends what is wanted, and ahead of demand at most half of the rest.
+fn lend_tokens(
+    bucket: &mut Bucket,
+    now: Duration,
+    borrower: &Arc<str>,
+    request: &LoanRequest,
+) -> Loan {
+    bucket.advance(now);
+    let mut loan = Loan::empty(request);
+    loan.term = TOKEN_LOAN_TERM;
+    if let Some(granted) = bucket.granted(borrower, request.id) {
+        loan.tokens = granted.capacity / MILLI;
+    } else {
+        let lendable = bucket.lendable() / MILLI;
+        let wanted = request.wanted.min(lendable);
+        let ahead = over(request.rate_wanted, AHEAD) / MILLI;
+        loan.tokens = wanted + ahead.min((lendable - wanted) / 2);
+        let until = now + with_drift(loan.term);
+        let share = Share {
+            capacity: loan.tokens * MILLI,
+            rate: 0,
+        };
+        let moved = Moved::new(share, until, borrower.clone(), request.id);
+        if loan.tokens > 0 {
+            bucket.lend(share.capacity, moved);
+        }
+    }
+    loan.burst = loan.tokens;
+    loan.spare = bucket.lendable() / MILLI;
+    loan
+}
+
+fn lend_slots(
+    slots: &mut Slots,
+    now: Duration,
+    borrower: &Arc<str>,
+    request: &LoanRequest,
+) -> Loan {
+    slots.advance(now);
+    let mut loan = Loan::empty(request);
+    loan.term = SLOT_LOAN_TERM;
+    if let Some(granted) = slots.granted(borrower, request.id) {
+        loan.tokens = granted;
+    } else {
+        loan.tokens = request.wanted.min(slots.lendable());
+        let granted = Lent {
+            borrower: borrower.clone(),
+            id: request.id,
+            slots: loan.tokens,
+            returned: 0,
+            until: now + slots.settling_time(),
+        };
+        if granted.slots > 0 {
+            slots.lend(granted);
+        }
+    }
+    loan.burst = loan.tokens;
+    loan.spare = slots.lendable();
+    loan
+}
+
+/// Gives back the borrowed slots that are free.
+fn give_back(now: Duration, account: &Account) -> Vec<Send> {
+    let mut state = account.lock();
+    let Holding::Slots(slots) = &mut state.holding else {
+        return Vec::new();
+    };
+    slots.advance(now);
+    let given = slots.give_back(now, 0);
+    given
+        .iter()
+        .map(|loan| return_slots(&loan.lender, account.budget(), loan.id, loan.returned))
+        .collect()
+}
+
+fn return_slots(lender: &Arc<str>, budget: &Budget, id: u64, slots: u64) -> Send {
+    let budget = budget.clone();
+    Send {
+        host: lender.clone(),
+        message: Message::LoanReturn(LoanReturn { id, budget, slots }),
+    }
+}
+
+/// Amount that one whole token or slot counts in an account of `budget`.
+fn unit(budget: &Budget) -> u64 {
+    match budget {
+        Budget::Workspace { .. } | Budget::CrossRegion { .. } => MILLI,
+        Budget::Region { .. } => 1,
+    }
+}
+
+/// Thousandths of a token that `rate` yields in `time`.
+fn over(rate: u64, time: Duration) -> u64 {
+    rate.saturating_mul(time.as_millis() as u64) / 1_000
+}
--- a/crates/core/src/budget/slots.rs
+++ b/crates/core/src/budget/slots.rs
@@ -94,6 +94,16 @@
         self.own().saturating_sub(self.used)
     }
 
+    /// Whether the whole share could be lent.
+    pub(super) fn is_unused(&self) -> bool {
+        self.lendable() >= self.versions.newest().capacity
+    }
+
+    /// Time until slots that are lent now cannot be in use any more.
+    pub(super) fn settling_time(&self) -> Duration {
+        self.versions.delay()
+    }
+
     /// Deducts a loan, which must be lendable.
     pub(super) fn lend(&mut self, loan: Lent) {
         self.lent.push(loan);
--- a/crates/core/src/budget/version.rs
+++ b/crates/core/src/budget/version.rs
@@ -64,6 +64,18 @@
         self.delay = self.delay.max(delay);
     }
 
+    /// Time from being in force to being settled.
+    pub(super) fn delay(&self) -> Duration {
+        self.delay
+    }
+
+    /// The share of the newest version.
+    pub(super) fn newest(&self) -> Share {
+        self.versions
+            .last()
+            .map_or_else(Share::default, |version| version.share)
+    }
+
     /// Notes that every version up to `revision` is in force.
     pub(super) fn in_force(&mut self, now: Duration, revision: u64) {
         for version in &mut self.versions {
