--- /dev/null
+++ b/crates/link/src/convert.rs
@@ -0,0 +1,204 @@
+//! Converts between the messages of `marjorampick-core` and the generated peer types.
+
+mod claim;
+mod loan;
+
+use std::{fmt, sync::Arc, time::Duration};
+
+use marjorampick_core::{catalog, member, message};
+
+use crate::generated::peer;
+
+/// Why a message from a peer cannot be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// The bytes are no message of the protocol.
+    Malformed,
+    /// A field that the message needs is absent. Newer senders may send kinds that this host lacks.
+    Missing(&'static str),
+    /// A field holds a value that its type does not allow.
+    Invalid(&'static str),
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Malformed => write!(f, "the message is malformed"),
+            Self::Missing(field) => write!(f, "the message lacks {field}"),
+            Self::Invalid(field) => write!(f, "the message has an invalid {field}"),
+        }
+    }
+}
+
+impl std::error::Error for Fault {}
+
+/// The wire form of an envelope.
+pub fn encode(envelope: &message::Envelope) -> Vec<u8> {
+    prost::Message::encode_to_vec(&to_peer(envelope))
+}
+
+/// Reads the wire form of an envelope.
+pub fn decode(bytes: &[u8]) -> Result<message::Envelope, Fault> {
+    let envelope: peer::Envelope = prost::Message::decode(bytes).map_err(|_| Fault::Malformed)?;
+    from_peer(envelope)
+}
+
+/// The generated type of an envelope.
+pub fn to_peer(envelope: &message::Envelope) -> peer::Envelope {
+    peer::Envelope {
+        host: envelope.from.host.to_string(),
+        incarnation: envelope.from.incarnation,
+        peer: envelope.from.peer.to_string(),
+        message: Some(message_to_peer(&envelope.message)),
+    }
+}
+
+/// The plain type of an envelope.
+pub fn from_peer(envelope: peer::Envelope) -> Result<message::Envelope, Fault> {
+    if envelope.host.is_empty() {
+        return Err(Fault::Missing("host"));
+    }
+    let from = message::Sender {
+        host: envelope.host.into(),
+        incarnation: envelope.incarnation,
+        peer: envelope.peer.parse().map_err(|_| Fault::Invalid("peer"))?,
+    };
+    let message = message_from_peer(envelope.message.ok_or(Fault::Missing("message"))?)?;
+    Ok(message::Envelope { from, message })
+}
+
+fn message_to_peer(message: &message::Message) -> peer::envelope::Message {
+    use message::Message as Core;
+    use peer::envelope::Message as Wire;
+    match message {
+        Core::Heartbeat(heartbeat) => Wire::Heartbeat(heartbeat_to_peer(heartbeat)),
+        Core::HeartbeatReply(reply) => Wire::HeartbeatReply(peer::HeartbeatReply {
+            sequence: reply.sequence,
+            revision: reply.revision,
+        }),
+        &Core::UpdateRequest { since } => Wire::UpdateRequest(peer::UpdateRequest { since }),
+        Core::Update(update) => Wire::Update(update_to_peer(update)),
+        Core::LoanRequest(request) => Wire::LoanRequest(loan::request_to_peer(request)),
+        Core::Loan(loan) => Wire::Loan(loan::loan_to_peer(loan)),
+        Core::LoanReturn(back) => Wire::LoanReturn(loan::return_to_peer(back)),
+        Core::Claim(request) => Wire::Claim(claim::request_to_peer(request)),
+        Core::ClaimReply(reply) => Wire::ClaimReply(claim::reply_to_peer(reply)),
+        Core::ClaimCopy(copy) => Wire::ClaimCopy(claim::copy_to_peer(copy)),
+        &Core::ClaimCopyReply { id } => Wire::ClaimCopyReply(peer::ClaimCopyReply { id }),
+        Core::ClaimCompletion(done) => Wire::ClaimCompletion(claim::completion_to_peer(done)),
+        Core::ClaimHandover(handover) => Wire::ClaimHandover(claim::handover_to_peer(handover)),
+        Core::WeightsRequest => Wire::WeightsRequest(peer::WeightsRequest {}),
+        Core::Weights(services) => Wire::Weights(peer::Weights {
+            services: services.iter().map(weights_to_peer).collect(),
+        }),
+    }
+}
+
+fn message_from_peer(message: peer::envelope::Message) -> Result<message::Message, Fault> {
+    use message::Message as Core;
+    use peer::envelope::Message as Wire;
+    Ok(match message {
+        Wire::Heartbeat(heartbeat) => Core::Heartbeat(heartbeat_from_peer(heartbeat)?),
+        Wire::HeartbeatReply(reply) => Core::HeartbeatReply(member::HeartbeatReply {
+            sequence: reply.sequence,
+            revision: reply.revision,
+        }),
+        Wire::UpdateRequest(request) => Core::UpdateRequest {
+            since: request.since,
+        },
+        Wire::Update(update) => Core::Update(update_from_peer(update)),
+        Wire::LoanRequest(request) => Core::LoanRequest(loan::request_from_peer(request)?),
+        Wire::Loan(loan) => Core::Loan(loan::loan_from_peer(loan)?),
+        Wire::LoanReturn(back) => Core::LoanReturn(loan::return_from_peer(back)?),
+        Wire::Claim(request) => Core::Claim(claim::request_from_peer(request)?),
+        Wire::ClaimReply(reply) => Core::ClaimReply(claim::reply_from_peer(reply)?),
+        Wire::ClaimCopy(copy) => Core::ClaimCopy(claim::copy_from_peer(copy)?),
+        Wire::ClaimCopyReply(reply) => Core::ClaimCopyReply { id: reply.id },
+        Wire::ClaimCompletion(done) => Core::ClaimCompletion(claim::completion_from_peer(done)?),
+        Wire::ClaimHandover(handover) => Core::ClaimHandover(claim::handover_from_peer(handover)?),
+        Wire::WeightsRequest(_) => Core::WeightsRequest,
+        Wire::Weights(weights) => {
+            let services = weights.services.into_iter().map(weights_from_peer);
+            Core::Weights(services.collect::<Result<_, _>>()?)
+        }
+    })
+}
+
+fn heartbeat_to_peer(heartbeat: &member::Heartbeat) -> peer::Heartbeat {
+    peer::Heartbeat {
+        sequence: heartbeat.sequence,
+        revision: heartbeat.revision,
+        suspected: heartbeat.suspected.iter().map(Arc::to_string).collect(),
+        spare: heartbeat.spare.iter().map(loan::spare_to_peer).collect(),
+        leaving: heartbeat.leaving,
+    }
+}
+
+fn heartbeat_from_peer(heartbeat: peer::Heartbeat) -> Result<member::Heartbeat, Fault> {
+    let spare = heartbeat.spare.into_iter().map(loan::spare_from_peer);
+    Ok(member::Heartbeat {
+        sequence: heartbeat.sequence,
+        revision: heartbeat.revision,
+        suspected: heartbeat.suspected.into_iter().map(Arc::from).collect(),
+        spare: spare.collect::<Result<_, _>>()?,
+        leaving: heartbeat.leaving,
+    })
+}
+
+fn update_to_peer(update: &catalog::Update) -> peer::Update {
+    let record = |record: &catalog::Record| peer::Record {
+        key: record.key.to_string(),
+        revision: record.revision,
+        value: record.value.to_string(),
+    };
+    peer::Update {
+        since: update.since,
+        through: update.through,
+        records: update.records.iter().map(record).collect(),
+    }
+}
+
+fn update_from_peer(update: peer::Update) -> catalog::Update {
+    let record = |record: peer::Record| catalog::Record {
+        key: record.key.into(),
+        revision: record.revision,
+        value: record.value.into(),
+    };
+    catalog::Update {
+        since: update.since,
+        through: update.through,
+        records: update.records.into_iter().map(record).collect(),
+    }
+}
+
+fn weights_to_peer(weights: &message::ServiceWeights) -> peer::ServiceWeights {
+    let region = |(region, weight): &(Arc<str>, f64)| peer::RegionWeight {
+        region: region.to_string(),
+        weight: *weight,
+    };
+    peer::ServiceWeights {
+        service: weights.service.to_string(),
+        regions: weights.regions.iter().map(region).collect(),
+    }
+}
+
+fn weights_from_peer(weights: peer::ServiceWeights) -> Result<message::ServiceWeights, Fault> {
+    // A weight that is not a number would never move towards its target again.
+    let region = |region: peer::RegionWeight| {
+        if (0.0..=1.0).contains(&region.weight) {
+            Ok((Arc::from(region.region), region.weight))
+        } else {
+            Err(Fault::Invalid("weight"))
+        }
+    };
+    let regions = weights.regions.into_iter().map(region);
+    Ok(message::ServiceWeights {
+        service: weights.service.into(),
+        regions: regions.collect::<Result<_, _>>()?,
+    })
+}
+
+/// Milliseconds of a duration, at most `u64::MAX`.
+fn milliseconds(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/link/src/convert/claim.rs
@@ -0,0 +1,193 @@
+//! Converts claims and their outcomes.
+
+use std::sync::Arc;
+
+use marjorampick_core::{claim, constants::CLAIM_BODY_LIMIT};
+
+use super::Fault;
+use crate::generated::peer;
+
+fn name_to_peer(name: &claim::Name) -> peer::ClaimName {
+    peer::ClaimName {
+        service: name.service.to_string(),
+        workspace: name.workspace.to_string(),
+        key: name.key.to_string(),
+    }
+}
+
+fn name_from_peer(name: Option<peer::ClaimName>) -> Result<claim::Name, Fault> {
+    let name = name.ok_or(Fault::Missing("claim name"))?;
+    Ok(claim::Name {
+        service: name.service.into(),
+        workspace: name.workspace.into(),
+        key: name.key.into(),
+    })
+}
+
+fn outcome_to_peer(outcome: &claim::Outcome) -> peer::Outcome {
+    let header = |(name, value): &(Arc<str>, Arc<str>)| peer::Header {
+        name: name.to_string(),
+        value: value.to_string(),
+    };
+    peer::Outcome {
+        status: u32::from(outcome.status),
+        headers: outcome.headers.iter().map(header).collect(),
+        body: outcome.body.to_vec(),
+    }
+}
+
+fn outcome_from_peer(outcome: peer::Outcome) -> Result<claim::Outcome, Fault> {
+    if outcome.body.len() > CLAIM_BODY_LIMIT {
+        return Err(Fault::Invalid("body"));
+    }
+    let header = |header: peer::Header| (Arc::from(header.name), Arc::from(header.value));
+    Ok(claim::Outcome {
+        status: u16::try_from(outcome.status).map_err(|_| Fault::Invalid("status"))?,
+        headers: outcome.headers.into_iter().map(header).collect(),
+        body: outcome.body.into(),
+    })
+}
+
+fn state_to_peer(state: &claim::State) -> peer::ClaimState {
+    use peer::claim_state::State;
+    let state = match state {
+        claim::State::Running => State::Running(peer::Empty {}),
+        claim::State::Done(outcome) => State::Done(outcome_to_peer(outcome)),
+        claim::State::DoneWithoutAnswer => State::DoneWithoutAnswer(peer::Empty {}),
+        claim::State::Unknown => State::Unknown(peer::Empty {}),
+    };
+    peer::ClaimState { state: Some(state) }
+}
+
+fn state_from_peer(state: peer::ClaimState) -> Result<claim::State, Fault> {
+    use peer::claim_state::State;
+    Ok(match state.state.ok_or(Fault::Missing("claim state"))? {
+        State::Running(_) => claim::State::Running,
+        State::Done(outcome) => claim::State::Done(outcome_from_peer(outcome)?),
+        State::DoneWithoutAnswer(_) => claim::State::DoneWithoutAnswer,
+        State::Unknown(_) => claim::State::Unknown,
+    })
+}
+
+fn record_to_peer(record: &claim::Record) -> peer::ClaimRecord {
+    peer::ClaimRecord {
+        name: Some(name_to_peer(&record.name)),
+        fingerprint: record.fingerprint,
+        holder: record.holder.to_string(),
+        incarnation: record.incarnation,
+        state: Some(state_to_peer(&record.state)),
+        age_ms: record.age_ms,
+    }
+}
+
+fn record_from_peer(record: peer::ClaimRecord) -> Result<claim::Record, Fault> {
+    Ok(claim::Record {
+        name: name_from_peer(record.name)?,
+        fingerprint: record.fingerprint,
+        holder: record.holder.into(),
+        incarnation: record.incarnation,
+        state: state_from_peer(record.state.ok_or(Fault::Missing("claim state"))?)?,
+        age_ms: record.age_ms,
+    })
+}
+
+pub(super) fn request_to_peer(request: &claim::Request) -> peer::ClaimRequest {
+    peer::ClaimRequest {
+        id: request.id,
+        name: Some(name_to_peer(&request.name)),
+        fingerprint: request.fingerprint,
+        revision: request.revision,
+    }
+}
+
+pub(super) fn request_from_peer(request: peer::ClaimRequest) -> Result<claim::Request, Fault> {
+    Ok(claim::Request {
+        id: request.id,
+        name: name_from_peer(request.name)?,
+        fingerprint: request.fingerprint,
+        revision: request.revision,
+    })
+}
+
+pub(super) fn reply_to_peer(reply: &claim::Reply) -> peer::ClaimReply {
+    use claim::Verdict as Core;
+    use peer::claim_reply::Verdict as Wire;
+    let verdict = match &reply.verdict {
+        Core::Granted => Wire::Granted(peer::Empty {}),
+        Core::Running => Wire::Running(peer::Empty {}),
+        Core::Done(outcome) => Wire::Done(outcome_to_peer(outcome)),
+        Core::DoneWithoutAnswer => Wire::DoneWithoutAnswer(peer::Empty {}),
+        Core::Unknown => Wire::Unknown(peer::Empty {}),
+        Core::Mismatch => Wire::Mismatch(peer::Empty {}),
+        Core::Unavailable => Wire::Unavailable(peer::Empty {}),
+    };
+    peer::ClaimReply {
+        id: reply.id,
+        verdict: Some(verdict),
+    }
+}
+
+pub(super) fn reply_from_peer(reply: peer::ClaimReply) -> Result<claim::Reply, Fault> {
+    use claim::Verdict as Core;
+    use peer::claim_reply::Verdict as Wire;
+    let verdict = match reply.verdict.ok_or(Fault::Missing("verdict"))? {
+        Wire::Granted(_) => Core::Granted,
+        Wire::Running(_) => Core::Running,
+        Wire::Done(outcome) => Core::Done(outcome_from_peer(outcome)?),
+        Wire::DoneWithoutAnswer(_) => Core::DoneWithoutAnswer,
+        Wire::Unknown(_) => Core::Unknown,
+        Wire::Mismatch(_) => Core::Mismatch,
+        Wire::Unavailable(_) => Core::Unavailable,
+    };
+    Ok(claim::Reply {
+        id: reply.id,
+        verdict,
+    })
+}
+
+pub(super) fn copy_to_peer(copy: &claim::Copy) -> peer::ClaimCopy {
+    peer::ClaimCopy {
+        id: copy.id,
+        record: Some(record_to_peer(&copy.record)),
+    }
+}
+
+pub(super) fn copy_from_peer(copy: peer::ClaimCopy) -> Result<claim::Copy, Fault> {
+    Ok(claim::Copy {
+        id: copy.id,
+        record: record_from_peer(copy.record.ok_or(Fault::Missing("claim record"))?)?,
+    })
+}
+
+pub(super) fn completion_to_peer(completion: &claim::Completion) -> peer::ClaimCompletion {
+    peer::ClaimCompletion {
+        name: Some(name_to_peer(&completion.name)),
+        state: completion.state.as_ref().map(state_to_peer),
+    }
+}
+
+pub(super) fn completion_from_peer(
+    completion: peer::ClaimCompletion,
+) -> Result<claim::Completion, Fault> {
+    Ok(claim::Completion {
+        name: name_from_peer(completion.name)?,
+        state: completion.state.map(state_from_peer).transpose()?,
+    })
+}
+
+pub(super) fn handover_to_peer(handover: &claim::Handover) -> peer::ClaimHandover {
+    peer::ClaimHandover {
+        revision: handover.revision,
+        records: handover.records.iter().map(record_to_peer).collect(),
+        complete: handover.complete,
+    }
+}
+
+pub(super) fn handover_from_peer(handover: peer::ClaimHandover) -> Result<claim::Handover, Fault> {
+    let records = handover.records.into_iter().map(record_from_peer);
+    Ok(claim::Handover {
+        revision: handover.revision,
+        records: records.collect::<Result<_, _>>()?,
+        complete: handover.complete,
+    })
+}
--- /dev/null
+++ b/crates/link/src/http_client.rs
@@ -0,0 +1,94 @@
+//! One HTTP/1.1 request over a fresh connection, with one deadline for all of it.
+//!
+//! Used for the platform's list of hosts and by the operator's command, where a kept connection
+//! could have gone silent.
+
+use std::{fmt, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{Request, Response, Uri, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpStream, time::timeout};
+
+/// Largest response body, in bytes.
+const BODY_LIMIT: usize = 8 * 1024 * 1024;
+
+/// Why a request has no response.
+#[derive(Debug)]
+pub enum Fault {
+    /// The address has no usable host and port, or is no `http` address.
+    Address(String),
+    /// No connection was made, so that nothing was sent.
+    NotSent(std::io::Error),
+    /// The connection failed after the request may have been sent.
+    Broken(String),
+    /// The deadline passed after the request may have been sent.
+    Late,
+}
+
+impl Fault {
+    /// Whether the other side provably received nothing.
+    pub fn is_not_sent(&self) -> bool {
+        matches!(self, Self::Address(_) | Self::NotSent(_))
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Address(uri) => write!(f, "{uri} is no usable http address"),
+            Self::NotSent(error) => write!(f, "cannot connect: {error}"),
+            Self::Broken(error) => write!(f, "the connection failed: {error}"),
+            Self::Late => write!(f, "no response before the deadline"),
+        }
+    }
+}
+
+impl std::error::Error for Fault {}
+
+/// Sends `request`, whose URI is absolute, and reads the whole response within `deadline`.
+pub async fn send(request: Request<Bytes>, deadline: Duration) -> Result<Response<Bytes>, Fault> {
+    let address = address(request.uri())?;
+    let connected = timeout(deadline, TcpStream::connect(address)).await;
+    let late = || Fault::NotSent(std::io::ErrorKind::TimedOut.into());
+    let stream = connected.map_err(|_| late())?.map_err(Fault::NotSent)?;
+    match timeout(deadline, exchange(stream, request)).await {
+        Ok(result) => result.map_err(|error| Fault::Broken(error.to_string())),
+        Err(_) => Err(Fault::Late),
+    }
+}
+
+fn address(uri: &Uri) -> Result<SocketAddr, Fault> {
+    let fault = || Fault::Address(uri.to_string());
+    if uri.scheme_str() != Some("http") {
+        return Err(fault());
+    }
+    let authority = uri.authority().ok_or_else(fault)?;
+    let port = authority.port_u16().unwrap_or(80);
+    let host = authority.host().trim_matches(['[', ']']);
+    let address = host.parse().map_err(|_| fault())?;
+    Ok(SocketAddr::new(address, port))
+}
+
+type Failure = Box<dyn std::error::Error + Send + Sync>;
+
+async fn exchange(
+    stream: TcpStream,
+    mut request: Request<Bytes>,
+) -> Result<Response<Bytes>, Failure> {
+    let (mut sender, connection) =
+        hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+    let driver = tokio::spawn(connection);
+    let host = request.uri().authority().map(ToString::to_string);
+    let path = request.uri().path_and_query().cloned();
+    if let Some(host) = host {
+        request.headers_mut().insert(header::HOST, host.parse()?);
+    }
+    *request.uri_mut() = path.map_or_else(|| Uri::from_static("/"), Uri::from);
+    let response = sender.send_request(request.map(Full::new)).await?;
+    let (parts, body) = response.into_parts();
+    let body = Limited::new(body, BODY_LIMIT).collect().await?.to_bytes();
+    driver.abort();
+    Ok(Response::from_parts(parts, body))
+}
