--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,10 +4,12 @@
 //! an argument. Inputs are typed events and answers are typed actions, so that the entry host and
 //! the scenario runner drive the same code. See `docs/design.md`.
 
+pub mod backend;
 pub mod budget;
 pub mod catalog;
 pub mod claim;
 pub mod constants;
+pub mod credential;
 pub mod document;
 pub mod finding;
 pub mod host;
@@ -15,3 +17,7 @@
 pub mod message;
 pub mod reader;
 pub mod rendezvous;
+pub mod route;
+
+#[cfg(test)]
+mod testing;
