--- a/crates/core/tests/document.rs
+++ b/crates/core/tests/document.rs
@@ -77,3 +77,26 @@
     assert!(findings.to_string().contains("given twice"), "{findings}");
     assert_eq!(Digest::parse(&digest), Ok(Digest::of_key(b"secret")));
 }
+
+/// Guards against sample documents that the parser no longer accepts.
+#[test]
+fn the_sample_documents_are_valid() {
+    let settings = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../settings");
+    let mut checked = 0;
+    for deployment in ["karnerand", "lothian"] {
+        let folder = settings.join(deployment).join("documents");
+        for entry in std::fs::read_dir(folder).expect("sample documents") {
+            let path = entry.expect("a folder entry").path();
+            let source = std::fs::read_to_string(&path).expect("a readable document");
+            let document = Document::parse(&source);
+            assert!(
+                document.is_ok(),
+                "{}:\n{}",
+                path.display(),
+                document.unwrap_err()
+            );
+            checked += 1;
+        }
+    }
+    assert_eq!(checked, 8);
+}
