Add the entry process and the operator's command

Cause: Host, store client and transport were not driven by any process. Change: entry runs the threads control, peers, store, probes, admin and lookup, joined by bounded queues; ctl edits documents, issues keys, drains, forecasts and makes certificates. Shared gains a status, and Request::Drain is split into Drain and Leave, as the host leaves only after the callers have drained.

--- /dev/null
+++ b/crates/entry/src/control/publish.rs
@@ -0,0 +1,88 @@
+//! Builds what the other threads read.
+
+use std::sync::Arc;
+
+use marjorampick_core::{
+    host::{
+        Host, Known,
+        event::{Listed, ListedState},
+    },
+    member::Member,
+};
+
+use super::weights::Weights;
+use crate::shared::{EntryHost, Service, Shared, Snapshot, Status};
+
+/// Prefix of the documents' keys.
+const DOCUMENTS: &str = "documents/";
+
+/// Replaces the status if it has changed.
+pub(super) fn status(host: &Host, shared: &Shared) {
+    let known = shared.status.load();
+    let is_same = known.revision == host.catalog().revision()
+        && known.held == host.held()
+        && known.in_force == host.in_force()
+        && known.is_member == host.is_member();
+    if is_same {
+        return;
+    }
+    let documents = host.catalog().records().filter(|record| {
+        let is_removed = record.value.is_empty();
+        record.key.starts_with(DOCUMENTS) && !is_removed
+    });
+    shared.status.store(Arc::new(Status {
+        revision: host.catalog().revision(),
+        held: host.held(),
+        in_force: host.in_force(),
+        is_member: host.is_member(),
+        members: host.members().to_vec(),
+        documents: documents.cloned().collect(),
+    }));
+}
+
+/// Entry hosts for look-up answers: serving members that the platform does not list as stopping.
+///
+/// The host itself is left out from the moment at which it drains.
+pub(super) fn entry_hosts(host: &Host, listed: &[Listed], shared: &Shared) -> Vec<EntryHost> {
+    let stopping = |member: &Member| {
+        let is_self = member.host == shared.host;
+        let stops = |line: &Listed| line.state != ListedState::Live && line.name == member.host;
+        let is_listed = listed
+            .iter()
+            .any(|line| line.service.is_none() && stops(line));
+        is_listed || (is_self && shared.is_draining())
+    };
+    let serving = host.serving_members().filter(|member| !stopping(member));
+    let entry_host = |member: &Member| EntryHost {
+        host: member.host.clone(),
+        region: member.region.clone(),
+        domain: member.domain.clone(),
+        callers: member.callers,
+    };
+    serving.map(entry_host).collect()
+}
+
+/// The snapshot for the request path and for look-ups.
+pub(super) fn snapshot(
+    host: &Host,
+    listed: &[Listed],
+    weights: &Weights,
+    entry_hosts: Vec<EntryHost>,
+) -> Snapshot {
+    let service = |(name, known): (&Arc<str>, &Known)| {
+        let backends = listed
+            .iter()
+            .filter(|line| line.service.as_ref() == Some(name));
+        let service = Service {
+            document: known.document.clone(),
+            revision: known.revision,
+            weights: weights.of(name),
+            backends: backends.cloned().collect(),
+        };
+        (name.clone(), service)
+    };
+    Snapshot {
+        services: host.documents().iter().map(service).collect(),
+        entry_hosts,
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,3 +1,12 @@
 //! The entry host of marjorampick. See docs/design.md §4.
 
+pub mod admin;
+pub mod control;
+pub mod lookup;
+pub mod peers;
+pub mod platform;
+pub mod run;
+pub mod settings;
 pub mod shared;
+pub mod store;
+pub mod thread;
--- /dev/null
+++ b/crates/entry/src/lookup/tests.rs
@@ -0,0 +1,44 @@
+//! Guards against answers that send callers across regions although near hosts are serving.
+
+use super::*;
+use crate::settings::lookup::Block;
+
+fn host(name: &str, region: &str) -> EntryHost {
+    EntryHost {
+        host: name.into(),
+        region: region.into(),
+        domain: format!("{region}-a").into(),
+        callers: "127.0.0.1:80".parse().expect("an address"),
+    }
+}
+
+#[test]
+fn near_hosts_come_first_and_take_all_the_weight() {
+    let hosts = [host("a", "north"), host("b", "south"), host("c", "south")];
+    let caller = "10.0.0.1".parse().ok();
+    let chosen = choices(&hosts, "south", caller);
+    let regions: Vec<&str> = chosen.iter().map(|choice| &*choice.region).collect();
+    assert_eq!(regions, ["south", "south", "north"]);
+    let weights: Vec<f64> = chosen.iter().map(|choice| choice.weight).collect();
+    assert_eq!(weights, [0.5, 0.5, 0.0]);
+    let elsewhere = choices(&hosts, "west", caller);
+    assert!(elsewhere.iter().all(|choice| choice.weight > 0.3));
+}
+
+#[test]
+fn a_caller_belongs_to_the_block_that_starts_before_it() {
+    let block = |start: &str, region: &str| Block {
+        start: start.parse().expect("an address"),
+        region: region.into(),
+    };
+    let blocks = Blocks::new(&[block("10.2.0.0", "south"), block("10.1.0.0", "north")]);
+    let region = |address: &str| {
+        let address = address.parse().expect("an address");
+        blocks.region(address).map(|region| region.to_string())
+    };
+    assert_eq!(region("10.0.255.255"), None);
+    assert_eq!(region("10.1.0.0").as_deref(), Some("north"));
+    assert_eq!(region("10.1.255.255").as_deref(), Some("north"));
+    assert_eq!(region("10.3.0.1").as_deref(), Some("south"));
+    assert_eq!(region("::1"), None);
+}
--- /dev/null
+++ b/crates/entry/src/settings/admin.rs
@@ -0,0 +1,27 @@
+//! Section `[admin]`.
+
+use std::net::SocketAddr;
+
+use marjorampick_core::{document::Digest, finding::Findings, reader::Table};
+use marjorampick_link::settings::{address, digest};
+
+use super::section;
+
+/// Admin listener.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Admin {
+    /// Address of the listener.
+    pub listen: SocketAddr,
+    /// Digest of the token that operators present.
+    pub token: Digest,
+}
+
+pub(super) fn parse(table: &mut Table<'_>, findings: &mut Findings) -> Admin {
+    let mut section = section(table, findings, "admin");
+    let admin = Admin {
+        listen: address(&mut section, findings, "listen"),
+        token: digest(&mut section, findings, "token_digest"),
+    };
+    section.finish(findings);
+    admin
+}
--- /dev/null
+++ b/crates/entry/src/settings/currency.rs
@@ -0,0 +1,23 @@
+//! Section `[currency]`, which may be absent.
+
+use marjorampick_core::{finding::Findings, host::Source, reader::Table};
+
+/// What keeps the host current (docs/design.md §5).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Currency {
+    /// What may confirm that the host is current.
+    pub source: Source,
+}
+
+pub(super) fn parse(table: &mut Table<'_>, findings: &mut Findings) -> Currency {
+    let mut section = table.table(findings, "currency");
+    let source = section.parsed(findings, "source", |text| match text {
+        "store-or-members" => Ok(Source::StoreOrMembers),
+        "store" => Ok(Source::Store),
+        _ => Err("expected store-or-members or store"),
+    });
+    section.finish(findings);
+    Currency {
+        source: source.unwrap_or_default(),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/settings/platform.rs
@@ -0,0 +1,27 @@
+//! Section `[platform]`.
+
+use std::time::Duration;
+
+use marjorampick_core::{finding::Findings, reader::Table};
+use marjorampick_link::settings::{milliseconds, uri};
+
+use super::section;
+
+/// The platform's list of hosts.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Platform {
+    /// Address of the list.
+    pub hosts: http::Uri,
+    /// Interval between two reads of the list.
+    pub interval: Duration,
+}
+
+pub(super) fn parse(table: &mut Table<'_>, findings: &mut Findings) -> Platform {
+    let mut section = section(table, findings, "platform");
+    let platform = Platform {
+        hosts: uri(&mut section, findings, "hosts"),
+        interval: milliseconds(&mut section, findings, "interval_ms", 100..=3_000, 1_000),
+    };
+    section.finish(findings);
+    platform
+}
--- /dev/null
+++ b/crates/entry/src/settings/store.rs
@@ -0,0 +1,31 @@
+//! Section `[store]`.
+
+use std::sync::Arc;
+
+use marjorampick_core::{finding::Findings, reader::Table};
+use marjorampick_link::settings::uris;
+
+use super::section;
+
+/// Key-value store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Store {
+    /// Addresses of the store; the next one is tried when one fails.
+    pub endpoints: Vec<http::Uri>,
+    /// Prefix of all keys; fleets that share a store need different ones.
+    pub prefix: Arc<str>,
+}
+
+pub(super) fn parse(table: &mut Table<'_>, findings: &mut Findings) -> Store {
+    let mut section = section(table, findings, "store");
+    let prefix = section.parsed(findings, "prefix", |text| match text.ends_with('/') {
+        true => Ok(Arc::from(text)),
+        false => Err("expected a prefix that ends with /"),
+    });
+    let store = Store {
+        endpoints: uris(&mut section, findings, "endpoints"),
+        prefix: prefix.unwrap_or_else(|| Arc::from("marjorampick/")),
+    };
+    section.finish(findings);
+    store
+}
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -14,7 +14,10 @@
 };
 
 use arc_swap::ArcSwap;
-use marjorampick_core::{budget, claim, document::Document, host::event, message::ServiceWeights};
+use marjorampick_core::{
+    budget, catalog::Record, claim, document::Document, host::event, member::Member,
+    message::ServiceWeights,
+};
 use tokio::sync::{mpsc, oneshot};
 
 /// Number of requests that may wait for the control thread.
@@ -54,6 +57,23 @@
     pub callers: SocketAddr,
 }
 
+/// What the admin listener reports about the host's decisions, immutable.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Status {
+    /// Revision up to which the host has every record.
+    pub revision: u64,
+    /// Largest revision known to be held by more than half of the members.
+    pub held: u64,
+    /// Largest revision known to be in force.
+    pub in_force: u64,
+    /// Whether this process is a member; otherwise it is a guest.
+    pub is_member: bool,
+    /// Hosts that hold shares.
+    pub members: Vec<Member>,
+    /// Records of the documents, without the removed ones.
+    pub documents: Vec<Record>,
+}
+
 /// Question or command for the control thread.
 pub enum Request {
     /// The request path lacks tokens; the answer comes when a loan arrived or was denied.
@@ -83,8 +103,10 @@
         /// Receives the result.
         answer: oneshot::Sender<event::Edited>,
     },
-    /// The process was asked to stop; answered when the host has left the members.
-    Drain(oneshot::Sender<()>),
+    /// The process was asked to stop; peers and look-ups leave the host out from now on.
+    Drain,
+    /// Every open request has ended; answered when the host has left the members.
+    Leave(oneshot::Sender<()>),
 }
 
 /// State shared by all threads of an entry host.
@@ -95,6 +117,8 @@
     pub region: Arc<str>,
     /// Newest snapshot.
     pub snapshot: ArcSwap<Snapshot>,
+    /// Newest status.
+    pub status: ArcSwap<Status>,
     /// Queue of the control thread.
     pub control: mpsc::Sender<Request>,
     started: Instant,
@@ -110,6 +134,7 @@
             host,
             region,
             snapshot: ArcSwap::default(),
+            status: ArcSwap::default(),
             control,
             started: Instant::now(),
             current_until_micros: AtomicU64::new(0),
