--- a/crates/core/src/budget/ledger.rs
+++ b/crates/core/src/budget/ledger.rs
@@ -102,6 +102,9 @@
 
     /// Replaces the members by those of `revision`.
     ///
+    /// To be called for every version of the members, in their order, and in the order of revisions
+    /// with [`Self::configure`]. After a version was missed, see [`Self::reset`].
+    ///
     /// `hosts` names this host only if its own incarnation is listed.
     pub fn set_members(&self, now: Duration, hosts: &[Arc<str>], revision: u64) {
         let mut control = self.control();
@@ -138,9 +141,8 @@
 
     /// Gives up the shares until `revision` is in force and settled.
     ///
-    /// To be called before the changes of `revision` are applied by a host that was not current when
-    /// it learned of them: it may have missed a version in between in which other hosts held its
-    /// share.
+    /// To be called before [`Self::set_members`] with `revision` by a host that may have missed a
+    /// version of the members before it: other hosts may have spent this host's share in between.
     pub fn reset(&self, now: Duration, revision: u64) {
         let mut control = self.control();
         let hosts = control.hosts();
--- a/crates/core/src/budget/tests.rs
+++ b/crates/core/src/budget/tests.rs
@@ -1,6 +1,6 @@
 use std::{sync::Arc, time::Duration};
 
-use super::{Account, Budget, Ledger, Limit, Settings};
+use super::{Account, Budget, Ledger, Limit, LoanRequest, LoanReturn, Settings};
 
 fn budget(workspace: &str) -> Budget {
     Budget::Workspace {
@@ -40,3 +40,66 @@
         .sum();
     assert_eq!(taken, 8);
 }
+
+/// Host `name` in a ledger whose members `a` and `b` have settled.
+fn settled(name: &str, limit: Limit) -> Ledger {
+    let ledger = Ledger::new(name.into(), 1, Settings::Lending);
+    ledger.configure(Duration::ZERO, &[(budget("anchor"), limit)], 1);
+    ledger.set_members(Duration::ZERO, &hosts(&["a", "b"]), 1);
+    ledger.in_force(Duration::ZERO, 1);
+    ledger
+}
+
+const MINUTE: Duration = Duration::from_secs(60);
+
+/// Guards against a duplicated return of part of a loan that frees slots which are still in use.
+#[test]
+fn a_duplicated_return_frees_nothing() {
+    let limit = Limit::Concurrency {
+        slots: 8,
+        longest: Duration::from_secs(10),
+    };
+    let lender = settled("a", limit);
+    let request = LoanRequest {
+        id: 7,
+        budget: budget("anchor"),
+        wanted: 4,
+        rate_wanted: 0,
+    };
+    let borrower = Arc::from("b");
+    assert_eq!(lender.lend(MINUTE, &borrower, &request).tokens, 4);
+    let part = LoanReturn {
+        id: 7,
+        budget: budget("anchor"),
+        slots: 2,
+    };
+    lender.returned(MINUTE, &borrower, &part);
+    lender.returned(MINUTE, &borrower, &part);
+    let account = lender.account(&budget("anchor")).expect("configured");
+    assert_eq!(account.available(MINUTE), 2);
+}
+
+/// Guards against a host that spends the share which other hosts took over while it was cut off.
+#[test]
+fn a_host_that_missed_its_removal_starts_without_a_share() {
+    let ledger = settled("a", Limit::rate(10.0, 8));
+    let account = ledger.account(&budget("anchor")).expect("configured");
+    assert_eq!(drain(&account, MINUTE), 4);
+    ledger.reset(MINUTE * 2, 3);
+    ledger.set_members(MINUTE * 2, &hosts(&["a", "b"]), 3);
+    assert_eq!(drain(&account, MINUTE * 3), 0);
+    ledger.in_force(MINUTE * 3, 3);
+    assert_eq!(drain(&account, MINUTE * 4), 4);
+}
+
+/// Guards against a limit that comes back while loans under its earlier version still run.
+#[test]
+fn a_removed_limit_comes_back_without_tokens() {
+    let ledger = settled("a", Limit::rate(10.0, 8));
+    let account = ledger.account(&budget("anchor")).expect("configured");
+    ledger.configure(MINUTE, &[], 2);
+    ledger.configure(MINUTE, &[(budget("anchor"), Limit::rate(10.0, 8))], 3);
+    assert_eq!(drain(&account, MINUTE * 2), 0);
+    ledger.in_force(MINUTE * 2, 3);
+    assert_eq!(drain(&account, MINUTE * 3), 4);
+}
--- a/crates/core/src/budget/version.rs
+++ b/crates/core/src/budget/version.rs
@@ -48,9 +48,18 @@
     }
 
     /// Adds the share of `revision`, in force since `in_force` if that is known already.
+    ///
+    /// A revision below the newest one counts as the newest one: the share may rest on limits of that
+    /// revision.
     pub(super) fn push(&mut self, revision: u64, share: Share, in_force: Option<Duration>) {
-        if self.versions.last().is_some_and(|last| last.share == share) {
-            return;
+        let (mut revision, mut in_force) = (revision, in_force);
+        if let Some(last) = self.versions.last() {
+            if last.share == share {
+                return;
+            }
+            if last.revision > revision {
+                (revision, in_force) = (last.revision, last.in_force);
+            }
         }
         self.versions.push(Version {
             revision,
