--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod host;
 pub mod member;
 pub mod message;
+pub mod ramp;
 pub mod reader;
 pub mod rendezvous;
 pub mod route;
