--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -1,9 +1,29 @@
 //! Budgets: fleet-wide limits that many hosts spend at once.
 //!
-//! See docs/design.md §7.
+//! [`Ledger`] holds one [`Account`] for each budget. Hosts spend their shares of a limit and lend
+//! each other what they do not need. See docs/design.md §7.
 
 use std::{sync::Arc, time::Duration};
 
+mod account;
+mod borrowing;
+mod bucket;
+mod demand;
+mod ledger;
+mod limit;
+mod loans;
+mod settings;
+mod slots;
+mod version;
+
+pub use account::{Account, Short};
+pub use ledger::{Ledger, Send};
+pub use limit::Limit;
+pub use settings::Settings;
+
+#[cfg(test)]
+mod tests;
+
 /// Name of a budget.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Budget {
@@ -76,6 +96,7 @@
     pub id: u64,
     /// Budget of the loan.
     pub budget: Budget,
-    /// Slots that go back to the lender.
+    /// Slots of the loan that went back to the lender so far, counted from the grant, so that a
+    /// duplicated return gives nothing back twice.
     pub slots: u64,
 }
