Add the backend server stand-in

Tests of the request path need a backend server that drains, starts cold, sheds load and fails in chosen ways at chosen points.

--- /dev/null
+++ b/crates/standin/src/backend.rs
@@ -0,0 +1,195 @@
+//! Backend server for tests and experiments: slots, cold start, load shedding, drain and faults.
+//!
+//! Paths below `/_admin` and the paths `/health` and `/load` belong to the stand-in itself; every
+//! other path runs a request. See docs/design.md §1, §2.
+
+mod answer;
+mod fault;
+mod record;
+mod service;
+mod socket;
+
+use std::{
+    io,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use hyper::server::conn::http1;
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    server::graceful::GracefulShutdown,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{Notify, Semaphore},
+};
+
+pub use fault::{FAULT_HEADER, Fault};
+pub use record::{Record, Seen};
+
+/// Header that says that a refused request did not run; the entry hosts rely on it.
+pub const OUTCOME_HEADER: &str = "marjorampick-outcome";
+
+/// Pause after a failed accept, for instance when file descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Settings of one backend server.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Name of the instance.
+    pub name: Arc<str>,
+    /// Requests that run at the same time; more are refused before running.
+    pub slots: usize,
+    /// How long one request runs.
+    pub service_time: Duration,
+    /// How long after the start requests run slower.
+    pub cold_start: Duration,
+    /// How many times longer a request runs at the start; falls to 1 over `cold_start`.
+    pub cold_factor: f64,
+    /// Age of the figures that `/load` and `/health` report.
+    pub report_lag: Duration,
+    /// Number of running requests that `/load` reports instead of the true one.
+    pub reported_load: Option<u64>,
+    /// State that `/health` reports instead of the true one.
+    pub reported_health: Option<Arc<str>>,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            name: Arc::from("backend"),
+            slots: 9,
+            service_time: Duration::ZERO,
+            cold_start: Duration::ZERO,
+            cold_factor: 1.0,
+            report_lag: Duration::ZERO,
+            reported_load: None,
+            reported_health: None,
+        }
+    }
+}
+
+/// One running backend server.
+pub struct Backend {
+    settings: Settings,
+    started: Instant,
+    slots: Arc<Semaphore>,
+    connections: AtomicU64,
+    draining: AtomicBool,
+    drain: Notify,
+    record: Mutex<Record>,
+    reports: Mutex<record::Reports>,
+    fault: Mutex<Option<fault::Planned>>,
+}
+
+impl Backend {
+    /// A backend server that [`Backend::serve`] puts on a listener.
+    pub fn new(settings: Settings) -> Arc<Self> {
+        Arc::new(Self {
+            slots: Arc::new(Semaphore::new(settings.slots)),
+            settings,
+            started: Instant::now(),
+            connections: AtomicU64::new(0),
+            draining: AtomicBool::new(false),
+            drain: Notify::new(),
+            record: Mutex::default(),
+            reports: Mutex::default(),
+            fault: Mutex::default(),
+        })
+    }
+
+    /// Serves until [`Backend::drain`] was called and the open requests have ended.
+    pub async fn serve(self: Arc<Self>, listener: TcpListener) -> io::Result<()> {
+        let graceful = GracefulShutdown::new();
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = self.drain.notified() => break,
+            };
+            match accepted {
+                Ok((stream, _)) => self.clone().spawn(stream, graceful.watcher()),
+                Err(error) => {
+                    log::warn!("backend: accept failed: {error}");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+        drop(listener);
+        graceful.shutdown().await;
+        Ok(())
+    }
+
+    fn spawn(self: Arc<Self>, stream: TcpStream, watcher: hyper_util::server::graceful::Watcher) {
+        stream.set_nodelay(true).ok();
+        let socket = socket::Socket::new(stream);
+        let connection = self.connections.fetch_add(1, Ordering::Relaxed);
+        let service = service::Service::new(self, socket.clone(), connection);
+        let service = hyper::service::service_fn(move |request| service.clone().call(request));
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .serve_connection(TokioIo::new(socket), service);
+        let connection = watcher.watch(connection);
+        tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!("backend: connection ended: {error}");
+            }
+        });
+    }
+
+    /// Starts the drain: health says `draining`, no connection is accepted, open requests finish.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::Release);
+        self.drain.notify_one();
+    }
+
+    /// Says `draining` in health and answers without closing the listener yet.
+    pub fn announce_drain(&self) {
+        self.draining.store(true, Ordering::Release);
+    }
+
+    /// Applies `fault` to the next `requests` requests that name none themselves.
+    pub fn plan(&self, fault: Fault, requests: u64) {
+        *lock(&self.fault) = Some(fault::Planned { fault, requests });
+    }
+
+    /// Copy of what was run and seen so far.
+    pub fn record(&self) -> Record {
+        lock(&self.record).clone()
+    }
+
+    /// Number of requests that run now.
+    pub fn running(&self) -> u64 {
+        (self.settings.slots - self.slots.available_permits()) as u64
+    }
+
+    fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Acquire)
+    }
+
+    /// Service time of a request that starts now.
+    fn service_time(&self) -> Duration {
+        let Settings {
+            service_time,
+            cold_start,
+            cold_factor,
+            ..
+        } = self.settings;
+        let age = self.started.elapsed();
+        if age >= cold_start {
+            return service_time;
+        }
+        let warmth = age.as_secs_f64() / cold_start.as_secs_f64();
+        service_time.mul_f64(cold_factor + (1.0 - cold_factor) * warmth)
+    }
+}
+
+/// Locks a mutex whose holders never leave it in a broken state.
+fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
+    mutex
+        .lock()
+        .unwrap_or_else(std::sync::PoisonError::into_inner)
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,3 @@
 //! marjorampick standin.
+
+pub mod backend;
