Add the request path

A gotham handler on an accept loop of our own over hyper: route, credential, currency, rate, claim, region and backend server, connection, send. Connections to backend servers know whether a byte of the present request may have left, so that "not-run" and retries rest on that and not on the kind of error. hyper drops Content-Length silently when there is a Transfer-Encoding, so a scanner reads the callers' bytes before hyper does.

--- /dev/null
+++ b/crates/entry/src/callers.rs
@@ -0,0 +1,62 @@
+//! The request path: from a caller's connection to a backend server and back.
+//!
+//! See docs/design.md §6, §9, §10 and §11.
+
+pub mod accept;
+mod arrival;
+mod body;
+mod choice;
+mod claims;
+mod constants;
+mod credential;
+pub mod fleet;
+mod forward;
+mod framing;
+mod handler;
+mod headers;
+pub mod metrics;
+mod outcome;
+mod path;
+mod pool;
+mod rate;
+mod refusal;
+mod retry;
+pub mod settings;
+mod socket;
+pub mod tokens;
+
+use std::sync::Arc;
+
+pub use accept::serve;
+pub use settings::Settings;
+
+use crate::shared::Shared;
+use fleet::Fleet;
+use tokens::Tokens;
+
+/// State of the request path, shared by its threads.
+pub struct Callers {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) settings: Settings,
+    pub(crate) tokens: Tokens,
+    pub(crate) fleet: Fleet,
+    pub(crate) retries: retry::Budget,
+}
+
+impl Callers {
+    /// State of a request path without backend connections.
+    pub fn new(shared: Arc<Shared>, settings: Settings, tokens: Tokens) -> Arc<Self> {
+        Arc::new(Self {
+            shared,
+            settings,
+            tokens,
+            fleet: Fleet::default(),
+            retries: retry::Budget::default(),
+        })
+    }
+
+    /// What the request path knows about the backend servers.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+}
--- /dev/null
+++ b/crates/entry/src/callers/arrival.rs
@@ -0,0 +1,203 @@
+//! A caller's request as it arrived: which service, route and workspace it belongs to.
+
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use gotham::{
+    helpers::http::Body,
+    state::{FromState as _, State, client_addr},
+};
+use http::{HeaderMap, HeaderValue, Method, Uri, Version, header, uri::PathAndQuery};
+use http_body::Body as _;
+use marjorampick_core::document::{Document, Route};
+
+use super::{
+    Callers, credential,
+    headers::{self, REQUEST_TIMEOUT, WORKSPACE},
+    metrics::Labels,
+    path,
+    refusal::{Code, Refusal},
+};
+
+/// A request before it is known what it is.
+pub(crate) struct Arrival {
+    started: Instant,
+    peer: Option<SocketAddr>,
+    method: Method,
+    uri: Uri,
+    version: Version,
+    headers: HeaderMap,
+    body: Body,
+}
+
+/// What a request is.
+pub(crate) struct Call {
+    pub(crate) started: Instant,
+    pub(crate) deadline: Instant,
+    /// Time between two pieces of a body after which the exchange is given up.
+    pub(crate) stall_limit: Duration,
+    pub(crate) service: Arc<str>,
+    /// The caller's workspace; `None` on open routes.
+    pub(crate) workspace: Option<Arc<str>>,
+    pub(crate) idempotent: bool,
+    pub(crate) labels: Labels,
+}
+
+/// What is sent to a backend server.
+pub(crate) struct Outgoing {
+    pub(crate) method: Method,
+    pub(crate) target: PathAndQuery,
+    pub(crate) headers: HeaderMap,
+    /// `None` when there is no body, so that the request can be sent again.
+    pub(crate) body: Option<Body>,
+}
+
+impl Call {
+    /// Time left until the deadline.
+    pub(crate) fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
+impl Arrival {
+    /// Takes the request out of gotham's state.
+    pub(crate) fn take_from(state: &mut State, started: Instant) -> Self {
+        Self {
+            started,
+            peer: client_addr(state),
+            method: Method::take_from(state),
+            uri: Uri::take_from(state),
+            version: Version::take_from(state),
+            headers: HeaderMap::take_from(state),
+            body: Body::take_from(state),
+        }
+    }
+
+    /// Finds route and workspace, and removes everything that a backend server must not see.
+    pub(crate) fn identify(
+        self,
+        callers: &Callers,
+        labels: &mut Labels,
+    ) -> Result<(Call, Outgoing), Refusal> {
+        self.check_form()?;
+        let snapshot = callers.shared.snapshot.load();
+        let service = snapshot
+            .services
+            .get(self.service()?)
+            .ok_or_else(no_route)?;
+        labels.service = service.document.service.clone();
+        let path = path::normalize(self.uri.path())
+            .ok_or_else(|| bad_request("the path holds dot segments or broken escapes"))?;
+        let route = service.document.route(self.method.as_str(), &path);
+        let route = route.ok_or_else(no_route)?;
+        labels.class = route.class.clone();
+        let workspace = self.workspace(callers, &service.document, route)?;
+        if let Some(workspace) = &workspace {
+            labels.workspace = workspace.clone();
+        }
+        let call = Call {
+            started: self.started,
+            deadline: self.started + self.time_allowed(route)?,
+            stall_limit: route.deadline,
+            service: service.document.service.clone(),
+            workspace,
+            idempotent: route.idempotent,
+            labels: labels.clone(),
+        };
+        let outgoing = self.into_outgoing(call.workspace.as_deref())?;
+        Ok((call, outgoing))
+    }
+
+    /// Refuses forms that name the service in two places or can't mark the end of an answer.
+    fn check_form(&self) -> Result<(), Refusal> {
+        if self.version != Version::HTTP_11 {
+            return Err(bad_request("HTTP/1.1 is required"));
+        }
+        if self.uri.authority().is_some() || self.uri.path_and_query().is_none() {
+            return Err(bad_request("the target must be a path"));
+        }
+        Ok(())
+    }
+
+    /// First label of the one `Host` header.
+    fn service(&self) -> Result<&str, Refusal> {
+        let mut hosts = self.headers.get_all(header::HOST).iter();
+        match (hosts.next(), hosts.next()) {
+            (Some(host), None) => {
+                let host = host
+                    .to_str()
+                    .map_err(|_| bad_request("Host is not ASCII"))?;
+                Ok(host.split(['.', ':']).next().unwrap_or_default())
+            }
+            _ => Err(bad_request("exactly one Host is required")),
+        }
+    }
+
+    fn workspace(
+        &self,
+        callers: &Callers,
+        document: &Document,
+        route: &Route,
+    ) -> Result<Option<Arc<str>>, Refusal> {
+        let digest = credential::digest(&self.headers, self.uri.query())?;
+        if route.open {
+            return Ok(None);
+        }
+        let digest = digest
+            .ok_or_else(|| Refusal::not_run(Code::CredentialMissing, "the route requires a key"))?;
+        if !callers.shared.is_current() {
+            let detail = "the host can't tell whether its keys are up to date";
+            return Err(Refusal::not_run(Code::NotCurrent, detail));
+        }
+        let workspace = document.workspace_of(&digest).ok_or_else(|| {
+            Refusal::not_run(Code::CredentialUnknown, "no workspace has this key")
+        })?;
+        Ok(Some(workspace.name.clone()))
+    }
+
+    fn time_allowed(&self, route: &Route) -> Result<Duration, Refusal> {
+        let Some(value) = self.headers.get(&REQUEST_TIMEOUT) else {
+            return Ok(route.deadline);
+        };
+        let asked = value.to_str().ok().and_then(|text| text.parse().ok());
+        let asked = asked.ok_or_else(|| bad_request("X-Request-Timeout-Ms is not a number"))?;
+        Ok(route.deadline.min(Duration::from_millis(asked)))
+    }
+
+    fn into_outgoing(self, workspace: Option<&str>) -> Result<Outgoing, Refusal> {
+        let mut headers = self.headers;
+        headers::strip(&mut headers);
+        credential::strip_headers(&mut headers);
+        headers.remove(header::EXPECT);
+        headers.remove(header::CONTENT_LENGTH);
+        if let Some(address) = self.peer.map(|peer| peer.ip()) {
+            headers::append_forwarded(&mut headers, canonical(address));
+        }
+        if let Some(value) = workspace.and_then(|name| HeaderValue::from_str(name).ok()) {
+            headers.insert(WORKSPACE, value);
+        }
+        let body = (!self.body.is_end_stream()).then_some(self.body);
+        Ok(Outgoing {
+            method: self.method,
+            target: credential::strip_target(&self.uri)?,
+            headers,
+            body,
+        })
+    }
+}
+
+/// The IPv4 address of a caller that reached a listener for both families.
+fn canonical(address: IpAddr) -> IpAddr {
+    address.to_canonical()
+}
+
+pub(crate) fn bad_request(detail: &'static str) -> Refusal {
+    Refusal::not_run(Code::BadRequest, detail)
+}
+
+fn no_route() -> Refusal {
+    Refusal::not_run(Code::NoRoute, "no route matches the host, method and path")
+}
--- /dev/null
+++ b/crates/entry/src/callers/credential.rs
@@ -0,0 +1,55 @@
+//! The caller's key: found in one of four places, and removed from all of them.
+//!
+//! Adapts [`marjorampick_core::credential`] to the types of the HTTP library. See docs/design.md §6.
+
+use http::{HeaderMap, HeaderValue, Uri, header, uri::PathAndQuery};
+use marjorampick_core::{
+    credential::{self, Fault},
+    document::Digest,
+};
+
+use super::{
+    arrival::bad_request,
+    refusal::{Code, Refusal},
+};
+
+/// Digest of the request's one key, `None` if it presents none.
+pub(crate) fn digest(headers: &HeaderMap, query: Option<&str>) -> Result<Option<Digest>, Refusal> {
+    let pairs = headers
+        .iter()
+        .map(|(name, value)| (name.as_str(), value.as_bytes()));
+    match credential::extract(pairs, query) {
+        Ok(found) => Ok(found.map(|credential| credential.digest)),
+        Err(Fault::Malformed(_)) => Err(bad_request("a place for a key does not hold a key")),
+        Err(Fault::Conflicting | Fault::Duplicated(_)) => {
+            let detail = "the request presents several keys";
+            Err(Refusal::not_run(Code::CredentialConflict, detail))
+        }
+    }
+}
+
+/// Removes keys from the headers.
+pub(crate) fn strip_headers(headers: &mut HeaderMap) {
+    for name in credential::REMOVED_HEADERS {
+        headers.remove(name);
+    }
+    let cookies: Vec<HeaderValue> = headers.get_all(header::COOKIE).iter().cloned().collect();
+    headers.remove(header::COOKIE);
+    for cookie in cookies {
+        let kept = credential::strip_cookies(cookie.as_bytes());
+        // Pieces of a valid value are valid.
+        if let Ok(kept) = HeaderValue::from_bytes(&kept)
+            && !kept.is_empty()
+        {
+            headers.append(header::COOKIE, kept);
+        }
+    }
+}
+
+/// Path and query without keys.
+pub(crate) fn strip_target(uri: &Uri) -> Result<PathAndQuery, Refusal> {
+    let query = credential::strip_query(uri.query().unwrap_or_default());
+    let separator = if query.is_empty() { "" } else { "?" };
+    PathAndQuery::try_from(format!("{}{separator}{query}", uri.path()))
+        .map_err(|_| bad_request("the query can't be forwarded"))
+}
--- /dev/null
+++ b/crates/entry/src/callers/handler.rs
@@ -0,0 +1,94 @@
+//! The gotham handler: decides in order whether and where a request runs.
+
+use std::{
+    panic::{RefUnwindSafe, UnwindSafe},
+    pin::Pin,
+    sync::Arc,
+    time::Instant,
+};
+
+use futures_util::FutureExt as _;
+use gotham::{
+    handler::{Handler, HandlerFuture, NewHandler},
+    helpers::http::Body,
+    state::State,
+};
+use http::{HeaderValue, Response, header};
+
+use super::{
+    Callers,
+    arrival::Arrival,
+    claims, forward,
+    metrics::{self, InFlight, Labels},
+    rate,
+    refusal::Refusal,
+};
+
+/// Handler of all requests of callers.
+#[derive(Clone)]
+pub(crate) struct Entry {
+    callers: Arc<Callers>,
+}
+
+// A panic leaves at most one request's state behind, and locks ignore poisoning.
+impl UnwindSafe for Entry {}
+impl RefUnwindSafe for Entry {}
+
+impl Entry {
+    pub(crate) fn new(callers: Arc<Callers>) -> Self {
+        Self { callers }
+    }
+}
+
+impl NewHandler for Entry {
+    type Instance = Self;
+
+    fn new_handler(&self) -> gotham::anyhow::Result<Self> {
+        Ok(self.clone())
+    }
+}
+
+impl Handler for Entry {
+    fn handle(self, mut state: State) -> Pin<Box<HandlerFuture>> {
+        let started = Instant::now();
+        async move {
+            let callers = &self.callers;
+            let arrival = Arrival::take_from(&mut state, started);
+            let mut labels = Labels::default();
+            let mut response = match run(callers, arrival, &mut labels).await {
+                Ok(response) => response,
+                Err(refusal) => refuse(refusal, &labels, started),
+            };
+            if callers.shared.is_draining() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            Ok((state, response))
+        }
+        .boxed()
+    }
+}
+
+async fn run(
+    callers: &Arc<Callers>,
+    arrival: Arrival,
+    labels: &mut Labels,
+) -> Result<Response<Body>, Refusal> {
+    let in_flight = InFlight::start();
+    let (call, mut outgoing) = arrival.identify(callers, labels)?;
+    rate::admit(callers, &call).await?;
+    let claim = match claims::claim(callers, &call, &mut outgoing).await? {
+        claims::Decision::Run(claim) => claim,
+        claims::Decision::Replay(response) => {
+            metrics::ended(labels, "replayed", call.started.elapsed());
+            return Ok(response);
+        }
+    };
+    forward::forward(callers, &call, outgoing, claim, in_flight).await
+}
+
+fn refuse(refusal: Refusal, labels: &Labels, started: Instant) -> Response<Body> {
+    metrics::refused(labels, &refusal);
+    metrics::ended(labels, refusal.outcome.name(), started.elapsed());
+    refusal.into_response()
+}
--- /dev/null
+++ b/crates/entry/src/callers/headers.rs
@@ -0,0 +1,84 @@
+//! Headers that concern one connection only, and headers that the entry host sets itself.
+
+use http::{HeaderMap, HeaderName, HeaderValue, header};
+
+/// Prefix of the headers between entry hosts and backend servers; a caller's own are removed.
+const OWN_PREFIX: &str = "marjorampick-";
+
+/// Name of the workspace of the request, for the backend server.
+pub(crate) const WORKSPACE: HeaderName = HeaderName::from_static("marjorampick-workspace");
+
+/// Time that is left for the request, in milliseconds.
+pub(crate) const REQUEST_TIMEOUT: HeaderName = HeaderName::from_static("x-request-timeout-ms");
+
+/// Addresses that the request came through.
+pub(crate) const FORWARDED_FOR: HeaderName = HeaderName::from_static("x-forwarded-for");
+
+/// Name under which a request runs at most once.
+pub(crate) const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// Headers that concern one connection, beside those that `Connection` names.
+const HOP_BY_HOP: [HeaderName; 8] = [
+    header::CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::UPGRADE,
+];
+
+/// Removes hop-by-hop headers and the headers of ours that the sender has set.
+///
+/// `Connection` can't remove the headers that frame or route the message.
+pub(crate) fn strip(headers: &mut HeaderMap) {
+    let is_kept = |name: &HeaderName| name == header::HOST || name == header::CONTENT_LENGTH;
+    let mut removed: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .filter(|name| !is_kept(name))
+        .collect();
+    let own = |name: &&HeaderName| name.as_str().starts_with(OWN_PREFIX);
+    removed.extend(headers.keys().filter(own).cloned());
+    for name in HOP_BY_HOP.iter().chain(&removed) {
+        headers.remove(name);
+    }
+    headers.remove(header::TRANSFER_ENCODING);
+}
+
+/// Whether `Connection` contains `close`.
+pub(crate) fn says_close(headers: &HeaderMap) -> bool {
+    headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .any(|option| option.trim().eq_ignore_ascii_case("close"))
+}
+
+/// Appends an address to `X-Forwarded-For`.
+pub(crate) fn append_forwarded(headers: &mut HeaderMap, address: std::net::IpAddr) {
+    let earlier: Vec<&str> = headers
+        .get_all(FORWARDED_FOR)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .collect();
+    let address = address.to_string();
+    let chain = [&earlier[..], &[address.as_str()]].concat().join(", ");
+    if let Ok(value) = HeaderValue::try_from(chain) {
+        headers.insert(FORWARDED_FOR, value);
+    }
+}
+
+/// Bytes of the headers as they are sent.
+pub(crate) fn length(headers: &HeaderMap) -> u64 {
+    const SEPARATORS: usize = 4;
+    headers
+        .iter()
+        .map(|(name, value)| (name.as_str().len() + value.len() + SEPARATORS) as u64)
+        .sum()
+}
--- /dev/null
+++ b/crates/entry/src/callers/pool.rs
@@ -0,0 +1,128 @@
+//! Connections to one backend server, one request at a time each.
+//!
+//! A connection comes back only after a completely finished exchange, and goes out again only if it
+//! is open and holds no unread bytes: bytes that nobody asked for would become the answer to the
+//! next caller's request. See docs/design.md §10.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::Mutex,
+    time::{Duration, Instant},
+};
+
+use gotham::helpers::http::Body;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpStream, task::AbortHandle};
+
+use super::{
+    constants::{CHARGE_STEP_BYTES, FRESH_LIMIT, IDLE_CONNECTIONS, IDLE_LIMIT},
+    socket::Socket,
+};
+
+/// One connection; dropping it closes it.
+pub(crate) struct Connection {
+    pub(crate) sender: SendRequest<Body>,
+    pub(crate) socket: Socket,
+    task: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Connection {
+    /// Opens a connection.
+    pub(crate) async fn open(address: SocketAddr) -> io::Result<Self> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let socket = Socket::new(stream);
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(CHARGE_STEP_BYTES)
+            .handshake(TokioIo::new(socket.clone()))
+            .await
+            .map_err(io::Error::other)?;
+        let task = tokio::spawn(async move {
+            if let Err(error) = connection.await {
+                log::debug!("callers: backend connection ended: {error}");
+            }
+        });
+        Ok(Self {
+            sender,
+            socket,
+            task: task.abort_handle(),
+        })
+    }
+
+    fn is_usable(&self) -> bool {
+        self.sender.is_ready() && self.socket.is_quiet()
+    }
+}
+
+struct Idle {
+    connection: Connection,
+    answered: Instant,
+}
+
+/// Idle connections of one backend server, the most recently used one last.
+#[derive(Default)]
+pub(crate) struct Pool {
+    idle: Mutex<Vec<Idle>>,
+}
+
+impl Pool {
+    /// Takes out an idle connection; one that answered recently if `fresh`.
+    pub(crate) fn take(&self, now: Instant, fresh: bool) -> Option<Connection> {
+        let limit = if fresh { FRESH_LIMIT } else { IDLE_LIMIT };
+        let mut idle = self.lock();
+        while let Some(newest) = idle.pop_if(|idle| is_younger(idle, now, limit)) {
+            if newest.connection.is_usable() {
+                return Some(newest.connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose exchange has completely finished.
+    pub(crate) fn give_back(&self, now: Instant, connection: Connection) {
+        let answered = now;
+        let mut idle = self.lock();
+        if idle.len() < IDLE_CONNECTIONS {
+            idle.push(Idle {
+                connection,
+                answered,
+            });
+        }
+    }
+
+    /// Closes connections that were idle for too long or were closed by the backend server.
+    pub(crate) fn sweep(&self, now: Instant) {
+        let kept =
+            |idle: &Idle| is_younger(idle, now, IDLE_LIMIT) && !idle.connection.sender.is_closed();
+        self.lock().retain(kept);
+    }
+
+    /// Closes all idle connections.
+    pub(crate) fn clear(&self) {
+        let dropped = std::mem::take(&mut *self.lock());
+        drop(dropped);
+    }
+
+    /// Number of idle connections.
+    pub(crate) fn len(&self) -> usize {
+        self.lock().len()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, Vec<Idle>> {
+        self.idle
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+}
+
+fn is_younger(idle: &Idle, now: Instant, limit: Duration) -> bool {
+    now.saturating_duration_since(idle.answered) < limit
+}
--- /dev/null
+++ b/crates/entry/src/callers/rate.rs
@@ -0,0 +1,49 @@
+//! The workspace's rate: one token per request, borrowed if the host is short.
+
+use std::sync::Arc;
+
+use marjorampick_core::{budget::Budget, constants::BORROW_WAIT};
+use tokio::sync::oneshot;
+
+use super::{
+    Callers,
+    arrival::Call,
+    refusal::{Code, Refusal},
+};
+use crate::shared::Request;
+
+/// Takes the request's token; open routes need none.
+pub(crate) async fn admit(callers: &Arc<Callers>, call: &Call) -> Result<(), Refusal> {
+    let Some(workspace) = call.workspace.clone() else {
+        return Ok(());
+    };
+    let service = call.service.clone();
+    let budget = Budget::Workspace { service, workspace };
+    let take = || (callers.tokens.take)(&budget, 1);
+    if take() || (borrow(callers, call, &budget).await && take()) {
+        return Ok(());
+    }
+    Err(Refusal::not_run(
+        Code::Rate,
+        "the workspace is over its rate",
+    ))
+}
+
+/// Waits until the control thread says that a loan arrived or was denied.
+///
+/// Answers whether it is worth trying again.
+pub(crate) async fn borrow(callers: &Callers, call: &Call, budget: &Budget) -> bool {
+    let (wake, woken) = oneshot::channel();
+    let request = Request::Short {
+        budget: budget.clone(),
+        wanted: 1,
+        wake,
+    };
+    if callers.shared.control.try_send(request).is_err() {
+        return false;
+    }
+    let limit = BORROW_WAIT.min(call.left());
+    // Tokens also flow in by themselves while the request waits.
+    tokio::time::timeout(limit, woken).await.ok();
+    true
+}
--- /dev/null
+++ b/crates/entry/tests/callers/budgets.rs
@@ -0,0 +1,117 @@
+//! Rates, region slots and cross-region bytes at the request path.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicU64, Ordering},
+};
+
+use marjorampick_core::budget::Budget;
+use marjorampick_entry::{
+    callers::{Settings, tokens::Tokens},
+    shared,
+};
+
+use crate::common::{ANCHOR_KEY, Site, document, request, until};
+
+/// Budgets in which one kind holds a number of tokens, and all others are unlimited.
+fn limited(is_limited: fn(&Budget) -> bool, tokens: u64) -> (Tokens, Arc<AtomicU64>) {
+    let left = Arc::new(AtomicU64::new(tokens));
+    let (taken, released) = (left.clone(), left.clone());
+    let take = move |budget: &Budget, amount: u64| {
+        let take = |left: u64| left.checked_sub(amount);
+        !is_limited(budget)
+            || taken
+                .fetch_update(Ordering::SeqCst, Ordering::SeqCst, take)
+                .is_ok()
+    };
+    let release = move |budget: &Budget, amount: u64| {
+        if is_limited(budget) {
+            released.fetch_add(amount, Ordering::SeqCst);
+        }
+    };
+    let tokens = Tokens {
+        take: Arc::new(take),
+        release: Arc::new(release),
+    };
+    (tokens, left)
+}
+
+/// Guards against refusing a request although a loan would have arrived in time, and against
+/// waiting forever when none does.
+#[tokio::test]
+async fn a_short_workspace_borrows_before_it_is_refused() {
+    let is_rate = |budget: &Budget| matches!(budget, Budget::Workspace { .. });
+    let (tokens, left) = limited(is_rate, 1);
+    let mut site = Site::with(1, Settings::default(), tokens).await;
+    let look_up = request("GET", "/status", "", "");
+    assert_eq!(site.ask(&look_up).await.status, 200);
+    let mut caller = site.caller().await;
+    caller.send(&look_up).await;
+    let Some(shared::Request::Short {
+        budget,
+        wanted,
+        wake,
+    }) = site.control.recv().await
+    else {
+        panic!("expected a request for tokens");
+    };
+    assert!(is_rate(&budget) && wanted == 1);
+    left.store(1, Ordering::SeqCst);
+    wake.send(()).unwrap();
+    assert_eq!(caller.answer().await.status, 200);
+    let refused = caller.ask(&look_up).await;
+    refused.assert_refused(429, "rate", "not-run");
+    assert!(refused.header("retry-after").is_some());
+}
+
+/// Guards against more requests in a region than its slots, and slots that are never returned.
+#[tokio::test]
+async fn a_full_region_refuses_and_recovers() {
+    let is_region = |budget: &Budget| matches!(budget, Budget::Region { .. });
+    let (tokens, left) = limited(is_region, 1);
+    let site = Site::with(1, Settings::default(), tokens).await;
+    let mut running = site.caller().await;
+    running
+        .send(request(
+            "GET",
+            "/status",
+            "x-standin-fault: late=400\r\n",
+            "",
+        ))
+        .await;
+    until("the slot is taken", || left.load(Ordering::SeqCst) == 0).await;
+    let refused = site.ask(&request("GET", "/status", "", "")).await;
+    refused.assert_refused(503, "region-full", "not-run");
+    assert_eq!(running.answer().await.status, 200);
+    until("the slot is returned", || left.load(Ordering::SeqCst) == 1).await;
+    assert_eq!(
+        site.ask(&request("GET", "/status", "", "")).await.status,
+        200
+    );
+}
+
+/// Guards against bytes that cross regions without being paid for, and against cutting off a stream
+/// that has to wait for its volume.
+#[tokio::test]
+async fn a_cross_region_stream_waits_for_its_volume() {
+    const SIZE: u64 = 400_000;
+    const FIRST: u64 = 100_000;
+    let is_volume = |budget: &Budget| matches!(budget, Budget::CrossRegion { .. });
+    let (tokens, left) = limited(is_volume, FIRST);
+    let mut site = Site::with(1, Settings::default(), tokens).await;
+    site.listed[0].region = "fi-south".into();
+    site.publish(document(ANCHOR_KEY), "fi-south");
+    let mut caller = site.caller().await;
+    caller
+        .send(request("GET", &format!("/status?size={SIZE}"), "", ""))
+        .await;
+    let asked = site.control.recv().await;
+    assert!(matches!(asked, Some(shared::Request::Short { .. })));
+    let more = SIZE + 10_000;
+    left.fetch_add(more, Ordering::SeqCst);
+    let answer = caller.answer().await;
+    assert!(answer.complete);
+    assert_eq!(answer.body.len() as u64, SIZE);
+    let paid = FIRST + more - left.load(Ordering::SeqCst);
+    assert!((SIZE..SIZE + 1000).contains(&paid), "{paid}");
+}
--- /dev/null
+++ b/crates/entry/tests/callers/main.rs
@@ -0,0 +1,11 @@
+//! The request path between real sockets.
+
+mod budgets;
+mod claims;
+mod common;
+mod connections;
+mod credentials;
+mod drain;
+mod forwarding;
+mod once;
+mod smuggling;
