--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,8 +1,10 @@
 //! The entry host of marjorampick. See docs/design.md §4.
 
 pub mod admin;
+pub mod callers;
 pub mod control;
 pub mod lookup;
+pub mod metrics;
 pub mod peers;
 pub mod platform;
 pub mod run;
