entry: run the caller threads, metrics and paced weights

Change: caller threads share one listening socket and end before the host leaves the members; the admin listener renders the metrics; the control thread drives one ramp for each service and takes a peer's weights before the ramps start.

--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -194,7 +194,7 @@
             Action::Claimed { ticket, verdict } => self.waiting.claimed(ticket, verdict),
             Action::Borrowed(budget) => self.waiting.borrowed(&budget),
             Action::Publish => self.publish_due = true,
-            Action::Weights(weights) => self.weights.adopt(&weights),
+            Action::Weights(weights) => self.weights.adopt(self.shared.now(), &weights),
             Action::Left => self.left(),
         }
     }
--- a/crates/entry/src/control/publish.rs
+++ b/crates/entry/src/control/publish.rs
@@ -30,6 +30,9 @@
         let is_removed = record.value.is_empty();
         record.key.starts_with(DOCUMENTS) && !is_removed
     });
+    metrics::gauge!("marjorampick_revision").set(host.catalog().revision() as f64);
+    metrics::gauge!("marjorampick_revision_in_force").set(host.in_force() as f64);
+    metrics::gauge!("marjorampick_members").set(host.members().len() as f64);
     shared.status.store(Arc::new(Status {
         revision: host.catalog().revision(),
         held: host.held(),
@@ -81,8 +84,13 @@
         };
         (name.clone(), service)
     };
+    // A service without weights would be routed by guess; its weights follow within a second.
+    let known = host
+        .documents()
+        .iter()
+        .filter(|(name, _)| weights.has(name));
     Snapshot {
-        services: host.documents().iter().map(service).collect(),
+        services: known.map(service).collect(),
         entry_hosts,
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod shared;
 pub mod store;
 pub mod thread;
+mod tls;
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -16,13 +16,17 @@
     sync::{mpsc, oneshot},
 };
 
+use metrics_exporter_prometheus::PrometheusHandle;
+
 use crate::{
     admin::{self, Admin},
-    control, lookup, peers, platform,
+    callers::{self, Callers, tokens::Tokens},
+    control, lookup, metrics, peers, platform,
     settings::Settings,
     shared::{Request, Shared},
     store,
     thread::{self, Ended},
+    tls,
 };
 
 /// Events that may wait for the control thread.
@@ -37,6 +41,12 @@
 /// Longest time for leaving the members. While the store is away, the others remove the host later.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Interval between two upkeeps of the metrics.
+const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Name of the caller threads.
+const CALLERS: &str = "callers";
+
 /// Longest time for the last messages to the peers.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -74,15 +84,16 @@
     let (replaced, mut taken) = oneshot::channel();
     start(&settings, &shared, requests, replaced, &threads).await?;
     log::info!("main: host {} started", settings.host.name);
-    let exit = tokio::select! {
-        _ = terminate.recv() => drain(&shared, &settings).await,
-        _ = interrupt.recv() => drain(&shared, &settings).await,
-        Ok(()) = &mut taken => drain(&shared, &settings).await,
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+        Ok(()) = &mut taken => {}
         Some(name) = endings.recv() => {
             log::error!("main: the thread {name} has ended");
             return Ok(Exit::Failure);
         }
-    };
+    }
+    let exit = drain(&shared, &settings, &mut endings).await;
     finish(&mut endings).await;
     Ok(exit)
 }
@@ -95,6 +106,7 @@
     replaced: oneshot::Sender<()>,
     threads: &Threads,
 ) -> eyre::Result<()> {
+    let callers_listener = listen(settings.callers.listen).await?;
     let admin_listener = listen(settings.admin.listen).await?;
     let lookup_listener = listen(settings.lookup.listen).await?;
     let credentials = credentials(settings)?;
@@ -121,14 +133,64 @@
     };
     let state = shared.clone();
     threads.spawn("control", move || control::run(host, state, queues))?;
+    let recorder = metrics::install().wrap_err("the metrics cannot be recorded")?;
+    let upkeep = recorder.clone();
+    threads.spawn("metrics", move || upkeep_of(upkeep))?;
     let admin = Admin {
         shared: shared.clone(),
         token: settings.admin.token,
-        metrics: Box::new(String::new),
+        metrics: Box::new(move || recorder.render()),
     };
     serve_http("admin", admin_listener, admin::router(admin), threads)?;
     let router = lookup::router(shared.clone(), &settings.lookup);
-    serve_http("lookup", lookup_listener, router, threads)
+    serve_http("lookup", lookup_listener, router, threads)?;
+    start_callers(settings, shared, &callers_listener, threads)
+}
+
+/// Starts the caller threads, which share one listening socket.
+fn start_callers(
+    settings: &Settings,
+    shared: &Arc<Shared>,
+    listener: &std::net::TcpListener,
+    threads: &Threads,
+) -> eyre::Result<()> {
+    let limits = callers::Settings {
+        connections: settings.callers.connections,
+        lookup_lifetime: settings.lookup.lifetime,
+        ..callers::Settings::default()
+    };
+    // TODO: take the tokens from the host's ledger.
+    let state = Callers::new(shared.clone(), limits, Tokens::unlimited());
+    let tls = settings
+        .callers
+        .tls
+        .as_ref()
+        .map(tls::acceptor)
+        .transpose()?;
+    for _ in 0..settings.callers.threads {
+        let listener = listener.try_clone()?;
+        let state = state.clone();
+        let tls = tls.clone();
+        threads.spawn(CALLERS, move || async move {
+            let served = match TcpListener::from_std(listener) {
+                Ok(listener) => callers::serve(listener, tls, state).await,
+                Err(error) => Err(error),
+            };
+            if let Err(error) = served {
+                log::error!("callers: {error}");
+            }
+        })?;
+    }
+    Ok(())
+}
+
+/// Samples of histograms that nobody reads would pile up otherwise.
+async fn upkeep_of(recorder: PrometheusHandle) {
+    let mut interval = tokio::time::interval(UPKEEP_INTERVAL);
+    loop {
+        interval.tick().await;
+        recorder.run_upkeep();
+    }
 }
 
 fn start_store(
@@ -190,14 +252,29 @@
 }
 
 /// Stops gracefully: look-ups leave the host out at once, open requests end, the host leaves.
-async fn drain(shared: &Arc<Shared>, settings: &Settings) -> Exit {
+async fn drain(
+    shared: &Arc<Shared>,
+    settings: &Settings,
+    endings: &mut mpsc::UnboundedReceiver<&'static str>,
+) -> Exit {
     log::info!("main: draining");
     let started = shared.now();
     shared.start_draining();
     let (answer, left) = oneshot::channel();
     let asked = shared.control.send(Request::Drain).await;
-    // TODO: wait for the callers listener instead of the look-up lifetime alone.
-    tokio::time::sleep(settings.lookup.lifetime).await;
+    // The caller threads end when the look-up lifetime has passed and every open request has ended.
+    // Routes have deadlines, which bound this wait.
+    let mut serving = settings.callers.threads;
+    while serving > 0 {
+        match endings.recv().await {
+            Some(CALLERS) => serving -= 1,
+            Some(name) => {
+                log::error!("main: the thread {name} has ended");
+                return Exit::Failure;
+            }
+            None => return Exit::Failure,
+        }
+    }
     let leaving = shared.control.send(Request::Leave(answer)).await;
     if asked.is_err() || leaving.is_err() {
         log::error!("main: the control thread has ended");
