Choose regions and backend servers by the core's rules

The request path used a rule of its own. It now feeds route::region, route::backend and backend::Status with own in-flight counts, answers, errors, shedding and silence, keeps a region's headroom, divides scarce slots between workspaces, and takes tokens from the ledger's accounts.

--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -4,11 +4,14 @@
 
 pub mod accept;
 mod arrival;
+mod attempt;
 mod body;
 mod choice;
 mod claims;
 mod constants;
 mod credential;
+mod exchange;
+mod fair;
 pub mod fleet;
 mod forward;
 mod framing;
@@ -40,6 +43,7 @@
     pub(crate) settings: Settings,
     pub(crate) tokens: Tokens,
     pub(crate) fleet: Fleet,
+    pub(crate) usage: fair::Usage,
     pub(crate) retries: retry::Budget,
 }
 
@@ -48,9 +52,10 @@
     pub fn new(shared: Arc<Shared>, settings: Settings, tokens: Tokens) -> Arc<Self> {
         Arc::new(Self {
             shared,
+            fleet: Fleet::new(settings.warmup),
             settings,
             tokens,
-            fleet: Fleet::default(),
+            usage: fair::Usage::default(),
             retries: retry::Budget::default(),
         })
     }
--- a/crates/entry/src/callers/body.rs
+++ b/crates/entry/src/callers/body.rs
@@ -22,8 +22,9 @@
 use super::{
     Callers,
     constants::{CHARGE_RETRY, CHARGE_STEP_BYTES, SMALLEST_CHARGE_BYTES},
-    forward::Exchange,
+    exchange::Exchange,
     metrics,
+    tokens::Taking,
 };
 use crate::shared::Request;
 
@@ -33,6 +34,8 @@
     service: Arc<str>,
     budget: Budget,
     due: u64,
+    /// Whether the amount that is due was asked for in vain.
+    again: bool,
     retry: Option<Pin<Box<Sleep>>>,
 }
 
@@ -47,6 +50,7 @@
             service,
             budget,
             due,
+            again: false,
             retry: None,
         }
     }
@@ -62,7 +66,7 @@
                 ready!(retry.as_mut().poll(context));
                 self.retry = None;
             }
-            while self.due > 0 && self.pay() {}
+            self.pay_all();
             if self.due == 0 {
                 return Poll::Ready(());
             }
@@ -71,15 +75,27 @@
         }
     }
 
+    /// Pays what can be paid without waiting.
+    fn pay_all(&mut self) {
+        while self.due > 0 && self.pay() {}
+    }
+
     /// Pays one step, or a smaller piece when the budget is short of a whole step.
     fn pay(&mut self) -> bool {
         let mut piece = self.due.min(CHARGE_STEP_BYTES as u64);
         loop {
-            if (self.callers.tokens.take)(&self.budget, piece) {
+            let taking = if self.again {
+                Taking::Again
+            } else {
+                Taking::First
+            };
+            if (self.callers.tokens.take)(&self.budget, piece, taking) {
                 self.due -= piece;
+                self.again = false;
                 metrics::crossed(&self.service, piece);
                 return true;
             }
+            self.again = true;
             if piece <= SMALLEST_CHARGE_BYTES {
                 return false;
             }
@@ -205,6 +221,10 @@
     fn finish_if_complete(&mut self) {
         if self.inner.is_end_stream() {
             self.exchange.finish();
+            if let (None, Some(meter)) = (&self.held.0, &mut self.meter) {
+                // The library doesn't ask for the pieces of an empty body.
+                meter.pay_all();
+            }
         }
     }
 
--- a/crates/entry/src/callers/choice.rs
+++ b/crates/entry/src/callers/choice.rs
@@ -1,25 +1,34 @@
-//! Region and backend server of a request. See docs/design.md §9.
+//! Region and backend server of a request, chosen by [`marjorampick_core::route`].
+//!
+//! See docs/design.md §9.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
-use marjorampick_core::budget::Budget;
+use marjorampick_core::{
+    backend::Standing,
+    budget::Budget,
+    document::{Document, Region},
+    route::{self, Candidate, Slots},
+};
 use rand::RngExt as _;
 
 use super::{
     Callers,
     arrival::Call,
+    fair,
     fleet::{Instance, Running},
     rate,
     refusal::{Code, Refusal},
-    tokens::Slot,
+    tokens::{Slot, Taking},
 };
-use crate::shared::Snapshot;
+use crate::shared::Service;
 
 /// Where a request runs.
 pub(crate) struct Target {
     pub(crate) running: Running,
     /// Slot of the region's budget, held until the exchange ends.
     _slot: Slot,
+    _share: fair::Share,
     /// Whether the exchange is charged to the service's cross-region budget.
     pub(crate) crosses: bool,
 }
@@ -30,125 +39,212 @@
     }
 }
 
-/// Why a region can't take the request.
-enum Full {
-    /// No backend server is left to try.
-    NoBackend,
-    /// The region has no free slot.
-    Slots,
-    /// The service has no cross-region volume left.
-    Volume,
+/// One choice among the backend servers of a service.
+struct Choice<'a> {
+    callers: &'a Callers,
+    call: &'a Call,
+    document: &'a Document,
+    /// Candidates of each region of the document, in the document's order.
+    regions: Vec<Candidates>,
+    weights: Vec<f64>,
+    /// Whether the request already asked in vain.
+    again: bool,
+    /// First budget that was short, which may be borrowed.
+    short: Option<Budget>,
+    target: Option<Target>,
+}
+
+#[derive(Default)]
+struct Candidates {
+    instances: Vec<Arc<Instance>>,
+    candidates: Vec<Candidate>,
 }
 
-/// Takes a slot in the first region that can take the request; `tried` servers are left out.
+/// Takes a slot in a region for the request; the `tried` servers are left out.
 ///
-/// `bytes` are those of the request's head, charged if the request crosses regions.
+/// Rather than being refused for lack of tokens, the request waits for one borrowing round trip.
 pub(crate) async fn target(
-    callers: &Arc<Callers>,
+    callers: &Callers,
     call: &Call,
     tried: &[Arc<Instance>],
-    bytes: u64,
 ) -> Result<Target, Refusal> {
-    let snapshot = callers.shared.snapshot.load_full();
-    let instances = callers.fleet.instances(&snapshot, &call.service);
-    let eligible: Vec<&Arc<Instance>> = instances
-        .iter()
-        .filter(|instance| instance.is_eligible())
-        .filter(|instance| !tried.iter().any(|tried| Arc::ptr_eq(tried, instance)))
-        .collect();
-    let regions = regions(&snapshot, call);
-    let mut full = None;
-    for region in &regions {
-        match take(callers, call, region, &eligible, bytes) {
-            Ok(target) => return Ok(target),
-            Err(Full::NoBackend) => {}
-            Err(reason) => full = full.or(Some((region, reason))),
-        }
-    }
-    let Some((region, reason)) = full else {
-        return Err(Refusal::not_run(
-            Code::NoBackend,
-            "no backend server is available",
-        ));
+    let short = match choose(callers, call, tried, false) {
+        Ok(target) => return Ok(target),
+        Err((_, Some(short))) => short,
+        Err((refusal, None)) => return Err(refuse(refusal)),
     };
-    // Rather than being refused, the request waits for one borrowing round trip.
-    rate::borrow(callers, call, &budget(call, region, &reason)).await;
-    take(callers, call, region, &eligible, bytes).map_err(|_| {
-        Refusal::not_run(
-            Code::RegionFull,
-            "no region has a free slot for the request",
-        )
-    })
+    rate::borrow(callers, call, &short, 1).await;
+    choose(callers, call, tried, true).map_err(|(refusal, _)| refuse(refusal))
 }
 
-fn budget(call: &Call, region: &Arc<str>, reason: &Full) -> Budget {
-    let service = call.service.clone();
-    match reason {
-        Full::Volume => Budget::CrossRegion { service },
-        Full::Slots | Full::NoBackend => Budget::Region {
-            service,
-            region: region.clone(),
-        },
+fn refuse(refusal: route::Refusal) -> Refusal {
+    match refusal {
+        route::Refusal::NoBackend => {
+            Refusal::not_run(Code::NoBackend, "no backend server can be used")
+        }
+        route::Refusal::RegionFull => {
+            Refusal::not_run(Code::RegionFull, "no region has a free slot")
+        }
+        route::Refusal::VolumeSpent => {
+            Refusal::not_run(Code::RegionFull, "the volume between regions is spent")
+        }
     }
 }
 
-fn take(
-    callers: &Arc<Callers>,
+fn choose(
+    callers: &Callers,
     call: &Call,
-    region: &Arc<str>,
-    eligible: &[&Arc<Instance>],
-    bytes: u64,
-) -> Result<Target, Full> {
-    let instance = instance(eligible, region).ok_or(Full::NoBackend)?;
-    let slot = callers
-        .tokens
-        .slot(budget(call, region, &Full::Slots))
-        .ok_or(Full::Slots)?;
-    let crosses = *region != callers.shared.region;
-    if crosses && !(callers.tokens.take)(&budget(call, region, &Full::Volume), bytes) {
-        return Err(Full::Volume);
+    tried: &[Arc<Instance>],
+    again: bool,
+) -> Result<Target, (route::Refusal, Option<Budget>)> {
+    let now = callers.shared.now();
+    let snapshot = callers.shared.snapshot.load_full();
+    let Some(service) = snapshot.services.get(&call.service) else {
+        return Err((route::Refusal::NoBackend, None));
+    };
+    let instances = callers.fleet.instances(now, &snapshot, &call.service);
+    let regions = &service.document.regions;
+    let mut choice = Choice {
+        callers,
+        call,
+        document: &service.document,
+        regions: regions
+            .iter()
+            .map(|region| candidates(now, region, &instances, tried))
+            .collect(),
+        weights: regions
+            .iter()
+            .map(|region| weight(service, region))
+            .collect(),
+        again,
+        short: None,
+        target: None,
+    };
+    let chosen = choice.run();
+    let short = choice.short;
+    match (chosen, choice.target) {
+        (Ok(_), Some(target)) => Ok(target),
+        (Ok(_), None) => Err((route::Refusal::NoBackend, None)),
+        (Err(refusal), _) => Err((refusal, short)),
     }
-    Ok(Target {
-        running: Running::start(instance),
-        _slot: slot,
-        crosses,
-    })
 }
 
-/// Regions in the order in which they are tried: one by weight, then the others by weight.
-fn regions(snapshot: &Snapshot, call: &Call) -> Vec<Arc<str>> {
-    let Some(service) = snapshot.services.get(&call.service) else {
-        return Vec::new();
-    };
-    let mut weights = service.weights.regions.clone();
-    weights.retain(|(_, weight)| *weight > 0.0);
-    weights.sort_by(|a, b| b.1.total_cmp(&a.1));
-    let total: f64 = weights.iter().map(|(_, weight)| weight).sum();
-    let mut point = rand::rng().random::<f64>() * total;
-    let first = weights.iter().position(|(_, weight)| {
-        point -= weight;
-        point < 0.0
-    });
-    weights[..first.map_or(0, |first| first + 1)].rotate_right(1);
-    weights.into_iter().map(|(region, _)| region).collect()
+fn weight(service: &Service, region: &Region) -> f64 {
+    let mut weights = service.weights.regions.iter();
+    weights
+        .find(|(name, _)| *name == region.name)
+        .map_or(0.0, |(_, weight)| *weight)
 }
 
-/// Of two random servers of the region, the one with fewer requests of this host.
-fn instance(eligible: &[&Arc<Instance>], region: &Arc<str>) -> Option<Arc<Instance>> {
-    let there: Vec<_> = eligible
-        .iter()
-        .filter(|instance| instance.region == *region)
-        .collect();
-    if there.is_empty() {
-        return None;
+fn candidates(
+    now: Duration,
+    region: &Region,
+    instances: &[Arc<Instance>],
+    tried: &[Arc<Instance>],
+) -> Candidates {
+    let is_tried =
+        |instance: &Arc<Instance>| tried.iter().any(|tried| Arc::ptr_eq(tried, instance));
+    let there = instances.iter().filter(|there| there.region == region.name);
+    let mut found = Candidates::default();
+    for instance in there.filter(|there| !is_tried(there)) {
+        found.instances.push(instance.clone());
+        found.candidates.push(Candidate {
+            standing: instance.standing(now),
+            in_flight: instance.in_flight(),
+            slots: region.slots_per_backend,
+        });
+    }
+    found
+}
+
+impl Choice<'_> {
+    fn run(&mut self) -> Result<usize, route::Refusal> {
+        let regions: Vec<_> = self.document.regions.iter().enumerate().collect();
+        let regions: Vec<_> = regions
+            .into_iter()
+            .map(|(index, region)| route::Region {
+                weight: self.weights[index],
+                allowed: !region.drain,
+                lost: self.regions[index].is_lost(),
+                crosses: region.name != self.callers.shared.region,
+            })
+            .collect();
+        let volume = Budget::CrossRegion {
+            service: self.call.service.clone(),
+        };
+        let mut volume_short = false;
+        let left = &self.callers.tokens.left;
+        let has_volume = || {
+            volume_short |= left(&volume) == 0;
+            !volume_short
+        };
+        let random = rand::rng().random();
+        let chosen = route::region(&regions, random, has_volume, |index, slots| {
+            self.take(index, slots, regions[index].crosses)
+        });
+        if volume_short {
+            self.short.get_or_insert(volume);
+        }
+        chosen
+    }
+
+    /// Takes a slot of a region if one of its backend servers can run the request.
+    fn take(&mut self, index: usize, slots: Slots, crosses: bool) -> bool {
+        let found = &self.regions[index];
+        let random = rand::rng().random();
+        let Ok(chosen) = route::backend(&found.candidates, random) else {
+            return false;
+        };
+        let region = &self.document.regions[index];
+        let Some(share) = self.fair_share(region) else {
+            return false;
+        };
+        let budget = Budget::Region {
+            service: self.call.service.clone(),
+            region: region.name.clone(),
+        };
+        let Some(slot) = self.callers.tokens.slot(budget.clone(), self.taking(slots)) else {
+            self.short.get_or_insert(budget);
+            return false;
+        };
+        self.target = Some(Target {
+            running: Running::start(found.instances[chosen].clone()),
+            _slot: slot,
+            _share: share,
+            crosses,
+        });
+        true
+    }
+
+    fn taking(&self, slots: Slots) -> Taking {
+        match slots {
+            Slots::Regular if self.document.headroom_percent > 0.0 => {
+                Taking::Sparing(self.document.headroom_percent)
+            }
+            Slots::Regular | Slots::WithHeadroom if self.again => Taking::Again,
+            Slots::Regular | Slots::WithHeadroom => Taking::First,
+        }
+    }
+
+    /// Counts the request for its workspace, unless the workspace is over its part of scarce slots.
+    fn fair_share(&self, region: &Region) -> Option<fair::Share> {
+        let budget = Budget::Region {
+            service: self.call.service.clone(),
+            region: region.name.clone(),
+        };
+        let free = (self.callers.tokens.left)(&budget);
+        self.callers.usage.take(
+            self.callers.shared.now(),
+            &budget,
+            self.call.workspace.as_ref(),
+            free,
+        )
+    }
+}
+
+impl Candidates {
+    fn is_lost(&self) -> bool {
+        let mut candidates = self.candidates.iter();
+        candidates.all(|candidate| candidate.standing == Standing::Unavailable)
     }
-    let mut random = rand::rng();
-    let one = there[random.random_range(..there.len())];
-    let other = there[random.random_range(..there.len())];
-    let chosen = if other.in_flight() < one.in_flight() {
-        other
-    } else {
-        one
-    };
-    Some(Arc::clone(chosen))
 }
--- a/crates/entry/src/callers/constants.rs
+++ b/crates/entry/src/callers/constants.rs
@@ -11,6 +11,9 @@
 /// Idle connections kept per backend server.
 pub(crate) const IDLE_CONNECTIONS: usize = 330;
 
+/// Instances of a service that are remembered after they left the host list.
+pub(crate) const DEPARTED_INSTANCES: usize = 1000;
+
 /// Retries of one request.
 pub(crate) const RETRIES: usize = 2;
 
--- a/crates/entry/src/callers/fleet.rs
+++ b/crates/entry/src/callers/fleet.rs
@@ -4,16 +4,19 @@
     collections::HashMap,
     net::SocketAddr,
     sync::{
-        Arc, Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
     },
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use arc_swap::ArcSwapOption;
-use marjorampick_core::host::event::{Listed, ListedState};
+use marjorampick_core::{
+    backend::{Standing, Status},
+    host::event::Listed,
+};
 
-use super::pool::Pool;
+use super::{constants::DEPARTED_INSTANCES, pool::Pool};
 use crate::shared::Snapshot;
 
 /// One backend server.
@@ -22,21 +25,22 @@
     pub name: Arc<str>,
     /// Region of the instance.
     pub region: Arc<str>,
-    pub(crate) address: SocketAddr,
+    /// Address of the instance.
+    pub address: SocketAddr,
     pub(crate) pool: Pool,
     in_flight: AtomicU64,
-    leaving: AtomicBool,
+    status: Mutex<Status>,
 }
 
 impl Instance {
-    fn new(listed: &Listed) -> Self {
+    fn new(listed: &Listed, now: Duration, warmup: Duration) -> Self {
         Self {
             name: listed.name.clone(),
             region: listed.region.clone(),
             address: listed.address,
             pool: Pool::default(),
             in_flight: AtomicU64::new(0),
-            leaving: AtomicBool::new(false),
+            status: Mutex::new(Status::new(now, warmup)),
         }
     }
 
@@ -50,14 +54,14 @@
         self.pool.len()
     }
 
-    /// Whether the instance may get new work.
-    pub fn is_eligible(&self) -> bool {
-        !self.leaving.load(Ordering::Acquire)
+    /// What is known of the instance; probes add to it.
+    pub fn status(&self) -> MutexGuard<'_, Status> {
+        self.status.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Notes that the instance is leaving; there is no way back for the same instance.
-    pub fn leave(&self) {
-        self.leaving.store(true, Ordering::Release);
+    /// Whether and to which part the instance may get new requests.
+    pub(crate) fn standing(&self, now: Duration) -> Standing {
+        self.status().standing(now)
     }
 }
 
@@ -82,20 +86,42 @@
 pub struct Fleet {
     table: ArcSwapOption<Table>,
     updating: Mutex<()>,
+    warmup: Duration,
 }
 
 struct Table {
     snapshot: Arc<Snapshot>,
-    services: HashMap<Arc<str>, Arc<[Arc<Instance>]>>,
+    services: HashMap<Arc<str>, Instances>,
+}
+
+/// Instances of one service.
+#[derive(Clone, Default)]
+struct Instances {
+    listed: Arc<[Arc<Instance>]>,
+    /// Instances that are no longer listed, the newest last: leaving is never revoked.
+    departed: Arc<[Arc<Instance>]>,
 }
 
 impl Fleet {
+    /// An empty fleet whose new instances get a rising part of the traffic for `warmup`.
+    pub fn new(warmup: Duration) -> Self {
+        Self {
+            warmup,
+            ..Self::default()
+        }
+    }
+
     /// The instances of a service in a snapshot.
-    pub fn instances(&self, snapshot: &Arc<Snapshot>, service: &str) -> Arc<[Arc<Instance>]> {
+    pub fn instances(
+        &self,
+        now: Duration,
+        snapshot: &Arc<Snapshot>,
+        service: &str,
+    ) -> Arc<[Arc<Instance>]> {
         let table = self.table.load();
         match table.as_deref() {
-            Some(table) if Arc::ptr_eq(&table.snapshot, snapshot) => table.of(service),
-            _ => self.update(snapshot).of(service),
+            Some(table) if Arc::ptr_eq(&table.snapshot, snapshot) => table.of(service).listed,
+            _ => self.update(now, snapshot).of(service).listed,
         }
     }
 
@@ -104,16 +130,13 @@
         let table = self.table.load();
         let services = table.iter().flat_map(|table| table.services.values());
         services
-            .flat_map(|instances| instances.iter())
+            .flat_map(|instances| instances.listed.iter())
             .for_each(|instance| instance.pool.sweep(now));
     }
 
     /// Builds the table of a snapshot, keeping the state of instances that were there before.
-    fn update(&self, snapshot: &Arc<Snapshot>) -> Arc<Table> {
-        let _updating = self
-            .updating
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner);
+    fn update(&self, now: Duration, snapshot: &Arc<Snapshot>) -> Arc<Table> {
+        let _updating = self.updating.lock().unwrap_or_else(PoisonError::into_inner);
         let old = self.table.load_full();
         if let Some(old) = old
             .as_ref()
@@ -123,8 +146,8 @@
         }
         let services = snapshot.services.iter().map(|(name, service)| {
             let known = old.as_ref().map(|old| old.of(name)).unwrap_or_default();
-            let instances = service.backends.iter().map(|listed| adopt(&known, listed));
-            (name.clone(), instances.collect())
+            let instances = known.follow(&service.backends, now, self.warmup);
+            (name.clone(), instances)
         });
         let table = Arc::new(Table {
             snapshot: snapshot.clone(),
@@ -136,20 +159,44 @@
 }
 
 impl Table {
-    fn of(&self, service: &str) -> Arc<[Arc<Instance>]> {
+    fn of(&self, service: &str) -> Instances {
         self.services.get(service).cloned().unwrap_or_default()
     }
 }
 
-/// The known instance of a line of the host list, or a new one.
-fn adopt(known: &[Arc<Instance>], listed: &Listed) -> Arc<Instance> {
-    let same = |instance: &&Arc<Instance>| {
-        instance.name == listed.name && instance.address == listed.address
-    };
-    let instance = known.iter().find(same).cloned();
-    let instance = instance.unwrap_or_else(|| Arc::new(Instance::new(listed)));
-    if listed.state != ListedState::Live {
-        instance.leave();
+impl Instances {
+    /// The instances of a newer list. An empty list is taken for one that could not be read.
+    fn follow(self, list: &[Listed], now: Duration, warmup: Duration) -> Self {
+        if list.is_empty() {
+            return self;
+        }
+        let adopt = |line: &Listed| {
+            let instance = self.find(line);
+            let instance = instance.unwrap_or_else(|| Arc::new(Instance::new(line, now, warmup)));
+            instance.status().listed(Some(line.state));
+            instance
+        };
+        let listed: Arc<[_]> = list.iter().map(adopt).collect();
+        let is_listed =
+            |instance: &Arc<Instance>| listed.iter().any(|listed| Arc::ptr_eq(listed, instance));
+        let known = self.departed.iter().chain(self.listed.iter());
+        let mut departed: Vec<_> = known.filter(|known| !is_listed(known)).cloned().collect();
+        for instance in &departed {
+            instance.status().listed(None);
+            instance.pool.clear();
+        }
+        departed.drain(..departed.len().saturating_sub(DEPARTED_INSTANCES));
+        Self {
+            listed,
+            departed: departed.into(),
+        }
+    }
+
+    /// The known instance of a line of the list.
+    fn find(&self, line: &Listed) -> Option<Arc<Instance>> {
+        let mut known = self.listed.iter().chain(self.departed.iter());
+        known
+            .find(|known| known.name == line.name && known.address == line.address)
+            .cloned()
     }
-    instance
 }
--- a/crates/entry/src/callers/rate.rs
+++ b/crates/entry/src/callers/rate.rs
@@ -9,6 +9,7 @@
     Callers,
     arrival::Call,
     refusal::{Code, Refusal},
+    tokens::Taking,
 };
 use crate::shared::Request;
 
@@ -19,8 +20,8 @@
     };
     let service = call.service.clone();
     let budget = Budget::Workspace { service, workspace };
-    let take = || (callers.tokens.take)(&budget, 1);
-    if take() || (borrow(callers, call, &budget).await && take()) {
+    let take = |taking| (callers.tokens.take)(&budget, 1, taking);
+    if take(Taking::First) || (borrow(callers, call, &budget, 1).await && take(Taking::Again)) {
         return Ok(());
     }
     Err(Refusal::not_run(
@@ -32,11 +33,11 @@
 /// Waits until the control thread says that a loan arrived or was denied.
 ///
 /// Answers whether it is worth trying again.
-pub(crate) async fn borrow(callers: &Callers, call: &Call, budget: &Budget) -> bool {
+pub(crate) async fn borrow(callers: &Callers, call: &Call, budget: &Budget, wanted: u64) -> bool {
     let (wake, woken) = oneshot::channel();
     let request = Request::Short {
         budget: budget.clone(),
-        wanted: 1,
+        wanted,
         wake,
     };
     if callers.shared.control.try_send(request).is_err() {
--- a/crates/entry/src/callers/settings.rs
+++ b/crates/entry/src/callers/settings.rs
@@ -17,6 +17,8 @@
     pub lookup_lifetime: Duration,
     /// Longest time for a new connection to a backend server.
     pub connect_time: Duration,
+    /// Time over which a new backend server gets a rising part of the traffic.
+    pub warmup: Duration,
 }
 
 impl Default for Settings {
@@ -28,6 +30,7 @@
             connections: 16 * 1024,
             lookup_lifetime: Duration::from_secs(5),
             connect_time: Duration::from_secs(1),
+            warmup: Duration::from_secs(10),
         }
     }
 }
--- a/crates/entry/src/callers/tokens.rs
+++ b/crates/entry/src/callers/tokens.rs
@@ -1,42 +1,98 @@
-//! Taking and returning tokens of the fleet-wide budgets.
+//! Taking and returning tokens of the fleet-wide budgets. See docs/design.md §7.
 
 use std::sync::Arc;
 
-use marjorampick_core::budget::Budget;
+use marjorampick_core::budget::{Account, Budget, Ledger};
+
+use crate::shared::Shared;
+
+/// How an amount is taken.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Taking {
+    /// For the first time for this request.
+    First,
+    /// Again, for a request that was short before, so that it doesn't count as demand twice.
+    Again,
+    /// For the first time, and only if this part of the slots stays free, in percent.
+    Sparing(f64),
+}
 
 /// Takes an amount of a budget if the host has it.
-pub type Take = dyn Fn(&Budget, u64) -> bool + Send + Sync;
+pub type Take = dyn Fn(&Budget, u64, Taking) -> bool + Send + Sync;
 
 /// Returns an amount of a concurrency budget.
 pub type Release = dyn Fn(&Budget, u64) + Send + Sync;
 
+/// Whole tokens or free slots that the host has of a budget.
+pub type Left = dyn Fn(&Budget) -> u64 + Send + Sync;
+
 /// How the request path spends budgets; closures, so that tests can run out of tokens at will.
 #[derive(Clone)]
 pub struct Tokens {
-    /// Takes an amount if the host has it.
+    /// Takes an amount of a budget if the host has it.
     pub take: Arc<Take>,
-    /// Returns slots of a concurrency budget.
+    /// Returns an amount of a concurrency budget.
     pub release: Arc<Release>,
+    /// Whole tokens or free slots that the host has of a budget.
+    pub left: Arc<Left>,
 }
 
 impl Tokens {
     /// Budgets without limits.
     pub fn unlimited() -> Self {
         Self {
-            take: Arc::new(|_, _| true),
+            take: Arc::new(|_, _, _| true),
             release: Arc::new(|_, _| ()),
+            left: Arc::new(|_| u64::MAX),
+        }
+    }
+
+    /// The accounts of a ledger; a budget without an account has nothing.
+    pub fn of_ledger(ledger: Arc<Ledger>, shared: Arc<Shared>) -> Self {
+        let (taken, taken_at) = (ledger.clone(), shared.clone());
+        let (released, released_at) = (ledger.clone(), shared.clone());
+        let take = move |budget: &Budget, amount: u64, taking: Taking| {
+            let account = taken.account(budget);
+            account.is_some_and(|account| take_from(&account, &taken_at, amount, taking))
+        };
+        let release = move |budget: &Budget, amount: u64| {
+            if let Some(account) = released.account(budget) {
+                account.release(released_at.now(), amount);
+            }
+        };
+        let left = move |budget: &Budget| {
+            let account = ledger.account(budget);
+            account.map_or(0, |account| account.available(shared.now()))
+        };
+        Self {
+            take: Arc::new(take),
+            release: Arc::new(release),
+            left: Arc::new(left),
         }
     }
 
     /// Takes one slot, returned when the result is dropped.
-    pub(crate) fn slot(&self, budget: Budget) -> Option<Slot> {
-        (self.take)(&budget, 1).then(|| Slot {
+    pub(crate) fn slot(&self, budget: Budget, taking: Taking) -> Option<Slot> {
+        (self.take)(&budget, 1, taking).then(|| Slot {
             tokens: self.clone(),
             budget,
         })
     }
 }
 
+fn take_from(account: &Account, shared: &Shared, amount: u64, taking: Taking) -> bool {
+    let now = shared.now();
+    match taking {
+        Taking::First => account.take(now, amount).is_ok(),
+        Taking::Again => account.take_again(now, amount).is_ok(),
+        Taking::Sparing(percent) => {
+            let free = account.available(now);
+            let spared = percent / 100.0 * (free + account.used()) as f64;
+            (free.saturating_sub(amount)) as f64 >= spared && account.take(now, amount).is_ok()
+        }
+    }
+}
+
 /// Slot of a concurrency budget.
 pub(crate) struct Slot {
     tokens: Tokens,
