Connect the ledger and the weights to the host

Cause: documents and members had no effect on budgets, and a starting host asked nobody for weights. Change: documents become limits (workspaces, cross-region bytes, regions: slots of the live backend servers less the headroom unless another region of the document has no live one); every member table reaches the ledger in order, missed ones from the earlier tables of the record, or a reset when these do not reach back; loans, returns, spare amounts and in-force revisions are passed on; a host without weights asks its peers with each heartbeat. A host that has applied an update always tells the writer: with watches the record often arrives before the writer's message, and the writer then waited for the next heartbeat (up to 500 ms). A read-back asks for revisions at once. Host::with_budgets selects a baseline; it leaves Identity unchanged for the entry host. Conclusion: the entry host can take tokens from Host::ledger.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -50,3 +50,6 @@
 
 /// Largest number of edits that wait in one host.
 pub const EDIT_QUEUE_LENGTH: usize = 64;
+
+/// Interval between two calls of the ledger's periodic work.
+pub const LEDGER_TICK_INTERVAL: Duration = Duration::from_millis(100);
--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -6,7 +6,8 @@
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use crate::{
-    catalog::{Catalog, Update},
+    budget::{self, Ledger},
+    catalog::{Catalog, Record, Update},
     constants::{HEAD_READ_INTERVAL, HEARTBEAT_INTERVAL},
     document::Document,
     member::{
@@ -19,6 +20,7 @@
     message::{Message, Sender, ServiceWeights},
 };
 
+mod budgets;
 pub mod edit;
 pub mod event;
 
@@ -26,6 +28,7 @@
 mod gossip;
 mod membership;
 
+use budgets::Budgets;
 use edit::Edits;
 use event::{Action, Event};
 
@@ -72,6 +75,7 @@
     held: Held,
     edits: Edits,
     membership: membership::State,
+    budgets: Budgets,
     weights: Vec<ServiceWeights>,
     next_head_read: Duration,
     next_heartbeat: Duration,
@@ -91,7 +95,9 @@
         // A process that restarts at the same address must not take answers to its predecessor's
         // heartbeats for answers to its own, so that the numbers start at random.
         let sequence = random() >> 1;
+        let budgets = Budgets::new(&identity.member, budget::Settings::default());
         Self {
+            budgets,
             identity,
             seeds,
             random: Box::new(random),
@@ -114,6 +120,12 @@
         }
     }
 
+    /// The same host with another way to spend budgets; to be called before the first event.
+    pub fn with_budgets(mut self, settings: budget::Settings) -> Self {
+        self.budgets = Budgets::new(&self.identity.member, settings);
+        self
+    }
+
     /// Takes in what happened and answers what to do.
     pub fn handle(&mut self, now: Duration, event: Event) -> Vec<Action> {
         self.note_self(now);
@@ -122,9 +134,9 @@
             Event::HeadRead { sent, revision } => self.head_read(sent, revision),
             Event::Updated(update) => self.update(now, &update),
             Event::Written { ticket, result } => self.written(now, ticket, result),
-            Event::Listed(listed) => self.listed(&listed),
+            Event::Listed(listed) => self.listed(now, &listed),
             Event::Edit { ticket, edit } => self.edit(now, ticket, edit),
-            Event::Short { budget, .. } => self.actions.push(Action::Borrowed(budget)),
+            Event::Short { budget, wanted } => self.short(now, budget, wanted),
             Event::Claim { ticket, .. } => self.actions.push(Action::Claimed {
                 ticket,
                 verdict: crate::claim::Verdict::Unavailable,
@@ -151,6 +163,7 @@
         }
         self.settle(now);
         self.drive_membership(now);
+        self.tick_budgets(now);
         std::mem::take(&mut self.actions)
     }
 
@@ -169,6 +182,11 @@
         &self.catalog
     }
 
+    /// The accounts of all budgets, which request threads share.
+    pub fn ledger(&self) -> &Arc<Ledger> {
+        self.budgets.ledger()
+    }
+
     /// The documents known to the host, by service.
     pub fn documents(&self) -> &BTreeMap<Arc<str>, Known> {
         &self.documents
@@ -245,13 +263,11 @@
             self.actions.push(Action::ReadRecords);
             return;
         };
-        for record in &changed {
-            if record.key.as_ref() == roster::KEY {
-                self.take_roster(now, record);
-            } else if let Some(service) = record.key.strip_prefix(edit::DOCUMENTS) {
-                self.take_document(service, record);
-            }
+        // The shares of new limits are those of the newest members.
+        if let Some(record) = changed.iter().find(|one| one.key.as_ref() == roster::KEY) {
+            self.take_roster(now, record);
         }
+        self.take_documents(now, &changed);
         self.note_self(now);
         if !changed.is_empty() {
             self.actions.push(Action::Publish);
@@ -261,8 +277,22 @@
         }
     }
 
-    /// Checked by the writer; a document that this version cannot read leaves the known one in place.
-    fn take_document(&mut self, service: &str, record: &crate::catalog::Record) {
+    fn take_documents(&mut self, now: Duration, changed: &[Record]) {
+        let mut newest = None;
+        for record in changed {
+            if let Some(service) = record.key.strip_prefix(edit::DOCUMENTS) {
+                self.take_document(service, record);
+                newest = newest.max(Some(record.revision));
+            }
+        }
+        if let Some(revision) = newest {
+            self.configure_budgets(now, revision);
+        }
+    }
+
+    /// The writer has checked the document; one that this version cannot read leaves the known one in
+    /// place.
+    fn take_document(&mut self, service: &str, record: &Record) {
         if record.value.is_empty() {
             self.documents.remove(service);
         } else if let Ok(document) = Document::parse(&record.value) {
--- a/crates/core/src/host/chain.rs
+++ b/crates/core/src/host/chain.rs
@@ -16,6 +16,7 @@
             self.actions.push(Action::ReadRecords);
         } else if revision == own && !self.membership.is_stopped() {
             self.currency.confirm(sent);
+            self.budgets.ledger().renew_lease(sent);
         }
     }
 
--- a/crates/core/src/host/edit.rs
+++ b/crates/core/src/host/edit.rs
@@ -314,6 +314,8 @@
             Step::Written(revision) => {
                 self.edits.active = Some(active);
                 self.edits.active_written(revision);
+                // The answers show who has it by now.
+                self.send_heartbeats(now);
                 return true;
             }
             Step::Write(write) => active.attempt = Some(self.attempt(write, active.is_uncertain())),
--- a/crates/core/src/host/gossip.rs
+++ b/crates/core/src/host/gossip.rs
@@ -28,18 +28,27 @@
                 let weights = self.weights.clone();
                 self.send(from.peer, Message::Weights(weights));
             }
-            Message::Weights(weights) => self.actions.push(Action::Weights(weights)),
+            Message::Weights(weights) if self.weights.is_empty() => {
+                self.actions.push(Action::Weights(weights));
+            }
+            Message::LoanRequest(request) => self.loan_request(now, from, &request),
+            Message::Loan(loan) => self.loan(now, from, &loan),
+            Message::LoanReturn(back) => self.budgets.ledger().returned(now, &from.host, &back),
             _ => {}
         }
     }
 
-    /// Sends a heartbeat to every host that may matter.
+    /// Sends a heartbeat to every host that may matter. A starting host, which has no weights yet,
+    /// asks for theirs, too.
     pub(super) fn send_heartbeats(&mut self, now: Duration) {
         self.sequence += 1;
         self.currency.sent(now, self.sequence);
         let heartbeat = self.own_heartbeat(now);
         for address in self.contacts() {
             self.send(address, Message::Heartbeat(heartbeat.clone()));
+            if self.weights.is_empty() {
+                self.send(address, Message::WeightsRequest);
+            }
         }
     }
 
@@ -59,13 +68,15 @@
             let held = held::held(current, previous, self.roster_revision, before);
             self.held.observe(now, held.min(self.catalog.revision()));
         }
-        // TODO: tell budgets and claims.
-        self.held.advance(now);
+        if let Some(revision) = self.held.advance(now) {
+            self.budgets.ledger().in_force(now, revision);
+        }
     }
 
     fn heartbeat(&mut self, now: Duration, from: &Sender, heartbeat: &Heartbeat) {
         let table = self.roster_revision;
         self.peers.heartbeat(now, from, heartbeat, table);
+        self.note_spare(now, from, heartbeat);
         let reply = HeartbeatReply {
             sequence: heartbeat.sequence,
             revision: self.catalog.revision(),
@@ -89,21 +100,18 @@
         self.confirm_by_members();
     }
 
-    /// An update from a peer shows the peer's revision, and a host that has applied it says so at
-    /// once, as the writer waits for more than half of the members.
+    /// An update from a peer shows the peer's revision. A host that has it says so at once, as the
+    /// writer waits for more than half of the members.
     fn update_from(&mut self, now: Duration, from: &Sender, update: &Update) {
         if let Some(peer) = self.peers.get_mut(from) {
             peer.revision = peer.revision.max(update.through);
         }
-        let before = self.catalog.revision();
-        if update.since > before {
+        if update.since > self.catalog.revision() {
             return self.catch_up(from, update.through);
         }
         self.update(now, update);
-        if self.catalog.revision() > before {
-            let heartbeat = self.own_heartbeat(now);
-            self.send(from.peer, Message::Heartbeat(heartbeat));
-        }
+        let heartbeat = self.own_heartbeat(now);
+        self.send(from.peer, Message::Heartbeat(heartbeat));
     }
 
     fn catch_up(&mut self, from: &Sender, revision: u64) {
@@ -138,7 +146,7 @@
             sequence: self.sequence,
             revision: self.catalog.revision(),
             suspected: self.silent_members(now).cloned().collect(),
-            spare: Vec::new(),
+            spare: self.spare(now),
             leaving: self.membership.is_leaving(),
         }
     }
--- a/crates/core/src/host/membership.rs
+++ b/crates/core/src/host/membership.rs
@@ -70,11 +70,12 @@
     }
 
     /// The platform's list of hosts was read.
-    pub(super) fn listed(&mut self, listed: &[Listed]) {
+    pub(super) fn listed(&mut self, now: Duration, listed: &[Listed]) {
         let gone = |host: &&Listed| host.service.is_none() && host.state == ListedState::Gone;
         let names: BTreeSet<Arc<str>> =
             listed.iter().filter(gone).map(|h| h.name.clone()).collect();
         self.peers.set_gone(names);
+        self.count_backends(now, listed);
     }
 
     /// Takes over a new members record.
@@ -91,6 +92,7 @@
         let replaced = seat.is_some_and(|seat| seat.incarnation != own.incarnation);
         self.membership.seated |= roster.mentions(&own.host, own.incarnation);
         self.membership.due = None;
+        self.budget_members(now, self.roster_revision, &roster, record.revision);
         self.roster = roster;
         self.roster_revision = record.revision;
         self.roster_learned = now;
--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -8,6 +8,7 @@
 };
 
 use marjorampick_core::{
+    budget::Budget,
     catalog::{Record, Update},
     constants::IN_FORCE_BOUND,
     host::{
@@ -18,7 +19,7 @@
         Member,
         roster::{self, Roster},
     },
-    message::Envelope,
+    message::{Envelope, ServiceWeights},
 };
 
 /// Hosts of a fleet that are seeds of each other.
@@ -105,6 +106,10 @@
     pub(crate) group: u8,
     pub(crate) sees_store: bool,
     pub(crate) left: bool,
+    /// Budgets for which waiting requests were woken.
+    pub(crate) woken: Vec<Budget>,
+    /// Weights that a peer has sent.
+    pub(crate) weights: Vec<ServiceWeights>,
     started: Duration,
     /// Rate of the host's clock in thousandths of the true rate.
     rate: u32,
@@ -229,6 +234,8 @@
             group: 0,
             sees_store: true,
             left: false,
+            woken: Vec::new(),
+            weights: Vec::new(),
             started: self.now,
             rate,
         };
@@ -280,21 +287,33 @@
 
     /// The platform's list reports these hosts as gone and all others as live.
     pub(crate) fn list_gone(&mut self, gone: &BTreeSet<usize>) {
-        let listed = |(index, node): (usize, &Node)| Listed {
-            name: node.member.host.clone(),
-            service: None,
-            region: node.member.region.clone(),
-            domain: node.member.domain.clone(),
-            address: node.member.callers,
-            state: if gone.contains(&index) {
-                ListedState::Gone
-            } else {
-                ListedState::Live
-            },
+        let nodes = self.nodes.iter().enumerate();
+        let listed = nodes.map(|(index, node)| {
+            let state = match gone.contains(&index) {
+                true => ListedState::Gone,
+                false => ListedState::Live,
+            };
+            listed(&node.member.host, None, &node.member.region, state)
+        });
+        self.list(&listed.collect::<Vec<_>>());
+    }
+
+    /// The platform's list reports `count` live backend servers.
+    pub(crate) fn list_backends(&mut self, service: &str, region: &str, count: usize) {
+        let one = |index| {
+            listed(
+                &format!("{index}"),
+                Some(service),
+                region,
+                ListedState::Live,
+            )
         };
-        let list: Vec<Listed> = self.nodes.iter().enumerate().map(listed).collect();
+        self.list(&(0..count).map(one).collect::<Vec<_>>());
+    }
+
+    fn list(&mut self, list: &[Listed]) {
         for index in 0..self.nodes.len() {
-            self.give(index, Event::Listed(list.clone()));
+            self.give(index, Event::Listed(list.to_vec()));
         }
     }
 
@@ -344,8 +363,9 @@
             }
             Action::Edited { ticket, edited } => self.edited(ticket as usize, edited),
             Action::Left => self.nodes[index].left = true,
-            Action::Claimed { .. } | Action::Borrowed(_) | Action::Weights(_) | Action::Publish => {
-            }
+            Action::Borrowed(budget) => self.nodes[index].woken.push(budget),
+            Action::Weights(weights) => self.nodes[index].weights = weights,
+            Action::Claimed { .. } | Action::Publish => {}
         }
     }
 
@@ -464,3 +484,14 @@
         result: Written::Unknown,
     }
 }
+
+fn listed(name: &str, service: Option<&str>, region: &str, state: ListedState) -> Listed {
+    Listed {
+        name: Arc::from(name),
+        service: service.map(Arc::from),
+        region: Arc::from(region),
+        domain: Arc::from("domain"),
+        address: address(0),
+        state,
+    }
+}
--- a/crates/core/tests/host.rs
+++ b/crates/core/tests/host.rs
@@ -2,16 +2,20 @@
 
 mod fleet;
 
-use std::{collections::BTreeSet, thread, time::Duration};
+use std::{collections::BTreeSet, sync::Arc, thread, time::Duration};
 
 use arbtest::{
     arbitrary::{Result, Unstructured},
     arbtest,
 };
 use fleet::{Fleet, HOSTS};
-use marjorampick_core::host::{
-    Source,
-    event::{Edited, Event},
+use marjorampick_core::{
+    budget::Budget,
+    host::{
+        Source,
+        event::{Edited, Event},
+    },
+    message::ServiceWeights,
 };
 
 /// Longest time for which a host may be current after it was cut off.
@@ -303,6 +307,66 @@
     }
 }
 
+/// Guards against limits of documents and of the list of backend servers that do not reach the
+/// ledgers, shares that add up to more, and loans that get lost between request path and peers.
+#[test]
+fn limits_become_shares_and_loans() {
+    let mut fleet = Fleet::formed(15, 4);
+    accept(&mut fleet, 0, "signing");
+    fleet.list_backends("signing", "ee-north", 3);
+    fleet.run_ms(30_000);
+    let (service, workspace) = (Arc::from("signing"), Arc::from("anchor"));
+    let region = Budget::Region {
+        service: Arc::clone(&service),
+        region: Arc::from("ee-north"),
+    };
+    // 3 backend servers with 7 slots each, less the default headroom of 20 %.
+    assert_eq!(available(&fleet, &region), 16);
+    let budget = Budget::Workspace { service, workspace };
+    assert_eq!(available(&fleet, &budget), 10);
+    let account = fleet.nodes[0].host.ledger().account(&budget).unwrap();
+    let local = fleet.nodes[0].local(fleet.now);
+    account.take(local, account.available(local)).unwrap();
+    let wanted = 1;
+    fleet.give(
+        0,
+        Event::Short {
+            budget: budget.clone(),
+            wanted,
+        },
+    );
+    fleet.run_ms(90);
+    assert_eq!(fleet.nodes[0].woken, [budget]);
+    assert!(
+        account
+            .take(fleet.nodes[0].local(fleet.now), wanted)
+            .is_ok()
+    );
+}
+
+fn available(fleet: &Fleet, budget: &Budget) -> u64 {
+    let available = |node: &fleet::Node| {
+        let account = node.host.ledger().account(budget);
+        account.map_or(0, |account| account.available(node.local(fleet.now)))
+    };
+    fleet.nodes.iter().map(available).sum()
+}
+
+/// Guards against a starting host that jumps to the document's weights while a shift is in progress.
+#[test]
+fn a_starting_host_gets_the_weights_of_a_peer() {
+    let mut fleet = Fleet::formed(16, 3);
+    let weights = vec![ServiceWeights {
+        service: Arc::from("signing"),
+        regions: vec![(Arc::from("ee-north"), 0.25)],
+    }];
+    fleet.give(1, Event::Weights(weights.clone()));
+    fleet.start(0);
+    fleet.run_ms(1000);
+    assert_eq!(fleet.nodes[0].weights, weights);
+    assert_eq!(fleet.nodes[1].weights, []);
+}
+
 /// Guards against any mix of faults after which an accepted edit reverts, a host acts on an old
 /// configuration, or the fleet does not recover. `Fleet` checks the first two after every step.
 #[test]
