budget: keep small rate budgets in one place

Cause: a burst of 3 over 8 hosts leaves 5 hosts without a whole token, so that their part of the rate is lost. Change: the host that ranks first gets the first 8 tokens and 16/s, the others what is left until all have as much. The parts grow with the total, so that the property test holds for hosts that miss a change of the limit.

Cost: while the first host of a small budget is dead, the budget is empty until the removal has settled, about 9 s, or for the rest of a store outage.

--- a/crates/core/src/budget/limit.rs
+++ b/crates/core/src/budget/limit.rs
@@ -8,6 +8,15 @@
 /// Thousandths in one token. A burst of 2^53 tokens still fits into `u64`.
 pub(super) const MILLI: u64 = 1_000;
 
+/// Tokens of burst that go to the host that ranks first before any other host gets some.
+///
+/// A host without a whole token of burst cannot keep what its rate yields, and a token that one host
+/// keeps while another one needs it costs a round trip. Budgets up to this size stay in one place.
+const HOME_BURST: u64 = 8;
+/// Rate that goes to the host that ranks first before any other host gets some, in thousandths of a
+/// token per second.
+const HOME_RATE: u64 = 16 * MILLI;
+
 /// Limit of a budget over all hosts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Limit {
@@ -76,8 +85,8 @@
     fn share(self, count: u64, place: u64) -> Share {
         match self {
             Self::Rate { per_second, burst } => Share {
-                capacity: part(burst, count, place).saturating_mul(MILLI),
-                rate: part(per_second, count, place),
+                capacity: first_part(burst, HOME_BURST, count, place).saturating_mul(MILLI),
+                rate: first_part(per_second, HOME_RATE, count, place),
             },
             Self::Concurrency { slots, .. } => Share {
                 capacity: part(slots, count, place),
@@ -111,6 +120,22 @@
     total / count + u64::from(place < total % count)
 }
 
+/// Part of `total` when the first place gets all of it up to `home`, the others share the rest until
+/// they have as much as the first, and all share what is left.
+///
+/// No part shrinks when `total` grows. So parts of different totals, which hosts may use while a
+/// limit changes, never add up to more than the largest total, even if a host missed a change.
+fn first_part(total: u64, home: u64, count: u64, place: u64) -> u64 {
+    let even = home.saturating_mul(count);
+    if total >= even {
+        home + part(total - even, count, place)
+    } else if place == 0 {
+        total.min(home)
+    } else {
+        part(total.saturating_sub(home), count - 1, place - 1)
+    }
+}
+
 impl Budget {
     /// Key of the budget for rendezvous hashing.
     fn rank_key(&self) -> String {
--- a/crates/core/src/budget/tests.rs
+++ b/crates/core/src/budget/tests.rs
@@ -17,14 +17,14 @@
     std::iter::from_fn(|| account.take(now, 1).ok()).count() as u64
 }
 
-/// Guards against shares that lose the remainder of the division or hand it out twice.
+/// Guards against shares that lose the remainder of the division or hand it out twice, for bursts on
+/// both sides of every threshold of the division.
 #[test]
 fn shares_add_up_to_the_limit() {
     let names = hosts(&["a", "b", "c"]);
-    let limit = Limit::rate(10.0, 8);
-    let taken: u64 = names
-        .iter()
-        .map(|name| {
+    for burst in [1, 7, 8, 9, 20, 23, 24, 25, 64, 95, 96, 97, 400] {
+        let limit = Limit::rate(1e6, burst);
+        let taken = names.iter().map(|name| {
             let ledger = Ledger::new(name.clone(), 1, Settings::Fixed);
             ledger.configure(Duration::ZERO, &[(budget("anchor"), limit)], 1);
             ledger.set_members(Duration::ZERO, &names, 1);
@@ -36,9 +36,9 @@
                 "unsettled share"
             );
             drain(&account, Duration::from_secs(60))
-        })
-        .sum();
-    assert_eq!(taken, 8);
+        });
+        assert_eq!(taken.sum::<u64>(), burst);
+    }
 }
 
 /// Host `name` in a ledger whose members `a` and `b` have settled.
@@ -82,24 +82,24 @@
 /// Guards against a host that spends the share which other hosts took over while it was cut off.
 #[test]
 fn a_host_that_missed_its_removal_starts_without_a_share() {
-    let ledger = settled("a", Limit::rate(10.0, 8));
+    let ledger = settled("a", Limit::rate(32.0, 16));
     let account = ledger.account(&budget("anchor")).expect("configured");
-    assert_eq!(drain(&account, MINUTE), 4);
+    assert_eq!(drain(&account, MINUTE), 8);
     ledger.reset(MINUTE * 2, 3);
     ledger.set_members(MINUTE * 2, &hosts(&["a", "b"]), 3);
     assert_eq!(drain(&account, MINUTE * 3), 0);
     ledger.in_force(MINUTE * 3, 3);
-    assert_eq!(drain(&account, MINUTE * 4), 4);
+    assert_eq!(drain(&account, MINUTE * 4), 8);
 }
 
 /// Guards against a limit that comes back while loans under its earlier version still run.
 #[test]
 fn a_removed_limit_comes_back_without_tokens() {
-    let ledger = settled("a", Limit::rate(10.0, 8));
+    let ledger = settled("a", Limit::rate(32.0, 16));
     let account = ledger.account(&budget("anchor")).expect("configured");
     ledger.configure(MINUTE, &[], 2);
-    ledger.configure(MINUTE, &[(budget("anchor"), Limit::rate(10.0, 8))], 3);
+    ledger.configure(MINUTE, &[(budget("anchor"), Limit::rate(32.0, 16))], 3);
     assert_eq!(drain(&account, MINUTE * 2), 0);
     ledger.in_force(MINUTE * 2, 3);
-    assert_eq!(drain(&account, MINUTE * 3), 4);
+    assert_eq!(drain(&account, MINUTE * 3), 8);
 }
