--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -13,7 +13,7 @@
 use std::{net::SocketAddr, path::Path};
 
 use marjorampick_core::{finding::Findings, reader::Table};
-use marjorampick_link::settings::{Faults, read as read_file};
+use marjorampick_link::settings::{Faults, address, read as read_file};
 
 /// Settings of an entry host.
 #[derive(Clone, Debug, PartialEq)]
@@ -45,40 +45,43 @@
 }
 
 fn parse(table: &mut Table<'_>, findings: &mut Findings, folder: &Path) -> Settings {
-    let settings = Settings {
+    let mut listeners = Listeners::default();
+    Settings {
         host: host::parse(table, findings),
         currency: currency::parse(table, findings),
-        callers: callers::parse(table, findings, folder),
-        lookup: lookup::parse(table, findings),
-        admin: admin::parse(table, findings),
+        callers: callers::parse(table, findings, folder, &mut listeners),
+        lookup: lookup::parse(table, findings, &mut listeners),
+        admin: admin::parse(table, findings, &mut listeners),
         peers: peers::parse(table, findings, folder),
         store: store::parse(table, findings),
         platform: platform::parse(table, findings),
         log: log::parse(table, findings),
-    };
-    check_listeners(&settings, table, findings);
-    settings
-}
-
-/// Two listeners with one address would fail only when the second one is opened.
-fn check_listeners(settings: &Settings, table: &Table<'_>, findings: &mut Findings) {
-    let listeners: [(&str, SocketAddr); 3] = [
-        ("callers.listen", settings.callers.listen),
-        ("lookup.listen", settings.lookup.listen),
-        ("admin.listen", settings.admin.listen),
-    ];
-    for (index, (key, address)) in listeners.iter().enumerate() {
-        let earlier = listeners.iter().take(index);
-        for (other, _) in earlier.filter(|(_, other)| other == address && other.port() != 0) {
-            table.report(findings, key, format!("has the same address as {other}"));
-        }
     }
 }
 
-/// Takes a section that must be present.
-fn section<'a>(table: &mut Table<'a>, findings: &mut Findings, name: &str) -> Table<'a> {
-    if !table.has(name) {
-        table.report(findings, name, "the section is missing");
+/// Addresses of the TCP listeners so far. Two listeners with one address would fail only when the
+/// second one is opened.
+#[derive(Default)]
+struct Listeners(Vec<(&'static str, SocketAddr)>);
+
+impl Listeners {
+    /// Takes the address of the listener of section `name`.
+    fn take(
+        &mut self,
+        section: &mut Table<'_>,
+        findings: &mut Findings,
+        name: &'static str,
+    ) -> SocketAddr {
+        let before = findings.len();
+        let address = address(section, findings, "listen");
+        if findings.len() > before {
+            return address;
+        }
+        if let Some((other, _)) = self.0.iter().find(|(_, taken)| *taken == address) {
+            let text = format!("has the same address as {other}.listen");
+            section.report(findings, "listen", text);
+        }
+        self.0.push((name, address));
+        address
     }
-    table.table(findings, name)
 }
--- a/crates/entry/src/settings/admin.rs
+++ b/crates/entry/src/settings/admin.rs
@@ -3,9 +3,9 @@
 use std::net::SocketAddr;
 
 use marjorampick_core::{document::Digest, finding::Findings, reader::Table};
-use marjorampick_link::settings::{address, digest};
+use marjorampick_link::settings::digest;
 
-use super::section;
+use super::Listeners;
 
 /// Admin listener.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -16,10 +16,14 @@
     pub token: Digest,
 }
 
-pub(super) fn parse(table: &mut Table<'_>, findings: &mut Findings) -> Admin {
-    let mut section = section(table, findings, "admin");
+pub(super) fn parse(
+    table: &mut Table<'_>,
+    findings: &mut Findings,
+    listeners: &mut Listeners,
+) -> Admin {
+    let mut section = table.table(findings, "admin");
     let admin = Admin {
-        listen: address(&mut section, findings, "listen"),
+        listen: listeners.take(&mut section, findings, "admin"),
         token: digest(&mut section, findings, "token_digest"),
     };
     section.finish(findings);
--- a/crates/entry/src/settings/callers.rs
+++ b/crates/entry/src/settings/callers.rs
@@ -6,9 +6,9 @@
 };
 
 use marjorampick_core::{finding::Findings, reader::Table};
-use marjorampick_link::settings::{address, path};
+use marjorampick_link::settings::path;
 
-use super::section;
+use super::Listeners;
 
 /// Caller listener.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -32,12 +32,17 @@
     pub key: PathBuf,
 }
 
-pub(super) fn parse(table: &mut Table<'_>, findings: &mut Findings, folder: &Path) -> Callers {
-    let mut section = section(table, findings, "callers");
+pub(super) fn parse(
+    table: &mut Table<'_>,
+    findings: &mut Findings,
+    folder: &Path,
+    listeners: &mut Listeners,
+) -> Callers {
+    let mut section = table.table(findings, "callers");
     let threads = section.integer(findings, "threads", 1..=64, Some(2));
     let connections = section.integer(findings, "connections", 1..=1_000_000, Some(16_384));
     let callers = Callers {
-        listen: address(&mut section, findings, "listen"),
+        listen: listeners.take(&mut section, findings, "callers"),
         threads: usize::try_from(threads).unwrap_or(1),
         connections: usize::try_from(connections).unwrap_or(1),
         tls: tls(&mut section, findings, folder),
--- a/crates/entry/src/settings/host.rs
+++ b/crates/entry/src/settings/host.rs
@@ -5,8 +5,6 @@
 use marjorampick_core::{finding::Findings, reader::Table};
 use marjorampick_link::settings::name;
 
-use super::section;
-
 /// Who the host is.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Host {
@@ -19,7 +17,7 @@
 }
 
 pub(super) fn parse(table: &mut Table<'_>, findings: &mut Findings) -> Host {
-    let mut section = section(table, findings, "host");
+    let mut section = table.table(findings, "host");
     let host = Host {
         name: name(&mut section, findings, "name"),
         region: name(&mut section, findings, "region"),
--- a/crates/entry/src/settings/lookup.rs
+++ b/crates/entry/src/settings/lookup.rs
@@ -3,9 +3,9 @@
 use std::{net::IpAddr, net::SocketAddr, sync::Arc, time::Duration};
 
 use marjorampick_core::{finding::Findings, reader::Table};
-use marjorampick_link::settings::{address, name};
+use marjorampick_link::settings::name;
 
-use super::section;
+use super::Listeners;
 
 /// Look-up listener.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -27,11 +27,15 @@
     pub region: Arc<str>,
 }
 
-pub(super) fn parse(table: &mut Table<'_>, findings: &mut Findings) -> Lookup {
-    let mut section = section(table, findings, "lookup");
+pub(super) fn parse(
+    table: &mut Table<'_>,
+    findings: &mut Findings,
+    listeners: &mut Listeners,
+) -> Lookup {
+    let mut section = table.table(findings, "lookup");
     let lifetime = section.integer(findings, "ttl_seconds", 1..=60, Some(5));
     let lookup = Lookup {
-        listen: address(&mut section, findings, "listen"),
+        listen: listeners.take(&mut section, findings, "lookup"),
         lifetime: Duration::from_secs(lifetime),
         blocks: blocks(&mut section, findings),
     };
--- a/crates/entry/src/settings/peers.rs
+++ b/crates/entry/src/settings/peers.rs
@@ -8,8 +8,6 @@
 use marjorampick_core::{finding::Findings, reader::Table};
 use marjorampick_link::settings::{address, addresses, path};
 
-use super::section;
-
 /// Transport between entry hosts.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Peers {
@@ -26,7 +24,7 @@
 }
 
 pub(super) fn parse(table: &mut Table<'_>, findings: &mut Findings, folder: &Path) -> Peers {
-    let mut section = section(table, findings, "peers");
+    let mut section = table.table(findings, "peers");
     let peers = Peers {
         listen: address(&mut section, findings, "listen"),
         seeds: addresses(&mut section, findings, "seeds"),
--- a/crates/entry/src/settings/platform.rs
+++ b/crates/entry/src/settings/platform.rs
@@ -5,8 +5,6 @@
 use marjorampick_core::{finding::Findings, reader::Table};
 use marjorampick_link::settings::{milliseconds, uri};
 
-use super::section;
-
 /// The platform's list of hosts.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Platform {
@@ -17,7 +15,7 @@
 }
 
 pub(super) fn parse(table: &mut Table<'_>, findings: &mut Findings) -> Platform {
-    let mut section = section(table, findings, "platform");
+    let mut section = table.table(findings, "platform");
     let platform = Platform {
         hosts: uri(&mut section, findings, "hosts"),
         interval: milliseconds(&mut section, findings, "interval_ms", 100..=3_000, 1_000),
--- a/crates/entry/src/settings/store.rs
+++ b/crates/entry/src/settings/store.rs
@@ -5,8 +5,6 @@
 use marjorampick_core::{finding::Findings, reader::Table};
 use marjorampick_link::settings::uris;
 
-use super::section;
-
 /// Key-value store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Store {
@@ -17,7 +15,7 @@
 }
 
 pub(super) fn parse(table: &mut Table<'_>, findings: &mut Findings) -> Store {
-    let mut section = section(table, findings, "store");
+    let mut section = table.table(findings, "store");
     let prefix = section.parsed(findings, "prefix", |text| match text.ends_with('/') {
         true => Ok(Arc::from(text)),
         false => Err("expected a prefix that ends with /"),
--- /dev/null
+++ b/scripts/settings.sh
@@ -0,0 +1,43 @@
+#!/bin/sh
+# Writes the sample settings of both deployments from settings/host.toml.template.
+set -eu
+cd "$(dirname "$0")/.."
+token=$(printf operator | sha256sum | cut -d' ' -f1)
+
+# Clients of each region in the samples: 127.0.<net>.<from> up to the next block.
+block() {
+    printf '[[lookup.block]]\\nstart = "%s"\\nregion = "%s"\\n' "$1" "$2"
+}
+
+# deployment net host...
+generate() {
+    deployment=$1
+    net=$2
+    shift 2
+    folder=settings/$deployment/hosts
+    mkdir -p "$folder"
+    seeds="\"$net.1:7400\", \"$net.4:7400\", \"$net.7:7400\""
+    blocks=""
+    from=1
+    for host in "$@"; do
+        region=${host%-?-?}
+        case $blocks in
+            *"\"$region\""*) ;;
+            *) blocks="$blocks$(block "$net.$from" "$region")" ;;
+        esac
+        from=$((from + 1))
+    done
+    number=1
+    for host in "$@"; do
+        sed -e "s/@NAME@/$host/g" -e "s/@REGION@/${host%-?-?}/" -e "s/@DOMAIN@/${host%-?}/" \
+            -e "s/@ADDRESS@/$net.$number/" -e "s/@NET@/$net/" -e "s/@TOKEN@/$token/" \
+            -e "s/@SEEDS@/$seeds/" -e "s/@BLOCKS@/$blocks/" \
+            settings/host.toml.template | sed -e '/^$/N;/^\n$/D' > "$folder/$host.toml"
+        number=$((number + 1))
+    done
+}
+
+generate karnerand 127.0.1 ee-north-a-1 ee-north-a-2 ee-north-b-1 \
+    fi-south-a-1 fi-south-b-1 fi-south-b-2 de-central-a-1 de-central-b-1
+generate lothian 127.0.2 lothian-a-1 lothian-a-2 lothian-b-1 \
+    tweeddale-a-1 tweeddale-b-1 tweeddale-b-2 kingdom-fife-a-1 kingdom-fife-b-1
