host: keep the last member in the table, limit documents, publish drains

Cause: a fleet that left as a whole ended with an empty table, which nobody could say to be held, so that no host could join again. A removal of an unknown document wrote a tombstone under any name, a document above the store's limit was written again and again, and look-ups named a draining host until the next change. Change: the last member leaves without a write; removals of unknown documents are conflicts; documents are limited to 1,000,000 bytes; the first heartbeat of a draining host publishes. A message of a known incarnation no longer forgets another one when the limit of remembered incarnations is reached.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -53,3 +53,6 @@
 
 /// Interval between two calls of the ledger's periodic work.
 pub const LEDGER_TICK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Largest document in bytes. The store takes values up to 1 MB, and the mark of the edit is added.
+pub const DOCUMENT_LIMIT: usize = 1_000_000;
--- a/crates/core/src/host/edit.rs
+++ b/crates/core/src/host/edit.rs
@@ -8,7 +8,7 @@
 };
 use crate::{
     catalog::{Catalog, Record},
-    constants::{EDIT_QUEUE_LENGTH, IN_FORCE_BOUND, WRITE_RETRY_INTERVAL},
+    constants::{DOCUMENT_LIMIT, EDIT_QUEUE_LENGTH, IN_FORCE_BOUND, WRITE_RETRY_INTERVAL},
     document::Document,
     finding::Findings,
 };
@@ -209,10 +209,11 @@
         let revision = record.map_or(0, |record| record.revision);
         let removed = record.is_none_or(|record| record.value.is_empty());
         let new = self.edit.base == 0 && removed;
+        let pointless = removed && self.value.is_empty();
         if self.edit.base > revision {
             return self.read(now);
         }
-        if self.edit.base < revision && !new {
+        if (self.edit.base < revision && !new) || pointless {
             return Step::End(Edited::Conflict { revision });
         }
         Step::Write(Write {
@@ -347,6 +348,14 @@
     if text.is_empty() {
         return findings;
     }
+    if text.len() > DOCUMENT_LIMIT {
+        let fault = format!(
+            "has {} bytes, expected at most {DOCUMENT_LIMIT}",
+            text.len()
+        );
+        findings.add(text, None, "", fault);
+        return findings;
+    }
     match Document::parse(text) {
         Err(found) => return found,
         Ok(document) if document.service != edit.service => {
--- a/crates/core/src/host/gossip.rs
+++ b/crates/core/src/host/gossip.rs
@@ -62,7 +62,7 @@
     /// Notes which revision is held now.
     pub(super) fn observe_held(&mut self, now: Duration) {
         let before = self.held.revision();
-        if before < self.catalog.revision() && !self.roster.members.is_empty() {
+        if before < self.catalog.revision() {
             let current = self.revisions(now, &self.roster.members);
             let previous = self.revisions(now, self.roster.previous());
             let held = held::held(current, previous, self.roster_revision, before);
@@ -75,7 +75,9 @@
 
     fn heartbeat(&mut self, now: Duration, from: &Sender, heartbeat: &Heartbeat) {
         let table = self.roster_revision;
-        self.peers.heartbeat(now, from, heartbeat, table);
+        if self.peers.heartbeat(now, from, heartbeat, table) {
+            self.actions.push(Action::Publish);
+        }
         self.note_spare(now, from, heartbeat);
         let reply = HeartbeatReply {
             sequence: heartbeat.sequence,
--- a/crates/core/src/host/membership.rs
+++ b/crates/core/src/host/membership.rs
@@ -139,7 +139,7 @@
         let age = now.saturating_sub(self.roster_learned);
         let (own, revision) = (&self.identity.member, self.roster_revision);
         if self.membership.leave_since.is_some() {
-            let seat = self.is_member().then_some(&own.host)?;
+            let seat = (!self.is_out()).then_some(&own.host)?;
             return Some(
                 self.roster
                     .without(std::slice::from_ref(seat), revision, age),
@@ -203,9 +203,8 @@
         let Some(since) = self.membership.leave_since else {
             return false;
         };
-        let held = self.held.revision() >= self.roster_revision || self.roster.members.is_empty();
-        let out = !self.is_member() && self.membership.write.is_none() && held;
-        if out {
+        let held = self.held.revision() >= self.roster_revision;
+        if self.is_out() && self.membership.write.is_none() && held {
             self.membership.out_since.get_or_insert(now);
         }
         let settled = self
@@ -219,6 +218,12 @@
         settled || overdue
     }
 
+    /// Whether the table needs no change for this host to leave. The last member stays in the table:
+    /// nobody could say whether an empty table is held.
+    fn is_out(&self) -> bool {
+        !self.is_member() || self.roster.members.len() == 1
+    }
+
     fn stop(&mut self) {
         self.membership.stopped = true;
         self.currency.end();
--- a/crates/core/src/member/held.rs
+++ b/crates/core/src/member/held.rs
@@ -53,11 +53,11 @@
 ///
 /// Each value is the revision that a member is known to have, `u64::MAX` for a member that is gone.
 pub fn held(current: Vec<u64>, previous: Vec<u64>, table: u64, held_before: u64) -> u64 {
-    let by_current = majority(current).unwrap_or(0);
+    // A table without members, such as the one before the first, needs nobody.
+    let by_current = majority(current).unwrap_or(u64::MAX);
     if held_before >= table {
         return by_current;
     }
-    // The first table has none before it.
     let by_previous = majority(previous).unwrap_or(u64::MAX);
     let by_both = by_current.min(by_previous);
     if by_both >= table {
--- a/crates/core/src/member/peers.rs
+++ b/crates/core/src/member/peers.rs
@@ -11,7 +11,7 @@
 use crate::{constants::SUSPICION_AFTER, message::Sender};
 
 /// Number of incarnations that a host remembers; the least recently heard is forgotten first.
-const PEERS_LIMIT: usize = 1024;
+const PEERS_LIMIT: usize = 4096;
 
 /// What a host knows about one incarnation of a host.
 #[derive(Clone, Debug)]
@@ -40,8 +40,10 @@
 impl Peers {
     /// Records that a message arrived.
     pub fn heard(&mut self, now: Duration, from: &Sender) -> &mut Peer {
-        self.forget_one();
         let key = (from.host.clone(), from.incarnation);
+        if !self.known.contains_key(&key) {
+            self.make_room();
+        }
         let peer = self.known.entry(key).or_insert_with(|| Peer {
             heard: now,
             revision: 0,
@@ -57,10 +59,18 @@
     }
 
     /// Records a heartbeat. `table` is the revision of the receiver's member table: names suspected
-    /// by a host with an older table may mean earlier incarnations and are left out.
-    pub fn heartbeat(&mut self, now: Duration, from: &Sender, heartbeat: &Heartbeat, table: u64) {
+    /// by a host with an older table may mean earlier incarnations and are left out. Answers whether
+    /// the sender has started to drain.
+    pub fn heartbeat(
+        &mut self,
+        now: Duration,
+        from: &Sender,
+        heartbeat: &Heartbeat,
+        table: u64,
+    ) -> bool {
         let peer = self.heard(now, from);
         peer.revision = peer.revision.max(heartbeat.revision);
+        let starts_to_drain = heartbeat.leaving && !peer.leaving;
         peer.leaving |= heartbeat.leaving;
         peer.suspected_at = now;
         peer.suspected = if heartbeat.revision >= table {
@@ -68,6 +78,7 @@
         } else {
             BTreeSet::new()
         };
+        starts_to_drain
     }
 
     /// Replaces the names that the platform's list of hosts reports as gone.
@@ -135,7 +146,7 @@
         })
     }
 
-    fn forget_one(&mut self) {
+    fn make_room(&mut self) {
         if self.known.len() < PEERS_LIMIT {
             return;
         }
