member: note when an earlier table had no room

Cause: claims depend on every table of the retention time, and the record silently dropped the oldest ones. Change: dropped_ms gives the age of the newest dropped table as long as it counts. The empty table before the first one is no longer listed. Conclusion: the claims can tell a complete history from an incomplete one.

--- a/crates/core/src/member/roster.rs
+++ b/crates/core/src/member/roster.rs
@@ -13,6 +13,10 @@
 /// The `members` record in its stored form, without its own revision.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Roster {
+    /// How long before the writing of this record the newest table that `earlier` had no room for was
+    /// replaced, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub dropped_ms: Option<u64>,
     /// Members in the order of their names.
     #[serde(default, rename = "member")]
     pub members: Vec<Member>,
@@ -93,26 +97,31 @@
     /// `revision` and `age` are those of this record.
     fn succeeded_by(&self, members: Vec<Member>, revision: u64, age: Duration) -> Self {
         let age_ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
-        let replaced = Earlier {
+        let replaced = (revision > 0).then(|| Earlier {
             revision,
             ended_ms: 0,
             members: self.members.clone(),
-        };
+        });
         let aged = self.earlier.iter().map(|earlier| Earlier {
             ended_ms: earlier.ended_ms.saturating_add(age_ms),
             ..earlier.clone()
         });
         // The newest table is kept whatever its age: whether this record is held depends on it.
-        let kept = aged.filter(|earlier| u128::from(earlier.ended_ms) <= retention_ms());
-        let earlier = [replaced].into_iter().chain(kept);
+        let kept = aged.filter(|earlier| counts(earlier.ended_ms));
+        let mut earlier: Vec<Earlier> = replaced.into_iter().chain(kept).collect();
+        let rest = earlier.split_off(earlier.len().min(EARLIER_TABLES_LIMIT));
+        let dropped_before = self.dropped_ms.map(|ms| ms.saturating_add(age_ms));
+        let dropped_now = rest.first().map(|table| table.ended_ms);
         Self {
+            dropped_ms: dropped_now.or(dropped_before).filter(|ms| counts(*ms)),
             members,
-            earlier: earlier.take(EARLIER_TABLES_LIMIT).collect(),
+            earlier,
         }
     }
 }
 
-/// Claim retention with clock drift added, as ages are sums over the clocks of several hosts.
-fn retention_ms() -> u128 {
-    CLAIM_RETENTION.as_millis() * 102 / 100
+/// Whether claims may depend on a table that was replaced so long ago. Clock drift is added, as ages
+/// are sums over the clocks of several hosts.
+fn counts(ended_ms: u64) -> bool {
+    u128::from(ended_ms) <= CLAIM_RETENTION.as_millis() * 102 / 100
 }
