--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -26,8 +26,8 @@
 /// Answer of the look-up listener.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Lookup {
-    /// Addresses in order of preference.
-    pub addresses: Vec<Target>,
+    /// Entry hosts in order of preference.
+    pub hosts: Vec<Target>,
     /// How long the answer may be used.
     pub ttl_seconds: f64,
 }
@@ -37,6 +37,19 @@
 pub struct Target {
     /// Address of a caller listener.
     pub address: SocketAddr,
+    /// Part of the requests that should go there; 0 for a host to use when no other answers.
+    pub weight: f64,
+}
+
+impl Lookup {
+    /// Addresses to try in turn: one of the hosts with a weight first, chosen by `turn`.
+    fn order(&self, turn: usize) -> Vec<SocketAddr> {
+        let addresses: Vec<SocketAddr> = self.hosts.iter().map(|host| host.address).collect();
+        let near = self.hosts.iter().filter(|host| host.weight > 0.0).count();
+        let mut order = rotated(&addresses[..near], turn);
+        order.extend(&addresses[near..]);
+        order
+    }
 }
 
 /// What a caller saw of one request.
@@ -148,11 +161,7 @@
         for host in rotated(&self.stream.lookups, start) {
             let lookup = tokio::time::timeout(LOOKUP_TIMEOUT, self.look_up(host)).await;
             if let Ok(Some(lookup)) = lookup {
-                let addresses: Vec<SocketAddr> = lookup
-                    .addresses
-                    .iter()
-                    .map(|target| target.address)
-                    .collect();
+                let addresses = lookup.order(start);
                 let until = Instant::now() + Duration::from_secs_f64(lookup.ttl_seconds.max(0.0));
                 *self.lock() = Some((until, addresses.clone()));
                 return addresses;
@@ -167,7 +176,7 @@
         let response = self.client.request(request).await.ok()?;
         let body = response.into_body().collect().await.ok()?.to_bytes();
         let lookup: Lookup = serde_json::from_slice(&body).ok()?;
-        (!lookup.addresses.is_empty()).then_some(lookup)
+        (!lookup.hosts.is_empty()).then_some(lookup)
     }
 
     fn known(&self) -> Option<Vec<SocketAddr>> {
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -6,12 +6,17 @@
 use eyre::WrapErr as _;
 use marjorampick_load::{plan::Plan, plot, report::Report, run};
 
+/// Exit code when `--all-served` does not hold.
+const NOT_ALL_SERVED: u8 = 3;
+
 /// Sends open-loop load as a plan says and reports what callers saw.
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options, version)]
 struct Options {
     /// Checks the plan and ends.
     check: bool,
+    /// Ends with exit code 3 unless every request was served.
+    all_served: bool,
     /// Writes the report as JSON.
     #[bpaf(argument("FILE"))]
     json: Option<PathBuf>,
@@ -53,7 +58,8 @@
     let report = run::execute(&plan)?;
     print!("{}", report.to_table());
     write(options, &report)?;
-    Ok(ExitCode::SUCCESS)
+    let failed = options.all_served && !report.all_served();
+    Ok(ExitCode::from(if failed { NOT_ALL_SERVED } else { 0 }))
 }
 
 fn write(options: &Options, report: &Report) -> eyre::Result<()> {
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -72,6 +72,13 @@
         self.streams[sample.stream].add(sample);
     }
 
+    /// Whether every request got a whole answer.
+    pub fn all_served(&self) -> bool {
+        self.streams
+            .iter()
+            .all(|stream| stream.served == stream.sent)
+    }
+
     /// The report as a table for people.
     pub fn to_table(&self) -> String {
         let mut table = String::new();
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -1,12 +1,22 @@
 //! Runs one stand-in.
 
-use std::{net::SocketAddr, path::PathBuf, process::ExitCode, time::Duration};
+use std::{
+    net::SocketAddr, path::PathBuf, process::ExitCode, str::FromStr, sync::Arc, time::Duration,
+};
 
 use bpaf::Bpaf;
 use eyre::WrapErr;
 use marjorampick_link::{exit::Exit, hosts::List, log as logging};
-use marjorampick_standin::{hosts::Hosts, store::Store};
-use tokio::net::TcpListener;
+use marjorampick_standin::{
+    backend::{Backend, Settings},
+    hosts::Hosts,
+    store::Store,
+};
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+    task::JoinSet,
+};
 
 /// Stand-ins for the platform of marjorampick.
 #[derive(Clone, Debug, Bpaf)]
@@ -35,6 +45,43 @@
         #[bpaf(argument("MILLISECONDS"), fallback(1000), display_fallback)]
         lag_ms: u64,
     },
+    /// The backend servers of a host list, all or those of one region, until SIGTERM drains them
+    #[bpaf(command)]
+    Backends {
+        /// JSON file with the list
+        #[bpaf(argument("FILE"))]
+        file: PathBuf,
+        /// Region to serve; all when absent
+        #[bpaf(argument("REGION"))]
+        region: Option<String>,
+        /// Slots and service time of a service; may be repeated
+        #[bpaf(argument("SERVICE=SLOTS,MILLISECONDS"), many)]
+        service: Vec<Pace>,
+    },
+}
+
+/// How a backend server of one service works.
+#[derive(Clone, Debug)]
+struct Pace {
+    service: String,
+    slots: usize,
+    service_time: Duration,
+}
+
+impl FromStr for Pace {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let expected = || format!("{text:?} is not SERVICE=SLOTS,MILLISECONDS");
+        let (service, pace) = text.split_once('=').ok_or_else(expected)?;
+        let (slots, milliseconds) = pace.split_once(',').ok_or_else(expected)?;
+        let service_time = milliseconds.parse().map_err(|_| expected())?;
+        Ok(Self {
+            service: service.to_owned(),
+            slots: slots.parse().map_err(|_| expected())?,
+            service_time: Duration::from_millis(service_time),
+        })
+    }
 }
 
 fn main() -> ExitCode {
@@ -76,6 +123,46 @@
             hosts.serve(bind(listen).await?).await;
             Ok(())
         }
+        Options::Backends {
+            file,
+            region,
+            service,
+        } => backends(&read(&file)?, region.as_deref(), &service).await,
+    }
+}
+
+/// Serves every backend server of the list, and drains them on SIGTERM.
+async fn backends(list: &List, region: Option<&str>, paces: &[Pace]) -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).wrap_err("cannot wait for SIGTERM")?;
+    let mut running = Vec::new();
+    let mut serving = JoinSet::new();
+    for host in &list.hosts {
+        let Some(service) = &host.service else {
+            continue;
+        };
+        if region.is_some_and(|region| region != host.region.as_ref()) {
+            continue;
+        }
+        let pace = paces.iter().find(|pace| pace.service == service.as_ref());
+        let backend = Backend::new(settings(&host.name, pace));
+        let listener = bind(host.address).await?;
+        serving.spawn(backend.clone().serve(listener));
+        running.push(backend);
+    }
+    log::info!("standin: {} backend servers are running", running.len());
+    terminate.recv().await;
+    running.iter().for_each(|backend| backend.drain());
+    while serving.join_next().await.is_some() {}
+    Ok(())
+}
+
+fn settings(name: &Arc<str>, pace: Option<&Pace>) -> Settings {
+    let default = Settings::default();
+    Settings {
+        name: name.clone(),
+        slots: pace.map_or(default.slots, |pace| pace.slots),
+        service_time: pace.map_or(default.service_time, |pace| pace.service_time),
+        ..default
     }
 }
 
