--- a/crates/core/src/budget/limit.rs
+++ b/crates/core/src/budget/limit.rs
@@ -12,7 +12,7 @@
 ///
 /// A host without a whole token of burst cannot keep what its rate yields, and a token that one host
 /// keeps while another one needs it costs a round trip. Budgets up to this size stay in one place.
-const HOME_BURST: u64 = 8;
+const HOME_BURST: u64 = 32;
 /// Rate that goes to the host that ranks first before any other host gets some, in thousandths of a
 /// token per second.
 const HOME_RATE: u64 = 16 * MILLI;
