--- a/crates/core/src/budget/loans.rs
+++ b/crates/core/src/budget/loans.rs
@@ -47,7 +47,7 @@
         let mut control = self.control();
         for (budget, borrowing) in &mut control.borrowings {
             let named = spare.iter().find(|spare| spare.budget == *budget);
-            borrowing.note(now, host, named.map(|spare| unit(budget) * spare.amount));
+            borrowing.note(now, host, named.map(|spare| reported(budget, spare.amount)));
         }
     }
 
@@ -99,7 +99,7 @@
         let Some(pending) = borrowing.answered(loan.id, lender) else {
             return;
         };
-        borrowing.note(now, lender, Some(unit(&loan.budget) * loan.spare));
+        borrowing.note(now, lender, Some(reported(&loan.budget, loan.spare)));
         drop(control);
         // Counted from sending the request, so that the loan ends here before it ends at the lender.
         let until = pending.sent + loan.term;
@@ -355,6 +355,12 @@
     }
 }
 
+/// What a peer probably has when it reports `amount`: reports are rounded down, on average by half.
+fn reported(budget: &Budget, amount: u64) -> u64 {
+    let unit = unit(budget);
+    amount.saturating_mul(unit).saturating_add(unit / 2)
+}
+
 /// Thousandths of a token that `rate` yields in `time`.
 fn over(rate: u64, time: Duration) -> u64 {
     rate.saturating_mul(time.as_millis() as u64) / 1_000
