Keep claims at owner and backup

A request with an idempotency key must run at most once whatever happens to hosts and messages. claim::Book records a claim at the owner and, in another failure domain, at the backup before it grants; the backup keeps copies of its own member table only. Records carry the table's revision and a number, so the later of two is known, and results name the claim that they end. New owners wait until the change is in force and the other members have handed over; owners whose names stay go on. Pairs that are lost leave their names unknown for the retention time, unless a later holder of theirs survived.

Wire changes, all additive: ClaimRecord has the question's number, revision and number; ClaimState has dropped; ClaimCompletion has the question's number; ClaimHandover has a number and the tables under which the sender was ready. ClaimCopyReply answers copies, completions and handovers.

--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -1,9 +1,21 @@
 //! Claims: a request with an idempotency key runs at most once.
 //!
-//! See docs/design.md §8.
+//! See docs/design.md §8 and, for the protocol, [`book`].
 
 use std::sync::Arc;
 
+pub mod book;
+mod handover;
+mod history;
+mod holder;
+mod owner;
+mod records;
+
+#[cfg(test)]
+mod tests;
+
+pub use book::{Book, Epoch, Tables};
+
 /// Name of a claim.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Name {
@@ -37,6 +49,9 @@
     DoneWithoutAnswer,
     /// Whether the request ran cannot be told.
     Unknown,
+    /// No byte of the request left for a backend server; the name may be granted again. The record
+    /// stays, so that an older copy of it cannot come back as running.
+    Dropped,
 }
 
 /// A claim as its owner and its backup hold it.
@@ -50,9 +65,16 @@
     pub holder: Arc<str>,
     /// Incarnation of the holder.
     pub incarnation: u64,
+    /// Number of the holder's question; with holder and incarnation it identifies the claim.
+    pub id: u64,
+    /// Revision of the member table under which the owner recorded the claim.
+    pub revision: u64,
+    /// Number of the record at that owner. Of two records of one name, the one with the larger
+    /// revision and number is the later one, as a name has one owner under each table.
+    pub number: u64,
     /// State of the claim.
     pub state: State,
-    /// Age of the claim in milliseconds when the record was sent.
+    /// Time since the state last changed, in milliseconds, when the record was sent.
     pub age_ms: u64,
 }
 
@@ -65,7 +87,7 @@
     pub name: Name,
     /// See [`Record::fingerprint`].
     pub fingerprint: u64,
-    /// Revision of the asking host's catalog.
+    /// Revision of the asking host's member table.
     pub revision: u64,
 }
 
@@ -106,7 +128,7 @@
     pub record: Record,
 }
 
-/// Result of a request, sent by its holder to owner and backup.
+/// Result of a request, as the request path reports it to its own host.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Completion {
     /// Name of the claim.
@@ -115,13 +137,31 @@
     pub state: Option<State>,
 }
 
-/// Records for the new holders after a change of members.
+/// Result of a request, sent by its holder to owner and backup until both have answered.
+///
+/// The sender's name and incarnation and `id` identify the claim, so that a late message cannot end
+/// a later claim of the same name.
 #[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Finish {
+    /// Number of the holder's question.
+    pub id: u64,
+    /// Name of the claim.
+    pub name: Name,
+    /// Final state.
+    pub state: State,
+}
+
+/// Records for the new holders after a change of members.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Handover {
+    /// Number of the message, unique for the sender's incarnation.
+    pub id: u64,
     /// Revision of the change of members.
     pub revision: u64,
     /// Records whose new pair contains the receiver.
     pub records: Vec<Record>,
     /// Whether the sender has sent everything for this revision.
     pub complete: bool,
+    /// Revisions of the member tables under which the sender had received every record of its own.
+    pub ready: Vec<u64>,
 }
--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -50,3 +50,19 @@
 
 /// Largest number of edits that wait in one host.
 pub const EDIT_QUEUE_LENGTH: usize = 64;
+
+/// Memory of claim records at which a host grants no new claim, in bytes. A quarter of what a host
+/// may use in all.
+pub const CLAIM_MEMORY_LIMIT: usize = 64 << 20;
+
+/// How long a host waits for the answer of a claim's owner, and an owner for its backup.
+pub const CLAIM_ANSWER_WAIT: Duration = Duration::from_secs(1);
+
+/// Interval between two attempts to deliver a message about a claim.
+pub const CLAIM_RETRY_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Interval at which an owner checks with the holder of a claim that it is still running.
+pub const CLAIM_CHECK_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Questions and results about claims that one host keeps open at the same time.
+pub const CLAIM_OPEN_LIMIT: usize = 50_000;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -50,13 +50,13 @@
     ClaimReply(claim::Reply),
     /// See [`claim::Copy`].
     ClaimCopy(claim::Copy),
-    /// Answer to a [`claim::Copy`]; the record is kept.
+    /// Answer to a [`claim::Copy`], [`claim::Finish`] or [`claim::Handover`]; its content is kept.
     ClaimCopyReply {
-        /// Number of the copy.
+        /// Number of the message that is answered.
         id: u64,
     },
-    /// See [`claim::Completion`].
-    ClaimCompletion(claim::Completion),
+    /// See [`claim::Finish`].
+    ClaimCompletion(claim::Finish),
     /// See [`claim::Handover`].
     ClaimHandover(claim::Handover),
     /// Asks a peer for its actual region weights.
--- a/crates/core/src/rendezvous.rs
+++ b/crates/core/src/rendezvous.rs
@@ -6,13 +6,26 @@
 const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
 const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
 
+/// A key that is hashed once and then weighed against many candidates.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Key(u64);
+
+impl Key {
+    /// The key made of `parts` in this order.
+    pub fn new<'a>(parts: impl IntoIterator<Item = &'a str>) -> Self {
+        let separated = |hash, part: &str| add(hash, part.bytes().chain([0]));
+        Self(parts.into_iter().fold(FNV_OFFSET, separated))
+    }
+
+    /// Weight of `candidate`; the candidate with the largest weight ranks first.
+    pub fn weight(self, candidate: &str) -> u64 {
+        finalize(add(self.0, candidate.bytes()))
+    }
+}
+
 /// Weight of `candidate` for `key`; the candidate with the largest weight ranks first.
 pub fn weight(key: &str, candidate: &str) -> u64 {
-    let separated = key.bytes().chain([0]).chain(candidate.bytes());
-    let hash = separated.fold(FNV_OFFSET, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
-    });
-    finalize(hash)
+    Key::new([key]).weight(candidate)
 }
 
 /// Indexes of `candidates` from the first rank to the last.
@@ -25,6 +38,12 @@
     order.into_iter().map(|(_, _, index)| index).collect()
 }
 
+fn add(hash: u64, bytes: impl Iterator<Item = u8>) -> u64 {
+    bytes.fold(hash, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
+    })
+}
+
 /// Mixes the bits of an FNV-1a hash, whose high bits vary too little between similar names.
 fn finalize(mut hash: u64) -> u64 {
     hash ^= hash >> 33;
--- a/crates/link/src/convert/claim.rs
+++ b/crates/link/src/convert/claim.rs
@@ -55,6 +55,7 @@
         claim::State::Done(outcome) => State::Done(outcome_to_peer(outcome)),
         claim::State::DoneWithoutAnswer => State::DoneWithoutAnswer(peer::Empty {}),
         claim::State::Unknown => State::Unknown(peer::Empty {}),
+        claim::State::Dropped => State::Dropped(peer::Empty {}),
     };
     peer::ClaimState { state: Some(state) }
 }
@@ -66,6 +67,7 @@
         State::Done(outcome) => claim::State::Done(outcome_from_peer(outcome)?),
         State::DoneWithoutAnswer(_) => claim::State::DoneWithoutAnswer,
         State::Unknown(_) => claim::State::Unknown,
+        State::Dropped(_) => claim::State::Dropped,
     })
 }
 
@@ -77,6 +79,9 @@
         incarnation: record.incarnation,
         state: Some(state_to_peer(&record.state)),
         age_ms: record.age_ms,
+        id: record.id,
+        revision: record.revision,
+        number: record.number,
     }
 }
 
@@ -88,6 +93,9 @@
         incarnation: record.incarnation,
         state: state_from_peer(record.state.ok_or(Fault::Missing("claim state"))?)?,
         age_ms: record.age_ms,
+        id: record.id,
+        revision: record.revision,
+        number: record.number,
     })
 }
 
@@ -159,19 +167,19 @@
     })
 }
 
-pub(super) fn completion_to_peer(completion: &claim::Completion) -> peer::ClaimCompletion {
+pub(super) fn completion_to_peer(finish: &claim::Finish) -> peer::ClaimCompletion {
     peer::ClaimCompletion {
-        name: Some(name_to_peer(&completion.name)),
-        state: completion.state.as_ref().map(state_to_peer),
+        name: Some(name_to_peer(&finish.name)),
+        state: Some(state_to_peer(&finish.state)),
+        id: finish.id,
     }
 }
 
-pub(super) fn completion_from_peer(
-    completion: peer::ClaimCompletion,
-) -> Result<claim::Completion, Fault> {
-    Ok(claim::Completion {
-        name: name_from_peer(completion.name)?,
-        state: completion.state.map(state_from_peer).transpose()?,
+pub(super) fn completion_from_peer(finish: peer::ClaimCompletion) -> Result<claim::Finish, Fault> {
+    Ok(claim::Finish {
+        name: name_from_peer(finish.name)?,
+        state: state_from_peer(finish.state.ok_or(Fault::Missing("claim state"))?)?,
+        id: finish.id,
     })
 }
 
@@ -180,6 +188,8 @@
         revision: handover.revision,
         records: handover.records.iter().map(record_to_peer).collect(),
         complete: handover.complete,
+        id: handover.id,
+        ready: handover.ready.clone(),
     }
 }
 
@@ -189,5 +199,7 @@
         revision: handover.revision,
         records: records.collect::<Result<_, _>>()?,
         complete: handover.complete,
+        id: handover.id,
+        ready: handover.ready,
     })
 }
