--- /dev/null
+++ b/crates/entry/src/settings/admin.rs
@@ -0,0 +1,31 @@
+//! Section `[admin]`.
+
+use std::net::SocketAddr;
+
+use marjorampick_core::{document::Digest, finding::Findings, reader::Table};
+use marjorampick_link::settings::digest;
+
+use super::Listeners;
+
+/// Admin listener.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Admin {
+    /// Address of the listener.
+    pub listen: SocketAddr,
+    /// Digest of the token that operators present.
+    pub token: Digest,
+}
+
+pub(super) fn parse(
+    table: &mut Table<'_>,
+    findings: &mut Findings,
+    listeners: &mut Listeners,
+) -> Admin {
+    let mut section = table.table(findings, "admin");
+    let admin = Admin {
+        listen: listeners.take(&mut section, findings, "admin"),
+        token: digest(&mut section, findings, "token_digest"),
+    };
+    section.finish(findings);
+    admin
+}
