entry: tests with real processes

Cause: edits, outages, pauses and drains cross process boundaries that the core's tests do not have.

--- /dev/null
+++ b/crates/entry/tests/processes/support.rs
@@ -0,0 +1,273 @@
+//! A fleet of real processes with stand-ins for its platform.
+
+use std::{
+    fs::{self, File},
+    net::{Ipv4Addr, SocketAddr},
+    path::PathBuf,
+    process::{Child, Command, ExitStatus},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use bytes::Bytes;
+use http::{Request, Response, Uri};
+use marjorampick_core::document::Digest;
+use marjorampick_ctl::{
+    certificate,
+    client::{Client, Failure},
+    options::CertificateHost,
+};
+use marjorampick_link::{hosts::List, http_client};
+use marjorampick_standin::{hosts::Hosts, store::Store};
+use serde_json::Value;
+use tokio::{net::TcpListener, runtime::Runtime};
+
+const TOKEN: &str = "operator";
+const CALLERS_PORT: u16 = 7001;
+const LOOKUP_PORT: u16 = 7002;
+const ADMIN_PORT: u16 = 7003;
+const PEERS_PORT: u16 = 7004;
+
+/// Interval between two looks at a condition.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Document of the service `signing`.
+pub(crate) fn document(weight: u32) -> String {
+    format!(
+        "service = \"signing\"\n\
+         [[route]]\npath = \"/sign\"\nclass = \"signing\"\n\
+         [[region]]\nname = \"north\"\nweight = {weight}\nslots_per_backend = 7\n"
+    )
+}
+
+/// Stand-ins and settings of a fleet.
+pub(crate) struct Platform {
+    pub(crate) store: Arc<Store>,
+    runtime: Runtime,
+    folder: tempfile::TempDir,
+    /// Addresses of the hosts.
+    addresses: Vec<Ipv4Addr>,
+}
+
+impl Platform {
+    /// Starts the stand-ins for a fleet of `size` hosts. `test` is a number of its own for each test.
+    ///
+    /// The addresses are taken from the loopback network by the number of this process, so that
+    /// several test runs at the same time do not meet.
+    pub(crate) fn start(test: u8, size: u8) -> Self {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build()
+            .expect("a runtime");
+        let process = std::process::id();
+        let second = 16 + u8::try_from((process >> 8) % 239).expect("a byte");
+        let third = u8::try_from(process % 256).expect("a byte");
+        let address = |host| Ipv4Addr::new(127, second, third, 16 * test + host + 1);
+        let platform = Self {
+            store: Store::new(),
+            runtime,
+            folder: tempfile::tempdir().expect("a temporary folder"),
+            addresses: (0..size).map(address).collect(),
+        };
+        platform.write_settings();
+        platform
+    }
+
+    fn write_settings(&self) {
+        let store = self.runtime.block_on(listener());
+        let hosts = self.runtime.block_on(listener());
+        let store_address = store.local_addr().expect("an address");
+        let hosts_address = hosts.local_addr().expect("an address");
+        self.runtime.spawn(self.store.clone().serve(store));
+        let list = Hosts::new(List::default(), Duration::ZERO);
+        self.runtime.spawn(list.serve(hosts));
+        let names: Vec<CertificateHost> = (0..self.addresses.len())
+            .map(|index| CertificateHost {
+                name: name(index),
+                address: None,
+            })
+            .collect();
+        certificate::run(&self.folder.path().join("tls"), &names).expect("certificates");
+        let digest = Digest::of_key(TOKEN.as_bytes()).to_text();
+        for (index, address) in self.addresses.iter().enumerate() {
+            let name = name(index);
+            let seed = self.addresses[0];
+            let text = format!(
+                "[host]\nname = \"{name}\"\nregion = \"north\"\ndomain = \"north-{index}\"\n\
+                 [callers]\nlisten = \"{address}:{CALLERS_PORT}\"\nthreads = 1\n\
+                 [lookup]\nlisten = \"{address}:{LOOKUP_PORT}\"\nttl_seconds = 1\n\
+                 [admin]\nlisten = \"{address}:{ADMIN_PORT}\"\ntoken_digest = \"{digest}\"\n\
+                 [peers]\nlisten = \"{address}:{PEERS_PORT}\"\nseeds = [\"{seed}:{PEERS_PORT}\"]\n\
+                 authority = \"tls/authority.pem\"\ncertificate = \"tls/{name}.pem\"\n\
+                 key = \"tls/{name}.key\"\n\
+                 [store]\nendpoints = [\"http://{store_address}\"]\n\
+                 [platform]\nhosts = \"http://{hosts_address}/hosts\"\ninterval_ms = 200\n\
+                 [log]\nfilter = \"info,marjorampick_link::peer=debug\"\n"
+            );
+            fs::write(self.settings(index), text).expect("written settings");
+        }
+    }
+
+    fn settings(&self, index: usize) -> PathBuf {
+        self.folder.path().join(format!("{}.toml", name(index)))
+    }
+
+    /// Starts the process of one host.
+    pub(crate) fn host(&self, index: usize) -> Host<'_> {
+        let log = self.folder.path().join(format!("{}.log", name(index)));
+        let output = File::options().append(true).create(true).open(&log);
+        let child = Command::new(env!("CARGO_BIN_EXE_marjorampick-entry"))
+            .arg(self.settings(index))
+            .env_remove("MARJORAMPICK_LOG")
+            .stderr(output.expect("a log file"))
+            .spawn()
+            .expect("a process");
+        Host {
+            platform: self,
+            child,
+            address: self.addresses[index],
+            log,
+        }
+    }
+
+    /// Starts all hosts and waits until all are current members of one table.
+    pub(crate) fn hosts(&self) -> Vec<Host<'_>> {
+        let size = self.addresses.len();
+        let hosts: Vec<Host<'_>> = (0..size).map(|index| self.host(index)).collect();
+        eventually(
+            Duration::from_secs(8),
+            "every host is a current member",
+            || {
+                hosts.iter().all(|host| {
+                    let status = host.status();
+                    let members = status["members"].as_array().map_or(0, Vec::len);
+                    members == size && status["current"] == true && status["member"] == true
+                })
+            },
+        );
+        hosts
+    }
+
+    fn get(&self, address: SocketAddr, path: &str) -> Option<Response<Bytes>> {
+        let mut request = Request::new(Bytes::new());
+        *request.uri_mut() = format!("http://{address}{path}")
+            .parse()
+            .expect("an address");
+        let response = http_client::send(request, Duration::from_secs(1));
+        self.runtime.block_on(response).ok()
+    }
+}
+
+/// A process of an entry host, ended with the value.
+pub(crate) struct Host<'a> {
+    platform: &'a Platform,
+    child: Child,
+    address: Ipv4Addr,
+    log: PathBuf,
+}
+
+impl Host<'_> {
+    /// What the host says about itself; null while it does not answer.
+    pub(crate) fn status(&self) -> Value {
+        let address = SocketAddr::from((self.address, ADMIN_PORT));
+        let response = self.platform.get(address, "/status");
+        response.map_or(Value::Null, |response| {
+            serde_json::from_slice(response.body()).unwrap_or_default()
+        })
+    }
+
+    pub(crate) fn is_current(&self) -> bool {
+        self.status()["current"] == true
+    }
+
+    pub(crate) fn revision(&self) -> u64 {
+        self.status()["revision"].as_u64().unwrap_or(0)
+    }
+
+    /// Names of the entry hosts that a look-up answers; `None` without an answer.
+    pub(crate) fn look_up(&self) -> Option<Vec<String>> {
+        let address = SocketAddr::from((self.address, LOOKUP_PORT));
+        let response = self.platform.get(address, "/lookup?service=signing")?;
+        if response.status() != http::StatusCode::OK {
+            return None;
+        }
+        let answer: Value = serde_json::from_slice(response.body()).expect("JSON");
+        let hosts = answer["hosts"].as_array().expect("hosts").iter();
+        let mut names: Vec<String> = hosts
+            .map(|host| host["host"].as_str().expect("a name").to_owned())
+            .collect();
+        names.sort();
+        Some(names)
+    }
+
+    /// Edits the document of `signing` on this host.
+    pub(crate) fn edit(&self, base: u64, text: &str) -> Result<u64, Failure> {
+        let address: Uri = format!("http://{}:{ADMIN_PORT}", self.address)
+            .parse()
+            .expect("an address");
+        let client = Client::new(vec![address], TOKEN.to_owned());
+        let edit = client.edit("signing", base, text);
+        self.platform.runtime.block_on(edit)
+    }
+
+    /// Sends a signal to this process only.
+    pub(crate) fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill").args([name, &id]).status();
+        assert!(sent.expect("kill").success(), "{name} to process {id}");
+    }
+
+    /// Ends the process as a crash would.
+    pub(crate) fn crash(&mut self) {
+        self.child.kill().expect("a running process");
+        self.child.wait().expect("an ended process");
+    }
+
+    /// Waits until the process has ended by itself.
+    pub(crate) fn ended(&mut self, limit: Duration) -> ExitStatus {
+        let started = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().expect("a process") {
+                return status;
+            }
+            assert!(started.elapsed() < limit, "the process is still running");
+            std::thread::sleep(POLL_INTERVAL);
+        }
+    }
+}
+
+impl Drop for Host<'_> {
+    fn drop(&mut self) {
+        // Fails only when the process has ended before.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        if std::thread::panicking() {
+            let log = fs::read_to_string(&self.log).unwrap_or_default();
+            eprintln!("--- {}\n{log}", self.log.display());
+        }
+    }
+}
+
+/// Waits until `condition` holds and answers how long that took.
+pub(crate) fn eventually(
+    limit: Duration,
+    what: &str,
+    mut condition: impl FnMut() -> bool,
+) -> Duration {
+    let started = Instant::now();
+    while !condition() {
+        assert!(started.elapsed() < limit, "not within {limit:?}: {what}");
+        std::thread::sleep(POLL_INTERVAL);
+    }
+    started.elapsed()
+}
+
+/// Name of the host with this number.
+pub(crate) fn name(index: usize) -> String {
+    format!("host-{index}")
+}
+
+async fn listener() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").await.expect("a listener")
+}
