--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -8,6 +8,7 @@
 use crate::{
     budget::{self, Ledger},
     catalog::{Catalog, Record, Update},
+    claim::Book,
     constants::{HEAD_READ_INTERVAL, HEARTBEAT_INTERVAL},
     document::Document,
     member::{
@@ -25,6 +26,7 @@
 pub mod event;
 
 mod chain;
+mod claims;
 mod gossip;
 mod membership;
 
@@ -76,6 +78,7 @@
     edits: Edits,
     membership: membership::State,
     budgets: Budgets,
+    claims: Book,
     weights: Vec<ServiceWeights>,
     next_head_read: Duration,
     next_heartbeat: Duration,
@@ -96,8 +99,10 @@
         // heartbeats for answers to its own, so that the numbers start at random.
         let sequence = random() >> 1;
         let budgets = Budgets::new(&identity.member, budget::Settings::default());
+        let claims = Book::new(identity.member.sender());
         Self {
             budgets,
+            claims,
             identity,
             seeds,
             random: Box::new(random),
@@ -137,11 +142,12 @@
             Event::Listed(listed) => self.listed(now, &listed),
             Event::Edit { ticket, edit } => self.edit(now, ticket, edit),
             Event::Short { budget, wanted } => self.short(now, budget, wanted),
-            Event::Claim { ticket, .. } => self.actions.push(Action::Claimed {
+            Event::Claim {
                 ticket,
-                verdict: crate::claim::Verdict::Unavailable,
-            }),
-            Event::Completed(_) => {}
+                name,
+                fingerprint,
+            } => self.claim(now, ticket, name, fingerprint),
+            Event::Completed(completion) => self.completed(now, completion),
             Event::Drain => self.drain(now),
             Event::Leave => self.leave(now),
             Event::Weights(weights) => self.weights = weights,
@@ -164,6 +170,7 @@
         self.settle(now);
         self.drive_membership(now);
         self.tick_budgets(now);
+        self.tick_claims(now);
         std::mem::take(&mut self.actions)
     }
 
--- /dev/null
+++ b/crates/core/src/host/claims.rs
@@ -0,0 +1,57 @@
+//! Claims of a host: member tables, questions of the request path and messages for the book.
+
+use std::time::Duration;
+
+use super::{Host, event::Ticket};
+use crate::{
+    claim::{Completion, Epoch, Name, Tables},
+    member::roster::{Earlier, Roster},
+    message::{Message, Sender},
+};
+
+impl Host {
+    /// Passes a new members record on to the book.
+    pub(super) fn claim_members(&mut self, now: Duration, roster: &Roster, revision: u64) {
+        let epoch = |earlier: &Earlier| Epoch {
+            revision: earlier.revision,
+            age: Duration::from_millis(earlier.ended_ms),
+            members: earlier.members.clone(),
+        };
+        let tables = Tables {
+            revision,
+            members: roster.members.clone(),
+            earlier: roster.earlier.iter().map(epoch).collect(),
+            complete: roster.dropped_ms.is_none(),
+        };
+        let actions = self.claims.set_members(now, &tables);
+        self.actions.extend(actions);
+    }
+
+    pub(super) fn claim(&mut self, now: Duration, ticket: Ticket, name: Name, fingerprint: u64) {
+        let current = self.is_current(now);
+        let actions = self.claims.ask(now, current, ticket, name, fingerprint);
+        self.actions.extend(actions);
+    }
+
+    pub(super) fn completed(&mut self, now: Duration, completion: Completion) {
+        let actions = self.claims.complete(now, completion);
+        self.actions.extend(actions);
+    }
+
+    pub(super) fn claim_message(&mut self, now: Duration, from: &Sender, message: Message) {
+        let current = self.is_current(now);
+        let actions = self.claims.handle(now, current, from, message);
+        self.actions.extend(actions);
+    }
+
+    pub(super) fn claims_in_force(&mut self, now: Duration, revision: u64) {
+        let actions = self.claims.in_force(now, revision);
+        self.actions.extend(actions);
+    }
+
+    pub(super) fn tick_claims(&mut self, now: Duration) {
+        let current = self.is_current(now);
+        let actions = self.claims.tick(now, current);
+        self.actions.extend(actions);
+    }
+}
--- a/crates/core/src/host/gossip.rs
+++ b/crates/core/src/host/gossip.rs
@@ -34,7 +34,7 @@
             Message::LoanRequest(request) => self.loan_request(now, from, &request),
             Message::Loan(loan) => self.loan(now, from, &loan),
             Message::LoanReturn(back) => self.budgets.ledger().returned(now, &from.host, &back),
-            _ => {}
+            claims => self.claim_message(now, from, claims),
         }
     }
 
@@ -70,6 +70,7 @@
         }
         if let Some(revision) = self.held.advance(now) {
             self.budgets.ledger().in_force(now, revision);
+            self.claims_in_force(now, revision);
         }
     }
 
--- a/crates/core/src/host/membership.rs
+++ b/crates/core/src/host/membership.rs
@@ -93,6 +93,7 @@
         self.membership.seated |= roster.mentions(&own.host, own.incarnation);
         self.membership.due = None;
         self.budget_members(now, self.roster_revision, &roster, record.revision);
+        self.claim_members(now, &roster, record.revision);
         self.roster = roster;
         self.roster_revision = record.revision;
         self.roster_learned = now;
@@ -196,9 +197,9 @@
         });
     }
 
-    /// Ends a graceful leave: one heartbeat interval after the change is held, so that the handover
-    /// of claims has left, or after a bounded time while the store is away. The other hosts then
-    /// remove the member.
+    /// Ends a graceful leave: when the change is held and claims are handed over, at the earliest after
+    /// one heartbeat interval, or after a bounded time, for instance while the store is away. The other
+    /// hosts then remove the member, and a claim's other holder still has it.
     fn has_left(&mut self, now: Duration) -> bool {
         let Some(since) = self.membership.leave_since else {
             return false;
@@ -207,10 +208,9 @@
         if self.is_out() && self.membership.write.is_none() && held {
             self.membership.out_since.get_or_insert(now);
         }
-        let settled = self
-            .membership
-            .out_since
-            .is_some_and(|out| now >= out + HEARTBEAT_INTERVAL);
+        let out_since = self.membership.out_since;
+        let settled = out_since.is_some_and(|out| now >= out + HEARTBEAT_INTERVAL)
+            && self.claims.has_handed_over();
         let overdue = now >= since + 2 * IN_FORCE_BOUND;
         if settled || overdue {
             self.stop();
--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -10,6 +10,7 @@
 use marjorampick_core::{
     budget::Budget,
     catalog::{Record, Update},
+    claim::Verdict,
     constants::IN_FORCE_BOUND,
     host::{
         Host, Identity, Source,
@@ -106,6 +107,8 @@
     pub(crate) left: bool,
     /// Budgets for which waiting requests were woken.
     pub(crate) woken: Vec<Budget>,
+    /// Answers to claims by ticket.
+    pub(crate) verdicts: BTreeMap<u64, Verdict>,
     /// Weights that a peer has sent.
     pub(crate) weights: Vec<ServiceWeights>,
     started: Duration,
@@ -233,6 +236,7 @@
             sees_store: true,
             left: false,
             woken: Vec::new(),
+            verdicts: BTreeMap::new(),
             weights: Vec::new(),
             started: self.now,
             rate,
@@ -363,7 +367,10 @@
             Action::Left => self.nodes[index].left = true,
             Action::Borrowed(budget) => self.nodes[index].woken.push(budget),
             Action::Weights(weights) => self.nodes[index].weights = weights,
-            Action::Claimed { .. } | Action::Publish => {}
+            Action::Claimed { ticket, verdict } => {
+                self.nodes[index].verdicts.insert(ticket, verdict);
+            }
+            Action::Publish => {}
         }
     }
 
--- a/crates/core/tests/host.rs
+++ b/crates/core/tests/host.rs
@@ -11,6 +11,7 @@
 use fleet::{Fleet, HOSTS};
 use marjorampick_core::{
     budget::Budget,
+    claim::{Name, Verdict},
     constants::EARLIER_TABLES_LIMIT,
     host::{
         Source,
@@ -384,6 +385,49 @@
     fleet.nodes.iter().map(available).sum()
 }
 
+/// Guards against claims that are granted twice, refused without need, or lost when their holders
+/// leave or die.
+#[test]
+fn claims_outlive_their_holders() {
+    let mut fleet = Fleet::formed(17, 5);
+    fleet.run_ms(5000);
+    let keys = 0..20;
+    let ask = |fleet: &mut Fleet, index, key: u64| {
+        let name = Name {
+            service: Arc::from("signing"),
+            workspace: Arc::from("anchor"),
+            key: Arc::from(format!("{key}")),
+        };
+        fleet.give(
+            index,
+            Event::Claim {
+                ticket: key,
+                name,
+                fingerprint: 1,
+            },
+        );
+    };
+    keys.clone().for_each(|key| ask(&mut fleet, 0, key));
+    fleet.run_ms(1000);
+    let granted = |fleet: &Fleet, index: usize| {
+        let verdicts = fleet.nodes[index].verdicts.values();
+        verdicts.filter(|v| **v == Verdict::Granted).count()
+    };
+    assert_eq!(granted(&fleet, 0), 20);
+    fleet.nodes[4].alive = false;
+    fleet.give(3, Event::Leave);
+    fleet.run_ms(15_000);
+    assert!(fleet.nodes[3].left);
+    keys.for_each(|key| ask(&mut fleet, 1, key));
+    fleet.run_ms(1000);
+    let verdicts = &fleet.nodes[1].verdicts;
+    assert_eq!(verdicts.len(), 20);
+    assert!(
+        verdicts.values().all(|v| *v == Verdict::Running),
+        "{verdicts:?}"
+    );
+}
+
 /// Guards against a starting host that jumps to the document's weights while a shift is in progress.
 #[test]
 fn a_starting_host_gets_the_weights_of_a_peer() {
