--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -451,11 +451,16 @@
         let most = self.spent - yielded - self.lowest;
         assert!(most <= SPENT_RATE as f64, "{most} tokens spent at once");
         if amount == 0 && self.random.percent(5) {
-            let (budget, wanted) = (budget(SPENT), 5);
-            self.give(index, Event::Short { budget, wanted });
+            self.lack(index, SPENT);
         }
     }
 
+    /// The request path of a host lacks tokens of a service.
+    pub(crate) fn lack(&mut self, index: usize, service: &str) {
+        let (budget, wanted) = (budget(service), 5);
+        self.give(index, Event::Short { budget, wanted });
+    }
+
     /// Asks for the claim with the number `key`.
     pub(crate) fn claim(&mut self, index: usize, key: u64) {
         let name = Name {
--- a/crates/core/tests/host.rs
+++ b/crates/core/tests/host.rs
@@ -155,20 +155,19 @@
     for seed in 10..20 {
         let mut fleet = Fleet::formed(seed, HOSTS);
         fleet.store.lost_answers = (seed % 2) * 40;
-        let edits: Vec<usize> = (0..HOSTS)
-            .map(|i| fleet.edit(i, "signing", 0, i as u64 + 1))
-            .collect();
+        for index in 0..HOSTS {
+            fleet.edit(index, "signing", 0, 1 + index as u64);
+        }
         fleet.run_ms(5000);
-        let ended: Vec<&Edited> = edits.iter().filter_map(|&edit| fleet.ended(edit)).collect();
+        let ended: Vec<&Edited> = (0..HOSTS).filter_map(|edit| fleet.ended(edit)).collect();
         let won = ended
             .iter()
-            .filter(|e| matches!(e, Edited::Accepted { .. }))
-            .count();
+            .filter(|e| matches!(e, Edited::Accepted { .. }));
         let lost = ended
             .iter()
-            .filter(|e| matches!(e, Edited::Conflict { .. }))
-            .count();
-        assert_eq!((won, lost), (1, HOSTS - 1), "seed {seed}: {ended:?}");
+            .filter(|e| matches!(e, Edited::Conflict { .. }));
+        let count = (won.count(), lost.count());
+        assert_eq!(count, (1, HOSTS - 1), "seed {seed}: {ended:?}");
     }
 }
 
@@ -182,11 +181,8 @@
     fleet.store.lost_answers = 0;
     fleet.run_ms(800);
     assert!(matches!(fleet.ended(edit), Some(Edited::Accepted { .. })));
-    let writes = fleet
-        .store
-        .log
-        .iter()
-        .filter(|(_, write)| write.id == fleet.edits[edit].id);
+    let id = fleet.edits[edit].id;
+    let writes = fleet.store.log.iter().filter(|(_, write)| write.id == id);
     assert_eq!(writes.count(), 1);
 }
 
@@ -198,18 +194,12 @@
     fleet.store.up = false;
     (0..HOSTS).for_each(|index| fleet.start(index));
     fleet.run_ms(5000);
-    assert_eq!(
-        fleet.current(),
-        [],
-        "nobody knows the chain while the store is away"
-    );
+    assert_eq!(fleet.current(), [], "nobody knows the chain");
     fleet.store.up = true;
     fleet.run_ms(8000);
     assert!(fleet.nodes.iter().all(|node| node.host.is_member()));
-    assert_eq!(
-        fleet.nodes[5].host.documents()["signing"].revision,
-        revision
-    );
+    let known = &fleet.nodes[5].host.documents()["signing"];
+    assert_eq!(known.revision, revision);
     accept(&mut fleet, 4, "uploads");
 }
 
@@ -328,10 +318,8 @@
     assert_eq!(roster.earlier.len(), EARLIER_TABLES_LIMIT);
     assert_eq!(roster.earlier[31].ended_ms, 31 * 15_000);
     assert_eq!(roster.dropped_ms, Some(32 * 15_000));
-    assert_eq!(
-        Roster::parse(&roster.to_text().unwrap()),
-        Ok(roster.clone())
-    );
+    let text = roster.to_text().unwrap();
+    assert_eq!(Roster::parse(&text), Ok(roster.clone()));
     let later = roster.with(&member, 40, minute * 16);
     assert_eq!((later.earlier.len(), later.dropped_ms), (1, None));
 }
@@ -345,11 +333,8 @@
     fleet.edit(0, "signing", 0, SPENT_RATE);
     fleet.list(&BTreeSet::new(), 3);
     fleet.run_ms(3000);
-    assert_eq!(
-        available(&fleet, &fleet::budget("signing")),
-        0,
-        "joins are not in force"
-    );
+    let budget = fleet::budget("signing");
+    assert_eq!(available(&fleet, &budget), 0, "joins are not in force");
     fleet.run_ms(30_000);
     let region = Budget::Region {
         service: Arc::from("signing"),
@@ -357,19 +342,14 @@
     };
     // 3 backend servers with 7 slots each, less the default headroom of 20 %.
     assert_eq!(available(&fleet, &region), 16);
-    let budget = fleet::budget("signing");
     assert_eq!(available(&fleet, &budget), SPENT_RATE);
     let account = fleet.nodes[0].host.ledger().account(&budget).unwrap();
     let local = fleet.nodes[0].local(fleet.now);
     account.take(local, account.available(local)).unwrap();
-    let short = Event::Short {
-        budget: budget.clone(),
-        wanted: 1,
-    };
-    fleet.give(0, short);
+    fleet.lack(0, "signing");
     fleet.run_ms(90);
     assert!(fleet.nodes[0].told.contains(&Action::Borrowed(budget)));
-    assert!(account.take(fleet.nodes[0].local(fleet.now), 1).is_ok());
+    assert!(account.available(fleet.nodes[0].local(fleet.now)) > 0);
 }
 
 fn available(fleet: &Fleet, budget: &Budget) -> u64 {
