Cover the new fields of claims in the wire test

The conversion test built ClaimCompletion from the request path's Completion and lacked the fields that claims gained. It now draws them too, and the dropped state.

--- a/crates/link/tests/convert.rs
+++ b/crates/link/tests/convert.rs
@@ -7,7 +7,7 @@
 use marjorampick_core::{
     budget::{Budget, Loan, LoanRequest, LoanReturn, Spare},
     catalog::{Record, Update},
-    claim::{self, Completion, Handover, Name, Outcome, Reply, State, Verdict},
+    claim::{self, Finish, Handover, Name, Outcome, Reply, State, Verdict},
     member::{Heartbeat, HeartbeatReply},
     message::{Envelope, Message, Sender, ServiceWeights},
 };
@@ -129,14 +129,14 @@
             record: claim_record(u)?,
         }),
         10 => Message::ClaimCopyReply { id: u.arbitrary()? },
-        11 => Message::ClaimCompletion(Completion {
+        11 => Message::ClaimCompletion(Finish {
+            id: u.arbitrary()?,
             name: name(u)?,
-            state: match u.arbitrary()? {
-                true => Some(state(u)?),
-                false => None,
-            },
+            state: state(u)?,
         }),
         12 => Message::ClaimHandover(Handover {
+            id: u.arbitrary()?,
+            ready: list(u, |u| u.arbitrary())?,
             revision: u.arbitrary()?,
             records: list(u, claim_record)?,
             complete: u.arbitrary()?,
@@ -217,10 +217,11 @@
 }
 
 fn state(u: &mut Unstructured<'_>) -> Result<State> {
-    Ok(match u.int_in_range(0..=3)? {
+    Ok(match u.int_in_range(0..=4)? {
         0 => State::Running,
         1 => State::Done(outcome(u)?),
         2 => State::DoneWithoutAnswer,
+        3 => State::Dropped,
         _ => State::Unknown,
     })
 }
@@ -243,6 +244,9 @@
         fingerprint: u.arbitrary()?,
         holder: text(u)?,
         incarnation: u.arbitrary()?,
+        id: u.arbitrary()?,
+        revision: u.arbitrary()?,
+        number: u.arbitrary()?,
         state: state(u)?,
         age_ms: u.arbitrary()?,
     })
