Look up client blocks

A look-up maps a client's address to the precomputed answer of its group of sites. Nested blocks are flattened into ranges at build time, so the longest prefix wins by construction; addresses and groups are separate arrays, and every 128th address is sampled for the first part of the search. Changing the answer of a group leaves the blocks alone.

Each rule was broken once in a scratch copy; the tests fail when outer blocks are not closed or not resumed, when a block's first address is left out, when shorter prefixes win, when a block ends one address early and when mapped IPv4 addresses are taken for IPv6.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod document;
 pub mod finding;
 pub mod host;
+pub mod lookup;
 pub mod member;
 pub mod message;
 pub mod ramp;
