--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -51,6 +51,12 @@
 /// Largest number of edits that wait in one host.
 pub const EDIT_QUEUE_LENGTH: usize = 64;
 
+/// Interval between two calls of the ledger's periodic work.
+pub const LEDGER_TICK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Largest document in bytes. The store takes values up to 1 MB, and the mark of the edit is added.
+pub const DOCUMENT_LIMIT: usize = 1_000_000;
+
 /// Memory of claim records at which a host grants no new claim, in bytes. A quarter of what a host
 /// may use in all.
 pub const CLAIM_MEMORY_LIMIT: usize = 64 << 20;
