Limit slow callers, keep the last requests before a drain's end

A caller that took nothing of its answer held a backend server's slot until the kernel gave up. Its connection now ends after write_time. hyper closes a connection without a byte at once when it is shut down, so a drain cut off callers that had just connected; it now waits 100 ms for their requests.

The pool's check for unread bytes gets a test of its own, as the HTTP library hides its absence in the tests over the whole path, and the cancellation test no longer passes by reaching the deadline. The stand-in slept at least a millisecond per request, which hid latencies; it now doesn't sleep for zero.

--- /dev/null
+++ b/crates/entry/examples/added_latency.rs
@@ -0,0 +1,129 @@
+//! Latency that the entry host adds to a look-up: direct against through the request path.
+//!
+//! `cargo run --release -p marjorampick-entry --example added_latency [threads]` prints the medians
+//! and 99th percentiles of one caller that sends one request after another over loopback.
+
+use std::{
+    io::{Read as _, Write as _},
+    net::{SocketAddr, TcpStream},
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use marjorampick_core::{
+    document::{Digest, Document},
+    host::event::{Listed, ListedState},
+    message::ServiceWeights,
+};
+use marjorampick_entry::{
+    callers::{self, Callers, Settings, tokens::Tokens},
+    shared::{Service, Shared, Snapshot},
+};
+use marjorampick_standin::backend::{self, Backend};
+use tokio::{
+    net::TcpListener,
+    runtime::{Builder, Runtime},
+};
+
+const REQUESTS: usize = 10_000;
+const ROUNDS: usize = 3;
+const KEY: &str = "key";
+
+fn main() -> std::io::Result<()> {
+    let threads = std::env::args().nth(1).and_then(|text| text.parse().ok());
+    let backend_runtime = runtime(1)?;
+    let entry_runtime = runtime(threads.unwrap_or(1))?;
+    let backend = backend_runtime.block_on(start_backend())?;
+    let entry = entry_runtime.block_on(start_entry(backend))?;
+    for _ in 0..ROUNDS {
+        let direct = measure(backend)?;
+        let through = measure(entry)?;
+        println!(
+            "direct p50 {:?} p99 {:?}; through p50 {:?} p99 {:?}; added p50 {:?}",
+            direct.0,
+            direct.1,
+            through.0,
+            through.1,
+            through.0.saturating_sub(direct.0)
+        );
+    }
+    Ok(())
+}
+
+fn runtime(threads: usize) -> std::io::Result<Runtime> {
+    Builder::new_multi_thread()
+        .worker_threads(threads)
+        .enable_all()
+        .build()
+}
+
+async fn start_backend() -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    let backend = Backend::new(backend::Settings::default());
+    tokio::spawn(backend.serve(listener));
+    Ok(address)
+}
+
+async fn start_entry(backend: SocketAddr) -> std::io::Result<SocketAddr> {
+    let (shared, control) = Shared::new("entry-1".into(), "ee-north".into());
+    // Nothing asks the control thread here.
+    drop(control);
+    shared.set_current_until(Duration::from_secs(3600));
+    shared.snapshot.store(Arc::new(snapshot(backend)));
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    let callers = Callers::new(shared, Settings::default(), Tokens::unlimited());
+    tokio::spawn(callers::serve(listener, None, callers));
+    Ok(address)
+}
+
+fn snapshot(backend: SocketAddr) -> Snapshot {
+    let digest = Digest::of_key(KEY.as_bytes()).to_text();
+    let text = format!(
+        "service = \"status\"\n\
+         [[route]]\npath = \"/\"\nclass = \"status\"\nidempotent = true\n\
+         [[region]]\nname = \"ee-north\"\nweight = 1\nslots_per_backend = 9\n\
+         [[workspace]]\nname = \"anchor\"\nrate_per_second = 1e6\nburst = 1000000\n\
+         keys = [\"{digest}\"]\n"
+    );
+    let document = Document::parse(&text).expect("the document is valid");
+    let service = Service {
+        document: Arc::new(document),
+        revision: 1,
+        weights: ServiceWeights {
+            service: "status".into(),
+            regions: vec![("ee-north".into(), 1.0)],
+        },
+        backends: vec![Listed {
+            name: "backend-1".into(),
+            service: Some("status".into()),
+            region: "ee-north".into(),
+            domain: "ee-north-a".into(),
+            address: backend,
+            state: ListedState::Live,
+        }],
+    };
+    let mut snapshot = Snapshot::default();
+    snapshot.services.insert("status".into(), service);
+    snapshot
+}
+
+/// Median and 99th percentile of one caller's requests.
+fn measure(address: SocketAddr) -> std::io::Result<(Duration, Duration)> {
+    let mut stream = TcpStream::connect(address)?;
+    stream.set_nodelay(true)?;
+    let request = format!("GET /look-up HTTP/1.1\r\nhost: status\r\nx-api-key: {KEY}\r\n\r\n");
+    let mut buffer = [0; 4096];
+    let mut times = Vec::with_capacity(REQUESTS);
+    for _ in 0..REQUESTS {
+        let started = Instant::now();
+        stream.write_all(request.as_bytes())?;
+        let length = stream.read(&mut buffer)?;
+        times.push(started.elapsed());
+        let is_answer = buffer[..length].starts_with(b"HTTP/1.1 200");
+        assert!(is_answer && buffer[..length].ends_with(b"\n"));
+    }
+    times.sort_unstable();
+    Ok((times[REQUESTS / 2], times[REQUESTS * 99 / 100]))
+}
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -26,6 +26,7 @@
 mod retry;
 pub mod settings;
 mod socket;
+mod stream;
 pub mod tokens;
 
 use std::sync::Arc;
--- a/crates/entry/src/callers/accept.rs
+++ b/crates/entry/src/callers/accept.rs
@@ -30,10 +30,10 @@
 use super::{
     Callers,
     constants::ACCEPT_PAUSE,
-    framing::Watched,
     handler::Entry,
     metrics,
     refusal::{Code, Refusal},
+    stream::Stream,
 };
 
 /// Interval at which the listener looks for the start of a drain.
@@ -42,6 +42,9 @@
 /// Interval at which idle backend connections are checked.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time in which the connections that were accepted last send their requests.
+const LAST_REQUESTS: Duration = Duration::from_millis(100);
+
 /// Header that gotham turns into a string without checking it.
 const REQUEST_ID: &str = "x-request-id";
 
@@ -64,6 +67,9 @@
     let drain_started = server.accept_until_drained(&listener).await;
     server.accept_waiting(&listener);
     drop(listener);
+    // The library closes connections that have not sent a byte yet, although a request may be on
+    // its way on those that were accepted last.
+    tokio::time::sleep(LAST_REQUESTS).await;
     server.graceful.shutdown().await;
     let elapsed = drain_started.elapsed();
     metrics::drained(elapsed);
@@ -177,7 +183,12 @@
 {
     let settings = &callers.settings;
     let ambiguous = Arc::new(AtomicBool::new(false));
-    let stream = Watched::new(stream, settings.header_bytes, ambiguous.clone());
+    let stream = Stream::new(
+        stream,
+        settings.header_bytes,
+        settings.write_time,
+        ambiguous.clone(),
+    );
     let mut builder = http1::Builder::new();
     builder
         .timer(TokioTimer::new())
--- a/crates/entry/src/callers/framing.rs
+++ b/crates/entry/src/callers/framing.rs
@@ -5,18 +5,6 @@
 //! them differently and then take the rest of one request for the start of another. The scanner sees
 //! the bytes of a caller's connection before the library does. See docs/design.md §10.
 
-use std::{
-    io,
-    pin::Pin,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    task::{Context, Poll, ready},
-};
-
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-
 /// Follows the messages of one connection.
 #[derive(Debug)]
 pub(crate) struct Scanner {
@@ -171,67 +159,3 @@
     }
     u64::from_str_radix(text, radix).map_err(|_| Ambiguous)
 }
-
-/// Connection of a caller whose bytes are scanned while they are read.
-pub(crate) struct Watched<S> {
-    inner: S,
-    scanner: Scanner,
-    ambiguous: Arc<AtomicBool>,
-}
-
-impl<S> Watched<S> {
-    /// Wraps a connection; `ambiguous` is set before the library sees the request in question.
-    pub(crate) fn new(inner: S, line_limit: usize, ambiguous: Arc<AtomicBool>) -> Self {
-        Self {
-            inner,
-            scanner: Scanner::new(line_limit),
-            ambiguous,
-        }
-    }
-}
-
-impl<S: AsyncRead + Unpin> AsyncRead for Watched<S> {
-    fn poll_read(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let this = self.get_mut();
-        let before = buffer.filled().len();
-        ready!(Pin::new(&mut this.inner).poll_read(context, buffer))?;
-        let is_ambiguous = this.ambiguous.load(Ordering::Acquire)
-            || this.scanner.scan(&buffer.filled()[before..]).is_err();
-        this.ambiguous.store(is_ambiguous, Ordering::Release);
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl<S: AsyncWrite + Unpin> AsyncWrite for Watched<S> {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(context, bytes)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        pieces: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(context, pieces)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.inner.is_write_vectored()
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_shutdown(context)
-    }
-}
--- a/crates/entry/src/callers/pool.rs
+++ b/crates/entry/src/callers/pool.rs
@@ -16,6 +16,9 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::AbortHandle};
 
+#[cfg(test)]
+mod tests;
+
 use super::{
     constants::{CHARGE_STEP_BYTES, FRESH_LIMIT, IDLE_CONNECTIONS, IDLE_LIMIT},
     socket::Socket,
--- a/crates/entry/src/callers/settings.rs
+++ b/crates/entry/src/callers/settings.rs
@@ -11,6 +11,8 @@
     pub headers: usize,
     /// Longest time for the head of a request, also the longest idle time of a connection.
     pub header_time: Duration,
+    /// Longest time in which a caller takes no byte of its answer.
+    pub write_time: Duration,
     /// Connections that are served at the same time; further ones wait to be accepted.
     pub connections: usize,
     /// How long callers keep a look-up answer; a draining host keeps accepting for this time.
@@ -27,6 +29,7 @@
             header_bytes: 32 * 1024,
             headers: 64,
             header_time: Duration::from_secs(30),
+            write_time: Duration::from_secs(30),
             connections: 16 * 1024,
             lookup_lifetime: Duration::from_secs(5),
             connect_time: Duration::from_secs(1),
--- a/crates/entry/tests/callers/common.rs
+++ b/crates/entry/tests/callers/common.rs
@@ -43,6 +43,11 @@
 idempotent = false
 deadline_ms = 1000
 [[route]]
+path = "/slow"
+class = "upload"
+idempotent = false
+deadline_ms = 60000
+[[route]]
 path = "/open"
 class = "open"
 idempotent = true
@@ -242,15 +247,20 @@
     }
 }
 
-impl Caller {
-    pub(crate) async fn connect(address: SocketAddr) -> Self {
-        let stream = TcpStream::connect(address).await.unwrap();
+impl From<TcpStream> for Caller {
+    fn from(stream: TcpStream) -> Self {
         stream.set_nodelay(true).unwrap();
         Self {
             stream,
             buffer: Vec::new(),
         }
     }
+}
+
+impl Caller {
+    pub(crate) async fn connect(address: SocketAddr) -> Self {
+        Self::from(TcpStream::connect(address).await.unwrap())
+    }
 
     pub(crate) async fn send(&mut self, bytes: impl AsRef<[u8]>) {
         self.stream.write_all(bytes.as_ref()).await.unwrap();
--- a/crates/entry/tests/callers/drain.rs
+++ b/crates/entry/tests/callers/drain.rs
@@ -5,7 +5,7 @@
 use marjorampick_entry::callers::{Settings, tokens::Tokens};
 use tokio::net::TcpStream;
 
-use crate::common::{LIMIT, Site, request, until};
+use crate::common::{Caller, LIMIT, Site, request, until};
 
 /// Guards against a drain that cuts off a long upload, refuses callers with cached look-ups, or
 /// never ends.
@@ -56,6 +56,25 @@
         .unwrap();
 }
 
+/// Guards against the last callers before the listener closes being cut off.
+#[tokio::test]
+async fn callers_that_connect_at_the_last_moment_are_answered() {
+    let settings = Settings {
+        lookup_lifetime: Duration::from_millis(100),
+        ..Settings::default()
+    };
+    let site = Site::with(1, settings, Tokens::unlimited()).await;
+    site.shared.start_draining();
+    let mut last = Vec::new();
+    while let Ok(stream) = TcpStream::connect(site.address).await {
+        last.push(Caller::from(stream));
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let mut newest = last.pop().unwrap();
+    let answer = newest.ask(&request("GET", "/status", "", "")).await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+}
+
 /// Guards against new work for a backend server that says itself that it is leaving.
 #[tokio::test]
 async fn a_draining_backend_server_ends_its_answers_with_a_close() {
--- a/crates/entry/tests/callers/forwarding.rs
+++ b/crates/entry/tests/callers/forwarding.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use marjorampick_entry::callers::{Settings, tokens::Tokens};
 use marjorampick_standin::backend::Fault;
 
 use crate::common::{ANCHOR_KEY, Site, request, until};
@@ -62,8 +63,8 @@
     caller
         .send(request(
             "POST",
-            "/sign",
-            "x-standin-fault: late=4000\r\n",
+            "/slow",
+            "x-standin-fault: late=30000\r\n",
             "",
         ))
         .await;
@@ -94,6 +95,22 @@
     assert_eq!(instance.idle_connections(), 0);
 }
 
+/// Guards against a caller that stops reading and holds a backend server's slot for good.
+#[tokio::test]
+async fn a_caller_that_takes_nothing_loses_its_connection() {
+    let settings = Settings {
+        write_time: Duration::from_millis(50),
+        ..Settings::default()
+    };
+    let site = Site::with(1, settings, Tokens::unlimited()).await;
+    let mut caller = site.caller().await;
+    let large = request("GET", "/status?size=50000000", "", "");
+    caller.send(large).await;
+    until("the answer starts", || site.instances()[0].in_flight() == 1).await;
+    until("the exchange ends", || site.instances()[0].in_flight() == 0).await;
+    assert!(!caller.answer().await.complete);
+}
+
 /// Guards against a host that reads a body faster than it can pass it on and keeps the rest.
 #[tokio::test]
 async fn a_slow_backend_server_holds_back_an_upload() {
--- a/crates/entry/tests/callers/main.rs
+++ b/crates/entry/tests/callers/main.rs
@@ -7,5 +7,7 @@
 mod credentials;
 mod drain;
 mod forwarding;
+mod metrics;
 mod once;
 mod smuggling;
+mod tls;
--- a/crates/standin/src/backend/service.rs
+++ b/crates/standin/src/backend/service.rs
@@ -157,7 +157,11 @@
             return self.close();
         }
         lock(&self.backend.record).run(key(&head));
-        tokio::time::sleep(self.backend.service_time() + lateness(fault)).await;
+        let duration = self.backend.service_time() + lateness(fault);
+        // The timer would round the shortest sleep up to a millisecond.
+        if !duration.is_zero() {
+            tokio::time::sleep(duration).await;
+        }
         let answer = self.answer(&head, received, fault).await;
         running.answered = true;
         answer
