budget: borrow ahead only what the own share has room for

Cause: tokens that are borrowed ahead and not spent within the term are lost where the own share has no room for them.

--- a/crates/core/src/budget/bucket.rs
+++ b/crates/core/src/budget/bucket.rs
@@ -110,9 +110,10 @@
         self.tokens
     }
 
-    /// Thousandths of a token that the bucket can still receive.
-    pub(super) fn room(&self) -> u64 {
-        self.current.capacity - self.tokens
+    /// Thousandths of a token that the own share can still receive. Borrowed capacity does not count,
+    /// as it is about to end.
+    pub(super) fn own_room(&self) -> u64 {
+        self.own().capacity.saturating_sub(self.tokens)
     }
 
     /// Rate at which the bucket fills, in thousandths of a token per second.
--- a/crates/core/src/budget/loans.rs
+++ b/crates/core/src/budget/loans.rs
@@ -63,8 +63,8 @@
             return None;
         }
         let account = self.account(budget)?;
-        let lacking = account.lock().lacking(now);
-        self.ask(now, budget, wanted, lacking)
+        let ahead = account.lock().usable_ahead(now);
+        self.ask(now, budget, wanted, ahead)
     }
 
     /// Whether an answer to a request for a loan is still expected.
@@ -148,7 +148,7 @@
 
     /// Borrows ahead when the demand exceeds the rate and little is left.
     fn borrow_ahead(&self, now: Duration, account: &Account) -> Option<Send> {
-        let lacking = account.lock().lacking_ahead(now)?;
+        let lacking = account.lock().due_ahead(now)?;
         let (host, request) = self.ask(now, account.budget(), 0, lacking)?;
         let message = Message::LoanRequest(request);
         Some(Send { host, message })
@@ -226,17 +226,32 @@
         }
     }
 
-    /// Like [`Self::lacking`], if it is time to borrow ahead.
-    fn lacking_ahead(&mut self, now: Duration) -> Option<u64> {
-        self.demand.update(now);
+    /// The lacking rate, unless what it yields in [`AHEAD`] would be lost: after the term of a loan the
+    /// account keeps only what its own share has room for.
+    fn usable_ahead(&mut self, now: Duration) -> u64 {
         let lacking = self.lacking(now);
+        let Holding::Rate(bucket) = &self.holding else {
+            return 0;
+        };
+        let usable = over(lacking, AHEAD).min(bucket.own_room());
+        // The lender grants what the answer yields in AHEAD.
+        if usable < MILLI {
+            0
+        } else {
+            usable * 1_000 / AHEAD.as_millis() as u64
+        }
+    }
+
+    /// Like [`Self::usable_ahead`], if it is time to borrow ahead.
+    fn due_ahead(&mut self, now: Duration) -> Option<u64> {
+        self.demand.update(now);
+        let lacking = self.usable_ahead(now);
         let Holding::Rate(bucket) = &self.holding else {
             return None;
         };
         let tolerated = bucket.rate() / 100 * TOLERANCE_PERCENT;
         let low = bucket.tokens() < over(lacking, AHEAD) / 2;
-        let usable = over(lacking, TOKEN_LOAN_TERM).min(bucket.room()) >= MILLI;
-        (lacking > tolerated && low && usable).then_some(lacking)
+        (lacking > tolerated && low).then_some(lacking)
     }
 
     /// Adds a loan that ends at `until` on this host's clock.
