budget: term of a token loan from the measured round trip

The lender cannot refill what it lent until the term ends, and 300 ms is much more than a loan within a region needs.

--- a/crates/core/src/budget/ledger.rs
+++ b/crates/core/src/budget/ledger.rs
@@ -51,6 +51,8 @@
     /// Largest revision known to be in force.
     in_force: u64,
     pub(super) borrowings: HashMap<Budget, Borrowing>,
+    /// Recent longest time from a request for a loan to its answer, for each peer.
+    pub(super) round_trips: HashMap<Arc<str>, Duration>,
     /// Number of the next request for a loan.
     pub(super) next_id: u64,
 }
@@ -262,6 +264,12 @@
         newest.map_or_else(|| Arc::from([]), |members| members.hosts.clone())
     }
 
+    /// Notes how long a peer took to answer; a longest time is forgotten slowly.
+    pub(super) fn note_round_trip(&mut self, peer: &Arc<str>, latest: Duration) {
+        let known = self.round_trips.entry(peer.clone()).or_default();
+        *known = latest.max(*known * 9 / 10);
+    }
+
     /// Since when a change of `revision` that is applied now is in force, if it is.
     fn since(&self, now: Duration, revision: u64) -> Option<Duration> {
         (revision <= self.in_force).then_some(now)
--- a/crates/core/src/budget/loans.rs
+++ b/crates/core/src/budget/loans.rs
@@ -12,10 +12,13 @@
 };
 use crate::message::Message;
 
-/// Term of a loan of tokens. Covers a round trip to the farthest region; until it ends the lender
-/// cannot refill what it lent.
+/// Longest term of a loan of tokens. Covers a round trip to the farthest region; until the term ends
+/// the lender cannot refill what it lent.
 const TOKEN_LOAN_TERM: Duration = Duration::from_millis(300);
 
+/// Part of the term of a loan of tokens that does not depend on the round trip.
+const TERM_MARGIN: Duration = Duration::from_millis(20);
+
 /// Term in which requests may start on borrowed slots.
 pub(super) const SLOT_LOAN_TERM: Duration = Duration::from_secs(10);
 
@@ -83,9 +86,10 @@
         let Some(account) = self.account(&request.budget) else {
             return empty;
         };
+        let term = self.token_term(borrower);
         let mut state = account.lock();
         match &mut state.holding {
-            Holding::Rate(bucket) => lend_tokens(bucket, now, borrower, request),
+            Holding::Rate(bucket) => lend_tokens(bucket, now, term, borrower, request),
             Holding::Slots(slots) => lend_slots(slots, now, borrower, request),
         }
     }
@@ -100,6 +104,7 @@
             return;
         };
         borrowing.note(now, lender, Some(reported(&loan.budget, loan.spare)));
+        control.note_round_trip(lender, now.saturating_sub(pending.sent));
         drop(control);
         // Counted from sending the request, so that the loan ends here before it ends at the lender.
         let until = pending.sent + loan.term;
@@ -108,6 +113,15 @@
         }
     }
 
+    /// Term of a loan of tokens to `borrower`: twice the round trip that was measured to it, so that
+    /// the loan arrives in time, but the capacity comes back soon.
+    fn token_term(&self, borrower: &str) -> Duration {
+        let control = self.control();
+        let round_trip = control.round_trips.get(borrower);
+        let term = round_trip.map(|round_trip| *round_trip * 2 + TERM_MARGIN);
+        term.unwrap_or(TOKEN_LOAN_TERM).min(TOKEN_LOAN_TERM)
+    }
+
     /// Takes back the slots of a loan.
     pub fn returned(&self, now: Duration, borrower: &Arc<str>, loan: &LoanReturn) {
         let Some(account) = self.account(&loan.budget) else {
@@ -283,12 +297,13 @@
 fn lend_tokens(
     bucket: &mut Bucket,
     now: Duration,
+    term: Duration,
     borrower: &Arc<str>,
     request: &LoanRequest,
 ) -> Loan {
     bucket.advance(now);
     let mut loan = Loan::empty(request);
-    loan.term = TOKEN_LOAN_TERM;
+    loan.term = term;
     if let Some(granted) = bucket.granted(borrower, request.id) {
         loan.tokens = granted.capacity / MILLI;
     } else {
