budget: count a granted loan as part of what the peer had

Cause: an estimate was compared with what the peer had left after the loan, so that every loan slowed the estimate down.

--- a/crates/core/src/budget/borrowing.rs
+++ b/crates/core/src/budget/borrowing.rs
@@ -59,14 +59,15 @@
         self.lenders = lenders.map(entry).collect();
     }
 
-    /// Notes that `host` can lend `amount`; `None` stands for its whole share.
-    pub(super) fn note(&mut self, now: Duration, host: &str, amount: Option<u64>) {
+    /// Notes that `host` can lend `amount` after it granted `granted`; `None` stands for its whole
+    /// share.
+    pub(super) fn note(&mut self, now: Duration, host: &str, amount: Option<u64>, granted: u64) {
         let found = self
             .lenders
             .iter_mut()
             .find(|lender| lender.host.as_ref() == host);
         if let Some(lender) = found {
-            lender.note(now, amount);
+            lender.note(now, amount, granted);
         }
     }
 
@@ -168,9 +169,9 @@
 
     /// Takes over a reported amount. A peer that has less than estimated spends its rate itself, so
     /// that its estimate grows more slowly from then on.
-    fn note(&mut self, now: Duration, amount: Option<u64>) {
+    fn note(&mut self, now: Duration, amount: Option<u64>, granted: u64) {
         let amount = amount.unwrap_or(self.share.capacity);
-        if amount < self.estimate(now) / 2 {
+        if amount.saturating_add(granted) < self.estimate(now) / 2 {
             self.growth = (self.growth / 2).max(self.share.rate / SLOWEST_GROWTH);
         } else {
             self.growth = (self.growth * 2).min(self.share.rate);
--- a/crates/core/src/budget/loans.rs
+++ b/crates/core/src/budget/loans.rs
@@ -50,7 +50,8 @@
         let mut control = self.control();
         for (budget, borrowing) in &mut control.borrowings {
             let named = spare.iter().find(|spare| spare.budget == *budget);
-            borrowing.note(now, host, named.map(|spare| reported(budget, spare.amount)));
+            let amount = named.map(|spare| reported(budget, spare.amount));
+            borrowing.note(now, host, amount, 0);
         }
     }
 
@@ -103,7 +104,9 @@
         let Some(pending) = borrowing.answered(loan.id, lender) else {
             return;
         };
-        borrowing.note(now, lender, Some(reported(&loan.budget, loan.spare)));
+        let granted = unit(&loan.budget).saturating_mul(loan.tokens);
+        let left = reported(&loan.budget, loan.spare);
+        borrowing.note(now, lender, Some(left), granted);
         control.note_round_trip(lender, now.saturating_sub(pending.sent));
         drop(control);
         // Counted from sending the request, so that the loan ends here before it ends at the lender.
