--- a/crates/core/src/budget/loans.rs
+++ b/crates/core/src/budget/loans.rs
@@ -12,10 +12,13 @@
 };
 use crate::message::Message;
 
-/// Term of a loan of tokens. Covers a round trip to the farthest region; until it ends the lender
-/// cannot refill what it lent.
+/// Longest term of a loan of tokens. Covers a round trip to the farthest region; until the term ends
+/// the lender cannot refill what it lent.
 const TOKEN_LOAN_TERM: Duration = Duration::from_millis(300);
 
+/// Part of the term of a loan of tokens that does not depend on the round trip.
+const TERM_MARGIN: Duration = Duration::from_millis(20);
+
 /// Term in which requests may start on borrowed slots.
 pub(super) const SLOT_LOAN_TERM: Duration = Duration::from_secs(10);
 
@@ -47,7 +50,8 @@
         let mut control = self.control();
         for (budget, borrowing) in &mut control.borrowings {
             let named = spare.iter().find(|spare| spare.budget == *budget);
-            borrowing.note(now, host, named.map(|spare| reported(budget, spare.amount)));
+            let amount = named.map(|spare| reported(budget, spare.amount));
+            borrowing.note(now, host, amount, 0);
         }
     }
 
@@ -63,8 +67,8 @@
             return None;
         }
         let account = self.account(budget)?;
-        let lacking = account.lock().lacking(now);
-        self.ask(now, budget, wanted, lacking)
+        let ahead = account.lock().usable_ahead(now);
+        self.ask(now, budget, wanted, ahead)
     }
 
     /// Whether an answer to a request for a loan is still expected.
@@ -83,9 +87,10 @@
         let Some(account) = self.account(&request.budget) else {
             return empty;
         };
+        let term = self.token_term(borrower);
         let mut state = account.lock();
         match &mut state.holding {
-            Holding::Rate(bucket) => lend_tokens(bucket, now, borrower, request),
+            Holding::Rate(bucket) => lend_tokens(bucket, now, term, borrower, request),
             Holding::Slots(slots) => lend_slots(slots, now, borrower, request),
         }
     }
@@ -99,7 +104,10 @@
         let Some(pending) = borrowing.answered(loan.id, lender) else {
             return;
         };
-        borrowing.note(now, lender, Some(reported(&loan.budget, loan.spare)));
+        let granted = unit(&loan.budget).saturating_mul(loan.tokens);
+        let left = reported(&loan.budget, loan.spare);
+        borrowing.note(now, lender, Some(left), granted);
+        control.note_round_trip(lender, now.saturating_sub(pending.sent));
         drop(control);
         // Counted from sending the request, so that the loan ends here before it ends at the lender.
         let until = pending.sent + loan.term;
@@ -108,6 +116,15 @@
         }
     }
 
+    /// Term of a loan of tokens to `borrower`: twice the round trip that was measured to it, so that
+    /// the loan arrives in time, but the capacity comes back soon.
+    fn token_term(&self, borrower: &str) -> Duration {
+        let control = self.control();
+        let round_trip = control.round_trips.get(borrower);
+        let term = round_trip.map(|round_trip| *round_trip * 2 + TERM_MARGIN);
+        term.unwrap_or(TOKEN_LOAN_TERM).min(TOKEN_LOAN_TERM)
+    }
+
     /// Takes back the slots of a loan.
     pub fn returned(&self, now: Duration, borrower: &Arc<str>, loan: &LoanReturn) {
         let Some(account) = self.account(&loan.budget) else {
@@ -148,7 +165,7 @@
 
     /// Borrows ahead when the demand exceeds the rate and little is left.
     fn borrow_ahead(&self, now: Duration, account: &Account) -> Option<Send> {
-        let lacking = account.lock().lacking_ahead(now)?;
+        let lacking = account.lock().due_ahead(now)?;
         let (host, request) = self.ask(now, account.budget(), 0, lacking)?;
         let message = Message::LoanRequest(request);
         Some(Send { host, message })
@@ -226,17 +243,32 @@
         }
     }
 
-    /// Like [`Self::lacking`], if it is time to borrow ahead.
-    fn lacking_ahead(&mut self, now: Duration) -> Option<u64> {
-        self.demand.update(now);
+    /// The lacking rate, unless what it yields in [`AHEAD`] would be lost: after the term of a loan the
+    /// account keeps only what its own share has room for.
+    fn usable_ahead(&mut self, now: Duration) -> u64 {
         let lacking = self.lacking(now);
+        let Holding::Rate(bucket) = &self.holding else {
+            return 0;
+        };
+        let usable = over(lacking, AHEAD).min(bucket.own_room());
+        // The lender grants what the answer yields in AHEAD.
+        if usable < MILLI {
+            0
+        } else {
+            usable * 1_000 / AHEAD.as_millis() as u64
+        }
+    }
+
+    /// Like [`Self::usable_ahead`], if it is time to borrow ahead.
+    fn due_ahead(&mut self, now: Duration) -> Option<u64> {
+        self.demand.update(now);
+        let lacking = self.usable_ahead(now);
         let Holding::Rate(bucket) = &self.holding else {
             return None;
         };
         let tolerated = bucket.rate() / 100 * TOLERANCE_PERCENT;
         let low = bucket.tokens() < over(lacking, AHEAD) / 2;
-        let usable = over(lacking, TOKEN_LOAN_TERM).min(bucket.room()) >= MILLI;
-        (lacking > tolerated && low && usable).then_some(lacking)
+        (lacking > tolerated && low).then_some(lacking)
     }
 
     /// Adds a loan that ends at `until` on this host's clock.
@@ -268,12 +300,13 @@
 fn lend_tokens(
     bucket: &mut Bucket,
     now: Duration,
+    term: Duration,
     borrower: &Arc<str>,
     request: &LoanRequest,
 ) -> Loan {
     bucket.advance(now);
     let mut loan = Loan::empty(request);
-    loan.term = TOKEN_LOAN_TERM;
+    loan.term = term;
     if let Some(granted) = bucket.granted(borrower, request.id) {
         loan.tokens = granted.capacity / MILLI;
     } else {
