store client: tell writes that were not sent from unanswered ones

Cause: while the store refuses connections, an edit ended as unknown although nothing was written. Change: a connect error is a fault of its own; a write that was never sent ends like a conflict. A lost write is also recognised by the record's value. The admin listener answers documents without the writer's mark. The process test closes the store's listener instead of setting a fault.

--- a/crates/entry/src/control/publish.rs
+++ b/crates/entry/src/control/publish.rs
@@ -3,8 +3,10 @@
 use std::sync::Arc;
 
 use marjorampick_core::{
+    catalog::Record,
     host::{
         Host, Known,
+        edit::{self, DOCUMENTS},
         event::{Listed, ListedState},
     },
     member::Member,
@@ -13,9 +15,6 @@
 use super::weights::Weights;
 use crate::shared::{EntryHost, Service, Shared, Snapshot, Status};
 
-/// Prefix of the documents' keys.
-const DOCUMENTS: &str = "documents/";
-
 /// Replaces the status if it has changed.
 pub(super) fn status(host: &Host, shared: &Shared) {
     let known = shared.status.load();
@@ -39,10 +38,18 @@
         in_force: host.in_force(),
         is_member: host.is_member(),
         members: host.members().to_vec(),
-        documents: documents.cloned().collect(),
+        documents: documents.map(as_written).collect(),
     }));
 }
 
+/// A document's record with the text that the operator wrote, without the writer's mark.
+fn as_written(record: &Record) -> Record {
+    Record {
+        value: Arc::from(edit::text(&record.value)),
+        ..record.clone()
+    }
+}
+
 /// Entry hosts for look-up answers: serving members that the platform does not list as stopping.
 ///
 /// The host itself is left out from the moment at which it drains.
--- a/crates/entry/tests/processes/fleet.rs
+++ b/crates/entry/tests/processes/fleet.rs
@@ -4,7 +4,6 @@
 use std::time::{Duration, Instant};
 
 use marjorampick_link::exit::Exit;
-use marjorampick_standin::store::Faults;
 
 use crate::support::{Platform, document, eventually, name};
 
@@ -33,10 +32,7 @@
     assert_eq!(invalid.exit, Exit::Invalid);
     assert!(invalid.text.contains("line 1: service"), "{invalid}");
 
-    platform.store.set_faults(Faults {
-        down: true,
-        ..Faults::default()
-    });
+    platform.stop_store();
     std::thread::sleep(OUTAGE);
     assert!(
         hosts.iter().all(|host| host.is_current()),
@@ -45,10 +41,7 @@
     let refused = hosts[0]
         .edit(revision, &document(3))
         .expect_err("a refused edit");
-    assert!(
-        matches!(refused.exit, Exit::Unavailable | Exit::Unknown),
-        "{refused}"
-    );
+    assert_eq!(refused.exit, Exit::Unavailable, "{refused}");
     let all: Vec<String> = (0..3).map(name).collect();
     assert!(
         hosts
@@ -64,7 +57,7 @@
         is_guest && status["revision"] == revision && hosts[2].look_up().is_some()
     });
 
-    platform.store.set_faults(Faults::default());
+    platform.start_store();
     eventually(2 * BOUND, "the restarted host is a member again", || {
         hosts[2].status()["member"] == true
     });
--- a/crates/entry/tests/processes/support.rs
+++ b/crates/entry/tests/processes/support.rs
@@ -1,6 +1,7 @@
 //! A fleet of real processes with stand-ins for its platform.
 
 use std::{
+    cell::RefCell,
     fs::{self, File},
     net::{Ipv4Addr, SocketAddr},
     path::PathBuf,
@@ -27,6 +28,10 @@
 const LOOKUP_PORT: u16 = 7002;
 const ADMIN_PORT: u16 = 7003;
 const PEERS_PORT: u16 = 7004;
+const STORE_PORT: u16 = 7005;
+
+/// Number of the store's address among those of a test; hosts have smaller ones.
+const STORE_NUMBER: u8 = 14;
 
 /// Interval between two looks at a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -42,7 +47,10 @@
 
 /// Stand-ins and settings of a fleet.
 pub(crate) struct Platform {
-    pub(crate) store: Arc<Store>,
+    store: Arc<Store>,
+    store_address: SocketAddr,
+    /// Ends with all connections of the store when the store goes away.
+    store_runtime: RefCell<Option<Runtime>>,
     runtime: Runtime,
     folder: tempfile::TempDir,
     /// Addresses of the hosts.
@@ -55,31 +63,43 @@
     /// The addresses are taken from the loopback network by the number of this process, so that
     /// several test runs at the same time do not meet.
     pub(crate) fn start(test: u8, size: u8) -> Self {
-        let runtime = tokio::runtime::Builder::new_multi_thread()
-            .worker_threads(2)
-            .enable_all()
-            .build()
-            .expect("a runtime");
+        let runtime = runtime();
         let process = std::process::id();
         let second = 16 + u8::try_from((process >> 8) % 239).expect("a byte");
         let third = u8::try_from(process % 256).expect("a byte");
         let address = |host| Ipv4Addr::new(127, second, third, 16 * test + host + 1);
         let platform = Self {
             store: Store::new(),
+            store_address: SocketAddr::from((address(STORE_NUMBER), STORE_PORT)),
+            store_runtime: RefCell::default(),
             runtime,
             folder: tempfile::tempdir().expect("a temporary folder"),
             addresses: (0..size).map(address).collect(),
         };
         platform.write_settings();
+        platform.start_store();
         platform
     }
 
+    /// Lets the store answer, with what it held before.
+    pub(crate) fn start_store(&self) {
+        let runtime = runtime();
+        let listener = runtime.block_on(listener(&self.store_address.to_string()));
+        runtime.spawn(self.store.clone().serve(listener));
+        self.store_runtime.replace(Some(runtime));
+    }
+
+    /// Closes the store's listener and connections.
+    pub(crate) fn stop_store(&self) {
+        if let Some(runtime) = self.store_runtime.take() {
+            runtime.shutdown_timeout(Duration::from_secs(1));
+        }
+    }
+
     fn write_settings(&self) {
-        let store = self.runtime.block_on(listener());
-        let hosts = self.runtime.block_on(listener());
-        let store_address = store.local_addr().expect("an address");
+        let hosts = self.runtime.block_on(listener("127.0.0.1:0"));
         let hosts_address = hosts.local_addr().expect("an address");
-        self.runtime.spawn(self.store.clone().serve(store));
+        let store_address = self.store_address;
         let list = Hosts::new(List::default(), Duration::ZERO);
         self.runtime.spawn(list.serve(hosts));
         let names: Vec<CertificateHost> = (0..self.addresses.len())
@@ -268,6 +288,14 @@
     format!("host-{index}")
 }
 
-async fn listener() -> TcpListener {
-    TcpListener::bind("127.0.0.1:0").await.expect("a listener")
+fn runtime() -> Runtime {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build();
+    runtime.expect("a runtime")
+}
+
+async fn listener(address: &str) -> TcpListener {
+    TcpListener::bind(address).await.expect("a listener")
 }
--- a/crates/link/src/store.rs
+++ b/crates/link/src/store.rs
@@ -37,6 +37,10 @@
 /// Interval of HTTP/2 keep-alive, and how long its answer may take.
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
+/// How often a write is sent at most, and the wait before each repetition.
+const WRITE_ATTEMPTS: u32 = 2;
+const WRITE_RETRY_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Timeouts in a row after which the connection is replaced.
 const TIMEOUTS_BEFORE_RECONNECT: u32 = 2;
 
@@ -49,7 +53,9 @@
 /// Why a call gave no result.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Fault {
-    /// The store could not be reached or refused the call; see the text.
+    /// No connection could be made, so that the call was not sent.
+    NotSent,
+    /// The store refused the call or the connection failed; see the text.
     Failed(String),
     /// No answer came in time.
     Late,
@@ -60,6 +66,7 @@
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Self::NotSent => write!(f, "the store cannot be reached"),
             Self::Failed(text) => write!(f, "the store failed: {text}"),
             Self::Late => write!(f, "the store did not answer in time"),
             Self::Malformed => write!(f, "the store's answer is malformed"),
@@ -125,22 +132,29 @@
 
     /// Writes a record if `head` still has the revision that the write names.
     ///
-    /// The write is repeated once when no answer came: it is conditional, so that the repetition
-    /// cannot take effect twice, and its answer tells whether the first one did.
+    /// The write is repeated when no answer came: it is conditional, so that the repetition cannot
+    /// take effect twice, and its answer tells whether the first one did. A write that could not be
+    /// sent at all ends as a conflict, as nothing was changed.
     pub async fn write(&self, write: &Write) -> Written {
-        match self.transact(write).await {
-            Ok(Some(revision)) => return Written::Done { revision },
-            Ok(None) => return Written::Conflict,
-            Err(fault) => log::warn!("store: write of {}: {fault}; repeating it", write.key),
-        }
-        match self.transact(write).await {
-            Ok(Some(revision)) => Written::Done { revision },
-            Ok(None) => self.read_back(write).await,
-            Err(fault) => {
-                log::warn!("store: write of {}: {fault}", write.key);
-                Written::Unknown
+        let mut is_sent = false;
+        for attempt in 0..WRITE_ATTEMPTS {
+            if attempt > 0 {
+                tokio::time::sleep(WRITE_RETRY_INTERVAL).await;
+            }
+            match self.transact(write).await {
+                Ok(Some(revision)) => return Written::Done { revision },
+                Ok(None) if is_sent => return self.read_back(write).await,
+                Ok(None) => return Written::Conflict,
+                Err(fault) => {
+                    is_sent |= fault != Fault::NotSent;
+                    log::warn!("store: write of {}: {fault}", write.key);
+                }
             }
         }
+        match is_sent {
+            true => Written::Unknown,
+            false => Written::Conflict,
+        }
     }
 
     /// Finds out what became of a write whose answer was lost and whose repetition conflicts.
@@ -159,6 +173,12 @@
             // has moved on, a delayed copy of the write cannot take effect any more either.
             Some(record) if record.revision <= write.head => Written::Conflict,
             None => Written::Conflict,
+            // Values are unique: a document names its edit, a table the incarnations.
+            Some(record) if record.value == write.value && !write.value.is_empty() => {
+                Written::Done {
+                    revision: record.revision,
+                }
+            }
             Some(_) => Written::Unknown,
         }
     }
@@ -246,6 +266,9 @@
         if self.shared.endpoints.len() > 1 && status.code() == tonic::Code::Unavailable {
             self.reconnect();
         }
+        if is_connect_error(status) {
+            return Fault::NotSent;
+        }
         Fault::Failed(format!("{:?}: {}", status.code(), status.message()))
     }
 
@@ -305,6 +328,18 @@
     u64::try_from(kv.mod_revision).unwrap_or(0)
 }
 
+/// Whether the call failed while its connection was being set up.
+fn is_connect_error(status: &tonic::Status) -> bool {
+    let mut source = std::error::Error::source(status);
+    while let Some(error) = source {
+        if error.is::<tonic::ConnectError>() {
+            return true;
+        }
+        source = error.source();
+    }
+    false
+}
+
 fn channel(endpoints: &[http::Uri], attempt: usize) -> Channel {
     let uri = endpoints
         .get(attempt % endpoints.len().max(1))
--- a/crates/standin/tests/store.rs
+++ b/crates/standin/tests/store.rs
@@ -105,6 +105,18 @@
     assert_eq!(client.read_head().await, Ok(revision));
 }
 
+#[tokio::test]
+async fn a_write_that_cannot_be_sent_is_known_to_change_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    drop(listener);
+    let endpoint = format!("http://{address}").parse().expect("an address");
+    let client = Client::new(vec![endpoint], "test/");
+    assert_eq!(client.read_head().await, Err(Fault::NotSent));
+    let refused = client.write(&write(0, "members", "m", 1)).await;
+    assert_eq!(refused, Written::Conflict);
+}
+
 /// Applies updates until the catalog is at `revision`; a gap fails the test.
 async fn follow(catalog: &mut Catalog, updates: &mut mpsc::Receiver<Update>, revision: u64) {
     while catalog.revision() < revision {
