--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -8,6 +8,7 @@
 
 use marjorampick_ctl::{certificate, options::CertificateHost};
 use marjorampick_entry::settings;
+use marjorampick_link::hosts::List;
 
 /// Environment variable that writes the expected findings anew, to be read in the change's diff.
 const UPDATE: &str = "MARJORAMPICK_UPDATE_FINDINGS";
@@ -63,6 +64,11 @@
         };
         let hosts: Vec<CertificateHost> = samples.iter().map(host).collect();
         assert_eq!(hosts.len(), 8, "hosts of {deployment}");
+        let listed = fs::read(folder.with_file_name("hosts.json")).expect("a list of hosts");
+        let listed: List = serde_json::from_slice(&listed).expect("a list of hosts");
+        let is_entry = |host: &&marjorampick_link::hosts::Host| host.service.is_none();
+        let listed: Vec<_> = listed.hosts.iter().filter(is_entry).collect();
+        assert_eq!(listed.len(), 8, "listed hosts of {deployment}");
         certificate::run(&copy.path().join("tls"), &hosts).expect("certificates");
         for (file, host) in samples.iter().zip(hosts) {
             let target = copy.path().join(file.file_name().expect("a name"));
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,4 +6,6 @@
 pub mod backend;
 pub mod hosts;
 pub mod http_server;
+pub mod options;
+pub mod run;
 pub mod store;
