--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -6,6 +6,7 @@
 use futures_util::future;
 use gotham::router::Router;
 use marjorampick_core::{
+    budget::Ledger,
     host::{Host, Identity, event::Event},
     member::Member,
 };
@@ -115,6 +116,7 @@
     let (calls, to_call) = mpsc::channel(CALL_QUEUE_LENGTH);
     let host = new_host(settings);
     let from = host.sender();
+    let ledger = host.ledger().clone();
     let (opened, opening) = oneshot::channel();
     let received = event_sender.clone();
     threads.spawn("peers", move || {
@@ -144,13 +146,14 @@
     serve_http("admin", admin_listener, admin::router(admin), threads)?;
     let router = lookup::router(shared.clone(), &settings.lookup);
     serve_http("lookup", lookup_listener, router, threads)?;
-    start_callers(settings, shared, &callers_listener, threads)
+    start_callers(settings, shared, ledger, &callers_listener, threads)
 }
 
 /// Starts the caller threads, which share one listening socket.
 fn start_callers(
     settings: &Settings,
     shared: &Arc<Shared>,
+    ledger: Arc<Ledger>,
     listener: &std::net::TcpListener,
     threads: &Threads,
 ) -> eyre::Result<()> {
@@ -159,8 +162,8 @@
         lookup_lifetime: settings.lookup.lifetime,
         ..callers::Settings::default()
     };
-    // TODO: take the tokens from the host's ledger.
-    let state = Callers::new(shared.clone(), limits, Tokens::unlimited());
+    let tokens = Tokens::of_ledger(ledger, shared.clone());
+    let state = Callers::new(shared.clone(), limits, tokens);
     let tls = settings
         .callers
         .tls
