--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -135,6 +135,7 @@
                 let ticket = self.waiting.edit(answer);
                 self.event(Event::Edit { ticket, edit });
             }
+            Request::Regions(reports) => self.weights.report(self.shared.now(), &reports),
             Request::Drain => {
                 self.event(Event::Drain);
                 self.publish_due = true;
--- a/crates/entry/src/control/weights.rs
+++ b/crates/entry/src/control/weights.rs
@@ -16,6 +16,8 @@
     ramp::Ramp,
 };
 
+use crate::shared::RegionReport;
+
 /// How long a starting host waits for a peer's weights after it knows its first documents.
 const ADOPTION_WAIT: Duration = Duration::from_secs(1);
 
@@ -68,6 +70,19 @@
         }
     }
 
+    /// Takes what is known about regions: a lost one loses its traffic, a loaded one some of it.
+    pub(super) fn report(&mut self, now: Duration, reports: &[RegionReport]) {
+        for report in reports {
+            let Some(paced) = self.ramps.get_mut(&report.service) else {
+                continue;
+            };
+            paced.ramp.set_lost(now, &report.region, report.is_lost);
+            if let Some(load) = report.load {
+                paced.ramp.report(now, &report.region, load);
+            }
+        }
+    }
+
     /// Whether the weights of `service` are known yet.
     pub(super) fn has(&self, service: &Arc<str>) -> bool {
         self.ramps.contains_key(service)
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -74,6 +74,19 @@
     pub documents: Vec<Record>,
 }
 
+/// State of one service's backend servers in one region.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RegionReport {
+    /// Service of the backend servers.
+    pub service: Arc<str>,
+    /// Region of the backend servers.
+    pub region: Arc<str>,
+    /// Late figure: running requests relative to the slots; `None` without any report.
+    pub load: Option<f64>,
+    /// Whether no backend server of the region may get a request.
+    pub is_lost: bool,
+}
+
 /// Question or command for the control thread.
 pub enum Request {
     /// The request path lacks tokens; the answer comes when a loan arrived or was denied.
@@ -103,6 +116,8 @@
         /// Receives the result.
         answer: oneshot::Sender<event::Edited>,
     },
+    /// What probes and the request path know about regions.
+    Regions(Vec<RegionReport>),
     /// The process was asked to stop; peers and look-ups leave the host out from now on.
     Drain,
     /// Every open request has ended; answered when the host has left the members.
