Run scenarios in virtual time against the decisions

Change: a runner drives eight hosts with a fake network, store and callers, clocks that differ by 0.9%, and checks limits over every window, currency, edits, members and the share of an omniscient limiter; 17 scenario files.

--- a/crates/scenario/src/parse.rs
+++ b/crates/scenario/src/parse.rs
@@ -289,8 +289,11 @@
         words("accepted edits to hold").value(Check::EditsHold),
         preceded(words("the edit at"), (time, preceded(space1, accepted)))
             .map(|(at, accepted)| Check::Edit { at, accepted }),
-        preceded(words("at most"), (float, words("store calls per second")))
-            .map(|(calls, ())| Check::StoreCalls(calls)),
+        preceded(
+            words("at most"),
+            (float, (space0, words("store calls per second"))),
+        )
+        .map(|(calls, _)| Check::StoreCalls(calls)),
         (hosts, preceded((space0, words("to be current at")), time))
             .map(|(hosts, at)| Check::Current(hosts, at)),
         (
--- /dev/null
+++ b/crates/scenario/src/store.rs
@@ -0,0 +1,57 @@
+//! Fake of the platform's key-value store.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use marjorampick_core::{
+    catalog::{Record, Update},
+    host::event::{Write, Written},
+};
+
+/// Records and `head`, changed one write after the other.
+#[derive(Debug, Default)]
+pub struct Store {
+    head: u64,
+    records: BTreeMap<Arc<str>, Record>,
+    /// Calls that reached the store.
+    pub calls: u64,
+}
+
+impl Store {
+    /// Revision of `head`; 0 when nothing was written.
+    pub fn head(&mut self) -> u64 {
+        self.calls += 1;
+        self.head
+    }
+
+    /// All records.
+    pub fn read(&mut self) -> Update {
+        self.calls += 1;
+        self.snapshot()
+    }
+
+    /// Writes a record if `head` has the expected revision.
+    pub fn write(&mut self, write: &Write) -> Written {
+        self.calls += 1;
+        if write.head != self.head {
+            return Written::Conflict;
+        }
+        self.head += 1;
+        let record = Record {
+            key: write.key.clone(),
+            revision: self.head,
+            value: write.value.clone(),
+        };
+        self.records.insert(write.key.clone(), record);
+        Written::Done {
+            revision: self.head,
+        }
+    }
+
+    fn snapshot(&self) -> Update {
+        Update {
+            since: 0,
+            through: self.head,
+            records: self.records.values().cloned().collect(),
+        }
+    }
+}
