--- a/crates/core/tests/host.rs
+++ b/crates/core/tests/host.rs
@@ -11,11 +11,13 @@
 use fleet::{Fleet, HOSTS};
 use marjorampick_core::{
     budget::Budget,
+    claim::{Name, Verdict},
+    constants::EARLIER_TABLES_LIMIT,
     host::{
         Source,
         event::{Edited, Event},
     },
-    member::Member,
+    member::{Member, roster::Roster},
     message::ServiceWeights,
 };
 
@@ -316,6 +318,28 @@
     accept(&mut fleet, 1, "signing");
 }
 
+/// Guards against a record that outgrows the largest value of the store, and against a gap in the
+/// earlier tables that nobody can see.
+#[test]
+fn earlier_tables_are_bounded() {
+    let member = Fleet::new(0, 1).nodes[0].member.clone();
+    let minute = Duration::from_secs(60);
+    let changed = |roster: Roster, revision| match revision % 2 {
+        0 => roster.with(&member, revision, minute / 4),
+        _ => roster.without(std::slice::from_ref(&member.host), revision, minute / 4),
+    };
+    let roster = (0..40).fold(Roster::default(), changed);
+    assert_eq!(roster.earlier.len(), EARLIER_TABLES_LIMIT);
+    assert_eq!(roster.earlier[31].ended_ms, 31 * 15_000);
+    assert_eq!(roster.dropped_ms, Some(32 * 15_000));
+    assert_eq!(
+        Roster::parse(&roster.to_text().unwrap()),
+        Ok(roster.clone())
+    );
+    let later = roster.with(&member, 40, minute * 16);
+    assert_eq!((later.earlier.len(), later.dropped_ms), (1, None));
+}
+
 /// Guards against limits of documents and of the list of backend servers that do not reach the
 /// ledgers, shares that add up to more, and loans that get lost between request path and peers.
 #[test]
@@ -361,6 +385,49 @@
     fleet.nodes.iter().map(available).sum()
 }
 
+/// Guards against claims that are granted twice, refused without need, or lost when their holders
+/// leave or die.
+#[test]
+fn claims_outlive_their_holders() {
+    let mut fleet = Fleet::formed(17, 5);
+    fleet.run_ms(5000);
+    let keys = 0..20;
+    let ask = |fleet: &mut Fleet, index, key: u64| {
+        let name = Name {
+            service: Arc::from("signing"),
+            workspace: Arc::from("anchor"),
+            key: Arc::from(format!("{key}")),
+        };
+        fleet.give(
+            index,
+            Event::Claim {
+                ticket: key,
+                name,
+                fingerprint: 1,
+            },
+        );
+    };
+    keys.clone().for_each(|key| ask(&mut fleet, 0, key));
+    fleet.run_ms(1000);
+    let granted = |fleet: &Fleet, index: usize| {
+        let verdicts = fleet.nodes[index].verdicts.values();
+        verdicts.filter(|v| **v == Verdict::Granted).count()
+    };
+    assert_eq!(granted(&fleet, 0), 20);
+    fleet.nodes[4].alive = false;
+    fleet.give(3, Event::Leave);
+    fleet.run_ms(15_000);
+    assert!(fleet.nodes[3].left);
+    keys.for_each(|key| ask(&mut fleet, 1, key));
+    fleet.run_ms(1000);
+    let verdicts = &fleet.nodes[1].verdicts;
+    assert_eq!(verdicts.len(), 20);
+    assert!(
+        verdicts.values().all(|v| *v == Verdict::Running),
+        "{verdicts:?}"
+    );
+}
+
 /// Guards against a starting host that jumps to the document's weights while a shift is in progress.
 #[test]
 fn a_starting_host_gets_the_weights_of_a_peer() {
--- a/scripts/settings.sh
+++ b/scripts/settings.sh
@@ -37,7 +37,13 @@
     done
 }
 
-generate karnerand 127.0.1 ee-north-a-1 ee-north-a-2 ee-north-b-1 \
-    fi-south-a-1 fi-south-b-1 fi-south-b-2 de-central-a-1 de-central-b-1
-generate lothian 127.0.2 lothian-a-1 lothian-a-2 lothian-b-1 \
-    tweeddale-a-1 tweeddale-b-1 tweeddale-b-2 kingdom-fife-a-1 kingdom-fife-b-1
+karnerand="ee-north-a-1 ee-north-a-2 ee-north-b-1 fi-south-a-1 fi-south-b-1 fi-south-b-2 \
+    de-central-a-1 de-central-b-1"
+lothian="lothian-a-1 lothian-a-2 lothian-b-1 tweeddale-a-1 tweeddale-b-1 tweeddale-b-2 \
+    kingdom-fife-a-1 kingdom-fife-b-1"
+
+# The names of the hosts hold no spaces.
+# shellcheck disable=SC2086
+generate karnerand 127.0.1 $karnerand
+# shellcheck disable=SC2086
+generate lothian 127.0.2 $lothian
