--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -29,7 +29,10 @@
 mod stream;
 pub mod tokens;
 
-use std::sync::Arc;
+use std::sync::{
+    Arc,
+    atomic::{AtomicUsize, Ordering},
+};
 
 pub use accept::serve;
 pub use settings::Settings;
@@ -46,21 +49,28 @@
     pub(crate) fleet: Fleet,
     pub(crate) usage: fair::Usage,
     pub(crate) retries: retry::Budget,
+    lanes: AtomicUsize,
 }
 
 impl Callers {
     /// State of a request path without backend connections.
     pub fn new(shared: Arc<Shared>, settings: Settings, tokens: Tokens) -> Arc<Self> {
         Arc::new(Self {
+            fleet: Fleet::new(shared.clone(), settings.warmup),
             shared,
-            fleet: Fleet::new(settings.warmup),
             settings,
             tokens,
             usage: fair::Usage::default(),
             retries: retry::Budget::default(),
+            lanes: AtomicUsize::new(0),
         })
     }
 
+    /// Number of the next caller thread.
+    pub(crate) fn next_lane(&self) -> pool::Lane {
+        pool::Lane(self.lanes.fetch_add(1, Ordering::Relaxed))
+    }
+
     /// What the request path knows about the backend servers.
     pub fn fleet(&self) -> &Fleet {
         &self.fleet
--- a/crates/entry/src/callers/accept.rs
+++ b/crates/entry/src/callers/accept.rs
@@ -28,7 +28,7 @@
 use tokio_rustls::TlsAcceptor;
 
 use super::{
-    Callers,
+    Callers, Settings,
     constants::ACCEPT_PAUSE,
     handler::Entry,
     metrics,
@@ -62,6 +62,7 @@
         graceful: GracefulShutdown::new(),
         permits: Arc::new(Semaphore::new(callers.settings.connections)),
         tls,
+        entry: Entry::new(callers.clone(), callers.next_lane()),
         callers,
     };
     let drain_started = server.accept_until_drained(&listener).await;
@@ -82,6 +83,7 @@
     permits: Arc<Semaphore>,
     tls: Option<TlsAcceptor>,
     callers: Arc<Callers>,
+    entry: Entry,
 }
 
 impl Server {
@@ -139,7 +141,8 @@
 
     fn spawn(&self, accepted: Accepted) {
         let watcher = self.graceful.watcher();
-        let callers = self.callers.clone();
+        let settings = self.callers.settings.clone();
+        let entry = self.entry.clone();
         let Accepted {
             stream,
             peer,
@@ -148,14 +151,16 @@
         stream.set_nodelay(true).ok();
         match self.tls.clone() {
             None => {
-                tokio::spawn(serve_connection(stream, peer, callers, watcher, permit));
+                tokio::spawn(serve_connection(
+                    stream, peer, entry, settings, watcher, permit,
+                ));
             }
             Some(tls) => {
                 tokio::spawn(async move {
-                    let limit = callers.settings.header_time;
+                    let limit = settings.header_time;
                     match tokio::time::timeout(limit, tls.accept(stream)).await {
                         Ok(Ok(stream)) => {
-                            serve_connection(stream, peer, callers, watcher, permit).await;
+                            serve_connection(stream, peer, entry, settings, watcher, permit).await;
                         }
                         Ok(Err(error)) => log::debug!("callers: TLS handshake failed: {error}"),
                         Err(_) => log::debug!("callers: TLS handshake timed out"),
@@ -175,13 +180,13 @@
 async fn serve_connection<S>(
     stream: S,
     peer: SocketAddr,
-    callers: Arc<Callers>,
+    entry: Entry,
+    settings: Settings,
     watcher: Watcher,
     _permit: OwnedSemaphorePermit,
 ) where
     S: AsyncRead + AsyncWrite + Send + Unpin + 'static,
 {
-    let settings = &callers.settings;
     let ambiguous = Arc::new(AtomicBool::new(false));
     let stream = Stream::new(
         stream,
@@ -196,7 +201,6 @@
         .max_headers(settings.headers)
         .max_header_size(settings.header_bytes)
         .max_buf_size(settings.header_bytes);
-    let entry = Entry::new(callers.clone());
     let service = service_fn(move |request| {
         let entry = entry.clone();
         let is_ambiguous = ambiguous.load(Ordering::Acquire);
--- a/crates/entry/src/callers/arrival.rs
+++ b/crates/entry/src/callers/arrival.rs
@@ -19,11 +19,13 @@
     headers::{self, REQUEST_TIMEOUT, WORKSPACE},
     metrics::Labels,
     path,
+    pool::Lane,
     refusal::{Code, Refusal},
 };
 
 /// A request before it is known what it is.
 pub(crate) struct Arrival {
+    lane: Lane,
     started: Instant,
     peer: Option<SocketAddr>,
     method: Method,
@@ -35,6 +37,8 @@
 
 /// What a request is.
 pub(crate) struct Call {
+    /// Caller thread that serves the request.
+    pub(crate) lane: Lane,
     pub(crate) started: Instant,
     pub(crate) deadline: Instant,
     /// Time between two pieces of a body after which the exchange is given up.
@@ -64,8 +68,9 @@
 
 impl Arrival {
     /// Takes the request out of gotham's state.
-    pub(crate) fn take_from(state: &mut State, started: Instant) -> Self {
+    pub(crate) fn take_from(state: &mut State, started: Instant, lane: Lane) -> Self {
         Self {
+            lane,
             started,
             peer: client_addr(state),
             method: Method::take_from(state),
@@ -99,6 +104,7 @@
             labels.workspace = workspace.clone();
         }
         let call = Call {
+            lane: self.lane,
             started: self.started,
             deadline: self.started + self.time_allowed(route)?,
             stall_limit: route.deadline,
--- a/crates/entry/src/callers/attempt.rs
+++ b/crates/entry/src/callers/attempt.rs
@@ -108,12 +108,16 @@
     /// A connection from the pool, or a new one; answers whether it is new.
     async fn connect(&self) -> Result<(Connection, bool), Failure> {
         let instance = self.instance();
-        if let Some(connection) = instance.pool.take(Instant::now(), !self.call.idempotent) {
+        let lane = self.call.lane;
+        if let Some(connection) = instance
+            .pool
+            .take(Instant::now(), lane, !self.call.idempotent)
+        {
             return Ok((connection, false));
         }
         let started = self.callers.shared.now();
         let limit = self.callers.settings.connect_time.min(self.call.left());
-        let opened = match timeout(limit, Connection::open(instance.address)).await {
+        let opened = match timeout(limit, Connection::open(instance.address, lane)).await {
             Ok(opened) => opened,
             Err(_) => Err(io::ErrorKind::TimedOut.into()),
         };
--- a/crates/entry/src/callers/fleet.rs
+++ b/crates/entry/src/callers/fleet.rs
@@ -17,7 +17,7 @@
 };
 
 use super::{constants::DEPARTED_INSTANCES, pool::Pool};
-use crate::shared::Snapshot;
+use crate::shared::{Shared, Snapshot};
 
 /// One backend server.
 pub struct Instance {
@@ -82,8 +82,8 @@
 }
 
 /// Backend servers of all services, following the newest snapshot.
-#[derive(Default)]
 pub struct Fleet {
+    shared: Arc<Shared>,
     table: ArcSwapOption<Table>,
     updating: Mutex<()>,
     warmup: Duration,
@@ -104,14 +104,16 @@
 
 impl Fleet {
     /// An empty fleet whose new instances get a rising part of the traffic for `warmup`.
-    pub fn new(warmup: Duration) -> Self {
+    pub fn new(shared: Arc<Shared>, warmup: Duration) -> Self {
         Self {
+            shared,
+            table: ArcSwapOption::empty(),
+            updating: Mutex::default(),
             warmup,
-            ..Self::default()
         }
     }
 
-    /// The instances of a service in a snapshot.
+    /// The instances of a service in `snapshot`, or in a newer one.
     pub fn instances(
         &self,
         now: Duration,
@@ -121,7 +123,7 @@
         let table = self.table.load();
         match table.as_deref() {
             Some(table) if Arc::ptr_eq(&table.snapshot, snapshot) => table.of(service).listed,
-            _ => self.update(now, snapshot).of(service).listed,
+            _ => self.update(now).of(service).listed,
         }
     }
 
@@ -134,13 +136,17 @@
             .for_each(|instance| instance.pool.sweep(now));
     }
 
-    /// Builds the table of a snapshot, keeping the state of instances that were there before.
-    fn update(&self, now: Duration, snapshot: &Arc<Snapshot>) -> Arc<Table> {
+    /// Builds the table of the newest snapshot, keeping the state of instances that were there before.
+    ///
+    /// The snapshot is read under the lock: a thread with an older one would otherwise go back to it
+    /// and take the instances that came since for departed ones.
+    fn update(&self, now: Duration) -> Arc<Table> {
         let _updating = self.updating.lock().unwrap_or_else(PoisonError::into_inner);
+        let snapshot = self.shared.snapshot.load_full();
         let old = self.table.load_full();
         if let Some(old) = old
             .as_ref()
-            .filter(|old| Arc::ptr_eq(&old.snapshot, snapshot))
+            .filter(|old| Arc::ptr_eq(&old.snapshot, &snapshot))
         {
             return old.clone();
         }
@@ -150,8 +156,8 @@
             (name.clone(), instances)
         });
         let table = Arc::new(Table {
-            snapshot: snapshot.clone(),
             services: services.collect(),
+            snapshot,
         });
         self.table.store(Some(table.clone()));
         table
--- a/crates/entry/src/callers/handler.rs
+++ b/crates/entry/src/callers/handler.rs
@@ -20,6 +20,7 @@
     arrival::Arrival,
     claims, forward,
     metrics::{self, InFlight, Labels},
+    pool::Lane,
     rate,
     refusal::Refusal,
 };
@@ -28,6 +29,7 @@
 #[derive(Clone)]
 pub(crate) struct Entry {
     callers: Arc<Callers>,
+    lane: Lane,
 }
 
 // A panic leaves at most one request's state behind, and locks ignore poisoning.
@@ -35,8 +37,9 @@
 impl RefUnwindSafe for Entry {}
 
 impl Entry {
-    pub(crate) fn new(callers: Arc<Callers>) -> Self {
-        Self { callers }
+    /// Handler on the caller thread `lane`.
+    pub(crate) fn new(callers: Arc<Callers>, lane: Lane) -> Self {
+        Self { callers, lane }
     }
 }
 
@@ -53,7 +56,7 @@
         let started = Instant::now();
         async move {
             let callers = &self.callers;
-            let arrival = Arrival::take_from(&mut state, started);
+            let arrival = Arrival::take_from(&mut state, started, self.lane);
             let mut labels = Labels::default();
             let mut response = match run(callers, arrival, &mut labels).await {
                 Ok(response) => response,
--- a/crates/entry/src/callers/pool.rs
+++ b/crates/entry/src/callers/pool.rs
@@ -2,7 +2,8 @@
 //!
 //! A connection comes back only after a completely finished exchange, and goes out again only if it
 //! is open and holds no unread bytes: bytes that nobody asked for would become the answer to the
-//! next caller's request. See docs/design.md §10.
+//! next caller's request. Each caller thread uses connections that it opened itself: their tasks end with
+//! its runtime, at different times in a drain. See docs/design.md §10.
 
 use std::{
     io,
@@ -29,8 +30,13 @@
     pub(crate) sender: SendRequest<Body>,
     pub(crate) socket: Socket,
     task: AbortHandle,
+    lane: Lane,
 }
 
+/// Number of the caller thread that a connection belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Lane(pub(crate) usize);
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.task.abort();
@@ -38,8 +44,8 @@
 }
 
 impl Connection {
-    /// Opens a connection.
-    pub(crate) async fn open(address: SocketAddr) -> io::Result<Self> {
+    /// Opens a connection whose task runs on the present runtime.
+    pub(crate) async fn open(address: SocketAddr, lane: Lane) -> io::Result<Self> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         let socket = Socket::new(stream);
@@ -57,6 +63,7 @@
             sender,
             socket,
             task: task.abort_handle(),
+            lane,
         })
     }
 
@@ -78,15 +85,17 @@
 
 impl Pool {
     /// Takes out an idle connection; one that answered recently if `fresh`.
-    pub(crate) fn take(&self, now: Instant, fresh: bool) -> Option<Connection> {
+    pub(crate) fn take(&self, now: Instant, lane: Lane, fresh: bool) -> Option<Connection> {
         let limit = if fresh { FRESH_LIMIT } else { IDLE_LIMIT };
         let mut idle = self.lock();
-        while let Some(newest) = idle.pop_if(|idle| is_younger(idle, now, limit)) {
-            if newest.connection.is_usable() {
-                return Some(newest.connection);
+        loop {
+            let fits = |idle: &Idle| idle.connection.lane == lane && is_younger(idle, now, limit);
+            let newest = idle.iter().rposition(fits)?;
+            let connection = idle.remove(newest).connection;
+            if connection.is_usable() {
+                return Some(connection);
             }
         }
-        None
     }
 
     /// Keeps a connection whose exchange has completely finished.
--- a/crates/entry/tests/callers/drain.rs
+++ b/crates/entry/tests/callers/drain.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use marjorampick_entry::callers::{Settings, tokens::Tokens};
+use marjorampick_entry::callers::{self, Settings, tokens::Tokens};
 use tokio::net::TcpStream;
 
-use crate::common::{Caller, LIMIT, Site, request, until};
+use crate::common::{ANCHOR_KEY, Caller, LIMIT, Site, document, request, until};
 
 /// Guards against a drain that cuts off a long upload, refuses callers with cached look-ups, or
 /// never ends.
@@ -75,6 +75,61 @@
     assert_eq!(answer.status, 200, "{answer:?}");
 }
 
+/// Guards against a request that is cut off because the caller thread that opened its backend
+/// connection has drained earlier.
+#[tokio::test]
+async fn caller_threads_do_not_share_backend_connections() {
+    let site = Site::start(1).await;
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    listener.set_nonblocking(true).unwrap();
+    let address = listener.local_addr().unwrap();
+    let (stop, stopped) = tokio::sync::oneshot::channel::<()>();
+    let callers = site.callers.clone();
+    let other = std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build();
+        runtime.unwrap().block_on(async {
+            let listener = tokio::net::TcpListener::from_std(listener).unwrap();
+            tokio::select! {
+                _ = callers::serve(listener, None, callers) => {}
+                _ = stopped => {}
+            }
+        });
+    });
+    let first = Caller::connect(address).await;
+    let answer = { first }.ask(&request("GET", "/status", "", "")).await;
+    assert_eq!(answer.status, 200);
+    let mut running = site.caller().await;
+    let slow = request("POST", "/slow", "x-standin-fault: late=200\r\n", "");
+    running.send(slow).await;
+    until("the request runs", || site.backends[0].running() == 1).await;
+    drop(stop);
+    other.join().unwrap();
+    assert_eq!(running.answer().await.status, 200);
+}
+
+/// Guards against an older snapshot in a slow thread making newer instances leave.
+#[tokio::test]
+async fn an_older_snapshot_does_not_remove_instances() {
+    let mut site = Site::start(2).await;
+    let all = site.listed.clone();
+    site.listed.truncate(1);
+    site.publish(document(ANCHOR_KEY), "ee-north");
+    let older = site.shared.snapshot.load_full();
+    site.listed = all;
+    site.publish(document(ANCHOR_KEY), "ee-north");
+    assert_eq!(site.instances().len(), 2);
+    let fleet = site.callers.fleet();
+    fleet.instances(site.shared.now(), &older, "signing");
+    let instances = site.instances();
+    assert!(
+        instances
+            .iter()
+            .all(|instance| !instance.status().is_leaving())
+    );
+}
+
 /// Guards against new work for a backend server that says itself that it is leaving.
 #[tokio::test]
 async fn a_draining_backend_server_ends_its_answers_with_a_close() {
