Spend the ledger's accounts, keep scarce slots for small workspaces

Tokens::of_ledger connects the request path with the accounts; a region's headroom stays free unless another region is lost.

--- a/crates/entry/src/callers/body.rs
+++ b/crates/entry/src/callers/body.rs
@@ -84,11 +84,7 @@
     fn pay(&mut self) -> bool {
         let mut piece = self.due.min(CHARGE_STEP_BYTES as u64);
         loop {
-            let taking = if self.again {
-                Taking::Again
-            } else {
-                Taking::First
-            };
+            let taking = Taking::whole(self.again);
             if (self.callers.tokens.take)(&self.budget, piece, taking) {
                 self.due -= piece;
                 self.again = false;
--- a/crates/entry/src/callers/choice.rs
+++ b/crates/entry/src/callers/choice.rs
@@ -217,12 +217,13 @@
     }
 
     fn taking(&self, slots: Slots) -> Taking {
-        match slots {
-            Slots::Regular if self.document.headroom_percent > 0.0 => {
-                Taking::Sparing(self.document.headroom_percent)
-            }
-            Slots::Regular | Slots::WithHeadroom if self.again => Taking::Again,
-            Slots::Regular | Slots::WithHeadroom => Taking::First,
+        let spared_percent = match slots {
+            Slots::Regular => self.document.headroom_percent,
+            Slots::WithHeadroom => 0.0,
+        };
+        Taking {
+            again: self.again,
+            spared_percent,
         }
     }
 
--- a/crates/entry/src/callers/rate.rs
+++ b/crates/entry/src/callers/rate.rs
@@ -21,7 +21,9 @@
     let service = call.service.clone();
     let budget = Budget::Workspace { service, workspace };
     let take = |taking| (callers.tokens.take)(&budget, 1, taking);
-    if take(Taking::First) || (borrow(callers, call, &budget, 1).await && take(Taking::Again)) {
+    if take(Taking::whole(false))
+        || (borrow(callers, call, &budget, 1).await && take(Taking::whole(true)))
+    {
         return Ok(());
     }
     Err(Refusal::not_run(
--- a/crates/entry/src/callers/tokens.rs
+++ b/crates/entry/src/callers/tokens.rs
@@ -1,20 +1,28 @@
 //! Taking and returning tokens of the fleet-wide budgets. See docs/design.md §7.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use marjorampick_core::budget::{Account, Budget, Ledger};
 
 use crate::shared::Shared;
 
 /// How an amount is taken.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Taking {
-    /// For the first time for this request.
-    First,
-    /// Again, for a request that was short before, so that it doesn't count as demand twice.
-    Again,
-    /// For the first time, and only if this part of the slots stays free, in percent.
-    Sparing(f64),
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Taking {
+    /// Whether the request was short before, so that it doesn't count as demand twice.
+    pub again: bool,
+    /// Part of the slots that must stay free, in percent.
+    pub spared_percent: f64,
+}
+
+impl Taking {
+    /// Takes from the whole amount; `again` if the request was short before.
+    pub fn whole(again: bool) -> Self {
+        Self {
+            again,
+            spared_percent: 0.0,
+        }
+    }
 }
 
 /// Takes an amount of a budget if the host has it.
@@ -49,20 +57,28 @@
 
     /// The accounts of a ledger; a budget without an account has nothing.
     pub fn of_ledger(ledger: Arc<Ledger>, shared: Arc<Shared>) -> Self {
-        let (taken, taken_at) = (ledger.clone(), shared.clone());
-        let (released, released_at) = (ledger.clone(), shared.clone());
+        Self::at_times(ledger, move || shared.now())
+    }
+
+    /// The accounts of a ledger with a clock of the caller's choice.
+    pub fn at_times(
+        ledger: Arc<Ledger>,
+        now: impl Fn() -> Duration + Clone + Send + Sync + 'static,
+    ) -> Self {
+        let (taken, taken_at) = (ledger.clone(), now.clone());
+        let (released, released_at) = (ledger.clone(), now.clone());
         let take = move |budget: &Budget, amount: u64, taking: Taking| {
             let account = taken.account(budget);
-            account.is_some_and(|account| take_from(&account, &taken_at, amount, taking))
+            account.is_some_and(|account| take_from(&account, taken_at(), amount, taking))
         };
         let release = move |budget: &Budget, amount: u64| {
             if let Some(account) = released.account(budget) {
-                account.release(released_at.now(), amount);
+                account.release(released_at(), amount);
             }
         };
         let left = move |budget: &Budget| {
             let account = ledger.account(budget);
-            account.map_or(0, |account| account.available(shared.now()))
+            account.map_or(0, |account| account.available(now()))
         };
         Self {
             take: Arc::new(take),
@@ -80,17 +96,21 @@
     }
 }
 
-fn take_from(account: &Account, shared: &Shared, amount: u64, taking: Taking) -> bool {
-    let now = shared.now();
-    match taking {
-        Taking::First => account.take(now, amount).is_ok(),
-        Taking::Again => account.take_again(now, amount).is_ok(),
-        Taking::Sparing(percent) => {
-            let free = account.available(now);
-            let spared = percent / 100.0 * (free + account.used()) as f64;
-            (free.saturating_sub(amount)) as f64 >= spared && account.take(now, amount).is_ok()
+fn take_from(account: &Account, now: Duration, amount: u64, taking: Taking) -> bool {
+    if taking.spared_percent > 0.0 {
+        let free = account.available(now);
+        let spared = taking.spared_percent / 100.0 * (free + account.used()) as f64;
+        // Two threads may both pass this check for the last slot that is not spared.
+        if (free.saturating_sub(amount) as f64) < spared {
+            return false;
         }
     }
+    let taken = if taking.again {
+        account.take_again(now, amount)
+    } else {
+        account.take(now, amount)
+    };
+    taken.is_ok()
 }
 
 /// Slot of a concurrency budget.
--- a/crates/entry/tests/callers/budgets.rs
+++ b/crates/entry/tests/callers/budgets.rs
@@ -1,11 +1,14 @@
 //! Rates, region slots and cross-region bytes at the request path.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicU64, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
 };
 
-use marjorampick_core::budget::Budget;
+use marjorampick_core::budget::{self, Budget, Ledger, Limit};
 use marjorampick_entry::{
     callers::{
         Settings,
@@ -14,7 +17,7 @@
     shared,
 };
 
-use crate::common::{ANCHOR_KEY, Site, document, request, until};
+use crate::common::{ANCHOR_KEY, SECOND_KEY, Site, document, request, until};
 
 /// Budgets in which one kind holds a number of tokens, and all others are unlimited.
 fn limited(is_limited: fn(&Budget) -> bool, tokens: u64) -> (Tokens, Arc<AtomicU64>) {
@@ -101,6 +104,71 @@
     );
 }
 
+/// Guards against a workspace that fills a region and leaves no slot to the others.
+#[tokio::test]
+async fn scarce_slots_are_kept_for_workspaces_below_their_fair_part() {
+    const SLOTS: u64 = 40;
+    let is_region = |budget: &Budget| matches!(budget, Budget::Region { .. });
+    let (tokens, left) = limited(is_region, SLOTS);
+    let site = Site::with(5, Settings::default(), tokens).await;
+    let slow = request("POST", "/slow", "x-standin-fault: late=700\r\n", "");
+    let second = slow.replace(ANCHOR_KEY, SECOND_KEY);
+    assert_eq!(
+        site.ask(&second.replace("late=700", "late=0")).await.status,
+        200
+    );
+    let mut callers = Vec::new();
+    for _ in 0..SLOTS {
+        let mut caller = site.caller().await;
+        caller.send(&slow).await;
+        callers.push(caller);
+    }
+    until("the reserve is reached", || {
+        left.load(Ordering::SeqCst) == SLOTS / 10
+    })
+    .await;
+    let mut other = site.caller().await;
+    assert_eq!(other.ask(&second).await.status, 200);
+    let mut refused = 0;
+    for mut caller in callers {
+        refused += u64::from(caller.answer().await.status == 503);
+    }
+    assert_eq!(refused, SLOTS / 10);
+}
+
+/// Guards against slots that are taken from the wrong account, kept, or taken from the headroom.
+#[test]
+fn the_ledgers_slots_are_taken_and_returned() {
+    let settings = budget::Settings::Omniscient;
+    let ledger = Arc::new(Ledger::new("entry-1".into(), 1, settings));
+    let region = Budget::Region {
+        service: "signing".into(),
+        region: "ee-north".into(),
+    };
+    let limit = Limit::Concurrency {
+        slots: 10,
+        longest: Duration::from_secs(1),
+    };
+    ledger.in_force(Duration::ZERO, 1);
+    ledger.set_members(Duration::ZERO, &["entry-1".into()], 1);
+    ledger.configure(Duration::ZERO, &[(region.clone(), limit)], 1);
+    // A share counts when everything granted before it has ended.
+    let tokens = Tokens::at_times(ledger, || Duration::from_secs(60));
+    let sparing = Taking {
+        again: false,
+        spared_percent: 20.0,
+    };
+    let taken = |taking| (tokens.take)(&region, 1, taking);
+    assert_eq!((0..10).filter(|_| taken(sparing)).count(), 8);
+    assert_eq!((0..10).filter(|_| taken(Taking::whole(false))).count(), 2);
+    (tokens.release)(&region, 1);
+    assert_eq!((tokens.left)(&region), 1);
+    let unknown = Budget::CrossRegion {
+        service: "signing".into(),
+    };
+    assert!(!(tokens.take)(&unknown, 1, Taking::whole(false)));
+}
+
 /// Guards against bytes that cross regions without being paid for, and against cutting off a stream
 /// that has to wait for its volume.
 #[tokio::test]
