Spend new limits at once when they follow the newest members

Cause: quickstart was refused with region-full: slots of a new service waited for the last join to settle, which for slots takes the longest deadline (120 s for uploads), although no host can have spent them under older members. Change: a limit that was written after the newest member table, which the host knew before, opens with its whole share. The chain orders records, so that whoever knows the limit knows that table. fleet.sh waits for settled members and can run beside another fleet.

--- a/crates/core/src/budget/ledger.rs
+++ b/crates/core/src/budget/ledger.rs
@@ -102,6 +102,26 @@
         self.update_lenders(&mut control);
     }
 
+    /// Opens the accounts of those `limits` that have none, with the whole share at once.
+    ///
+    /// To be called only for limits that were written after the newest members and that no host had
+    /// before: whoever spends them knows the newest members, so that nothing was granted under older
+    /// ones. Without this, a new service would wait until the last change of members has settled.
+    pub fn introduce(&self, now: Duration, limits: &[(Budget, Limit)]) {
+        let control = self.control();
+        let Some(members) = control.members.last() else {
+            return;
+        };
+        for (budget, limit) in limits {
+            if self.account(budget).is_some() {
+                continue;
+            }
+            let share = self.share(budget, *limit, &members.hosts);
+            let versions = Versions::settled(settling_time(*limit), members.revision, share);
+            self.insert(now, budget, *limit, versions);
+        }
+    }
+
     /// Replaces the members by those of `revision`.
     ///
     /// To be called for every version of the members, in their order, and in the order of revisions
@@ -236,6 +256,16 @@
             let share = self.share(budget, limit, &members.hosts);
             versions.push(members.revision, share, members.in_force);
         }
+        self.insert(now, budget, limit, versions)
+    }
+
+    fn insert(
+        &self,
+        now: Duration,
+        budget: &Budget,
+        limit: Limit,
+        versions: Versions,
+    ) -> Arc<Account> {
         let account = Arc::new(Account::new(now, budget.clone(), limit, versions));
         if let Settings::Leased { lease } = self.settings {
             account.lock().lease_until = Some(now + lease);
--- a/crates/core/src/budget/tests.rs
+++ b/crates/core/src/budget/tests.rs
@@ -103,3 +103,17 @@
     ledger.in_force(MINUTE * 2, 3);
     assert_eq!(drain(&account, MINUTE * 3), 160);
 }
+
+/// Guards against a new service that waits for a change of members which it follows, and against a
+/// host that regards a limit it already has as new.
+#[test]
+fn a_limit_written_after_the_members_is_spent_at_once() {
+    let ledger = Ledger::new(Arc::from("a"), 1, Settings::Lending);
+    let limit = Limit::rate(640.0, 320);
+    ledger.set_members(MINUTE, &hosts(&["a", "b"]), 1);
+    ledger.configure(MINUTE, &[(budget("old"), limit)], 2);
+    ledger.introduce(MINUTE, &[(budget("old"), limit), (budget("new"), limit)]);
+    let open = |name| ledger.account(&budget(name)).expect("an account");
+    assert_eq!(drain(&open("new"), MINUTE * 2), 160);
+    assert_eq!(drain(&open("old"), MINUTE * 2), 0);
+}
--- a/crates/core/src/budget/version.rs
+++ b/crates/core/src/budget/version.rs
@@ -37,6 +37,19 @@
         versions
     }
 
+    /// Starts with a share that no host can hold a different version of.
+    pub(super) fn settled(delay: Duration, revision: u64, share: Share) -> Self {
+        let version = Version {
+            revision,
+            share,
+            in_force: Some(Duration::ZERO),
+        };
+        Self {
+            versions: vec![version],
+            delay,
+        }
+    }
+
     /// Forgets all versions, so that the next share counts as an increase from nothing.
     pub(super) fn clear(&mut self) {
         let nothing = Version {
--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -271,10 +271,13 @@
             return;
         };
         // The shares of new limits are those of the newest members.
-        if let Some(record) = changed.iter().find(|one| one.key.as_ref() == roster::KEY) {
+        let members = changed.iter().find(|one| one.key.as_ref() == roster::KEY);
+        if let Some(record) = members {
             self.take_roster(now, record);
         }
-        self.take_documents(now, &changed);
+        // Whoever knows a limit that follows this table in the chain knows the table as well.
+        let after_members = members.is_none() && self.is_member();
+        self.take_documents(now, &changed, after_members);
         self.note_self(now);
         if !changed.is_empty() {
             self.actions.push(Action::Publish);
@@ -284,7 +287,8 @@
         }
     }
 
-    fn take_documents(&mut self, now: Duration, changed: &[Record]) {
+    /// `after_members` tells that the changes follow the newest member table, which was known before.
+    fn take_documents(&mut self, now: Duration, changed: &[Record], after_members: bool) {
         let mut newest = None;
         for record in changed {
             if let Some(service) = record.key.strip_prefix(edit::DOCUMENTS) {
@@ -293,6 +297,9 @@
             }
         }
         if let Some(revision) = newest {
+            if after_members {
+                self.introduce_budgets(now);
+            }
             self.configure_budgets(now, revision);
         }
     }
--- a/crates/core/src/host/budgets.rs
+++ b/crates/core/src/host/budgets.rs
@@ -62,6 +62,14 @@
         ledger.set_members(now, &self.holders(&roster.members), revision);
     }
 
+    /// Opens the accounts of limits that no document before the newest changes had.
+    pub(super) fn introduce_budgets(&self, now: Duration) {
+        let live = self.budgets.live.as_ref();
+        let documents = self.documents.values();
+        let limits: Vec<_> = documents.flat_map(|known| limits(known, live)).collect();
+        self.budgets.ledger.introduce(now, &limits);
+    }
+
     /// Works the limits out anew; `revision` is that of the change they follow from.
     pub(super) fn configure_budgets(&mut self, now: Duration, revision: u64) {
         let live = self.budgets.live.as_ref();
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,7 +1,8 @@
 # Starts and stops a whole deployment on loopback. Sourced by quickstart.sh and measure.sh.
 #
 # fleet_start DEPLOYMENT FOLDER   starts stand-ins and 8 entry hosts
-# fleet_document SERVICE          puts the sample document of a service
+# fleet_ready                     waits until the members are settled
+# fleet_document FILE             puts a document
 # fleet_key SERVICE WORKSPACE     issues a key and prints it
 # fleet_stop                      stops everything that fleet_start started
 #
@@ -30,13 +31,19 @@
   esac
 }
 
-fleet_net() {
+# Network of the sample settings.
+fleet_sample_net() {
   case "$1" in
     karnerand) echo 127.0.1 ;;
     lothian) echo 127.0.2 ;;
   esac
 }
 
+# FLEET_NET, for instance 127.0.31, lets a second fleet run beside another one.
+fleet_net() {
+  echo "${FLEET_NET:-$(fleet_sample_net "$1")}"
+}
+
 # Writes the platform's list: the instances of every service, spread over regions and failure domains.
 fleet_list() {
   local deployment=$1 file=$2 net regions service instances index region domain separator=""
@@ -67,12 +74,13 @@
 }
 
 fleet_start() {
-  local deployment=$1 net paces=() entry
+  local deployment=$1 net paces=() entry pid
   FLEET_FOLDER=$2
   net=$(fleet_net "$deployment")
   mkdir -p "$FLEET_FOLDER"
   rm -rf "$FLEET_FOLDER/hosts"
   cp -r "$FLEET_ROOT/settings/$deployment/hosts" "$FLEET_FOLDER/hosts"
+  sed -i "s/$(fleet_sample_net "$deployment")\./$net./g" "$FLEET_FOLDER"/hosts/*.toml
   fleet_list "$deployment" "$FLEET_FOLDER/hosts.json"
   for entry in $(fleet_services "$deployment"); do
     IFS='=' read -r service _ pace <<<"$entry"
@@ -93,6 +101,13 @@
       --file "$FLEET_FOLDER/hosts.json" --region "$region" "${paces[@]}"
     FLEET_REGION_PIDS[$region]=${FLEET_PIDS[-1]}
   done
+  sleep 0.3
+  for pid in "${FLEET_PIDS[@]}"; do
+    kill -0 "$pid" 2>/dev/null && continue
+    echo "fleet: a stand-in ended at once; is another fleet running on $net?" >&2
+    cat "$FLEET_FOLDER"/{store,list}.log "$FLEET_FOLDER"/backends-*.log >&2
+    return 1
+  done
   FLEET_ADMIN=()
   FLEET_LOOKUPS=()
   for entry in "${names[@]}"; do
@@ -108,17 +123,27 @@
   "$FLEET_BIN/marjorampick-ctl" "${FLEET_ADMIN[@]}" "$@"
 }
 
-# Hosts join one after the other, so that the first edit may have to wait.
-fleet_document() {
-  local file=$1 attempt
-  for attempt in $(seq 1 60); do
-    fleet_ctl document put "$file" >"$FLEET_FOLDER/ctl.log" 2>&1 && return 0
-    sleep 0.5
+# Waits until every host is a member and the members are settled, so that shares are complete.
+fleet_ready() {
+  local attempt hosts=${#FLEET_LOOKUPS[@]}
+  for attempt in $(seq 1 120); do
+    # Columns: host, region, current, revision, revision in force, members.
+    if fleet_ctl status 2>/dev/null | awk -v hosts="$hosts" \
+      '$3 == "yes" && $4 == $5 && $6 == hosts { ready++ } END { exit ready != hosts }'; then
+      # A share grows when its change is in force and one loan term has passed.
+      sleep 2.5
+      return 0
+    fi
+    sleep 0.25
   done
-  cat "$FLEET_FOLDER/ctl.log" >&2
+  fleet_ctl status >&2
   return 1
 }
 
+fleet_document() {
+  fleet_ctl document put "$1"
+}
+
 fleet_key() {
   fleet_ctl key issue "$1" "$2"
 }
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -71,6 +71,7 @@
   local deployment=$1 folder="$FLEET_ROOT/out/quickstart/$1" document service
   echo "== $deployment: starting stand-ins and 8 entry hosts"
   fleet_start "$deployment" "$folder"
+  fleet_ready
   declare -A keys=()
   for document in "$FLEET_ROOT/settings/$deployment/documents"/*.toml; do
     service=$(basename "$document" .toml)
