Give early claims back, count the headroom out of the fair parts

A claim whose caller left while it waited for a slot or a connection was completed as unknown, which blocked its key for 15 minutes although nothing was sent. A claim is now unknown only from the moment of sending. The rule for scarce slots counted the headroom as free, and so never applied with a headroom of a tenth or more.

--- a/crates/entry/src/callers/attempt.rs
+++ b/crates/entry/src/callers/attempt.rs
@@ -18,6 +18,7 @@
     arrival::{Call, Outgoing},
     body::{Meter, Metered},
     choice::Target,
+    claims::Claim,
     constants::CHARGE_STEP_BYTES,
     exchange::Reply,
     fleet::Instance,
@@ -68,7 +69,11 @@
 
 impl Attempt<'_> {
     /// Sends the request; the body is left in `outgoing` if it can be sent again.
-    pub(crate) async fn run(&self, outgoing: &mut Outgoing) -> Result<Reply, Failure> {
+    pub(crate) async fn run(
+        &self,
+        outgoing: &mut Outgoing,
+        claim: Option<&mut Claim>,
+    ) -> Result<Reply, Failure> {
         let (connection, fresh) = self.connect().await?;
         let repeatable = self.call.idempotent && outgoing.body.is_none();
         let request = self.request(outgoing)?;
@@ -80,6 +85,9 @@
             connection,
         };
         sending.connection.socket.start_request();
+        if let Some(claim) = claim {
+            claim.sending();
+        }
         let answered = sending.connection.sender.try_send_request(request);
         tokio::pin!(answered);
         let mut answer = None;
--- a/crates/entry/src/callers/choice.rs
+++ b/crates/entry/src/callers/choice.rs
@@ -196,14 +196,15 @@
             return false;
         };
         let region = &self.document.regions[index];
-        let Some(share) = self.fair_share(region) else {
+        let taking = self.taking(slots);
+        let Some(share) = self.fair_share(region, taking) else {
             return false;
         };
         let budget = Budget::Region {
             service: self.call.service.clone(),
             region: region.name.clone(),
         };
-        let Some(slot) = self.callers.tokens.slot(budget.clone(), self.taking(slots)) else {
+        let Some(slot) = self.callers.tokens.slot(budget.clone(), taking) else {
             self.short.get_or_insert(budget);
             return false;
         };
@@ -228,7 +229,7 @@
     }
 
     /// Counts the request for its workspace, unless the workspace is over its part of scarce slots.
-    fn fair_share(&self, region: &Region) -> Option<fair::Share> {
+    fn fair_share(&self, region: &Region, taking: Taking) -> Option<fair::Share> {
         let budget = Budget::Region {
             service: self.call.service.clone(),
             region: region.name.clone(),
@@ -239,6 +240,7 @@
             &budget,
             self.call.workspace.as_ref(),
             free,
+            taking.spared_percent,
         )
     }
 }
--- a/crates/entry/src/callers/claims.rs
+++ b/crates/entry/src/callers/claims.rs
@@ -41,8 +41,7 @@
     Replay(Response<Body>),
 }
 
-/// A granted claim. Its end is reported when it is dropped, as unknown unless something else is
-/// known by then.
+/// A granted claim. Its end is reported when it is dropped, with what is known by then.
 pub(crate) struct Claim {
     callers: Arc<Callers>,
     name: Name,
@@ -62,11 +61,16 @@
         Self {
             callers,
             name,
-            state: Some(State::Unknown),
+            state: None,
             head: None,
         }
     }
 
+    /// The request is about to be sent: from now on it may run.
+    pub(crate) fn sending(&mut self) {
+        self.state = Some(State::Unknown);
+    }
+
     /// No byte left for a backend server, so that the same request may be sent later.
     pub(crate) fn not_sent(&mut self) {
         self.state = None;
--- a/crates/entry/src/callers/fair.rs
+++ b/crates/entry/src/callers/fair.rs
@@ -12,6 +12,8 @@
 
 use marjorampick_core::budget::Budget;
 
+use super::tokens::spared;
+
 /// Part of the slots that is kept for workspaces below their fair part, in percent.
 const RESERVED_PERCENT: u64 = 10;
 
@@ -46,19 +48,23 @@
 impl Usage {
     /// Counts a request; `None` if it would take a scarce slot beyond its workspace's fair part.
     ///
-    /// `free` is the number of free slots. Requests of open routes share one part.
+    /// `free` is the number of free slots, of which the part `spared_percent` of all slots is for
+    /// none of the workspaces. Requests of open routes share one part.
     pub(crate) fn take(
         &self,
         now: Duration,
         budget: &Budget,
         workspace: Option<&Arc<str>>,
         free: u64,
+        spared_percent: f64,
     ) -> Option<Share> {
         let workspace = workspace.cloned().unwrap_or_default();
         let region = self.region(budget);
         let mut workspaces = region.lock();
         workspaces.retain(|_, other| other.running > 0 || now < other.seen + ACTIVE_TIME);
-        let used = workspaces.values().map(|other| other.running).sum();
+        let used: u64 = workspaces.values().map(|other| other.running).sum();
+        let spared = spared(used.saturating_add(free), spared_percent);
+        let free = free.saturating_sub(spared);
         let own = workspaces.entry(workspace.clone()).or_default();
         own.seen = now;
         let running = own.running;
--- a/crates/entry/src/callers/forward.rs
+++ b/crates/entry/src/callers/forward.rs
@@ -42,7 +42,7 @@
             target: &target,
             may_retry: tried.len() <= RETRIES,
         };
-        let failure = match attempt.run(&mut outgoing).await {
+        let failure = match attempt.run(&mut outgoing, claim.as_mut()).await {
             Ok(reply) => {
                 let response =
                     exchange::pass_on(callers, call, target, reply, claim.take(), in_flight);
--- a/crates/entry/src/callers/tokens.rs
+++ b/crates/entry/src/callers/tokens.rs
@@ -99,9 +99,9 @@
 fn take_from(account: &Account, now: Duration, amount: u64, taking: Taking) -> bool {
     if taking.spared_percent > 0.0 {
         let free = account.available(now);
-        let spared = taking.spared_percent / 100.0 * (free + account.used()) as f64;
+        let spared = spared(free + account.used(), taking.spared_percent);
         // Two threads may both pass this check for the last slot that is not spared.
-        if (free.saturating_sub(amount) as f64) < spared {
+        if free < spared + amount {
             return false;
         }
     }
@@ -113,6 +113,11 @@
     taken.is_ok()
 }
 
+/// Number of slots that stay free, rounded to the nearest, so that a share of one slot can be used.
+pub(crate) fn spared(slots: u64, percent: f64) -> u64 {
+    (percent / 100.0 * slots as f64).round() as u64
+}
+
 /// Slot of a concurrency budget.
 pub(crate) struct Slot {
     tokens: Tokens,
--- a/crates/entry/tests/callers/claims.rs
+++ b/crates/entry/tests/callers/claims.rs
@@ -1,7 +1,15 @@
 //! Requests with an idempotency key: the claim's verdict decides, and its end is reported.
 
-use marjorampick_core::claim::{Completion, State, Verdict};
-use marjorampick_entry::shared::Request;
+use std::sync::Arc;
+
+use marjorampick_core::{
+    budget::Budget,
+    claim::{Completion, State, Verdict},
+};
+use marjorampick_entry::{
+    callers::{Settings, tokens::Tokens},
+    shared::Request,
+};
 
 use crate::common::{Answer, Caller, Site, request, until};
 
@@ -103,6 +111,25 @@
     assert_eq!(completed(&mut site).await.state, Some(State::Unknown));
 }
 
+/// Guards against a key that is blocked because its caller left before anything was sent.
+#[tokio::test]
+async fn a_caller_that_leaves_early_gives_its_claim_back() {
+    let take = |budget: &Budget, _, _| !matches!(budget, Budget::Region { .. });
+    let tokens = Tokens {
+        take: Arc::new(take),
+        ..Tokens::unlimited()
+    };
+    let mut site = Site::with(1, Settings::default(), tokens).await;
+    let (caller, _) = claimed(&mut site, "", Verdict::Granted).await;
+    let Request::Short { wake, .. } = site.asked().await else {
+        panic!("expected a request for a slot");
+    };
+    drop(caller);
+    assert_eq!(completed(&mut site).await.state, None);
+    drop(wake);
+    assert!(site.backends[0].record().seen.is_empty());
+}
+
 /// Guards against a claim that blocks the key although nothing was sent.
 #[tokio::test]
 async fn a_request_that_was_not_sent_gives_its_claim_back() {
--- a/crates/entry/tests/callers/common.rs
+++ b/crates/entry/tests/callers/common.rs
@@ -60,6 +60,7 @@
 [[region]]
 name = "fi-south"
 weight = 0
+drain = true
 slots_per_backend = 1000
 [[workspace]]
 name = "anchor"
