--- a/crates/entry/src/callers/arrival.rs
+++ b/crates/entry/src/callers/arrival.rs
@@ -57,6 +57,8 @@
     pub(crate) headers: HeaderMap,
     /// `None` when there is no body, so that the request can be sent again.
     pub(crate) body: Option<Body>,
+    /// Whether the body already charges its bytes to the cross-region budget.
+    pub(crate) metered: bool,
 }
 
 impl Call {
@@ -191,6 +193,7 @@
             target: credential::strip_target(&self.uri)?,
             headers,
             body,
+            metered: false,
         })
     }
 }
--- a/crates/entry/src/callers/attempt.rs
+++ b/crates/entry/src/callers/attempt.rs
@@ -157,7 +157,13 @@
                 again: Again::Never,
             });
         }
-        let body = outgoing.body.take().map(|body| self.metered(body));
+        let body = outgoing.body.take();
+        let body = if self.target.crosses && !outgoing.metered {
+            outgoing.metered = true;
+            body.map(|body| self.metered(body))
+        } else {
+            body
+        };
         let mut request = Request::new(body.unwrap_or_default());
         *request.method_mut() = outgoing.method.clone();
         *request.uri_mut() = outgoing.target.clone().into();
@@ -175,9 +181,6 @@
     }
 
     fn metered(&self, body: Body) -> Body {
-        if !self.target.crosses {
-            return body;
-        }
         let meter = Meter::new(self.callers.clone(), self.call.service.clone(), 0);
         Body::new(Metered::new(body, meter))
     }
--- a/crates/entry/tests/callers/common.rs
+++ b/crates/entry/tests/callers/common.rs
@@ -272,6 +272,14 @@
         self.answer().await
     }
 
+    /// Reads the head of an answer that has no body.
+    pub(crate) async fn head(&mut self) -> String {
+        let end = self.find(0, b"\r\n\r\n").await.expect("the head ends") + 4;
+        let head = self.text(end);
+        self.buffer.drain(..end);
+        head
+    }
+
     /// Reads one answer; incomplete if the connection ends within it.
     pub(crate) async fn answer(&mut self) -> Answer {
         let Some(end) = self.find(0, b"\r\n\r\n").await else {
--- a/crates/entry/tests/callers/forwarding.rs
+++ b/crates/entry/tests/callers/forwarding.rs
@@ -19,6 +19,25 @@
     assert_eq!(site.backends[0].record().seen[0].target, "/sign/1?x=2");
 }
 
+/// Guards against a caller that waits for a body that HEAD doesn't have, or for leave to send one.
+#[tokio::test]
+async fn answers_to_head_and_expect_end_where_they_should() {
+    let site = Site::start(1).await;
+    let mut caller = site.caller().await;
+    let mut both = request("HEAD", "/status?size=100", "", "");
+    both.push_str(&request("GET", "/status", "", ""));
+    caller.send(both).await;
+    let head = caller.head().await;
+    assert!(head.contains("content-length: 100\r\n"), "{head}");
+    assert_eq!(caller.answer().await.body, "backend-0 /status 0 -\n");
+
+    let headers = "content-length: 3\r\nexpect: 100-continue\r\n";
+    caller.send(request("POST", "/sign", headers, "")).await;
+    assert!(caller.head().await.starts_with("HTTP/1.1 100 "));
+    caller.send("abc").await;
+    assert_eq!(caller.answer().await.body, "backend-0 /sign 3 -\n");
+}
+
 /// Guards against hop-by-hop headers, a caller's workspace header or a wrong time limit reaching
 /// the backend server.
 #[tokio::test]
