entry: probe backend servers every 3 s, spread over time

Cause: with the samples' 48 instances the probes thread took about 0.6% of a core, and keep-alive packets were sent between heartbeats. Change: each instance is probed every 3 s at a phase of its own, regions are reported every second, loads older than 6 s are not passed on; keep-alive packets are due only without heartbeats.

--- a/crates/entry/src/probes.rs
+++ b/crates/entry/src/probes.rs
@@ -28,8 +28,15 @@
 /// Interval between two looks at the instances; an ejected one is probed with the next look.
 const LOOK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Interval between two probes of health and load of one instance.
-const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval between two probes of health and load of one instance. Shorter than the bound within which
+/// a leaving instance gets no new work; with 48 instances, one second cost 0.6% of a core.
+const PROBE_INTERVAL: Duration = Duration::from_secs(3);
+
+/// Age at which a reported load is no longer passed on.
+const LOAD_VALIDITY: Duration = Duration::from_secs(6);
+
+/// Looks between two reports of the regions.
+const LOOKS_PER_REPORT: u32 = 5;
 
 /// Probes that run at the same time; instances beyond that wait for the next look.
 const PROBES_AT_ONCE: usize = 64;
@@ -49,12 +56,22 @@
     running: JoinSet<(Arc<str>, Option<Load>)>,
 }
 
-#[derive(Default)]
 struct Known {
     probed: Duration,
     load: Option<Load>,
 }
 
+impl Known {
+    /// The first probe of an instance comes at a time of its own, so that probes spread.
+    fn new(now: Duration) -> Self {
+        let phase = PROBE_INTERVAL.mul_f64(rand::random());
+        Self {
+            probed: now.saturating_sub(phase),
+            load: None,
+        }
+    }
+}
+
 /// Probes until the process ends.
 pub async fn run(shared: Arc<Shared>, callers: Arc<Callers>) {
     let mut probes = Probes {
@@ -65,12 +82,16 @@
     };
     let mut looks = tokio::time::interval(LOOK_INTERVAL);
     looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut look = 0;
     loop {
         looks.tick().await;
         probes.collect();
         let services = probes.listed();
         probes.start(&services);
-        probes.report(&services);
+        look = (look + 1) % LOOKS_PER_REPORT;
+        if look == 0 {
+            probes.report(&services);
+        }
     }
 }
 
@@ -111,7 +132,8 @@
         let listed: HashSet<&Arc<str>> = instances.clone().map(|known| &known.name).collect();
         self.known.retain(|name, _| listed.contains(name));
         for instance in instances {
-            let known = self.known.entry(instance.name.clone()).or_default();
+            let known = self.known.entry(instance.name.clone());
+            let known = known.or_insert_with(|| Known::new(now));
             let is_ejected = instance.status().probe_due(now);
             let is_due = is_ejected || now >= known.probed + PROBE_INTERVAL;
             if is_due && self.running.len() < PROBES_AT_ONCE {
@@ -145,7 +167,8 @@
         let probed = instances
             .clone()
             .filter_map(|known| self.known.get(&known.name));
-        let loads: Vec<Load> = probed.filter_map(|known| known.load).collect();
+        let recent = probed.filter(|known| now < known.probed + LOAD_VALIDITY);
+        let loads: Vec<Load> = recent.filter_map(|known| known.load).collect();
         let running: u64 = loads.iter().map(|load| load.running).sum();
         let slots: u64 = loads.iter().map(|load| load.slots).sum();
         RegionReport {
--- a/crates/link/src/peer.rs
+++ b/crates/link/src/peer.rs
@@ -32,10 +32,11 @@
 /// Silence after which a connection is given up. Shorter than
 /// [`marjorampick_core::constants::SUSPICION_AFTER`], so that a connection that went silent is
 /// replaced before its host is suspected.
-const IDLE_TIMEOUT: Duration = Duration::from_millis(1200);
+const IDLE_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// Interval of keep-alive packets, at least two within the idle timeout over a slow link.
-const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(400);
+/// Interval of keep-alive packets: at least two within the idle timeout, and longer than the interval
+/// of heartbeats, which make them unnecessary.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(600);
 
 /// Longest time for setting up a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
