entry: take client blocks of look-ups from core::lookup

Change: a block is a prefix; the smallest one around the caller counts. The samples have client networks of their own. Conclusion: lookup and settings tests pass.

--- a/crates/entry/src/lookup.rs
+++ b/crates/entry/src/lookup.rs
@@ -2,8 +2,6 @@
 //!
 //! It reads the published snapshot only, so that it answers whatever the state of store and members.
 
-mod blocks;
-
 #[cfg(test)]
 mod tests;
 
@@ -18,12 +16,11 @@
     state::{State, StateData, client_addr},
 };
 use http::{Response, StatusCode, Uri};
-use marjorampick_core::rendezvous;
+use marjorampick_core::{lookup, rendezvous};
 use serde::Serialize;
 
-use self::blocks::Blocks;
 use crate::{
-    settings::lookup::Lookup,
+    settings::lookup::{Block, Lookup},
     shared::{EntryHost, Shared},
 };
 
@@ -52,22 +49,52 @@
 
 struct Inner {
     shared: Arc<Shared>,
-    blocks: Blocks,
+    regions: Regions,
     ttl_seconds: u64,
 }
 
 /// Routes of the look-up listener.
-pub fn router(shared: Arc<Shared>, settings: &Lookup) -> Router {
+///
+/// Fails when a block is invalid or given twice, which the check of the settings excludes.
+pub fn router(shared: Arc<Shared>, settings: &Lookup) -> Result<Router, lookup::Fault> {
     let inner = Inner {
         shared,
-        blocks: Blocks::new(&settings.blocks),
+        regions: Regions::new(&settings.blocks)?,
         ttl_seconds: settings.lifetime.as_secs(),
     };
     let context = Context(Arc::new(AssertUnwindSafe(inner)));
     let (chain, pipelines) = single_pipeline(single_middleware(StateMiddleware::new(context)));
-    build_router(chain, pipelines, |route| {
+    Ok(build_router(chain, pipelines, |route| {
         route.get("/lookup").to(answer);
-    })
+    }))
+}
+
+/// Regions of the blocks of client addresses.
+struct Regions {
+    blocks: lookup::Blocks,
+    names: Vec<Arc<str>>,
+}
+
+impl Regions {
+    fn new(blocks: &[Block]) -> Result<Self, lookup::Fault> {
+        let mut names: Vec<Arc<str>> = blocks.iter().map(|block| block.region.clone()).collect();
+        names.sort();
+        names.dedup();
+        let blocks = blocks.iter().filter_map(|block| {
+            let index = names.iter().position(|name| *name == block.region)?;
+            Some(lookup::Block {
+                prefix: block.prefix,
+                group: lookup::Group::new(index)?,
+            })
+        });
+        let blocks = lookup::Blocks::new(blocks)?;
+        Ok(Self { blocks, names })
+    }
+
+    /// Region of the smallest block that holds `address`.
+    fn of(&self, address: IpAddr) -> Option<&Arc<str>> {
+        self.names.get(self.blocks.group(address)?.index())
+    }
 }
 
 fn answer(state: State) -> (State, Response<Body>) {
@@ -85,7 +112,7 @@
         return problem(state, StatusCode::NOT_FOUND, "no such service");
     };
     let caller = client_addr(state).map(|address| address.ip());
-    let region = caller.and_then(|caller| inner.blocks.region(caller));
+    let region = caller.and_then(|caller| inner.regions.of(caller));
     let region = region.unwrap_or(&inner.shared.region);
     let answer = Answer {
         service: service.clone(),
--- a/crates/entry/src/settings/lookup.rs
+++ b/crates/entry/src/settings/lookup.rs
@@ -1,8 +1,12 @@
 //! Section `[lookup]`.
 
-use std::{net::IpAddr, net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use marjorampick_core::{finding::Findings, reader::Table};
+use marjorampick_core::{
+    finding::Findings,
+    lookup::{self, Blocks, Fault, Group, Prefix},
+    reader::Table,
+};
 use marjorampick_link::settings::name;
 
 use super::Listeners;
@@ -14,15 +18,15 @@
     pub listen: SocketAddr,
     /// How long callers may keep an answer. A draining host keeps serving for this time.
     pub lifetime: Duration,
-    /// Blocks of client addresses, in the order of their first addresses.
+    /// Blocks of client addresses; of nested ones the smallest counts.
     pub blocks: Vec<Block>,
 }
 
-/// Client addresses from `start` to the start of the next block.
+/// Client addresses and the region that they are close to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Block {
-    /// First address of the block.
-    pub start: IpAddr,
+    /// Addresses of the block.
+    pub prefix: Prefix,
     /// Region that the block's clients are close to.
     pub region: Arc<str>,
 }
@@ -46,22 +50,26 @@
 fn blocks(section: &mut Table<'_>, findings: &mut Findings) -> Vec<Block> {
     let mut blocks: Vec<Block> = Vec::new();
     for mut entry in section.tables(findings, "block") {
-        if !entry.has("start") {
-            entry.report(findings, "start", "is missing");
+        if !entry.has("prefix") {
+            entry.report(findings, "prefix", "is missing");
         }
-        let start = entry.parsed(findings, "start", |text| {
-            let parsed = text.parse::<IpAddr>();
-            parsed.map_err(|_| "expected an IP address")
-        });
+        let prefix = entry.parsed(findings, "prefix", prefix);
         let region = name(&mut entry, findings, "region");
-        if let Some(start) = start {
-            if blocks.iter().any(|block| block.start == start) {
-                entry.report(findings, "", format!("the block {start} is given twice"));
+        if let Some(prefix) = prefix {
+            if blocks.iter().any(|block| block.prefix == prefix) {
+                entry.report(findings, "", Fault::Duplicate(prefix).to_string());
             }
-            blocks.push(Block { start, region });
+            blocks.push(Block { prefix, region });
         }
         entry.finish(findings);
     }
-    blocks.sort_by_key(|block| block.start);
     blocks
 }
+
+/// A prefix that can stand in a table on its own.
+fn prefix(text: &str) -> Result<Prefix, Fault> {
+    let prefix: Prefix = text.parse()?;
+    let group = Group::new(0).into_iter();
+    Blocks::new(group.map(|group| lookup::Block { prefix, group }))?;
+    Ok(prefix)
+}
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -90,7 +90,7 @@
     let state = shared.clone();
     threads.spawn("control", move || control::run(host, state, queues))?;
     start_admin(settings, shared, listeners.admin, threads)?;
-    let router = lookup::router(shared.clone(), &settings.lookup);
+    let router = lookup::router(shared.clone(), &settings.lookup)?;
     serve_http("lookup", listeners.lookup, router, threads)?;
     start_callers(settings, &callers, &listeners.callers, threads)
 }
--- a/scripts/settings.sh
+++ b/scripts/settings.sh
@@ -4,28 +4,31 @@
 cd "$(dirname "$0")/.."
 token=$(printf operator | sha256sum | cut -d' ' -f1)
 
-# Clients of each region in the samples: 127.0.<net>.<from> up to the next block.
+# Clients of a region in the samples.
 block() {
-    printf '[[lookup.block]]\\nstart = "%s"\\nregion = "%s"\\n' "$1" "$2"
+    printf '[[lookup.block]]\\nprefix = "%s"\\nregion = "%s"\\n' "$1" "$2"
 }
 
-# deployment net host...
+# deployment net clients host...
+# The clients of the first region are in 127.0.<clients>.0/24, those of the next one follow.
 generate() {
     deployment=$1
     net=$2
-    shift 2
+    clients=$3
+    shift 3
     folder=settings/$deployment/hosts
     mkdir -p "$folder"
     seeds="\"$net.1:7400\", \"$net.4:7400\", \"$net.7:7400\""
     blocks=""
-    from=1
     for host in "$@"; do
         region=${host%-?-?}
         case $blocks in
             *"\"$region\""*) ;;
-            *) blocks="$blocks$(block "$net.$from" "$region")" ;;
+            *)
+                blocks="$blocks$(block "127.0.$clients.0\\/24" "$region")"
+                clients=$((clients + 1))
+                ;;
         esac
-        from=$((from + 1))
     done
     number=1
     for host in "$@"; do
@@ -44,6 +47,6 @@
 
 # The names of the hosts hold no spaces.
 # shellcheck disable=SC2086
-generate karnerand 127.0.1 $karnerand
+generate karnerand 127.0.1 21 $karnerand
 # shellcheck disable=SC2086
-generate lothian 127.0.2 $lothian
+generate lothian 127.0.2 31 $lothian
