--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -101,7 +101,8 @@
         let now = self.shared.now();
         let actions = self.host.tick(now);
         self.perform(actions);
-        if self.weights.advance(now, self.host.documents()) {
+        let is_current = self.host.is_current(now);
+        if self.weights.advance(now, is_current, self.host.documents()) {
             self.publish_due = true;
             self.event(Event::Weights(self.weights.all()));
         }
--- a/crates/entry/src/control/weights.rs
+++ b/crates/entry/src/control/weights.rs
@@ -37,8 +37,19 @@
 
 impl Weights {
     /// Moves the weights towards the documents' and answers whether any changed.
-    pub(super) fn advance(&mut self, now: Duration, documents: &BTreeMap<Arc<str>, Known>) -> bool {
+    ///
+    /// A current host without documents has no weights to take over: the first document's weights
+    /// count at once.
+    pub(super) fn advance(
+        &mut self,
+        now: Duration,
+        is_current: bool,
+        documents: &BTreeMap<Arc<str>, Known>,
+    ) -> bool {
         if documents.is_empty() {
+            if is_current {
+                self.start.get_or_insert(now);
+            }
             return false;
         }
         if now < *self.start.get_or_insert(now + ADOPTION_WAIT) {
--- a/scripts/quickstart.sh
+++ b/scripts/quickstart.sh
@@ -79,6 +79,8 @@
     keys[$service]=$(fleet_key "$service" "$(workspace "$deployment")")
     echo "   document and key of $service are accepted"
   done
+  # A new budget starts without tokens and fills at its rate.
+  sleep 1
   plan "$deployment" >"$folder/plan.toml"
   "$FLEET_BIN/marjorampick-load" --all-served --json "$folder/report.json" "$folder/plan.toml"
 }
