budget: ask slow peers on the chance, and once at a time

Cause: an estimate is wrong where other hosts' loans take tokens that come slowly; requests were refused while the first host had a token.

A first try without 'once at a time' sent a request for each waiting request and did not end.

--- a/crates/core/src/budget/borrowing.rs
+++ b/crates/core/src/budget/borrowing.rs
@@ -11,6 +11,12 @@
 /// Growth of an estimate is at least this fraction of the peer's rate.
 const SLOWEST_GROWTH: u64 = 16;
 
+/// Rate of a share, in thousandths of a token per second, up to which a peer is asked on the chance.
+const SLOW_RATE: u64 = 16_000;
+
+/// Time from an answer until the peer is asked on the chance.
+const TRY_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Loans that one host asks for and the peers that it may ask, for one budget.
 #[derive(Debug, Default)]
 pub(super) struct Borrowing {
@@ -91,9 +97,9 @@
             .iter()
             .filter(heard)
             .map(|lender| (lender, self.estimate(now, lender)))
-            .filter(|(_, estimate)| *estimate >= least)
+            .filter(|(lender, estimate)| *estimate >= least || self.is_worth_a_try(now, lender))
             .max_by_key(|(_, estimate)| *estimate)
-            .map(|(lender, estimate)| (lender.host.clone(), estimate))
+            .map(|(lender, estimate)| (lender.host.clone(), estimate.max(least)))
     }
 
     /// Notes a request that is about to be sent.
@@ -132,6 +138,14 @@
         self.pending.iter().any(|pending| pending.is_awaited(now))
     }
 
+    /// Whether to ask the peer although it probably has nothing. Where tokens come slowly, other
+    /// hosts' loans make estimates wrong, and few questions are enough.
+    fn is_worth_a_try(&self, now: Duration, lender: &Lender) -> bool {
+        let slow = lender.share.capacity > 0 && lender.share.rate <= SLOW_RATE;
+        let asked = |pending: &Pending| pending.lender == lender.host && pending.is_awaited(now);
+        slow && lender.estimated + TRY_INTERVAL <= now && !self.pending.iter().any(asked)
+    }
+
     /// Estimate of what `lender` can lend, less what was asked of it already.
     fn estimate(&self, now: Duration, lender: &Lender) -> u64 {
         let asked = self
