budget: take the round trip from heartbeats too

Cause: the first host of small budgets lends but never borrows, so that its loans kept the longest term. The host module has to call note_round_trip with the round trips of its heartbeats.

--- a/crates/core/examples/policy/world.rs
+++ b/crates/core/examples/policy/world.rs
@@ -201,6 +201,8 @@
         match event {
             Event::Deliver { from, to, message } => self.deliver(from, to, &message),
             Event::Spare { from, to, spare } => {
+                let round_trip = self.delay(from, to) * 2;
+                self.ledgers[to].note_round_trip(&self.names[from], round_trip);
                 self.ledgers[to].note_spare(self.now, &self.names[from], &spare);
             }
             Event::Heartbeat(host) => self.heartbeat(host),
--- a/crates/core/src/budget/loans.rs
+++ b/crates/core/src/budget/loans.rs
@@ -55,6 +55,11 @@
         }
     }
 
+    /// Notes the round trip of a heartbeat. A host that only lends learns none from its own requests.
+    pub fn note_round_trip(&self, host: &Arc<str>, round_trip: Duration) {
+        self.control().note_round_trip(host, round_trip);
+    }
+
     /// Asks a peer for a loan of `wanted` tokens or slots; `None` when no peer can be asked, or when
     /// the loans asked for already cover it (see [`Self::is_borrowing`]).
     pub fn borrow(
