--- a/crates/core/src/budget/borrowing.rs
+++ b/crates/core/src/budget/borrowing.rs
@@ -90,7 +90,7 @@
         false
     }
 
-    /// The peer that can probably lend most, if that is at least `least`, and how much.
+    /// The peer that is probably the fullest, if it can lend at least `least`, and how much.
     pub(super) fn best(&self, now: Duration, least: u64) -> Option<(Arc<str>, u64)> {
         let heard = |lender: &&Lender| lender.heard.is_some_and(|at| at + SILENT_AFTER > now);
         self.lenders
@@ -98,7 +98,7 @@
             .filter(heard)
             .map(|lender| (lender, self.estimate(now, lender)))
             .filter(|(lender, estimate)| *estimate >= least || self.is_worth_a_try(now, lender))
-            .max_by_key(|(_, estimate)| *estimate)
+            .max_by_key(|(lender, estimate)| (lender.fullness(*estimate), *estimate))
             .map(|(lender, estimate)| (lender.host.clone(), estimate.max(least)))
     }
 
@@ -175,6 +175,11 @@
         }
     }
 
+    /// Thousandths of the peer's capacity that `amount` fills. A full peer loses its rate.
+    fn fullness(&self, amount: u64) -> u64 {
+        amount.saturating_mul(1_000) / self.share.capacity.max(1)
+    }
+
     fn estimate(&self, now: Duration) -> u64 {
         let age = now.saturating_sub(self.estimated).as_millis() as u64;
         let grown = self.growth.saturating_mul(age) / 1_000;
