--- a/crates/core/src/budget/borrowing.rs
+++ b/crates/core/src/budget/borrowing.rs
@@ -11,6 +11,12 @@
 /// Growth of an estimate is at least this fraction of the peer's rate.
 const SLOWEST_GROWTH: u64 = 16;
 
+/// Rate of a share, in thousandths of a token per second, up to which a peer is asked on the chance.
+const SLOW_RATE: u64 = 16_000;
+
+/// Time from an answer until the peer is asked on the chance.
+const TRY_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Loans that one host asks for and the peers that it may ask, for one budget.
 #[derive(Debug, Default)]
 pub(super) struct Borrowing {
@@ -84,16 +90,16 @@
         false
     }
 
-    /// The peer that can probably lend most, if that is at least `least`, and how much.
+    /// The peer that is probably the fullest, if it can lend at least `least`, and how much.
     pub(super) fn best(&self, now: Duration, least: u64) -> Option<(Arc<str>, u64)> {
         let heard = |lender: &&Lender| lender.heard.is_some_and(|at| at + SILENT_AFTER > now);
         self.lenders
             .iter()
             .filter(heard)
             .map(|lender| (lender, self.estimate(now, lender)))
-            .filter(|(_, estimate)| *estimate >= least)
-            .max_by_key(|(_, estimate)| *estimate)
-            .map(|(lender, estimate)| (lender.host.clone(), estimate))
+            .filter(|(lender, estimate)| *estimate >= least || self.is_worth_a_try(now, lender))
+            .max_by_key(|(lender, estimate)| (lender.fullness(*estimate), *estimate))
+            .map(|(lender, estimate)| (lender.host.clone(), estimate.max(least)))
     }
 
     /// Notes a request that is about to be sent.
@@ -132,6 +138,14 @@
         self.pending.iter().any(|pending| pending.is_awaited(now))
     }
 
+    /// Whether to ask the peer although it probably has nothing. Where tokens come slowly, other
+    /// hosts' loans make estimates wrong, and few questions are enough.
+    fn is_worth_a_try(&self, now: Duration, lender: &Lender) -> bool {
+        let slow = lender.share.capacity > 0 && lender.share.rate <= SLOW_RATE;
+        let asked = |pending: &Pending| pending.lender == lender.host && pending.is_awaited(now);
+        slow && lender.estimated + TRY_INTERVAL <= now && !self.pending.iter().any(asked)
+    }
+
     /// Estimate of what `lender` can lend, less what was asked of it already.
     fn estimate(&self, now: Duration, lender: &Lender) -> u64 {
         let asked = self
@@ -161,6 +175,11 @@
         }
     }
 
+    /// Thousandths of the peer's capacity that `amount` fills. A full peer loses its rate.
+    fn fullness(&self, amount: u64) -> u64 {
+        amount.saturating_mul(1_000) / self.share.capacity.max(1)
+    }
+
     fn estimate(&self, now: Duration) -> u64 {
         let age = now.saturating_sub(self.estimated).as_millis() as u64;
         let grown = self.growth.saturating_mul(age) / 1_000;
