host: test that a missed member table costs the share

Cause: no test of the host noticed when tables that a host had missed were left out. Change: a host misses a table without itself and must be without a share afterwards. Conclusion: the ledger learns every table, or that it missed one.

--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -30,7 +30,7 @@
 pub(crate) const SPENT: &str = "uploads";
 pub(crate) const SPENT_RATE: u64 = 320;
 
-const TICK: Duration = Duration::from_millis(50);
+pub(crate) const TICK: Duration = Duration::from_millis(50);
 const STORE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// SplitMix64.
@@ -92,6 +92,19 @@
         }
     }
 
+    /// Replaces the members record by what `change` makes of it and its revision.
+    pub(crate) fn change_members(&mut self, change: impl Fn(Roster, u64) -> Roster) {
+        let known = &self.records[roster::KEY];
+        let roster = Roster::parse(&known.value).expect("the record is valid");
+        let value = change(roster, known.revision).to_text();
+        self.write(&Write {
+            head: self.head,
+            key: Arc::from(roster::KEY),
+            value: value.expect("the record can be written"),
+            id: 0,
+        });
+    }
+
     fn update(&self) -> Update {
         Update {
             since: 0,
--- a/crates/core/tests/host.rs
+++ b/crates/core/tests/host.rs
@@ -8,7 +8,7 @@
     arbitrary::{Result, Unstructured},
     arbtest,
 };
-use fleet::{Fleet, HOSTS, SPENT, SPENT_RATE};
+use fleet::{Fleet, HOSTS, SPENT, SPENT_RATE, TICK};
 use marjorampick_core::{
     budget::Budget,
     claim::Verdict,
@@ -361,6 +361,26 @@
     fleet.nodes.iter().map(available).sum()
 }
 
+/// Guards against a host that goes on with its share after it missed a table without it: others may
+/// have taken the share over.
+#[test]
+fn a_missed_table_costs_the_share() {
+    let mut fleet = Fleet::formed(18, 1);
+    accept(&mut fleet, 0, "signing");
+    fleet.run_ms(5000);
+    let budget = fleet::budget("signing");
+    assert_eq!(available(&fleet, &budget), SPENT_RATE);
+    let member = fleet.nodes[0].member.clone();
+    let others = |roster: Roster, at| roster.without(std::slice::from_ref(&member.host), at, TICK);
+    fleet.store.change_members(others);
+    fleet
+        .store
+        .change_members(|roster, at| roster.with(&member, at, TICK));
+    fleet.run_ms(2500);
+    assert!(fleet.nodes[0].host.is_member());
+    assert_eq!(available(&fleet, &budget), 0);
+}
+
 /// Guards against claims that are granted twice, refused without need, or lost when one holder dies
 /// and another leaves.
 #[test]
