Check that a full book drops answers

The case of a full book now fills it through one book and also checks that answers beyond the limit are left out. It fails when they are kept and when a full book grants.

--- a/crates/core/src/claim/tests/cases.rs
+++ b/crates/core/src/claim/tests/cases.rs
@@ -324,47 +324,45 @@
 /// Guards against a host whose claims fill its memory.
 #[test]
 fn a_full_book_grants_nothing_new() {
-    let mut book = records::Records::default();
-    let member = settled_world(1).hosts[0].member.clone();
-    let body: Arc<[u8]> = vec![0; 1 << 20].into();
-    for key in 0.. {
-        let answer = Outcome {
-            status: 200,
-            headers: Vec::new(),
-            body: body.clone(),
-        };
-        let record = Record {
-            name: name(key),
-            fingerprint: 7,
-            holder: member.host.clone(),
-            incarnation: 1,
-            id: 1,
-            revision: 1,
-            number: 1,
-            state: State::Done(answer),
-            age_ms: 0,
-        };
-        book.merge(STEP, record, &[]);
-        assert!(book.bytes() <= CLAIM_MEMORY_LIMIT + (2 << 20));
-        if book.is_full() && key > 100 {
-            break;
-        }
-    }
     let mut world = settled_world(3);
-    for host in &mut world.hosts {
-        host.book.as_mut().unwrap().records = std::mem::take(&mut book);
-        if !host.book.as_ref().unwrap().is_full() {
-            continue;
-        }
-        let me = host.member.clone();
-        let owned =
-            |key: &usize| host.book.as_ref().unwrap().history.pair(&name(*key)).owner == Some(&me);
-        let key = (1000..2000).find(owned).expect("a name");
-        let book = host.book.as_mut().unwrap();
-        let refused = Action::Claimed {
-            ticket: 1,
-            verdict: Verdict::Unavailable,
-        };
-        assert_eq!(book.ask(world.now, true, 1, name(key), 7), vec![refused]);
+    let owned = |key: &usize| pair(&world, &name(*key)).0 == 0;
+    let keys: Vec<usize> = (0..100).filter(owned).take(2).collect();
+    let (now, book) = (
+        world.now,
+        world.hosts[0].book.as_mut().expect("a running host"),
+    );
+    book.ask(now, true, 1, name(keys[0]), 7);
+    let mut record = book
+        .records
+        .get(now, &name(keys[0]))
+        .expect("a record")
+        .record
+        .clone();
+    let body = vec![0; 1 << 20].into();
+    record.state = State::Done(Outcome {
+        status: 200,
+        headers: Vec::new(),
+        body,
+    });
+    for key in 1000..1100 {
+        book.records.merge(
+            now,
+            Record {
+                name: name(key),
+                ..record.clone()
+            },
+            &[],
+        );
     }
+    assert!(book.is_full() && book.size().1 < CLAIM_MEMORY_LIMIT + (2 << 20));
+    let last = book
+        .records
+        .get(now, &name(1099))
+        .map(|entry| &entry.record.state);
+    assert_eq!(last, Some(&State::DoneWithoutAnswer));
+    let refused = Action::Claimed {
+        ticket: 2,
+        verdict: Verdict::Unavailable,
+    };
+    assert_eq!(book.ask(now, true, 2, name(keys[1]), 7), vec![refused]);
 }
