--- a/crates/entry/src/callers/attempt.rs
+++ b/crates/entry/src/callers/attempt.rs
@@ -18,6 +18,7 @@
     arrival::{Call, Outgoing},
     body::{Meter, Metered},
     choice::Target,
+    claims::Claim,
     constants::CHARGE_STEP_BYTES,
     exchange::Reply,
     fleet::Instance,
@@ -68,7 +69,11 @@
 
 impl Attempt<'_> {
     /// Sends the request; the body is left in `outgoing` if it can be sent again.
-    pub(crate) async fn run(&self, outgoing: &mut Outgoing) -> Result<Reply, Failure> {
+    pub(crate) async fn run(
+        &self,
+        outgoing: &mut Outgoing,
+        claim: Option<&mut Claim>,
+    ) -> Result<Reply, Failure> {
         let (connection, fresh) = self.connect().await?;
         let repeatable = self.call.idempotent && outgoing.body.is_none();
         let request = self.request(outgoing)?;
@@ -80,6 +85,9 @@
             connection,
         };
         sending.connection.socket.start_request();
+        if let Some(claim) = claim {
+            claim.sending();
+        }
         let answered = sending.connection.sender.try_send_request(request);
         tokio::pin!(answered);
         let mut answer = None;
@@ -149,7 +157,13 @@
                 again: Again::Never,
             });
         }
-        let body = outgoing.body.take().map(|body| self.metered(body));
+        let body = outgoing.body.take();
+        let body = if self.target.crosses && !outgoing.metered {
+            outgoing.metered = true;
+            body.map(|body| self.metered(body))
+        } else {
+            body
+        };
         let mut request = Request::new(body.unwrap_or_default());
         *request.method_mut() = outgoing.method.clone();
         *request.uri_mut() = outgoing.target.clone().into();
@@ -167,9 +181,6 @@
     }
 
     fn metered(&self, body: Body) -> Body {
-        if !self.target.crosses {
-            return body;
-        }
         let meter = Meter::new(self.callers.clone(), self.call.service.clone(), 0);
         Body::new(Metered::new(body, meter))
     }
