entry: peers.bind, for a host behind a forwarder

Cause: the address that peers send to was also the one that the socket was bound to, so that nothing could stand between an entry host and its peers. Tests of a cut-off host need that, and so does a host whose ports are mapped. Change: the optional setting `peers.bind` names the address of the host's own socket; messages carry `peers.listen` as before. `Peers::open_at` takes the address. Conclusion: without the setting nothing changes.

--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -25,6 +25,7 @@
 
 /// Runs until the control thread drops its end of `outgoing`.
 pub async fn run(
+    address: SocketAddr,
     from: Sender,
     credentials: Credentials,
     mut outgoing: mpsc::Receiver<Outgoing>,
@@ -32,8 +33,7 @@
     opened: oneshot::Sender<Result<(), Fault>>,
 ) {
     let (sender, mut received) = mpsc::channel(RECEIVED_QUEUE_LENGTH);
-    let address = from.peer;
-    let peers = match Peers::open(from, &credentials, sender) {
+    let peers = match Peers::open_at(address, from, &credentials, sender) {
         Ok(peers) => peers,
         Err(fault) => {
             let _ = opened.send(Err(fault));
--- a/crates/entry/src/settings/peers.rs
+++ b/crates/entry/src/settings/peers.rs
@@ -13,6 +13,8 @@
 pub struct Peers {
     /// UDP address of the listener; peers send to it.
     pub listen: SocketAddr,
+    /// UDP address of the socket, if something between the peers and this host forwards `listen` to it.
+    pub bind: Option<SocketAddr>,
     /// Addresses that are asked while no members are known.
     pub seeds: Vec<SocketAddr>,
     /// PEM file with the certificate of the fleet's authority.
@@ -27,6 +29,7 @@
     let mut section = table.table(findings, "peers");
     let peers = Peers {
         listen: address(&mut section, findings, "listen"),
+        bind: bind(&mut section, findings),
         seeds: addresses(&mut section, findings, "seeds"),
         authority: path(&mut section, findings, "authority", folder),
         certificate: path(&mut section, findings, "certificate", folder),
@@ -39,6 +42,11 @@
     peers
 }
 
+fn bind(section: &mut Table<'_>, findings: &mut Findings) -> Option<SocketAddr> {
+    let is_given = section.has("bind");
+    is_given.then(|| address(section, findings, "bind"))
+}
+
 /// Messages carry this address, so that 0.0.0.0 or port 0 would leave peers without one.
 fn section_is_unspecified(peers: &Peers) -> bool {
     let is_absent = peers.listen == SocketAddr::from(([0, 0, 0, 0], 0));
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -121,10 +121,11 @@
 ) -> eyre::Result<mpsc::Sender<Outgoing>> {
     let credentials = credentials(settings)?;
     let from = host.sender();
+    let address = settings.peers.bind.unwrap_or(from.peer);
     let (outgoing, messages) = mpsc::channel(PEER_QUEUE_LENGTH);
     let (opened, opening) = oneshot::channel();
     threads.spawn("peers", move || {
-        peers::run(from, credentials, messages, events, opened)
+        peers::run(address, from, credentials, messages, events, opened)
     })?;
     opening.await.wrap_err("the peers thread has ended")??;
     Ok(outgoing)
--- a/crates/link/src/peer.rs
+++ b/crates/link/src/peer.rs
@@ -74,11 +74,23 @@
 }
 
 impl Peers {
-    /// Opens the endpoint at the address of `from`; messages from peers go to `received`.
+    /// Opens the endpoint at the address of `from`; see [`Self::open_at`].
+    pub fn open(
+        from: Sender,
+        credentials: &Credentials,
+        received: mpsc::Sender<Envelope>,
+    ) -> Result<Self, Fault> {
+        let address = from.peer;
+        Self::open_at(address, from, credentials, received)
+    }
+
+    /// Opens the endpoint at `address`; messages from peers go to `received`. Peers send to the
+    /// address of `from`, which something may forward to `address`.
     ///
     /// Must be called within a Tokio runtime. When `received` is full, streams wait, and with them
     /// the peers that send.
-    pub fn open(
+    pub fn open_at(
+        address: SocketAddr,
         from: Sender,
         credentials: &Credentials,
         received: mpsc::Sender<Envelope>,
@@ -88,7 +100,7 @@
         server.transport_config(transport.clone());
         let mut client = tls::client(credentials)?;
         client.transport_config(transport);
-        let mut endpoint = bind(from.peer, server).map_err(Fault::Bind)?;
+        let mut endpoint = bind(address, server).map_err(Fault::Bind)?;
         endpoint.set_default_client_config(client);
         let receiver = tokio::spawn(accept(endpoint.clone(), received));
         Ok(Self {
