entry: test that no signing runs twice while entry hosts are killed

Cause: at most once was tested within one process and in the model only. Change: ten callers send 50 signings a second with idempotency keys to the hosts that look-ups name and repeat unanswered and refused ones through another host. One host is killed and restarted, then a second one is killed; one request of seven loses its first answer behind the backend server. The records of the backend servers are compared with what the callers were told. A request of which an earlier attempt stayed unanswered may have run although a later attempt says `not-run`, as that speaks of this attempt only; so `not-run` is checked for requests whose attempts were all refused with it. The support module gains forwarders and caller functions for this and the following tests. Seen to fail with a variant in which no request asks for a claim: "signing-0 ran 2 times".

--- a/crates/entry/tests/processes/main.rs
+++ b/crates/entry/tests/processes/main.rs
@@ -1,5 +1,8 @@
 //! Real processes of entry hosts with stand-ins for the platform, all on loopback.
 
 mod fleet;
+mod forwarder;
+mod once;
 mod paused;
 mod support;
+mod traffic;
--- a/crates/entry/tests/processes/support.rs
+++ b/crates/entry/tests/processes/support.rs
@@ -23,6 +23,8 @@
 use serde_json::Value;
 use tokio::{net::TcpListener, runtime::Runtime};
 
+use crate::forwarder;
+
 const TOKEN: &str = "operator";
 const CALLERS_PORT: u16 = 7001;
 const LOOKUP_PORT: u16 = 7002;
@@ -30,6 +32,9 @@
 const PEERS_PORT: u16 = 7004;
 const STORE_PORT: u16 = 7005;
 
+/// Port of a host's own socket behind a forwarder.
+const BOUND_PEERS_PORT: u16 = 7006;
+
 /// Number of the store's address among those of a test; hosts have smaller ones.
 const STORE_NUMBER: u8 = 14;
 
@@ -51,10 +56,20 @@
     store_address: SocketAddr,
     /// Ends with all connections of the store when the store goes away.
     store_runtime: RefCell<Option<Runtime>>,
-    runtime: Runtime,
+    pub(crate) runtime: Runtime,
+    /// The platform's list of hosts, empty at first.
+    pub(crate) listed: Arc<Hosts>,
     folder: tempfile::TempDir,
     /// Addresses of the hosts.
     addresses: Vec<Ipv4Addr>,
+    /// For each host, what stands between it and store and peers; empty without.
+    forwarders: Vec<Forwarders>,
+}
+
+/// Forwarders in front of one host.
+struct Forwarders {
+    store: forwarder::Tcp,
+    peers: forwarder::Udp,
 }
 
 impl Platform {
@@ -63,19 +78,33 @@
     /// The addresses are taken from the loopback network by the number of this process, so that
     /// several test runs at the same time do not meet.
     pub(crate) fn start(test: u8, size: u8) -> Self {
+        Self::build(test, size, false)
+    }
+
+    /// Like [`Self::start`], with hosts that [`Self::cut_off`] can separate from store and peers.
+    pub(crate) fn start_forwarded(test: u8, size: u8) -> Self {
+        Self::build(test, size, true)
+    }
+
+    fn build(test: u8, size: u8, is_forwarded: bool) -> Self {
         let runtime = runtime();
         let process = std::process::id();
         let second = 16 + u8::try_from((process >> 8) % 239).expect("a byte");
         let third = u8::try_from(process % 256).expect("a byte");
         let address = |host| Ipv4Addr::new(127, second, third, 16 * test + host + 1);
-        let platform = Self {
+        let mut platform = Self {
             store: Store::new(),
             store_address: SocketAddr::from((address(STORE_NUMBER), STORE_PORT)),
             store_runtime: RefCell::default(),
             runtime,
+            listed: Hosts::new(List::default(), Duration::ZERO),
             folder: tempfile::tempdir().expect("a temporary folder"),
             addresses: (0..size).map(address).collect(),
+            forwarders: Vec::new(),
         };
+        if is_forwarded {
+            platform.start_forwarders();
+        }
         platform.write_settings();
         platform.start_store();
         platform
@@ -96,12 +125,32 @@
         }
     }
 
+    fn start_forwarders(&mut self) {
+        let addresses = self.addresses.iter();
+        let forwarders = addresses.map(|address| {
+            let at = |port| SocketAddr::from((*address, port));
+            let (runtime, store) = (&self.runtime, self.store_address);
+            Forwarders {
+                store: forwarder::Tcp::start(runtime, at(STORE_PORT), store).0,
+                peers: forwarder::Udp::start(runtime, at(PEERS_PORT), at(BOUND_PEERS_PORT)),
+            }
+        });
+        self.forwarders = forwarders.collect();
+    }
+
+    /// Drops what a host exchanges with store and peers, or forwards it again.
+    pub(crate) fn cut_off(&self, index: usize, is_cut_off: bool) {
+        let address = is_cut_off.then(|| self.addresses[index].into());
+        let forwarders = self.forwarders.iter();
+        forwarders.for_each(|forwarders| forwarders.peers.cut_off(address));
+        self.forwarders[index].store.silence(is_cut_off);
+    }
+
     fn write_settings(&self) {
         let hosts = self.runtime.block_on(listener("127.0.0.1:0"));
         let hosts_address = hosts.local_addr().expect("an address");
         let store_address = self.store_address;
-        let list = Hosts::new(List::default(), Duration::ZERO);
-        self.runtime.spawn(list.serve(hosts));
+        self.runtime.spawn(self.listed.clone().serve(hosts));
         let names: Vec<CertificateHost> = (0..self.addresses.len())
             .map(|index| CertificateHost {
                 name: name(index),
@@ -113,15 +162,22 @@
         for (index, address) in self.addresses.iter().enumerate() {
             let name = name(index);
             let seed = self.addresses[0];
+            let (store, bind) = match self.forwarders.is_empty() {
+                true => (store_address, String::new()),
+                false => (
+                    SocketAddr::from((*address, STORE_PORT)),
+                    format!("bind = \"{address}:{BOUND_PEERS_PORT}\"\n"),
+                ),
+            };
             let text = format!(
                 "[host]\nname = \"{name}\"\nregion = \"north\"\ndomain = \"north-{index}\"\n\
                  [callers]\nlisten = \"{address}:{CALLERS_PORT}\"\nthreads = 1\n\
                  [lookup]\nlisten = \"{address}:{LOOKUP_PORT}\"\nttl_seconds = 1\n\
                  [admin]\nlisten = \"{address}:{ADMIN_PORT}\"\ntoken_digest = \"{digest}\"\n\
                  [peers]\nlisten = \"{address}:{PEERS_PORT}\"\nseeds = [\"{seed}:{PEERS_PORT}\"]\n\
-                 authority = \"tls/authority.pem\"\ncertificate = \"tls/{name}.pem\"\n\
+                 {bind}authority = \"tls/authority.pem\"\ncertificate = \"tls/{name}.pem\"\n\
                  key = \"tls/{name}.key\"\n\
-                 [store]\nendpoints = [\"http://{store_address}\"]\n\
+                 [store]\nendpoints = [\"http://{store}\"]\n\
                  [platform]\nhosts = \"http://{hosts_address}/hosts\"\ninterval_ms = 200\n\
                  [log]\nfilter = \"info,marjorampick_link::peer=debug\"\n"
             );
@@ -169,6 +225,14 @@
         hosts
     }
 
+    /// Addresses of the look-up listeners of all hosts.
+    pub(crate) fn look_ups(&self) -> Vec<SocketAddr> {
+        let addresses = self.addresses.iter();
+        addresses
+            .map(|address| SocketAddr::from((*address, LOOKUP_PORT)))
+            .collect()
+    }
+
     fn get(&self, address: SocketAddr, path: &str) -> Option<Response<Bytes>> {
         let mut request = Request::new(Bytes::new());
         *request.uri_mut() = format!("http://{address}{path}")
@@ -197,6 +261,16 @@
         })
     }
 
+    /// Address of the caller listener.
+    pub(crate) fn callers(&self) -> SocketAddr {
+        SocketAddr::from((self.address, CALLERS_PORT))
+    }
+
+    /// What the host has logged, in all processes of its name.
+    pub(crate) fn logged(&self) -> String {
+        fs::read_to_string(&self.log).expect("a log")
+    }
+
     pub(crate) fn is_current(&self) -> bool {
         self.status()["current"] == true
     }
