entry: test keyed requests while the store is away

Cause: the test of a store outage asked hosts whether they are current, but sent them no requests. Change: keyed requests go to every host during 10 s without the store; a host that is killed and restarted meanwhile serves as a guest; with the store back, it is a member and edits come into force.

--- a/crates/entry/tests/processes/main.rs
+++ b/crates/entry/tests/processes/main.rs
@@ -3,6 +3,7 @@
 mod fleet;
 mod forwarder;
 mod once;
+mod outage;
 mod paused;
 mod support;
 mod traffic;
