entry: test that a withdrawn key stops working without the store and on a paused host

Cause: withdrawal was tested on one host that runs all the time. Change: after an accepted withdrawal the store goes away; every host has to refuse the key 4 s later on open and new connections, with `credential-unknown` or `not-current`, as any other refusal means that the key was accepted. One host is stopped before the withdrawal and goes on after 6 s, with requests waiting in its sockets. No request with the key reaches the backend server after the bound.

--- a/crates/entry/tests/processes/main.rs
+++ b/crates/entry/tests/processes/main.rs
@@ -7,3 +7,4 @@
 mod paused;
 mod support;
 mod traffic;
+mod withdrawn;
--- a/crates/entry/tests/processes/traffic.rs
+++ b/crates/entry/tests/processes/traffic.rs
@@ -215,6 +215,12 @@
     value.and_then(|value| value.to_str().ok()).unwrap_or("")
 }
 
+/// Code of a refusal, empty without one.
+pub(crate) fn code(response: &Response<Bytes>) -> String {
+    let body: Value = serde_json::from_slice(response.body()).unwrap_or_default();
+    body["code"].as_str().unwrap_or_default().to_owned()
+}
+
 /// Addresses of the caller listeners from the first host that answers a look-up.
 pub(crate) async fn look_up(look_ups: &[SocketAddr]) -> Vec<SocketAddr> {
     for address in look_ups {
