entry: test planned stops of an entry host and of a backend server

Cause: drains were tested within one process, without the members and look-ups. Change: SIGTERM arrives at an entry host during an upload and a slowly read answer of 4 s each, with callers that keep look-ups for their lifetime. All requests end, the process exits with 0 and logs the drain time. A backend server announces its drain, gets no new work after 4 s, closes its listener and cuts off none. The stand-in runs within the test, so its drain is started by a call instead of a signal.

--- a/crates/entry/tests/processes/main.rs
+++ b/crates/entry/tests/processes/main.rs
@@ -1,5 +1,6 @@
 //! Real processes of entry hosts with stand-ins for the platform, all on loopback.
 
+mod drains;
 mod fleet;
 mod forwarder;
 mod once;
