entry: test a host that is cut off and backend connections that go silent

Cause: no test of real processes had a network that drops bytes without closing connections. Change: forwarders for TCP and UDP stand between hosts, store and peers. A host that is cut off refuses keyed requests with `not-current` within 4 s, while the others go on, and serves again afterwards. Behind another forwarder, all open connections to a backend server go silent for good: the first signing is `unknown`, later requests are served over new connections, and none runs twice.

--- a/crates/entry/tests/processes/main.rs
+++ b/crates/entry/tests/processes/main.rs
@@ -6,6 +6,7 @@
 mod once;
 mod outage;
 mod paused;
+mod silence;
 mod support;
 mod traffic;
 mod withdrawn;
