Ask lenders again while a request waits; tell the ledger round trips of heartbeats

Cause: a request that found the first loan taken by another one was refused although 150 ms had not passed; the terms of token loans were not adapted to the round trips that heartbeats measure. Change: up to 3 questions within the wait, in the request path and in the fake callers of scenarios; heartbeat replies report their round trip to the ledger.

--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -23,6 +23,10 @@
 /// Longest time that a request waits for borrowed tokens.
 pub const BORROW_WAIT: Duration = Duration::from_millis(150);
 
+/// Answers of lenders that a request waits for within [`BORROW_WAIT`], as another request may take the
+/// tokens of the first one.
+pub const BORROW_ROUNDS: u32 = 3;
+
 /// How long the outcome of a claim is kept.
 pub const CLAIM_RETENTION: Duration = Duration::from_secs(15 * 60);
 
--- a/crates/core/src/host/gossip.rs
+++ b/crates/core/src/host/gossip.rs
@@ -18,7 +18,7 @@
         self.peers.heard(now, from);
         match message {
             Message::Heartbeat(heartbeat) => self.heartbeat(now, from, &heartbeat),
-            Message::HeartbeatReply(reply) => self.heartbeat_reply(from, &reply),
+            Message::HeartbeatReply(reply) => self.heartbeat_reply(now, from, &reply),
             Message::UpdateRequest { since } => {
                 let update = self.catalog.update_since(since);
                 self.send(from.peer, Message::Update(update));
@@ -88,10 +88,13 @@
         self.catch_up(from, heartbeat.revision);
     }
 
-    fn heartbeat_reply(&mut self, from: &Sender, reply: &HeartbeatReply) {
+    fn heartbeat_reply(&mut self, now: Duration, from: &Sender, reply: &HeartbeatReply) {
         let Some(sent) = self.currency.sent_at(reply.sequence) else {
             return;
         };
+        let round_trip = now.saturating_sub(sent);
+        let ledger = self.budgets.ledger();
+        ledger.note_round_trip(&from.host, round_trip);
         let own = self.catalog.revision();
         if let Some(peer) = self.peers.get_mut(from) {
             peer.revision = peer.revision.max(reply.revision);
--- a/crates/entry/src/callers/choice.rs
+++ b/crates/entry/src/callers/choice.rs
@@ -7,6 +7,7 @@
 use marjorampick_core::{
     backend::Standing,
     budget::Budget,
+    constants::BORROW_WAIT,
     document::{Document, Region},
     route::{self, Candidate, Slots},
 };
@@ -73,7 +74,7 @@
         Err((_, Some(short))) => short,
         Err((refusal, None)) => return Err(refuse(refusal)),
     };
-    rate::borrow(callers, call, &short, 1).await;
+    rate::borrow(callers, call, &short, 1, BORROW_WAIT).await;
     choose(callers, call, tried, true).map_err(|(refusal, _)| refuse(refusal))
 }
 
--- a/crates/entry/src/callers/rate.rs
+++ b/crates/entry/src/callers/rate.rs
@@ -1,8 +1,14 @@
 //! The workspace's rate: one token per request, borrowed if the host is short.
 
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
-use marjorampick_core::{budget::Budget, constants::BORROW_WAIT};
+use marjorampick_core::{
+    budget::Budget,
+    constants::{BORROW_ROUNDS, BORROW_WAIT},
+};
 use tokio::sync::oneshot;
 
 use super::{
@@ -21,11 +27,17 @@
     let service = call.service.clone();
     let budget = Budget::Workspace { service, workspace };
     let take = |taking| (callers.tokens.take)(&budget, 1, taking);
-    if take(Taking::whole(false))
-        || (borrow(callers, call, &budget, 1).await && take(Taking::whole(true)))
-    {
+    if take(Taking::whole(false)) {
         return Ok(());
     }
+    let until = Instant::now() + BORROW_WAIT;
+    for _ in 0..BORROW_ROUNDS {
+        let left = until.saturating_duration_since(Instant::now());
+        let asked = !left.is_zero() && borrow(callers, call, &budget, 1, left).await;
+        if asked && take(Taking::whole(true)) {
+            return Ok(());
+        }
+    }
     Err(Refusal::not_run(
         Code::Rate,
         "the workspace is over its rate",
@@ -35,7 +47,13 @@
 /// Waits until the control thread says that a loan arrived or was denied.
 ///
 /// Answers whether it is worth trying again.
-pub(crate) async fn borrow(callers: &Callers, call: &Call, budget: &Budget, wanted: u64) -> bool {
+pub(crate) async fn borrow(
+    callers: &Callers,
+    call: &Call,
+    budget: &Budget,
+    wanted: u64,
+    longest: Duration,
+) -> bool {
     let (wake, woken) = oneshot::channel();
     let request = Request::Short {
         budget: budget.clone(),
@@ -45,7 +63,7 @@
     if callers.shared.control.try_send(request).is_err() {
         return false;
     }
-    let limit = BORROW_WAIT.min(call.left());
+    let limit = longest.min(call.left());
     // Tokens also flow in by themselves while the request waits.
     tokio::time::timeout(limit, woken).await.ok();
     true
--- a/crates/scenario/src/world.rs
+++ b/crates/scenario/src/world.rs
@@ -9,7 +9,7 @@
 
 use marjorampick_core::{
     budget::Budget,
-    constants::BORROW_WAIT,
+    constants::{BORROW_ROUNDS, BORROW_WAIT},
     document::Digest,
     host::{
         Host, Identity, Source,
@@ -49,6 +49,8 @@
 struct Request {
     workspace: Arc<str>,
     arrived: Duration,
+    /// Questions to lenders that are left.
+    rounds: u32,
 }
 
 /// Something that happens at a moment.
@@ -387,6 +389,7 @@
         let request = Request {
             workspace: load_spec.workspace,
             arrived: self.now,
+            rounds: BORROW_ROUNDS,
         };
         if !self.admit(index, &request) {
             self.wait_for_loan(index, request);
@@ -423,27 +426,32 @@
         admitted
     }
 
+    /// Asks for a loan and waits, as the request path of an entry host does.
     fn wait_for_loan(&mut self, index: usize, request: Request) {
         let budget = workspace_budget(&request.workspace);
         let give_up = Occurrence::GiveUp(index, budget.clone(), request.arrived);
         self.schedule(self.now + BORROW_WAIT, give_up);
-        let waiting = self.slots[index].waiting.entry(budget.clone()).or_default();
-        waiting.push(request);
-        let wanted = waiting.len() as u64;
-        let incarnation = self.slots[index].sender.incarnation;
-        self.event(index, incarnation, Event::Short { budget, wanted });
+        self.ask(index, &budget, vec![request]);
     }
 
     fn retry(&mut self, index: usize, budget: &Budget) {
-        let waiting = self.slots[index].waiting.remove(budget).unwrap_or_default();
-        for request in waiting {
-            if !self.admit(index, &request) {
-                self.slots[index]
-                    .waiting
-                    .entry(budget.clone())
-                    .or_default()
-                    .push(request);
-            }
+        let mut waiting = self.slots[index].waiting.remove(budget).unwrap_or_default();
+        waiting.retain(|request| !self.admit(index, request));
+        waiting.retain(|request| request.rounds > 0);
+        self.ask(index, budget, waiting);
+    }
+
+    fn ask(&mut self, index: usize, budget: &Budget, requests: Vec<Request>) {
+        let incarnation = self.slots[index].sender.incarnation;
+        for mut request in requests {
+            request.rounds -= 1;
+            let waiting = &mut self.slots[index].waiting;
+            waiting.entry(budget.clone()).or_default().push(request);
+            let short = Event::Short {
+                budget: budget.clone(),
+                wanted: 1,
+            };
+            self.event(index, incarnation, short);
         }
     }
 
