budget: count what requests wait for in the ledger

Cause: which waiting request may ask again was a rule for the caller, and a request whose loan came back empty could wait until its deadline. Change: borrow counts what all requests of the host wait for, asks for what the pending loans do not cover, and starts over with every answer, which wakes all of them; the example calls it for each request that is short, as the host module does. Kept because the caller needs no rule.

--- a/crates/core/examples/policy/world.rs
+++ b/crates/core/examples/policy/world.rs
@@ -331,13 +331,6 @@
         true
     }
 
-    /// Asks again only when no answer is expected any more: the expected ones belong to the requests
-    /// that still wait.
-    fn still_waits(&mut self, host: usize, workspace: usize) -> bool {
-        let budget = budget(&self.workspaces[workspace]);
-        self.ledgers[host].is_borrowing(self.now, &budget) || self.borrow(host, workspace)
-    }
-
     /// Lets the waiting requests try again.
     fn wake(&mut self, host: usize, workspace: usize) {
         if self.is_dead(host) {
@@ -348,7 +341,7 @@
             if taken.is_ok() {
                 self.figures.waits.push(self.now - arrived);
                 self.admit(workspace, arrived);
-            } else if arrived + BORROW_WAIT > self.now && self.still_waits(host, workspace) {
+            } else if arrived + BORROW_WAIT > self.now && self.borrow(host, workspace) {
                 self.waiting[host][workspace].push_back(arrived);
             } else {
                 self.refuse(workspace, arrived);
--- a/crates/core/src/budget/borrowing.rs
+++ b/crates/core/src/budget/borrowing.rs
@@ -22,6 +22,9 @@
 pub(super) struct Borrowing {
     lenders: Vec<Lender>,
     pending: Vec<Pending>,
+    /// Amount that requests of this host wait for. Every answer wakes them all, and those that are
+    /// still short count again.
+    waiting: u64,
 }
 
 /// A peer with an estimate of what it can lend. Amounts are thousandths of a token, or slots.
@@ -44,8 +47,6 @@
     pub(super) sent: Duration,
     /// Amount that the loan will probably have.
     expected: u64,
-    /// Part of the expected amount that requests wait for.
-    claimed: u64,
 }
 
 impl Borrowing {
@@ -77,17 +78,24 @@
         }
     }
 
-    /// Counts `amount` toward a pending loan that will cover it. Answers whether there is one.
-    pub(super) fn claim(&mut self, now: Duration, amount: u64) -> bool {
-        let covers = |pending: &&mut Pending| {
-            pending.is_awaited(now) && pending.expected >= pending.claimed + amount
-        };
-        let found = self.pending.iter_mut().find(covers);
-        if let Some(pending) = found {
-            pending.claimed += amount;
-            return true;
-        }
-        false
+    /// Counts `amount` as waited for. Answers how much no pending loan covers.
+    pub(super) fn wait(&mut self, now: Duration, amount: u64) -> u64 {
+        self.waiting = self.waiting.saturating_add(amount);
+        self.waiting.saturating_sub(self.expected(now))
+    }
+
+    /// Undoes [`Self::wait`] for a request that is refused at once.
+    pub(super) fn refuse(&mut self, amount: u64) {
+        self.waiting = self.waiting.saturating_sub(amount);
+    }
+
+    /// Amount that the pending loans will probably have.
+    pub(super) fn expected(&self, now: Duration) -> u64 {
+        let awaited = self
+            .pending
+            .iter()
+            .filter(|pending| pending.is_awaited(now));
+        awaited.map(|pending| pending.expected).sum()
     }
 
     /// The peer that is probably the fullest, if it can lend at least `least`, and how much.
@@ -103,20 +111,12 @@
     }
 
     /// Notes a request that is about to be sent.
-    pub(super) fn ask(
-        &mut self,
-        now: Duration,
-        id: u64,
-        lender: &Arc<str>,
-        claimed: u64,
-        expected: u64,
-    ) {
+    pub(super) fn ask(&mut self, now: Duration, id: u64, lender: &Arc<str>, expected: u64) {
         self.pending.push(Pending {
             id,
             lender: lender.clone(),
             sent: now,
             expected,
-            claimed,
         });
     }
 
@@ -124,11 +124,15 @@
     pub(super) fn answered(&mut self, id: u64, lender: &str) -> Option<Pending> {
         let same = |pending: &Pending| pending.id == id && pending.lender.as_ref() == lender;
         let index = self.pending.iter().position(same)?;
+        self.waiting = 0;
         Some(self.pending.swap_remove(index))
     }
 
     /// Takes out the requests whose loans could no longer be used.
     pub(super) fn expire(&mut self, now: Duration) -> Vec<Pending> {
+        if !self.is_awaited(now) {
+            self.waiting = 0;
+        }
         let expired = |pending: &mut Pending| pending.sent + LOAN_TERM <= now;
         self.pending.extract_if(.., expired).collect()
     }
--- a/crates/core/src/budget/loans.rs
+++ b/crates/core/src/budget/loans.rs
@@ -188,19 +188,22 @@
         let id = control.next_id;
         let borrowing = control.borrowings.get_mut(budget)?;
         let unit = unit(budget);
-        let claimed = wanted.saturating_mul(unit);
-        if borrowing.claim(now, claimed.max(unit)) {
+        let amount = wanted.saturating_mul(unit);
+        let uncovered = borrowing.wait(now, amount);
+        if uncovered == 0 && (amount > 0 || borrowing.expected(now) > 0) {
             return None;
         }
-        let (lender, estimate) = borrowing.best(now, unit)?;
-        let ahead = over(rate_wanted, AHEAD).min(estimate.saturating_sub(claimed) / 2);
-        let expected = estimate.min(claimed + ahead);
-        borrowing.ask(now, id, &lender, claimed, expected);
+        let Some((lender, estimate)) = borrowing.best(now, unit) else {
+            borrowing.refuse(amount);
+            return None;
+        };
+        let ahead = over(rate_wanted, AHEAD).min(estimate.saturating_sub(uncovered) / 2);
+        borrowing.ask(now, id, &lender, estimate.min(uncovered + ahead));
         control.next_id = id.wrapping_add(1);
         let request = LoanRequest {
             id,
             budget: budget.clone(),
-            wanted,
+            wanted: uncovered.div_ceil(unit),
             rate_wanted,
         };
         Some((lender, request))
