budget: ask first a peer that has several times what is wanted

Cause: the fullest peer may hold one or two tokens, which others take first; a request then loses a round trip.

--- a/crates/core/src/budget/borrowing.rs
+++ b/crates/core/src/budget/borrowing.rs
@@ -14,6 +14,10 @@
 /// Rate of a share, in thousandths of a token per second, up to which a peer is asked on the chance.
 const SLOW_RATE: u64 = 16_000;
 
+/// A peer that probably has this many times what requests wait for is asked before fuller ones, whose
+/// few tokens may be gone.
+const CERTAINTY: u64 = 3;
+
 /// Time from an answer until the peer is asked on the chance.
 const TRY_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -98,15 +102,19 @@
         awaited.map(|pending| pending.expected).sum()
     }
 
-    /// The peer that is probably the fullest, if it can lend at least `least`, and how much.
-    pub(super) fn best(&self, now: Duration, least: u64) -> Option<(Arc<str>, u64)> {
+    /// The peer to ask, which can probably lend at least `least`, and how much: the fullest one of
+    /// those that have several times what requests wait for, `wanted`.
+    pub(super) fn best(&self, now: Duration, least: u64, wanted: u64) -> Option<(Arc<str>, u64)> {
         let heard = |lender: &&Lender| lender.heard.is_some_and(|at| at + SILENT_AFTER > now);
         self.lenders
             .iter()
             .filter(heard)
             .map(|lender| (lender, self.estimate(now, lender)))
             .filter(|(lender, estimate)| *estimate >= least || self.is_worth_a_try(now, lender))
-            .max_by_key(|(lender, estimate)| (lender.fullness(*estimate), *estimate))
+            .max_by_key(|(lender, estimate)| {
+                let certain = *estimate >= wanted * CERTAINTY;
+                (certain, lender.fullness(*estimate), *estimate)
+            })
             .map(|(lender, estimate)| (lender.host.clone(), estimate.max(least)))
     }
 
--- a/crates/core/src/budget/loans.rs
+++ b/crates/core/src/budget/loans.rs
@@ -193,7 +193,7 @@
         if uncovered == 0 && (amount > 0 || borrowing.expected(now) > 0) {
             return None;
         }
-        let Some((lender, estimate)) = borrowing.best(now, unit) else {
+        let Some((lender, estimate)) = borrowing.best(now, unit, uncovered) else {
             borrowing.refuse(amount);
             return None;
         };
