--- /dev/null
+++ b/crates/entry/src/callers/rate.rs
@@ -0,0 +1,70 @@
+//! The workspace's rate: one token per request, borrowed if the host is short.
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use marjorampick_core::{
+    budget::Budget,
+    constants::{BORROW_ROUNDS, BORROW_WAIT},
+};
+use tokio::sync::oneshot;
+
+use super::{
+    Callers,
+    arrival::Call,
+    refusal::{Code, Refusal},
+    tokens::Taking,
+};
+use crate::shared::Request;
+
+/// Takes the request's token; open routes need none.
+pub(crate) async fn admit(callers: &Arc<Callers>, call: &Call) -> Result<(), Refusal> {
+    let Some(workspace) = call.workspace.clone() else {
+        return Ok(());
+    };
+    let service = call.service.clone();
+    let budget = Budget::Workspace { service, workspace };
+    let take = |taking| (callers.tokens.take)(&budget, 1, taking);
+    if take(Taking::whole(false)) {
+        return Ok(());
+    }
+    let until = Instant::now() + BORROW_WAIT;
+    for _ in 0..BORROW_ROUNDS {
+        let left = until.saturating_duration_since(Instant::now());
+        let asked = !left.is_zero() && borrow(callers, call, &budget, 1, left).await;
+        if asked && take(Taking::whole(true)) {
+            return Ok(());
+        }
+    }
+    Err(Refusal::not_run(
+        Code::Rate,
+        "the workspace is over its rate",
+    ))
+}
+
+/// Waits until the control thread says that a loan arrived or was denied.
+///
+/// Answers whether it is worth trying again.
+pub(crate) async fn borrow(
+    callers: &Callers,
+    call: &Call,
+    budget: &Budget,
+    wanted: u64,
+    longest: Duration,
+) -> bool {
+    let (wake, woken) = oneshot::channel();
+    let request = Request::Short {
+        budget: budget.clone(),
+        wanted,
+        wake,
+    };
+    if callers.shared.control.try_send(request).is_err() {
+        return false;
+    }
+    let limit = longest.min(call.left());
+    // Tokens also flow in by themselves while the request waits.
+    tokio::time::timeout(limit, woken).await.ok();
+    true
+}
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -14,7 +14,10 @@
 };
 
 use arc_swap::ArcSwap;
-use marjorampick_core::{budget, claim, document::Document, host::event, message::ServiceWeights};
+use marjorampick_core::{
+    budget, catalog::Record, claim, document::Document, host::event, member::Member,
+    message::ServiceWeights,
+};
 use tokio::sync::{mpsc, oneshot};
 
 /// Number of requests that may wait for the control thread.
@@ -54,6 +57,36 @@
     pub callers: SocketAddr,
 }
 
+/// What the admin listener reports about the host's decisions, immutable.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Status {
+    /// Revision up to which the host has every record.
+    pub revision: u64,
+    /// Largest revision known to be held by more than half of the members.
+    pub held: u64,
+    /// Largest revision known to be in force.
+    pub in_force: u64,
+    /// Whether this process is a member; otherwise it is a guest.
+    pub is_member: bool,
+    /// Hosts that hold shares.
+    pub members: Vec<Member>,
+    /// Records of the documents, without the removed ones.
+    pub documents: Vec<Record>,
+}
+
+/// State of one service's backend servers in one region.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RegionReport {
+    /// Service of the backend servers.
+    pub service: Arc<str>,
+    /// Region of the backend servers.
+    pub region: Arc<str>,
+    /// Late figure: running requests relative to the slots; `None` without any report.
+    pub load: Option<f64>,
+    /// Whether no backend server of the region may get a request.
+    pub is_lost: bool,
+}
+
 /// Question or command for the control thread.
 pub enum Request {
     /// The request path lacks tokens; the answer comes when a loan arrived or was denied.
@@ -83,8 +116,12 @@
         /// Receives the result.
         answer: oneshot::Sender<event::Edited>,
     },
-    /// The process was asked to stop; answered when the host has left the members.
-    Drain(oneshot::Sender<()>),
+    /// What probes and the request path know about regions.
+    Regions(Vec<RegionReport>),
+    /// The process was asked to stop; peers and look-ups leave the host out from now on.
+    Drain,
+    /// Every open request has ended; answered when the host has left the members.
+    Leave(oneshot::Sender<()>),
 }
 
 /// State shared by all threads of an entry host.
@@ -95,6 +132,8 @@
     pub region: Arc<str>,
     /// Newest snapshot.
     pub snapshot: ArcSwap<Snapshot>,
+    /// Newest status.
+    pub status: ArcSwap<Status>,
     /// Queue of the control thread.
     pub control: mpsc::Sender<Request>,
     started: Instant,
@@ -110,6 +149,7 @@
             host,
             region,
             snapshot: ArcSwap::default(),
+            status: ArcSwap::default(),
             control,
             started: Instant::now(),
             current_until_micros: AtomicU64::new(0),
--- /dev/null
+++ b/crates/entry/tests/callers/main.rs
@@ -0,0 +1,13 @@
+//! The request path between real sockets.
+
+mod budgets;
+mod claims;
+mod common;
+mod connections;
+mod credentials;
+mod drain;
+mod forwarding;
+mod metrics;
+mod once;
+mod smuggling;
+mod tls;
--- /dev/null
+++ b/crates/standin/src/main.rs
@@ -0,0 +1,179 @@
+//! Runs one stand-in.
+
+use std::{
+    net::SocketAddr, path::PathBuf, process::ExitCode, str::FromStr, sync::Arc, time::Duration,
+};
+
+use bpaf::Bpaf;
+use eyre::WrapErr;
+use marjorampick_link::{exit::Exit, hosts::List, log as logging};
+use marjorampick_standin::{
+    backend::{Backend, Settings},
+    hosts::Hosts,
+    store::Store,
+};
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+    task::JoinSet,
+};
+
+/// Stand-ins for the platform of marjorampick.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+enum Options {
+    /// Key-value store over a subset of the published etcd v3 API
+    #[bpaf(command)]
+    Store {
+        /// Address of the gRPC listener
+        #[bpaf(argument("ADDRESS"))]
+        listen: SocketAddr,
+        /// Address of the HTTP listener for faults and counts
+        #[bpaf(argument("ADDRESS"))]
+        control: SocketAddr,
+    },
+    /// The platform's list of hosts, changed by PUT /hosts
+    #[bpaf(command)]
+    Hosts {
+        /// Address of the HTTP listener
+        #[bpaf(argument("ADDRESS"))]
+        listen: SocketAddr,
+        /// JSON file with the first list
+        #[bpaf(argument("FILE"))]
+        file: Option<PathBuf>,
+        /// Time until a change becomes visible, in milliseconds
+        #[bpaf(argument("MILLISECONDS"), fallback(1000), display_fallback)]
+        lag_ms: u64,
+    },
+    /// The backend servers of a host list, all or those of one region, until SIGTERM drains them
+    #[bpaf(command)]
+    Backends {
+        /// JSON file with the list
+        #[bpaf(argument("FILE"))]
+        file: PathBuf,
+        /// Region to serve; all when absent
+        #[bpaf(argument("REGION"))]
+        region: Option<String>,
+        /// Slots and service time of a service; may be repeated
+        #[bpaf(argument("SERVICE=SLOTS,MILLISECONDS"), many)]
+        service: Vec<Pace>,
+    },
+}
+
+/// How a backend server of one service works.
+#[derive(Clone, Debug)]
+struct Pace {
+    service: String,
+    slots: usize,
+    service_time: Duration,
+}
+
+impl FromStr for Pace {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let expected = || format!("{text:?} is not SERVICE=SLOTS,MILLISECONDS");
+        let (service, pace) = text.split_once('=').ok_or_else(expected)?;
+        let (slots, milliseconds) = pace.split_once(',').ok_or_else(expected)?;
+        let service_time = milliseconds.parse().map_err(|_| expected())?;
+        Ok(Self {
+            service: service.to_owned(),
+            slots: slots.parse().map_err(|_| expected())?,
+            service_time: Duration::from_millis(service_time),
+        })
+    }
+}
+
+fn main() -> ExitCode {
+    let options = options().run();
+    logging::start("info");
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    let result = runtime
+        .wrap_err("cannot start the runtime")
+        .and_then(|runtime| runtime.block_on(run(options)));
+    match result {
+        Ok(()) => Exit::Success.into(),
+        Err(report) => {
+            log::error!("standin: {report:#}");
+            Exit::Failure.into()
+        }
+    }
+}
+
+async fn run(options: Options) -> eyre::Result<()> {
+    match options {
+        Options::Store { listen, control } => {
+            let store = Store::new();
+            let control = bind(control).await?;
+            let listener = bind(listen).await?;
+            tokio::select! {
+                served = store.clone().serve(listener) => served.wrap_err("the store stopped"),
+                () = store.serve_control(control) => Ok(()),
+            }
+        }
+        Options::Hosts {
+            listen,
+            file,
+            lag_ms,
+        } => {
+            let list = file.as_deref().map_or_else(|| Ok(List::default()), read)?;
+            let hosts = Hosts::new(list, Duration::from_millis(lag_ms));
+            hosts.serve(bind(listen).await?).await;
+            Ok(())
+        }
+        Options::Backends {
+            file,
+            region,
+            service,
+        } => backends(&read(&file)?, region.as_deref(), &service).await,
+    }
+}
+
+/// Serves every backend server of the list, and drains them on SIGTERM.
+async fn backends(list: &List, region: Option<&str>, paces: &[Pace]) -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).wrap_err("cannot wait for SIGTERM")?;
+    let mut running = Vec::new();
+    let mut serving = JoinSet::new();
+    for host in &list.hosts {
+        let Some(service) = &host.service else {
+            continue;
+        };
+        if region.is_some_and(|region| region != host.region.as_ref()) {
+            continue;
+        }
+        let pace = paces.iter().find(|pace| pace.service == service.as_ref());
+        let backend = Backend::new(settings(&host.name, pace));
+        let listener = bind(host.address).await?;
+        serving.spawn(backend.clone().serve(listener));
+        running.push(backend);
+    }
+    log::info!("standin: {} backend servers are running", running.len());
+    terminate.recv().await;
+    running.iter().for_each(|backend| backend.drain());
+    while serving.join_next().await.is_some() {}
+    Ok(())
+}
+
+fn settings(name: &Arc<str>, pace: Option<&Pace>) -> Settings {
+    let default = Settings::default();
+    Settings {
+        name: name.clone(),
+        slots: pace.map_or(default.slots, |pace| pace.slots),
+        service_time: pace.map_or(default.service_time, |pace| pace.service_time),
+        ..default
+    }
+}
+
+fn read(file: &std::path::Path) -> eyre::Result<List> {
+    let text = std::fs::read_to_string(file)
+        .wrap_err_with(|| format!("cannot read {}", file.display()))?;
+    serde_json::from_str(&text).wrap_err_with(|| format!("{} is no list", file.display()))
+}
+
+async fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .wrap_err_with(|| format!("cannot listen on {address}"))
+}
