Test that uploads broken off by their callers never run

A part of an upload must not look whole to the backend server. Seen to fail with a charged body that ends normally where the caller broke off; the HEAD test was seen to fail with Content-Length removed from answers.

--- a/crates/entry/tests/callers/forwarding.rs
+++ b/crates/entry/tests/callers/forwarding.rs
@@ -5,7 +5,7 @@
 use marjorampick_entry::callers::{Settings, tokens::Tokens};
 use marjorampick_standin::backend::Fault;
 
-use crate::common::{ANCHOR_KEY, Site, request, until};
+use crate::common::{ANCHOR_KEY, Site, document, request, until};
 
 /// Guards against a request path that doesn't reach the backend server at all.
 #[tokio::test]
@@ -96,6 +96,33 @@
     assert_eq!(site.backends[0].running(), 0);
 }
 
+/// Guards against a part of an upload being presented to the backend server as the whole, within the
+/// region and, charged on its way, in another one.
+#[tokio::test]
+async fn an_upload_that_its_caller_breaks_off_never_runs() {
+    for region in ["ee-north", "fi-south"] {
+        let mut site = Site::start(1).await;
+        site.listed[0].region = region.into();
+        site.publish(document(ANCHOR_KEY), region);
+        let framings = [
+            ("content-length: 10\r\n", "hello"),
+            ("transfer-encoding: chunked\r\n", "5\r\nhello\r\n"),
+        ];
+        for (index, (framing, part)) in framings.into_iter().enumerate() {
+            let mut caller = site.caller().await;
+            caller.send(request("POST", "/slow", framing, part)).await;
+            let backend = &site.backends[0];
+            until("the upload starts", || backend.record().seen.len() > index).await;
+            drop(caller);
+            until("it is given up", || {
+                backend.record().cancelled > index as u64
+            })
+            .await;
+        }
+        assert_eq!(site.runs("/slow"), 0);
+    }
+}
+
 /// Guards against a connection whose answer was not read to its end being used again.
 #[tokio::test]
 async fn a_caller_that_goes_away_within_the_answer_closes_the_connection() {
