Reserve the closed port of two tests

an_unreachable_backend_server_is_passed_over failed in 1 of 20 runs, five at a time: the port that it had closed was most likely taken by a listener of another run. Both tests were seen to fail: without a second server after a failed connect, and with a failed connect reported as unknown.

--- a/crates/entry/tests/callers/once.rs
+++ b/crates/entry/tests/callers/once.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use marjorampick_entry::{callers::Settings, callers::tokens::Tokens};
+use tokio::net::TcpSocket;
 
 use crate::common::{ANCHOR_KEY, Caller, Site, document, request, until};
 
@@ -85,13 +86,19 @@
     );
 }
 
+/// A port that refuses connections and that nobody else gets meanwhile: bound, but not listening.
+fn closed_port() -> TcpSocket {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    socket
+}
+
 /// Guards against giving up, or claiming a run, when no connection could be opened.
 #[tokio::test]
 async fn an_unreachable_backend_server_is_passed_over() {
     let mut site = Site::start(2).await;
-    let port = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-    site.listed[0].address = port.local_addr().unwrap();
-    drop(port);
+    let closed = closed_port();
+    site.listed[0].address = closed.local_addr().unwrap();
     site.publish(document(ANCHOR_KEY), "ee-north");
     for index in 0..10 {
         let key = format!("sign-{index}");
@@ -105,9 +112,8 @@
 #[tokio::test]
 async fn a_request_without_a_connection_did_not_run() {
     let mut site = Site::start(1).await;
-    let port = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-    site.listed[0].address = port.local_addr().unwrap();
-    drop(port);
+    let closed = closed_port();
+    site.listed[0].address = closed.local_addr().unwrap();
     site.publish(document(ANCHOR_KEY), "ee-north");
     let answer = site.ask(&sign("none", "late=0")).await;
     answer.assert_refused(502, "backend-failed", "not-run");
