--- a/crates/link/src/peer.rs
+++ b/crates/link/src/peer.rs
@@ -20,7 +20,7 @@
 
 use marjorampick_core::message::{Envelope, Message, Sender};
 use quinn::{Connection, Endpoint, EndpointConfig, TransportConfig, VarInt};
-use tokio::{sync::mpsc, task::JoinHandle, time::timeout};
+use tokio::{runtime::Handle, sync::mpsc, task::JoinHandle, time::timeout};
 
 use self::queue::Queue;
 pub use self::tls::{Credentials, Fault};
@@ -65,6 +65,7 @@
     from: Sender,
     links: Mutex<HashMap<SocketAddr, Link>>,
     receiver: JoinHandle<()>,
+    runtime: Handle,
 }
 
 /// Queue of one peer and the task that empties it.
@@ -96,6 +97,7 @@
             from,
             links: Mutex::default(),
             receiver,
+            runtime: Handle::current(),
         })
     }
 
@@ -147,7 +149,9 @@
         }
         let link = links.entry(to).or_insert_with(|| {
             let queue = Arc::new(Queue::new(QUEUE_LENGTH));
-            let task = tokio::spawn(deliver(self.endpoint.clone(), to, queue.clone()));
+            let task = self
+                .runtime
+                .spawn(deliver(self.endpoint.clone(), to, queue.clone()));
             Link { queue, task }
         });
         Some(link.queue.clone())
