--- a/crates/entry/src/probes.rs
+++ b/crates/entry/src/probes.rs
@@ -16,7 +16,7 @@
     backend::{Health, PROBE_TIMEOUT, Standing},
     document::Document,
 };
-use marjorampick_link::http_client;
+use marjorampick_link::http_client::Connection;
 use serde::Deserialize;
 use tokio::{task::JoinSet, time::MissedTickBehavior};
 
@@ -195,7 +195,7 @@
     if is_ejected {
         instance.status().probing(sent);
     }
-    let health = get(&instance, "/health").await;
+    let (health, load) = ask(&instance).await;
     let now = shared.now();
     if is_ejected {
         match health {
@@ -208,14 +208,25 @@
     instance
         .status()
         .health(now, now.saturating_sub(sent), report);
-    if health.is_none() {
-        return (instance.name.clone(), None);
-    }
-    let load = get(&instance, "/load").await;
-    let load = load.and_then(|body| serde_json::from_slice(&body).ok());
     (instance.name.clone(), load)
 }
 
+/// Body of the health report and the load; `None` for what was not answered.
+async fn ask(instance: &Instance) -> (Option<Bytes>, Option<Load>) {
+    let (Some(health), Some(load)) = (uri(instance, "/health"), uri(instance, "/load")) else {
+        return (None, None);
+    };
+    let Ok(mut connection) = Connection::open(&health, PROBE_TIMEOUT).await else {
+        return (None, None);
+    };
+    let Some(health) = get(&mut connection, health).await else {
+        return (None, None);
+    };
+    let load = get(&mut connection, load).await;
+    let load = load.and_then(|body| serde_json::from_slice(&body).ok());
+    (Some(health), load)
+}
+
 fn health_of(body: Option<&[u8]>) -> Health {
     match body.map(<[u8]>::trim_ascii) {
         Some(b"ready") => Health::Serving,
@@ -224,12 +235,15 @@
     }
 }
 
+fn uri(instance: &Instance, path: &str) -> Option<Uri> {
+    format!("http://{}{path}", instance.address).parse().ok()
+}
+
 /// Body of a successful answer.
-async fn get(instance: &Instance, path: &str) -> Option<Bytes> {
-    let uri = format!("http://{}{path}", instance.address);
+async fn get(connection: &mut Connection, uri: Uri) -> Option<Bytes> {
     let mut request = HttpRequest::new(Bytes::new());
-    *request.uri_mut() = uri.parse::<Uri>().ok()?;
-    let response = http_client::send(request, PROBE_TIMEOUT).await.ok()?;
+    *request.uri_mut() = uri;
+    let response = connection.send(request, PROBE_TIMEOUT).await.ok()?;
     let is_success = response.status() == StatusCode::OK;
     is_success.then(|| response.into_body())
 }
--- a/crates/link/src/http_client.rs
+++ b/crates/link/src/http_client.rs
@@ -1,4 +1,4 @@
-//! One HTTP/1.1 request over a fresh connection, with one deadline for all of it.
+//! HTTP/1.1 requests over fresh connections, with deadlines.
 //!
 //! Used for the platform's list of hosts and by the operator's command, where a kept connection
 //! could have gone silent.
@@ -8,8 +8,9 @@
 use bytes::Bytes;
 use http::{Request, Response, Uri, header};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use tokio::{net::TcpStream, time::timeout};
+use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
 
 /// Largest response body, in bytes.
 const BODY_LIMIT: usize = 8 * 1024 * 1024;
@@ -47,15 +48,63 @@
 
 impl std::error::Error for Fault {}
 
-/// Sends `request`, whose URI is absolute, and reads the whole response within `deadline`.
+/// Sends `request`, whose URI is absolute, and reads the whole response; `deadline` bounds the
+/// connection attempt and the exchange each.
 pub async fn send(request: Request<Bytes>, deadline: Duration) -> Result<Response<Bytes>, Fault> {
-    let address = address(request.uri())?;
-    let connected = timeout(deadline, TcpStream::connect(address)).await;
-    let late = || Fault::NotSent(std::io::ErrorKind::TimedOut.into());
-    let stream = connected.map_err(|_| late())?.map_err(Fault::NotSent)?;
-    match timeout(deadline, exchange(stream, request)).await {
-        Ok(result) => result.map_err(|error| Fault::Broken(error.to_string())),
-        Err(_) => Err(Fault::Late),
+    let mut connection = Connection::open(request.uri(), deadline).await?;
+    connection.send(request, deadline).await
+}
+
+/// A connection for a few requests, one after the other.
+pub struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<()>,
+}
+
+impl Connection {
+    /// Connects to the host and port of `uri`.
+    pub async fn open(uri: &Uri, deadline: Duration) -> Result<Self, Fault> {
+        let address = address(uri)?;
+        let connected = timeout(deadline, TcpStream::connect(address)).await;
+        let late = || Fault::NotSent(std::io::ErrorKind::TimedOut.into());
+        let stream = connected.map_err(|_| late())?.map_err(Fault::NotSent)?;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) =
+            handshake.map_err(|error| Fault::NotSent(std::io::Error::other(error)))?;
+        let driver = tokio::spawn(async move { drop(connection.await) });
+        Ok(Self { sender, driver })
+    }
+
+    /// Sends `request`, whose URI is absolute, and reads the whole response.
+    pub async fn send(
+        &mut self,
+        request: Request<Bytes>,
+        deadline: Duration,
+    ) -> Result<Response<Bytes>, Fault> {
+        match timeout(deadline, self.exchange(request)).await {
+            Ok(result) => result.map_err(|error| Fault::Broken(error.to_string())),
+            Err(_) => Err(Fault::Late),
+        }
+    }
+
+    async fn exchange(&mut self, mut request: Request<Bytes>) -> Result<Response<Bytes>, Failure> {
+        let host = request.uri().authority().map(ToString::to_string);
+        let path = request.uri().path_and_query().cloned();
+        if let Some(host) = host {
+            request.headers_mut().insert(header::HOST, host.parse()?);
+        }
+        *request.uri_mut() = path.map_or_else(|| Uri::from_static("/"), Uri::from);
+        self.sender.ready().await?;
+        let response = self.sender.send_request(request.map(Full::new)).await?;
+        let (parts, body) = response.into_parts();
+        let body = Limited::new(body, BODY_LIMIT).collect().await?.to_bytes();
+        Ok(Response::from_parts(parts, body))
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
     }
 }
 
@@ -72,23 +121,3 @@
 }
 
 type Failure = Box<dyn std::error::Error + Send + Sync>;
-
-async fn exchange(
-    stream: TcpStream,
-    mut request: Request<Bytes>,
-) -> Result<Response<Bytes>, Failure> {
-    let (mut sender, connection) =
-        hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
-    let driver = tokio::spawn(connection);
-    let host = request.uri().authority().map(ToString::to_string);
-    let path = request.uri().path_and_query().cloned();
-    if let Some(host) = host {
-        request.headers_mut().insert(header::HOST, host.parse()?);
-    }
-    *request.uri_mut() = path.map_or_else(|| Uri::from_static("/"), Uri::from);
-    let response = sender.send_request(request.map(Full::new)).await?;
-    let (parts, body) = response.into_parts();
-    let body = Limited::new(body, BODY_LIMIT).collect().await?.to_bytes();
-    driver.abort();
-    Ok(Response::from_parts(parts, body))
-}
