--- a/crates/core/src/budget/ledger.rs
+++ b/crates/core/src/budget/ledger.rs
@@ -207,7 +207,7 @@
         } = control;
         borrowings.retain(|budget, _| limits.contains_key(budget));
         for (budget, limit) in limits {
-            let shares = limit.shares(budget, &hosts);
+            let shares = limit.shares(budget, &hosts, self.settings.lends());
             let peers = hosts.iter().cloned().zip(shares);
             let others = peers.filter(|(host, _)| *host != self.host);
             let borrowing = borrowings.entry(budget.clone()).or_default();
@@ -220,7 +220,7 @@
             return limit.whole();
         }
         let own = hosts.iter().position(|host| *host == self.host);
-        let share = own.map(|own| limit.shares(budget, hosts)[own]);
+        let share = own.map(|own| limit.shares(budget, hosts, self.settings.lends())[own]);
         share.unwrap_or_default()
     }
 
--- a/crates/core/src/budget/limit.rs
+++ b/crates/core/src/budget/limit.rs
@@ -70,23 +70,28 @@
         }
     }
 
-    /// Shares of `members`, in their order.
-    pub(super) fn shares(self, budget: &Budget, members: &[Arc<str>]) -> Vec<Share> {
+    /// Shares of `members`, in their order. Without lending, all shares of a rate are equal.
+    pub(super) fn shares(self, budget: &Budget, members: &[Arc<str>], lends: bool) -> Vec<Share> {
         let names = members.iter().map(AsRef::as_ref);
         let order = rendezvous::rank(&budget.rank_key(), names);
         let mut shares = vec![Share::default(); members.len()];
         for (place, index) in order.into_iter().enumerate() {
-            shares[index] = self.share(members.len() as u64, place as u64);
+            shares[index] = self.share(members.len() as u64, place as u64, lends);
         }
         shares
     }
 
     /// Share of the host at `place` of `count`.
-    fn share(self, count: u64, place: u64) -> Share {
+    fn share(self, count: u64, place: u64, lends: bool) -> Share {
+        let (home_burst, home_rate) = if lends {
+            (HOME_BURST, HOME_RATE)
+        } else {
+            (0, 0)
+        };
         match self {
             Self::Rate { per_second, burst } => Share {
-                capacity: first_part(burst, HOME_BURST, count, place).saturating_mul(MILLI),
-                rate: first_part(per_second, HOME_RATE, count, place),
+                capacity: first_part(burst, home_burst, count, place).saturating_mul(MILLI),
+                rate: first_part(per_second, home_rate, count, place),
             },
             Self::Concurrency { slots, .. } => Share {
                 capacity: part(slots, count, place),
--- a/crates/core/src/budget/tests.rs
+++ b/crates/core/src/budget/tests.rs
@@ -22,10 +22,15 @@
 #[test]
 fn shares_add_up_to_the_limit() {
     let names = hosts(&["a", "b", "c"]);
-    for burst in [1, 7, 31, 32, 33, 64, 95, 96, 97, 400] {
+    let bursts = [1, 7, 31, 32, 33, 64, 95, 96, 97, 400];
+    let settings = [Settings::Fixed, Settings::Lending];
+    for (burst, settings) in bursts
+        .iter()
+        .flat_map(|burst| settings.map(|one| (*burst, one)))
+    {
         let limit = Limit::rate(1e6, burst);
         let taken = names.iter().map(|name| {
-            let ledger = Ledger::new(name.clone(), 1, Settings::Fixed);
+            let ledger = Ledger::new(name.clone(), 1, settings);
             ledger.configure(Duration::ZERO, &[(budget("anchor"), limit)], 1);
             ledger.set_members(Duration::ZERO, &names, 1);
             ledger.in_force(Duration::ZERO, 1);
