--- a/crates/entry/tests/callers/main.rs
+++ b/crates/entry/tests/callers/main.rs
@@ -9,5 +9,6 @@
 mod forwarding;
 mod metrics;
 mod once;
+mod probes;
 mod smuggling;
 mod tls;
--- /dev/null
+++ b/crates/entry/tests/callers/probes.rs
@@ -0,0 +1,94 @@
+//! Guards against an ejected backend server that never gets work again, and against one that says it
+//! is draining and still gets work.
+
+use std::{sync::Arc, time::Duration};
+
+use marjorampick_core::{
+    document::Document,
+    host::event::{Listed, ListedState},
+    message::ServiceWeights,
+};
+use marjorampick_entry::{
+    callers::{self, Callers, fleet::Instance, tokens::Tokens},
+    probes,
+    shared::{Request, Service, Shared, Snapshot},
+};
+use marjorampick_standin::backend::{Backend, Settings};
+use tokio::{net::TcpListener, sync::mpsc, time::timeout};
+
+/// Longer than the pause of a first ejection and than the interval of the probes.
+const SOON: Duration = Duration::from_secs(5);
+
+const DOCUMENT: &str = "service = \"a\"\n[[route]]\npath = \"/\"\nclass = \"a\"\n\
+    [[region]]\nname = \"north\"\nweight = 1\nslots_per_backend = 1\n";
+
+fn snapshot(listed: Listed) -> Snapshot {
+    let document = Document::parse(DOCUMENT).expect("a document");
+    let service = Service {
+        document: Arc::new(document),
+        revision: 1,
+        weights: ServiceWeights {
+            service: "a".into(),
+            regions: vec![("north".into(), 1.0)],
+        },
+        backends: vec![listed],
+    };
+    Snapshot {
+        services: [("a".into(), service)].into(),
+        entry_hosts: Vec::new(),
+    }
+}
+
+/// Waits for a report of the region whose `is_lost` is as wanted.
+async fn reported(requests: &mut mpsc::Receiver<Request>, is_lost: bool) {
+    while let Some(request) = requests.recv().await {
+        let Request::Regions(reports) = request else {
+            continue;
+        };
+        if reports.iter().any(|report| report.is_lost == is_lost) {
+            return;
+        }
+    }
+}
+
+async fn until(instance: &Instance, shared: &Shared, is_eligible: bool) {
+    while instance.status().eligible(shared.now()) != is_eligible {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[tokio::test]
+async fn an_ejected_instance_is_readmitted_and_a_draining_one_is_left() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let listed = Listed {
+        name: "a-1".into(),
+        service: Some("a".into()),
+        region: "north".into(),
+        domain: "north-1".into(),
+        address: listener.local_addr().expect("an address"),
+        state: ListedState::Live,
+    };
+    let backend = Backend::new(Settings::default());
+    tokio::spawn(backend.clone().serve(listener));
+    let (shared, mut requests) = Shared::new("host".into(), "north".into());
+    shared.snapshot.store(Arc::new(snapshot(listed)));
+    let settings = callers::Settings::default();
+    let callers = Callers::new(shared.clone(), settings, Tokens::unlimited());
+    let published = shared.snapshot.load_full();
+    let instances = callers.fleet().instances(shared.now(), &published, "a");
+    let instance = instances.first().expect("an instance");
+
+    while instance.status().eligible(shared.now()) {
+        let now = shared.now();
+        instance.status().failed(now, now);
+    }
+    tokio::spawn(probes::run(shared.clone(), callers.clone()));
+    let lost = timeout(SOON, reported(&mut requests, true)).await;
+    lost.expect("the only region is lost");
+    let readmitted = timeout(SOON, until(instance, &shared, true)).await;
+    readmitted.expect("readmitted by a probe");
+
+    backend.announce_drain();
+    let left = timeout(SOON, until(instance, &shared, false)).await;
+    left.expect("left when its health says draining");
+}
