budget: test of the largest byte budgets

Bytes count as tokens in thousandths: 2^40 bytes, the most that a document may state, are 2^50 thousandths. A loan from the wire can no longer overflow the sum of tokens.

--- a/crates/core/src/budget/bucket.rs
+++ b/crates/core/src/budget/bucket.rs
@@ -132,7 +132,10 @@
     pub(super) fn borrow(&mut self, tokens: u64, loan: Moved) {
         self.borrowed.push(loan);
         self.refresh();
-        self.tokens = (self.tokens + tokens).min(self.current.capacity);
+        self.tokens = self
+            .tokens
+            .saturating_add(tokens)
+            .min(self.current.capacity);
     }
 
     /// Brings the tokens up to `now`, through every change of capacity on the way.
--- a/crates/core/src/budget/tests.rs
+++ b/crates/core/src/budget/tests.rs
@@ -1,6 +1,6 @@
 use std::{sync::Arc, time::Duration};
 
-use super::{Account, Budget, Ledger, Limit, LoanRequest, LoanReturn, Settings, fair};
+use super::{Account, Budget, Ledger, Limit, LoanRequest, LoanReturn, Settings, Short, fair};
 
 fn budget(workspace: &str) -> Budget {
     Budget::Workspace {
@@ -144,3 +144,24 @@
     assert_eq!(drain(&open("new"), MINUTE * 2), 160);
     assert_eq!(drain(&open("old"), MINUTE * 2), 0);
 }
+
+/// Guards against an overflow for the largest cross-region volume that a document may state, lent and
+/// taken after a day without traffic.
+#[test]
+fn large_byte_budgets_do_not_overflow() {
+    let day = MINUTE * 60 * 24;
+    let largest = 1_u64 << 40;
+    let ledger = settled("a", Limit::rate(largest as f64, largest));
+    let account = ledger.account(&budget("anchor")).expect("configured");
+    let request = LoanRequest {
+        id: 1,
+        budget: budget("anchor"),
+        wanted: largest / 4,
+        rate_wanted: u64::MAX,
+    };
+    let loan = ledger.lend(day, &Arc::from("b"), &request);
+    assert!(loan.tokens >= largest / 4 && loan.tokens <= largest / 2);
+    assert_eq!(account.available(day), largest / 2 - loan.tokens);
+    assert_eq!(account.take(day, largest / 2 - loan.tokens), Ok(()));
+    assert_eq!(account.take(day, 1), Err(Short { missing: 1 }));
+}
