scenario: pass the policy to the hosts, compare policies, refuse impossible numbers

Cause: `policy fixed` and `policy leased` were parsed, but every host lent. Times below zero or beyond a duration, hosts that do not exist and unknown workspaces ended the run with a panic. Change: the policy reaches Host::with_budgets; `--policies` runs a file under each policy and prints the shares side by side. The parser reports impossible numbers and unknown names with their line. Conclusion: the baselines can be compared in any scenario.

--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod judge;
 pub mod network;
 pub mod parse;
+pub mod policies;
 pub mod run;
 pub mod script;
 pub mod store;
--- a/crates/scenario/src/main.rs
+++ b/crates/scenario/src/main.rs
@@ -4,7 +4,7 @@
 
 use bpaf::Bpaf;
 use eyre::WrapErr as _;
-use marjorampick_scenario::{parse, run};
+use marjorampick_scenario::{parse, policies, run, script::Script};
 
 /// Runs scenario files against the decisions of marjorampick.
 #[derive(Bpaf, Clone, Debug)]
@@ -12,6 +12,9 @@
 struct Options {
     /// Checks the files and ends.
     check: bool,
+    /// Runs each file under every policy and prints the shares of the omniscient limiter side by side;
+    /// expectations are not checked.
+    policies: bool,
     /// Seed of delays and arrivals; a failure prints the one to repeat.
     #[bpaf(argument("NUMBER"), fallback(1))]
     seed: u64,
@@ -55,21 +58,24 @@
     }
     let mut passed = true;
     for seed in options.seed..options.seed + options.runs {
-        let outcome = run::run(&script, seed);
-        println!(
-            "{shown} seed {seed}: {}",
-            if outcome.failures.is_empty() {
-                "ok"
-            } else {
-                "failed"
-            }
-        );
-        print!("{}", outcome.figures);
-        outcome
-            .failures
-            .iter()
-            .for_each(|failure| println!("  {failure}"));
-        passed &= outcome.failures.is_empty();
+        if options.policies {
+            println!("{shown} seed {seed}:");
+            let rows = policies::compare(&script, seed);
+            rows.iter().for_each(|row| println!("  {row}"));
+        } else {
+            passed &= run_once(&shown.to_string(), &script, seed);
+        }
     }
     Ok(passed)
 }
+
+fn run_once(shown: &str, script: &Script, seed: u64) -> bool {
+    let outcome = run::run(script, seed);
+    let passed = outcome.failures.is_empty();
+    let verdict = if passed { "ok" } else { "failed" };
+    println!("{shown} seed {seed}: {verdict}");
+    print!("{}", outcome.figures);
+    let failures = outcome.failures.iter();
+    failures.for_each(|failure| println!("  {failure}"));
+    passed
+}
--- a/crates/scenario/src/parse.rs
+++ b/crates/scenario/src/parse.rs
@@ -15,6 +15,14 @@
     Check, Deployment, Event, Evidence, Expectation, Hosts, Load, Policy, Script, Timed, Workspace,
 };
 
+mod reference;
+
+/// Longest time of a scenario, so that sums of times cannot overflow.
+const LONGEST: Duration = Duration::from_secs(1_000 * 3_600);
+
+/// Largest number of hosts; each has a port of its own in the fake network.
+const HOSTS_LIMIT: usize = 1_000;
+
 /// Parses a scenario; every faulty line is reported.
 pub fn parse(source: &str) -> Result<Script, Findings> {
     let mut findings = Findings::default();
@@ -31,11 +39,15 @@
         end: Duration::ZERO,
     };
     let mut offset = 0;
+    let mut references = Vec::new();
     for (index, line) in source.split_inclusive('\n').enumerate() {
         let text = line.split('#').next().unwrap_or_default().trim();
         if !text.is_empty() {
             match statement.parse(text) {
-                Ok(statement) => script.add(index + 1, statement),
+                Ok(statement) => {
+                    references.push((offset, text, reference::of(&statement)));
+                    script.add(index + 1, statement);
+                }
                 Err(error) => {
                     let expected = error.inner().to_string().replace('\n', ", ");
                     findings.add(
@@ -49,6 +61,11 @@
         }
         offset += line.len();
     }
+    for (offset, text, reference) in &references {
+        if let Some(fault) = reference.fault(&script) {
+            findings.add(source, Some(*offset), text, fault);
+        }
+    }
     if script.end.is_zero() {
         findings.add(source, None, "", "the statement `end at TIME` is missing");
     }
@@ -108,13 +125,19 @@
     alt((
         preceded(words("scenario"), cut_err(rest)).map(|text: &str| Statement::Title(text.into())),
         preceded(words("deployment"), cut_err(deployment)).map(Statement::Deployment),
-        preceded(words("hosts"), cut_err(dec_uint::<_, usize, _>)).map(Statement::Hosts),
+        preceded(words("hosts"), cut_err(host_count)).map(Statement::Hosts),
         preceded(words("current by"), cut_err(evidence)).map(Statement::Evidence),
         preceded(words("policy"), cut_err(policy)).map(Statement::Policy),
     ))
     .parse_next(input)
 }
 
+fn host_count(input: &mut &str) -> ModalResult<usize> {
+    dec_uint
+        .verify(|count| (1..=HOSTS_LIMIT).contains(count))
+        .parse_next(input)
+}
+
 /// Matches the words of `text` with any spaces between and after them.
 fn words<'a>(text: &'static str) -> impl FnMut(&mut &'a str) -> ModalResult<()> {
     move |input| {
@@ -142,7 +165,8 @@
         "h".value(3600.0),
     ));
     (float, unit)
-        .map(|(count, unit): (f64, f64)| Duration::from_secs_f64(count * unit))
+        .verify_map(|(count, unit): (f64, f64)| Duration::try_from_secs_f64(count * unit).ok())
+        .verify(|time| *time <= LONGEST)
         .context(StrContext::Label("time"))
         .parse_next(input)
 }
@@ -197,7 +221,7 @@
 }
 
 fn load(input: &mut &str) -> ModalResult<Load> {
-    let rate = delimited(space1, float, (space0, words("per second")));
+    let rate = delimited(space1, positive, (space0, words("per second")));
     let on = preceded(words("on"), hosts);
     (name, rate, on, interval)
         .map(|(workspace, rate, hosts, (from, to))| Load {
@@ -210,6 +234,12 @@
         .parse_next(input)
 }
 
+fn positive(input: &mut &str) -> ModalResult<f64> {
+    float
+        .verify(|number: &f64| *number > 0.0 && number.is_finite())
+        .parse_next(input)
+}
+
 fn interval(input: &mut &str) -> ModalResult<(Duration, Duration)> {
     (
         preceded((space0, words("from")), time),
@@ -265,6 +295,8 @@
     alt((
         preceded(words("withdraw the keys of"), (name, via))
             .map(|(workspace, via)| Event::Withdraw { workspace, via }),
+        preceded(words("remove workspace"), (name, via))
+            .map(|(workspace, via)| Event::Remove { workspace, via }),
         preceded(words("set"), (workspace, via)).map(|(limit, via)| Event::SetRate {
             workspace: limit.name,
             rate: limit.rate,
--- a/crates/scenario/src/run.rs
+++ b/crates/scenario/src/run.rs
@@ -92,7 +92,7 @@
     if holds { Ok(()) } else { Err(failure()) }
 }
 
-fn within_limits(world: &World) -> Result<(), String> {
+pub(crate) fn within_limits(world: &World) -> Result<(), String> {
     let mut over = world.traffic.iter().filter_map(|(name, traffic)| {
         let (at, excess) = traffic.excess()?;
         Some(format!("{name} exceeds its limit by {excess:.2} at {at:?}"))
@@ -101,7 +101,12 @@
 }
 
 /// Share of the omniscient limiter in percent; 100 when nothing could be admitted.
-fn share(world: &World, workspace: Option<&Arc<str>>, from: Duration, to: Duration) -> f64 {
+pub(crate) fn share(
+    world: &World,
+    workspace: Option<&Arc<str>>,
+    from: Duration,
+    to: Duration,
+) -> f64 {
     let chosen = world
         .traffic
         .iter()
@@ -116,7 +121,7 @@
 }
 
 /// The workspace with the smallest share, and its share in percent.
-fn worst(world: &World, from: Duration, to: Duration) -> (f64, Arc<str>) {
+pub(crate) fn worst(world: &World, from: Duration, to: Duration) -> (f64, Arc<str>) {
     let shares = world
         .traffic
         .keys()
--- a/crates/scenario/src/script.rs
+++ b/crates/scenario/src/script.rs
@@ -140,6 +140,13 @@
         /// Number of the host that takes the edit.
         via: usize,
     },
+    /// An operator removes a workspace from the document through a host.
+    Remove {
+        /// Workspace to remove.
+        workspace: Arc<str>,
+        /// Number of the host that takes the edit.
+        via: usize,
+    },
     /// An operator withdraws every key of a workspace through a host.
     Withdraw {
         /// Workspace that loses its keys.
--- a/crates/scenario/src/world.rs
+++ b/crates/scenario/src/world.rs
@@ -8,12 +8,11 @@
 };
 
 use marjorampick_core::{
-    budget::Budget,
-    constants::BORROW_WAIT,
-    document::Digest,
+    budget::{self, Budget},
+    constants::CURRENCY_TERM,
     host::{
         Host, Identity, Source,
-        event::{Action, Edit, Edited, Event, Listed, ListedState, Written},
+        event::{Action, Edited, Event, Written},
     },
     message::{Envelope, Sender},
 };
@@ -22,10 +21,13 @@
 use crate::{
     judge::{CLOCK_SPREAD, Ledger, Limit, Traffic},
     network::host_at,
-    script::{self, Evidence, Hosts, Script},
+    script::{self, Evidence, Policy, Script},
     store::Store,
 };
 
+mod callers;
+mod events;
+
 /// The one service of a scenario.
 pub const SERVICE: &str = "status";
 
@@ -186,31 +188,6 @@
         self.schedule(PROBE_INTERVAL, Occurrence::Probe);
     }
 
-    /// The document of the service with the limits as last edited.
-    fn document(&self) -> Arc<str> {
-        let member = self.script.deployment.member(0, 0);
-        let mut text = format!(
-            "service = \"{SERVICE}\"\n[[route]]\npath = \"/\"\nclass = \"status\"\nidempotent = true\n\
-             [[region]]\nname = \"{}\"\nweight = 1\nslots_per_backend = 9\n",
-            member.region
-        );
-        for workspace in &self.limits {
-            let keys = if self.withdrawn.contains(&workspace.name) {
-                String::new()
-            } else {
-                format!(
-                    "\"{}\"",
-                    Digest::of_key(workspace.name.as_bytes()).to_text()
-                )
-            };
-            text += &format!(
-                "[[workspace]]\nname = \"{}\"\nrate_per_second = {}\nburst = {}\nkeys = [{keys}]\n",
-                workspace.name, workspace.rate, workspace.burst
-            );
-        }
-        Arc::from(text)
-    }
-
     fn schedule(&mut self, at: Duration, occurrence: Occurrence) {
         self.next += 1;
         self.occurrences.insert(self.next, occurrence);
@@ -366,87 +343,6 @@
         );
     }
 
-    fn arrival(&mut self, load: usize) {
-        let load_spec = self.script.loads[load].clone();
-        if self.now >= load_spec.to {
-            return;
-        }
-        let gap = -(1.0 - self.random.random::<f64>()).ln() / load_spec.rate;
-        self.schedule(
-            self.now + Duration::from_secs_f64(gap),
-            Occurrence::Arrival(load),
-        );
-        let index = self.choose(&load_spec);
-        let slot = &self.slots[index];
-        if slot.host.is_none() || slot.paused_until > self.now {
-            return;
-        }
-        if let Some(traffic) = self.traffic.get_mut(&load_spec.workspace) {
-            traffic.offered.push(self.now);
-        }
-        let request = Request {
-            workspace: load_spec.workspace,
-            arrived: self.now,
-        };
-        if !self.admit(index, &request) {
-            self.wait_for_loan(index, request);
-        }
-    }
-
-    fn choose(&mut self, load: &script::Load) -> usize {
-        match &load.hosts {
-            Hosts::All => self.random.random_range(0..self.slots.len()),
-            Hosts::Listed(hosts) => hosts[self.random.random_range(0..hosts.len())] - 1,
-            Hosts::Rotating(each) => {
-                let turn = (self.now.as_secs_f64() / each.as_secs_f64()) as usize;
-                turn % self.slots.len()
-            }
-        }
-    }
-
-    /// Admits a request if the host is current, knows the key and has a token.
-    fn admit(&mut self, index: usize, request: &Request) -> bool {
-        let now = self.clock(index);
-        let Some(host) = &self.slots[index].host else {
-            return false;
-        };
-        let digest = Digest::of_key(request.workspace.as_bytes());
-        let known = host.documents().get(SERVICE);
-        let allowed = known.is_some_and(|known| known.document.workspace_of(&digest).is_some());
-        let budget = workspace_budget(&request.workspace);
-        let account = host.ledger().account(&budget);
-        let taken = account.is_some_and(|account| account.take(now, 1).is_ok());
-        let admitted = allowed && host.is_current(now) && taken;
-        if admitted && let Some(traffic) = self.traffic.get_mut(&request.workspace) {
-            traffic.admitted.push(self.now);
-        }
-        admitted
-    }
-
-    fn wait_for_loan(&mut self, index: usize, request: Request) {
-        let budget = workspace_budget(&request.workspace);
-        let give_up = Occurrence::GiveUp(index, budget.clone(), request.arrived);
-        self.schedule(self.now + BORROW_WAIT, give_up);
-        let waiting = self.slots[index].waiting.entry(budget.clone()).or_default();
-        waiting.push(request);
-        let wanted = waiting.len() as u64;
-        let incarnation = self.slots[index].sender.incarnation;
-        self.event(index, incarnation, Event::Short { budget, wanted });
-    }
-
-    fn retry(&mut self, index: usize, budget: &Budget) {
-        let waiting = self.slots[index].waiting.remove(budget).unwrap_or_default();
-        for request in waiting {
-            if !self.admit(index, &request) {
-                self.slots[index]
-                    .waiting
-                    .entry(budget.clone())
-                    .or_default()
-                    .push(request);
-            }
-        }
-    }
-
     /// Time on the host's own clock, which runs a little fast or slow.
     fn clock(&self, index: usize) -> Duration {
         let rate = 1.0 + CLOCK_SPREAD * ((index % 3) as f64 - 1.0);
@@ -471,8 +367,10 @@
             peer: member.peer,
         };
         let identity = Identity { member, currency };
+        let settings = settings(self.script.policy);
         let slot = &mut self.slots[index];
-        slot.host = Some(Host::new(identity, seeds, move || random.random()));
+        let host = Host::new(identity, seeds, move || random.random());
+        slot.host = Some(host.with_budgets(settings));
         slot.sender = sender;
         slot.started = self.now;
         slot.paused_until = Duration::ZERO;
@@ -498,135 +396,6 @@
         }
         self.schedule(self.now + PROBE_INTERVAL, Occurrence::Probe);
     }
-
-    fn script_event(&mut self, index: usize) {
-        use script::Event as Scripted;
-        let event = self.script.events[index].event.clone();
-        let now = self.now;
-        match event {
-            Scripted::Kill(hosts) => self.each(&hosts, |slot| slot.host = None),
-            Scripted::Start(hosts) => self.indexes(&hosts).into_iter().for_each(|i| self.start(i)),
-            Scripted::Pause(hosts, time) => {
-                self.each(&hosts, |slot| slot.paused_until = now + time);
-            }
-            Scripted::Cut(hosts, time) => self.each(&hosts, |slot| slot.cut_until = now + time),
-            Scripted::CutStore(hosts, time) => {
-                self.each(&hosts, |slot| slot.store_cut_until = now + time);
-            }
-            Scripted::Stop(hosts) => {
-                for index in self.indexes(&hosts) {
-                    let incarnation = self.slots[index].sender.incarnation;
-                    self.event(index, incarnation, Event::Drain);
-                    self.event(index, incarnation, Event::Leave);
-                }
-            }
-            Scripted::StoreDown(time) => self.store_down_until = now + time,
-            Scripted::StoreSlow(delay, time) => self.store_slow = (delay, now + time),
-            Scripted::StoreLosesAnswers(time) => self.answers_lost_until = now + time,
-            Scripted::Loss(percent, time) => self.loss = (percent, now + time),
-            Scripted::ListGone(hosts) => self.list_gone(&hosts),
-            Scripted::SetRate {
-                workspace,
-                rate,
-                burst,
-                via,
-            } => {
-                let limit = Limit {
-                    accepted: now,
-                    rate,
-                    burst: burst as f64,
-                };
-                let known = self.limits.iter_mut().find(|known| known.name == workspace);
-                if let Some(known) = known {
-                    (known.rate, known.burst) = (rate, burst);
-                }
-                self.edit(via - 1, Some((workspace, limit)));
-            }
-            Scripted::Withdraw { workspace, via } => {
-                self.withdrawn.push(workspace);
-                self.edit(via - 1, None);
-            }
-        }
-    }
-
-    fn list_gone(&mut self, hosts: &Hosts) {
-        self.gone.extend(self.indexes(hosts));
-        let listed: Vec<Listed> = (0..self.slots.len())
-            .map(|index| self.listed(index))
-            .collect();
-        for index in 0..self.slots.len() {
-            let incarnation = self.slots[index].sender.incarnation;
-            self.event(index, incarnation, Event::Listed(listed.clone()));
-        }
-    }
-
-    fn listed(&self, index: usize) -> Listed {
-        let member = self.script.deployment.member(index, 0);
-        let gone = self.gone.contains(&index);
-        Listed {
-            name: member.host,
-            service: None,
-            region: member.region,
-            domain: member.domain,
-            address: member.callers,
-            state: if gone {
-                ListedState::Gone
-            } else {
-                ListedState::Live
-            },
-        }
-    }
-
-    fn edit(&mut self, via: usize, limit: Option<(Arc<str>, Limit)>) {
-        let Some(host) = &self.slots[via].host else {
-            return;
-        };
-        let base = host
-            .documents()
-            .get(SERVICE)
-            .map_or(0, |known| known.revision);
-        let ticket = self.edits.len() as u64;
-        self.edits.push(EditRecord {
-            at: self.now,
-            answer: None,
-            limit,
-        });
-        let edit = Edit {
-            service: Arc::from(SERVICE),
-            base,
-            text: self.document(),
-            id: self.random.random(),
-        };
-        let incarnation = self.slots[via].sender.incarnation;
-        self.event(via, incarnation, Event::Edit { ticket, edit });
-    }
-
-    fn edited(&mut self, ticket: u64, edited: Edited) {
-        let record = &mut self.edits[usize::try_from(ticket).unwrap_or_default()];
-        if matches!(edited, Edited::Accepted { .. })
-            && let Some((workspace, limit)) = record.limit.take()
-            && let Some(traffic) = self.traffic.get_mut(&workspace)
-        {
-            traffic.limits.push(Limit {
-                accepted: self.now,
-                ..limit
-            });
-        }
-        record.answer = Some((self.now, edited));
-    }
-
-    fn indexes(&self, hosts: &Hosts) -> Vec<usize> {
-        match hosts {
-            Hosts::Listed(hosts) => hosts.iter().map(|host| host - 1).collect(),
-            _ => (0..self.slots.len()).collect(),
-        }
-    }
-
-    fn each(&mut self, hosts: &Hosts, change: impl Fn(&mut Slot)) {
-        for index in self.indexes(hosts) {
-            change(&mut self.slots[index]);
-        }
-    }
 }
 
 impl Slot {
@@ -648,9 +417,14 @@
     }
 }
 
-fn workspace_budget(workspace: &Arc<str>) -> Budget {
-    Budget::Workspace {
-        service: Arc::from(SERVICE),
-        workspace: workspace.clone(),
+/// How hosts spend under `policy`. The lease lasts as long as a confirmation of currency, so that both
+/// baselines are compared under the same patience with the store.
+fn settings(policy: Policy) -> budget::Settings {
+    match policy {
+        Policy::Lending => budget::Settings::Lending,
+        Policy::Fixed => budget::Settings::Fixed,
+        Policy::Leased => budget::Settings::Leased {
+            lease: CURRENCY_TERM,
+        },
     }
 }
