Work out only the limits of changed documents

Change: the ledger replaces the limits of one service and skips equal ones; the host keeps limits by service. The tests of core pass, budget_bound included.

--- a/crates/core/src/budget/ledger.rs
+++ b/crates/core/src/budget/ledger.rs
@@ -1,7 +1,7 @@
 //! Ledger: all accounts of one host.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
     time::Duration,
 };
@@ -88,18 +88,35 @@
     /// A new account starts without tokens. The account of a limit that is gone stays, empty, until
     /// the change has settled, so that its loans are not forgotten if the limit comes back.
     pub fn configure(&self, now: Duration, limits: &[(Budget, Limit)], revision: u64) {
+        let before = self.control().limits.clone();
+        let before: Vec<(Budget, Limit)> = before.into_iter().collect();
+        self.reconfigure(now, &before, limits, revision);
+    }
+
+    /// Replaces the limits in `before` by `limits`, those of `revision`, as [`Self::configure`] does
+    /// for all. Costs as much as these limits, however many others there are.
+    pub fn reconfigure(
+        &self,
+        now: Duration,
+        before: &[(Budget, Limit)],
+        limits: &[(Budget, Limit)],
+        revision: u64,
+    ) {
         let mut control = self.control();
-        let limits: HashMap<Budget, Limit> = limits.iter().cloned().collect();
-        for (budget, limit) in &limits {
+        for (budget, limit) in limits {
+            if control.limits.get(budget) == Some(limit) {
+                continue;
+            }
             self.set_limit(now, &control, budget, *limit, revision);
+            control.limits.insert(budget.clone(), *limit);
+            self.set_lenders(&mut control, budget, *limit);
         }
-        for (budget, limit) in &control.limits {
-            if !limits.contains_key(budget) {
-                self.set_limit(now, &control, budget, limit.emptied(), revision);
-            }
+        let kept: HashSet<&Budget> = limits.iter().map(|(budget, _)| budget).collect();
+        for (budget, limit) in before.iter().filter(|(budget, _)| !kept.contains(budget)) {
+            self.set_limit(now, &control, budget, limit.emptied(), revision);
+            control.limits.remove(budget);
+            control.borrowings.remove(budget);
         }
-        control.limits = limits;
-        self.update_lenders(&mut control);
     }
 
     /// Opens the accounts of those `limits` that have none, with the whole share at once.
@@ -201,20 +218,21 @@
 
     /// Brings the lists of peers that can lend up to date with limits and members.
     fn update_lenders(&self, control: &mut Control) {
-        let hosts = control.hosts();
-        let Control {
-            limits, borrowings, ..
-        } = control;
-        borrowings.retain(|budget, _| limits.contains_key(budget));
+        let limits: Vec<(Budget, Limit)> = control.limits.clone().into_iter().collect();
         for (budget, limit) in limits {
-            let shares = limit.shares(budget, &hosts, self.settings.lends());
-            let peers = hosts.iter().cloned().zip(shares);
-            let others = peers.filter(|(host, _)| *host != self.host);
-            let borrowing = borrowings.entry(budget.clone()).or_default();
-            borrowing.set_lenders(others);
+            self.set_lenders(control, &budget, limit);
         }
     }
 
+    fn set_lenders(&self, control: &mut Control, budget: &Budget, limit: Limit) {
+        let hosts = control.hosts();
+        let shares = limit.shares(budget, &hosts, self.settings.lends());
+        let peers = hosts.iter().cloned().zip(shares);
+        let others = peers.filter(|(host, _)| *host != self.host);
+        let borrowing = control.borrowings.entry(budget.clone()).or_default();
+        borrowing.set_lenders(others);
+    }
+
     fn share(&self, budget: &Budget, limit: Limit, hosts: &[Arc<str>]) -> Share {
         if self.settings == Settings::Omniscient {
             return limit.whole();
--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -289,18 +289,23 @@
 
     /// `after_members` tells that the changes follow the newest member table, which was known before.
     fn take_documents(&mut self, now: Duration, changed: &[Record], after_members: bool) {
-        let mut newest = None;
-        for record in changed {
-            if let Some(service) = record.key.strip_prefix(edit::DOCUMENTS) {
-                self.take_document(service, record);
-                newest = newest.max(Some(record.revision));
-            }
+        let documents = changed.iter().filter_map(|record| {
+            let service = record.key.strip_prefix(edit::DOCUMENTS)?;
+            Some((Arc::from(service), record))
+        });
+        let documents: Vec<(Arc<str>, &Record)> = documents.collect();
+        let newest = documents.iter().map(|(_, record)| record.revision).max();
+        for (service, record) in &documents {
+            self.take_document(service, record);
         }
-        if let Some(revision) = newest {
+        let Some(revision) = newest else {
+            return;
+        };
+        for (service, _) in &documents {
             if after_members {
-                self.introduce_budgets(now);
+                self.introduce_budgets(now, service);
             }
-            self.configure_budgets(now, revision);
+            self.configure_budgets(now, service, revision);
         }
     }
 
--- a/crates/core/src/host/budgets.rs
+++ b/crates/core/src/host/budgets.rs
@@ -20,7 +20,8 @@
 /// The ledger and what its limits are made of.
 pub(super) struct Budgets {
     ledger: Arc<Ledger>,
-    limits: Vec<(Budget, Limit)>,
+    /// Limits by service.
+    limits: BTreeMap<Arc<str>, Vec<(Budget, Limit)>>,
     /// `None` before the list was read for the first time.
     live: Option<Live>,
     next_tick: Duration,
@@ -31,7 +32,7 @@
         let ledger = Ledger::new(own.host.clone(), own.incarnation, settings);
         Self {
             ledger: Arc::new(ledger),
-            limits: Vec::new(),
+            limits: BTreeMap::new(),
             live: None,
             next_tick: Duration::ZERO,
         }
@@ -62,21 +63,27 @@
         ledger.set_members(now, &self.holders(&roster.members), revision);
     }
 
-    /// Opens the accounts of limits that no document before the newest changes had.
-    pub(super) fn introduce_budgets(&self, now: Duration) {
-        let live = self.budgets.live.as_ref();
-        let documents = self.documents.values();
-        let limits: Vec<_> = documents.flat_map(|known| limits(known, live)).collect();
+    /// Opens the accounts of limits that no document of the service before the newest one had.
+    pub(super) fn introduce_budgets(&self, now: Duration, service: &str) {
+        let limits = self.limits_of(service);
         self.budgets.ledger.introduce(now, &limits);
     }
 
-    /// Works the limits out anew; `revision` is that of the change they follow from.
-    pub(super) fn configure_budgets(&mut self, now: Duration, revision: u64) {
-        let live = self.budgets.live.as_ref();
-        let documents = self.documents.values();
-        self.budgets.limits = documents.flat_map(|known| limits(known, live)).collect();
+    /// Works the limits of a service out anew; `revision` is that of the change they follow from.
+    pub(super) fn configure_budgets(&mut self, now: Duration, service: &Arc<str>, revision: u64) {
+        let limits = self.limits_of(service);
+        let before = self.budgets.limits.remove(service).unwrap_or_default();
         let ledger = &self.budgets.ledger;
-        ledger.configure(now, &self.budgets.limits, revision);
+        ledger.reconfigure(now, &before, &limits, revision);
+        if !limits.is_empty() {
+            self.budgets.limits.insert(service.clone(), limits);
+        }
+    }
+
+    /// Limits of a service; none when its document was removed.
+    fn limits_of(&self, service: &str) -> Vec<(Budget, Limit)> {
+        let known = self.documents.get(service);
+        known.map_or_else(Vec::new, |known| limits(known, self.budgets.live.as_ref()))
     }
 
     /// Counts the live backend servers.
@@ -90,7 +97,10 @@
         }
         if self.budgets.live.as_ref() != Some(&live) {
             self.budgets.live = Some(live);
-            self.configure_budgets(now, self.catalog.revision());
+            let services: Vec<Arc<str>> = self.documents.keys().cloned().collect();
+            for service in services {
+                self.configure_budgets(now, &service, self.catalog.revision());
+            }
         }
     }
 
@@ -147,7 +157,13 @@
         };
         let ledger = &self.budgets.ledger;
         if heartbeat.leaving {
-            let none: Vec<Spare> = self.budgets.limits.iter().map(nothing).collect();
+            let none: Vec<Spare> = self
+                .budgets
+                .limits
+                .values()
+                .flatten()
+                .map(nothing)
+                .collect();
             ledger.note_spare(now, &from.host, &none);
         } else {
             ledger.note_spare(now, &from.host, &heartbeat.spare);
