Fuzz targets for everything read from outside; findings of a check are bounded

Cause: no test fed random input to the readers of documents, settings, credentials and look-ups. The first run showed that a document of 280 kB with a fault in every line kept its checker busy for 9 s, as every finding counted lines from the start: the control thread would lose its currency meanwhile. A check keeps its first 100 findings and counts the others; regions given twice are found by a set, as workspaces are.

--- a/crates/core/src/document.rs
+++ b/crates/core/src/document.rs
@@ -245,10 +245,11 @@
         table.report(findings, "region", "is missing: a service needs a region");
     }
     let faults_before = findings.len();
-    let mut regions: Vec<Region> = Vec::new();
+    let mut seen_names = BTreeSet::new();
+    let mut regions = Vec::new();
     for mut entry in table.tables(findings, "region") {
         let name = name(&mut entry, findings, "name");
-        if regions.iter().any(|region| region.name == name) {
+        if !seen_names.insert(name.clone()) {
             entry.report(findings, "", format!("region {name} is given twice"));
         }
         let weight = entry.number(findings, "weight", 0.0..=1e6, None);
--- a/crates/core/src/finding.rs
+++ b/crates/core/src/finding.rs
@@ -24,15 +24,26 @@
     }
 }
 
-/// Findings of one check in the order in which they were met.
+/// Findings that one check keeps. Looking up the line of each in a document of 1 MB with a fault in
+/// every line would take minutes without a bound.
+const KEPT_LIMIT: usize = 100;
+
+/// Findings of one check in the order in which they were met; the first ones are kept, all are counted.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Findings(Vec<Finding>);
+pub struct Findings {
+    kept: Vec<Finding>,
+    left_out: usize,
+}
 
 impl Findings {
     /// Adds a finding at the byte `offset` of `source`.
     pub fn add(&mut self, source: &str, offset: Option<usize>, key: &str, text: impl Into<String>) {
+        if self.kept.len() >= KEPT_LIMIT {
+            self.left_out += 1;
+            return;
+        }
         let line = offset.map_or(0, |offset| line_of(source, offset));
-        self.0.push(Finding {
+        self.kept.push(Finding {
             line,
             key: key.to_owned(),
             text: text.into(),
@@ -41,28 +52,31 @@
 
     /// Whether the check found nothing.
     pub fn is_empty(&self) -> bool {
-        self.0.is_empty()
+        self.kept.is_empty()
     }
 
-    /// Number of findings.
+    /// Number of findings, including those that are not kept.
     pub fn len(&self) -> usize {
-        self.0.len()
+        self.kept.len() + self.left_out
     }
 
-    /// The findings in order.
+    /// The kept findings in order.
     pub fn iter(&self) -> impl Iterator<Item = &Finding> {
-        self.0.iter()
+        self.kept.iter()
     }
 }
 
 impl fmt::Display for Findings {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (index, finding) in self.0.iter().enumerate() {
+        for (index, finding) in self.kept.iter().enumerate() {
             if index > 0 {
                 writeln!(f)?;
             }
             write!(f, "{finding}")?;
         }
+        if self.left_out > 0 {
+            write!(f, "\n{} more findings are left out", self.left_out)?;
+        }
         Ok(())
     }
 }
--- a/crates/entry/src/lookup/tests.rs
+++ b/crates/entry/src/lookup/tests.rs
@@ -41,3 +41,45 @@
     assert_eq!(region("10.1.0.0").as_deref(), Some("north"));
     assert_eq!(region("::1"), None);
 }
+
+/// Reads the query of a look-up, as a fuzzer would call it.
+fn read_query(target: &[u8]) {
+    let Ok(uri) = Uri::try_from(target) else {
+        return;
+    };
+    if let Some(service) = service_of(&uri) {
+        assert!(!service.is_empty() && !service.contains('&'));
+        assert!(uri.query().is_some_and(|query| query.contains(service)));
+    }
+}
+
+/// Guards against targets that end the thread of the look-ups.
+#[test]
+fn queries_are_read_or_refused() {
+    const PIECES: [&str; 8] = [
+        "/lookup",
+        "?",
+        "service=",
+        "service=signing",
+        "&",
+        "%",
+        "%00=%ff",
+        "//[::1]:0",
+    ];
+    for run in 1..=3_000_u64 {
+        arbtest::arbtest(|u| {
+            let mut target = Vec::new();
+            for _ in 0..u.int_in_range(0..=8)? {
+                target.extend_from_slice(u.choose(&PIECES)?.as_bytes());
+                if u.ratio(1, 4)? {
+                    target.push(u.arbitrary()?);
+                }
+            }
+            read_query(&target);
+            read_query(u.arbitrary()?);
+            Ok(())
+        })
+        .seed(run << 32 | 256)
+        .run();
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/robust.rs
@@ -0,0 +1,71 @@
+//! Guards against a settings file that ends the process with a panic instead of findings.
+
+use std::{fs, path::Path};
+
+use arbtest::{
+    arbitrary::{Result, Unstructured},
+    arbtest,
+};
+use marjorampick_entry::settings;
+
+/// Seeds; fixed, so that every run of the suite gives the same verdict. Each case writes a file.
+const CASES: u64 = 1_000;
+
+/// Values in place of the ones in a valid file.
+const VALUES: [&str; 14] = [
+    "-1",
+    "18446744073709551615",
+    "1e400",
+    "nan",
+    "true",
+    "\"\"",
+    "\"[::]:99999\"",
+    "\"0.0.0.0/33\"",
+    "\"sha256:\u{e9}\"",
+    "\"http://:\"",
+    "[]",
+    "[[1], {}]",
+    "{ a = 1 }",
+    "1979-05-27",
+];
+
+fn read_settings(folder: &Path, source: &[u8]) {
+    let file = folder.join("host.toml");
+    fs::write(&file, source).expect("a writable folder");
+    if let Err(faults) = settings::read(&file) {
+        assert!(!faults.to_string().is_empty());
+    }
+}
+
+/// A valid file in which some lines are gone, doubled or have another value.
+fn changed(u: &mut Unstructured<'_>, valid: &str) -> Result<String> {
+    let mut source = String::new();
+    for line in valid.lines() {
+        let written = match (u.int_in_range(0..=15)?, line.split_once('=')) {
+            (0, _) => continue,
+            (1, _) => format!("{line}\n{line}"),
+            (2, Some((key, _))) => format!("{key}= {}", u.choose(&VALUES)?),
+            (3, _) => u.arbitrary()?,
+            _ => line.to_owned(),
+        };
+        source.push_str(&written);
+        source.push('\n');
+    }
+    Ok(source)
+}
+
+#[test]
+fn settings_are_read_or_refused() {
+    let samples = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../settings/karnerand/hosts");
+    let valid = fs::read_to_string(samples.join("ee-north-a-1.toml")).expect("a sample");
+    let folder = tempfile::tempdir().expect("a folder");
+    for run in 1..=CASES {
+        arbtest(|u| {
+            read_settings(folder.path(), changed(u, &valid)?.as_bytes());
+            read_settings(folder.path(), u.arbitrary()?);
+            Ok(())
+        })
+        .seed(run << 32 | 512)
+        .run();
+    }
+}
