--- a/crates/core/src/budget/tests.rs
+++ b/crates/core/src/budget/tests.rs
@@ -1,6 +1,6 @@
 use std::{sync::Arc, time::Duration};
 
-use super::{Account, Budget, Ledger, Limit, LoanRequest, LoanReturn, Settings, fair};
+use super::{Account, Budget, Ledger, Limit, LoanRequest, LoanReturn, Settings, Short, fair};
 
 fn budget(workspace: &str) -> Budget {
     Budget::Workspace {
@@ -22,10 +22,15 @@
 #[test]
 fn shares_add_up_to_the_limit() {
     let names = hosts(&["a", "b", "c"]);
-    for burst in [1, 7, 31, 32, 33, 64, 95, 96, 97, 400] {
+    let bursts = [1, 7, 31, 32, 33, 64, 95, 96, 97, 400];
+    let settings = [Settings::Fixed, Settings::Lending];
+    for (burst, settings) in bursts
+        .iter()
+        .flat_map(|burst| settings.map(|one| (*burst, one)))
+    {
         let limit = Limit::rate(1e6, burst);
         let taken = names.iter().map(|name| {
-            let ledger = Ledger::new(name.clone(), 1, Settings::Fixed);
+            let ledger = Ledger::new(name.clone(), 1, settings);
             ledger.configure(Duration::ZERO, &[(budget("anchor"), limit)], 1);
             ledger.set_members(Duration::ZERO, &names, 1);
             ledger.in_force(Duration::ZERO, 1);
@@ -139,3 +144,24 @@
     assert_eq!(drain(&open("new"), MINUTE * 2), 160);
     assert_eq!(drain(&open("old"), MINUTE * 2), 0);
 }
+
+/// Guards against an overflow for the largest cross-region volume that a document may state, lent and
+/// taken after a day without traffic.
+#[test]
+fn large_byte_budgets_do_not_overflow() {
+    let day = MINUTE * 60 * 24;
+    let largest = 1_u64 << 40;
+    let ledger = settled("a", Limit::rate(largest as f64, largest));
+    let account = ledger.account(&budget("anchor")).expect("configured");
+    let request = LoanRequest {
+        id: 1,
+        budget: budget("anchor"),
+        wanted: largest / 4,
+        rate_wanted: u64::MAX,
+    };
+    let loan = ledger.lend(day, &Arc::from("b"), &request);
+    assert!(loan.tokens >= largest / 4 && loan.tokens <= largest / 2);
+    assert_eq!(account.available(day), largest / 2 - loan.tokens);
+    assert_eq!(account.take(day, largest / 2 - loan.tokens), Ok(()));
+    assert_eq!(account.take(day, 1), Err(Short { missing: 1 }));
+}
--- a/crates/link/src/peer.rs
+++ b/crates/link/src/peer.rs
@@ -20,7 +20,7 @@
 
 use marjorampick_core::message::{Envelope, Message, Sender};
 use quinn::{Connection, Endpoint, EndpointConfig, TransportConfig, VarInt};
-use tokio::{sync::mpsc, task::JoinHandle, time::timeout};
+use tokio::{runtime::Handle, sync::mpsc, task::JoinHandle, time::timeout};
 
 use self::queue::Queue;
 pub use self::tls::{Credentials, Fault};
@@ -65,6 +65,7 @@
     from: Sender,
     links: Mutex<HashMap<SocketAddr, Link>>,
     receiver: JoinHandle<()>,
+    runtime: Handle,
 }
 
 /// Queue of one peer and the task that empties it.
@@ -74,11 +75,23 @@
 }
 
 impl Peers {
-    /// Opens the endpoint at the address of `from`; messages from peers go to `received`.
+    /// Opens the endpoint at the address of `from`; see [`Self::open_at`].
+    pub fn open(
+        from: Sender,
+        credentials: &Credentials,
+        received: mpsc::Sender<Envelope>,
+    ) -> Result<Self, Fault> {
+        let address = from.peer;
+        Self::open_at(address, from, credentials, received)
+    }
+
+    /// Opens the endpoint at `address`; messages from peers go to `received`. Peers send to the
+    /// address of `from`, which something may forward to `address`.
     ///
     /// Must be called within a Tokio runtime. When `received` is full, streams wait, and with them
     /// the peers that send.
-    pub fn open(
+    pub fn open_at(
+        address: SocketAddr,
         from: Sender,
         credentials: &Credentials,
         received: mpsc::Sender<Envelope>,
@@ -88,7 +101,7 @@
         server.transport_config(transport.clone());
         let mut client = tls::client(credentials)?;
         client.transport_config(transport);
-        let mut endpoint = bind(from.peer, server).map_err(Fault::Bind)?;
+        let mut endpoint = bind(address, server).map_err(Fault::Bind)?;
         endpoint.set_default_client_config(client);
         let receiver = tokio::spawn(accept(endpoint.clone(), received));
         Ok(Self {
@@ -96,6 +109,7 @@
             from,
             links: Mutex::default(),
             receiver,
+            runtime: Handle::current(),
         })
     }
 
@@ -147,7 +161,9 @@
         }
         let link = links.entry(to).or_insert_with(|| {
             let queue = Arc::new(Queue::new(QUEUE_LENGTH));
-            let task = tokio::spawn(deliver(self.endpoint.clone(), to, queue.clone()));
+            let task = self
+                .runtime
+                .spawn(deliver(self.endpoint.clone(), to, queue.clone()));
             Link { queue, task }
         });
         Some(link.queue.clone())
--- a/crates/scenario/src/world.rs
+++ b/crates/scenario/src/world.rs
@@ -51,6 +51,8 @@
 struct Request {
     workspace: Arc<str>,
     arrived: Duration,
+    /// Questions to lenders that are left.
+    rounds: u32,
 }
 
 /// Something that happens at a moment.
@@ -345,7 +347,12 @@
 
     /// Time on the host's own clock, which runs a little fast or slow.
     fn clock(&self, index: usize) -> Duration {
-        let rate = 1.0 + CLOCK_SPREAD * ((index % 3) as f64 - 1.0);
+        let error = if index.is_multiple_of(2) {
+            -CLOCK_SPREAD
+        } else {
+            CLOCK_SPREAD
+        };
+        let rate = 1.0 + error;
         (self.now - self.slots[index].started).mul_f64(rate)
     }
 
--- a/crates/scenario/src/world/callers.rs
+++ b/crates/scenario/src/world/callers.rs
@@ -3,7 +3,10 @@
 use std::{sync::Arc, time::Duration};
 
 use marjorampick_core::{
-    budget::Budget, constants::BORROW_WAIT, document::Digest, host::event::Event,
+    budget::Budget,
+    constants::{BORROW_ROUNDS, BORROW_WAIT},
+    document::Digest,
+    host::event::Event,
 };
 use rand::RngExt as _;
 
@@ -32,6 +35,7 @@
         let request = Request {
             workspace: load_spec.workspace,
             arrived: self.now,
+            rounds: BORROW_ROUNDS,
         };
         if !self.admit(index, &request) {
             self.wait_for_loan(index, request);
@@ -60,7 +64,16 @@
         let allowed = known.is_some_and(|known| known.document.workspace_of(&digest).is_some());
         let budget = workspace_budget(&request.workspace);
         let account = host.ledger().account(&budget);
-        let taken = account.is_some_and(|account| account.take(now, 1).is_ok());
+        let taken = account.is_some_and(|account| {
+            // A request that asks again is not new demand.
+            let first = request.rounds == BORROW_ROUNDS;
+            let take = if first {
+                account.take(now, 1)
+            } else {
+                account.take_again(now, 1)
+            };
+            take.is_ok()
+        });
         let admitted = allowed && host.is_current(now) && taken;
         if admitted && let Some(traffic) = self.traffic.get_mut(&request.workspace) {
             traffic.admitted.push(self.now);
@@ -68,27 +81,32 @@
         admitted
     }
 
+    /// Asks for a loan and waits, as the request path of an entry host does.
     fn wait_for_loan(&mut self, index: usize, request: Request) {
         let budget = workspace_budget(&request.workspace);
         let give_up = Occurrence::GiveUp(index, budget.clone(), request.arrived);
         self.schedule(self.now + BORROW_WAIT, give_up);
-        let waiting = self.slots[index].waiting.entry(budget.clone()).or_default();
-        waiting.push(request);
-        let wanted = waiting.len() as u64;
-        let incarnation = self.slots[index].sender.incarnation;
-        self.event(index, incarnation, Event::Short { budget, wanted });
+        self.ask(index, &budget, vec![request]);
     }
 
     pub(super) fn retry(&mut self, index: usize, budget: &Budget) {
-        let waiting = self.slots[index].waiting.remove(budget).unwrap_or_default();
-        for request in waiting {
-            if !self.admit(index, &request) {
-                self.slots[index]
-                    .waiting
-                    .entry(budget.clone())
-                    .or_default()
-                    .push(request);
-            }
+        let mut waiting = self.slots[index].waiting.remove(budget).unwrap_or_default();
+        waiting.retain(|request| !self.admit(index, request));
+        waiting.retain(|request| request.rounds > 0);
+        self.ask(index, budget, waiting);
+    }
+
+    fn ask(&mut self, index: usize, budget: &Budget, requests: Vec<Request>) {
+        let incarnation = self.slots[index].sender.incarnation;
+        for mut request in requests {
+            request.rounds -= 1;
+            let waiting = &mut self.slots[index].waiting;
+            waiting.entry(budget.clone()).or_default().push(request);
+            let short = Event::Short {
+                budget: budget.clone(),
+                wanted: 1,
+            };
+            self.event(index, incarnation, short);
         }
     }
 }
