--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -80,13 +80,7 @@
     let peers = start_peers(settings, &host, events.clone(), threads).await?;
     let store = start_store(settings, shared, events.clone(), threads)?;
     start_probes(settings, shared, callers.clone(), events, threads)?;
-    let queues = control::Queues {
-        requests,
-        events: received,
-        peers,
-        store,
-        replaced,
-    };
+    let queues = control::Queues { requests, events: received, peers, store, replaced };
     let state = shared.clone();
     threads.spawn("control", move || control::run(host, state, queues))?;
     start_admin(settings, shared, listeners.admin, threads)?;
@@ -124,9 +118,8 @@
     let address = settings.peers.bind.unwrap_or(from.peer);
     let (outgoing, messages) = mpsc::channel(PEER_QUEUE_LENGTH);
     let (opened, opening) = oneshot::channel();
-    threads.spawn("peers", move || {
-        peers::run(address, from, credentials, messages, events, opened)
-    })?;
+    threads
+        .spawn("peers", move || peers::run(address, from, credentials, messages, events, opened))?;
     opening.await.wrap_err("the peers thread has ended")??;
     Ok(outgoing)
 }
@@ -142,10 +135,7 @@
     let platform = settings.platform.clone();
     let shared = shared.clone();
     threads.spawn("probes", move || async move {
-        tokio::join!(
-            platform::run(platform, events),
-            probes::run(shared, callers)
-        );
+        tokio::join!(platform::run(platform, events), probes::run(shared, callers));
     })
 }
 
@@ -184,12 +174,7 @@
     listener: &std::net::TcpListener,
     threads: &Threads,
 ) -> eyre::Result<()> {
-    let tls = settings
-        .callers
-        .tls
-        .as_ref()
-        .map(tls::acceptor)
-        .transpose()?;
+    let tls = settings.callers.tls.as_ref().map(tls::acceptor).transpose()?;
     for _ in 0..settings.callers.threads {
         let listener = listener.try_clone()?;
         let state = callers.clone();
@@ -269,9 +254,6 @@
         peer: settings.peers.listen,
         callers: settings.callers.listen,
     };
-    let identity = Identity {
-        member,
-        currency: settings.currency.source,
-    };
+    let identity = Identity { member, currency: settings.currency.source };
     Host::new(identity, settings.peers.seeds.clone(), rand::random)
 }
--- a/crates/entry/src/store.rs
+++ b/crates/entry/src/store.rs
@@ -68,9 +68,7 @@
             Call::ReadHead => drop(tokio::spawn(async move { worker.read_head().await })),
             Call::ReadRecords => drop(tokio::spawn(async move { worker.read_records().await })),
             Call::Write { ticket, write } => {
-                drop(tokio::spawn(
-                    async move { worker.write(ticket, write).await },
-                ));
+                drop(tokio::spawn(async move { worker.write(ticket, write).await }));
             }
         }
     }
@@ -126,11 +124,7 @@
         let started = self.shared.now();
         let result = self.store.write(&write).await;
         let elapsed: Duration = self.shared.now().saturating_sub(started);
-        log::info!(
-            "store: write of {}: {result:?} after {} ms",
-            write.key,
-            elapsed.as_millis()
-        );
+        log::info!("store: write of {}: {result:?} after {} ms", write.key, elapsed.as_millis());
         self.report(Event::Written { ticket, result }).await;
     }
 
--- a/crates/entry/src/thread.rs
+++ b/crates/entry/src/thread.rs
@@ -40,13 +40,8 @@
 where
     F: Future<Output = ()>,
 {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    let guard = Guard {
-        name,
-        ended: ended.clone(),
-    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let guard = Guard { name, ended: ended.clone() };
     Builder::new().name(name.to_owned()).spawn(move || {
         let _guard = guard;
         runtime.block_on(async { work().await });
--- a/crates/entry/tests/callers/budgets.rs
+++ b/crates/entry/tests/callers/budgets.rs
@@ -26,10 +26,7 @@
     let take = move |budget: &Budget, amount: u64, taking: Taking| {
         let spared = (taking.spared_percent / 100.0 * tokens as f64) as u64;
         let take = |left: u64| left.checked_sub(amount).filter(|left| *left >= spared);
-        !is_limited(budget)
-            || taken
-                .fetch_update(Ordering::SeqCst, Ordering::SeqCst, take)
-                .is_ok()
+        !is_limited(budget) || taken.fetch_update(Ordering::SeqCst, Ordering::SeqCst, take).is_ok()
     };
     let release = move |budget: &Budget, amount: u64| {
         if is_limited(budget) {
@@ -37,17 +34,9 @@
         }
     };
     let count = move |budget: &Budget| {
-        if is_limited(budget) {
-            counted.load(Ordering::SeqCst)
-        } else {
-            u64::MAX
-        }
-    };
-    let tokens = Tokens {
-        take: Arc::new(take),
-        release: Arc::new(release),
-        left: Arc::new(count),
+        if is_limited(budget) { counted.load(Ordering::SeqCst) } else { u64::MAX }
     };
+    let tokens = Tokens { take: Arc::new(take), release: Arc::new(release), left: Arc::new(count) };
     (tokens, left)
 }
 
@@ -62,12 +51,7 @@
     assert_eq!(site.ask(&look_up).await.status, 200);
     let mut caller = site.caller().await;
     caller.send(&look_up).await;
-    let shared::Request::Short {
-        budget,
-        wanted,
-        wake,
-    } = site.asked().await
-    else {
+    let shared::Request::Short { budget, wanted, wake } = site.asked().await else {
         panic!("expected a request for tokens");
     };
     assert!(is_rate(&budget) && wanted == 1);
@@ -86,23 +70,13 @@
     let (tokens, left) = limited(is_region, 1);
     let site = Site::with(1, Settings::default(), tokens).await;
     let mut running = site.caller().await;
-    running
-        .send(request(
-            "GET",
-            "/status",
-            "x-standin-fault: late=400\r\n",
-            "",
-        ))
-        .await;
+    running.send(request("GET", "/status", "x-standin-fault: late=400\r\n", "")).await;
     until("the slot is taken", || left.load(Ordering::SeqCst) == 0).await;
     let refused = site.ask(&request("GET", "/status", "", "")).await;
     refused.assert_refused(503, "region-full", "not-run");
     assert_eq!(running.answer().await.status, 200);
     until("the slot is returned", || left.load(Ordering::SeqCst) == 1).await;
-    assert_eq!(
-        site.ask(&request("GET", "/status", "", "")).await.status,
-        200
-    );
+    assert_eq!(site.ask(&request("GET", "/status", "", "")).await.status, 200);
 }
 
 /// Guards against a workspace that fills a region and leaves no slot to the others.
@@ -116,20 +90,14 @@
     let site = Site::with(5, Settings::default(), tokens).await;
     let slow = request("POST", "/slow", "x-standin-fault: late=700\r\n", "");
     let second = slow.replace(ANCHOR_KEY, SECOND_KEY);
-    assert_eq!(
-        site.ask(&second.replace("late=700", "late=0")).await.status,
-        200
-    );
+    assert_eq!(site.ask(&second.replace("late=700", "late=0")).await.status, 200);
     let mut callers = Vec::new();
     for _ in 0..SLOTS {
         let mut caller = site.caller().await;
         caller.send(&slow).await;
         callers.push(caller);
     }
-    until("the reserve is reached", || {
-        left.load(Ordering::SeqCst) == KEPT
-    })
-    .await;
+    until("the reserve is reached", || left.load(Ordering::SeqCst) == KEPT).await;
     let mut other = site.caller().await;
     assert_eq!(other.ask(&second).await.status, 200);
     let mut refused = 0;
@@ -144,31 +112,20 @@
 fn the_ledgers_slots_are_taken_and_returned() {
     let settings = budget::Settings::Omniscient;
     let ledger = Arc::new(Ledger::new("entry-1".into(), 1, settings));
-    let region = Budget::Region {
-        service: "signing".into(),
-        region: "ee-north".into(),
-    };
-    let limit = Limit::Concurrency {
-        slots: 10,
-        longest: Duration::from_secs(1),
-    };
+    let region = Budget::Region { service: "signing".into(), region: "ee-north".into() };
+    let limit = Limit::Concurrency { slots: 10, longest: Duration::from_secs(1) };
     ledger.in_force(Duration::ZERO, 1);
     ledger.set_members(Duration::ZERO, &["entry-1".into()], 1);
     ledger.configure(Duration::ZERO, &[(region.clone(), limit)], 1);
     // A share counts when everything granted before it has ended.
     let tokens = Tokens::at_times(ledger, || Duration::from_secs(60));
-    let sparing = Taking {
-        again: false,
-        spared_percent: 20.0,
-    };
+    let sparing = Taking { again: false, spared_percent: 20.0 };
     let taken = |taking| (tokens.take)(&region, 1, taking);
     assert_eq!((0..10).filter(|_| taken(sparing)).count(), 8);
     assert_eq!((0..10).filter(|_| taken(Taking::whole(false))).count(), 2);
     (tokens.release)(&region, 1);
     assert_eq!((tokens.left)(&region), 1);
-    let unknown = Budget::CrossRegion {
-        service: "signing".into(),
-    };
+    let unknown = Budget::CrossRegion { service: "signing".into() };
     assert!(!(tokens.take)(&unknown, 1, Taking::whole(false)));
 }
 
@@ -184,9 +141,7 @@
     site.listed[0].region = "fi-south".into();
     site.publish(document(ANCHOR_KEY), "fi-south");
     let mut caller = site.caller().await;
-    caller
-        .send(request("GET", &format!("/status?size={SIZE}"), "", ""))
-        .await;
+    caller.send(request("GET", &format!("/status?size={SIZE}"), "", "")).await;
     let asked = site.asked().await;
     assert!(matches!(asked, shared::Request::Short { .. }));
     let more = SIZE + 10_000;
--- a/crates/entry/tests/callers/claims.rs
+++ b/crates/entry/tests/callers/claims.rs
@@ -22,18 +22,10 @@
 async fn claimed(site: &mut Site, headers: &str, verdict: Verdict) -> (Caller, u64) {
     let mut caller = site.caller().await;
     caller.send(sign(headers)).await;
-    let Request::Claim {
-        name,
-        fingerprint,
-        answer,
-    } = site.asked().await
-    else {
+    let Request::Claim { name, fingerprint, answer } = site.asked().await else {
         panic!("expected a claim");
     };
-    assert_eq!(
-        (name.workspace.as_ref(), name.key.as_ref()),
-        ("anchor", "k1")
-    );
+    assert_eq!((name.workspace.as_ref(), name.key.as_ref()), ("anchor", "k1"));
     answer.send(verdict).unwrap();
     (caller, fingerprint)
 }
@@ -55,10 +47,7 @@
     let Some(State::Done(outcome)) = completed(&mut site).await.state else {
         panic!("expected the answer");
     };
-    assert_eq!(
-        (outcome.status, &outcome.body[..]),
-        (200, answer.body.as_bytes())
-    );
+    assert_eq!((outcome.status, &outcome.body[..]), (200, answer.body.as_bytes()));
     let (mut caller, second) = claimed(&mut site, "", Verdict::Done(outcome)).await;
     let replay = caller.answer().await;
     assert_eq!((replay.status, &replay.body), (200, &answer.body));
@@ -89,23 +78,11 @@
 #[tokio::test]
 async fn a_lost_request_stays_unknown() {
     let mut site = Site::start(1).await;
-    let (mut caller, _) = claimed(
-        &mut site,
-        "x-standin-fault: close=run\r\n",
-        Verdict::Granted,
-    )
-    .await;
-    caller
-        .answer()
-        .await
-        .assert_refused(502, "backend-failed", "unknown");
+    let (mut caller, _) =
+        claimed(&mut site, "x-standin-fault: close=run\r\n", Verdict::Granted).await;
+    caller.answer().await.assert_refused(502, "backend-failed", "unknown");
     assert_eq!(completed(&mut site).await.state, Some(State::Unknown));
-    let (caller, _) = claimed(
-        &mut site,
-        "x-standin-fault: late=4000\r\n",
-        Verdict::Granted,
-    )
-    .await;
+    let (caller, _) = claimed(&mut site, "x-standin-fault: late=4000\r\n", Verdict::Granted).await;
     until("the request runs", || site.backends[0].running() == 1).await;
     drop(caller);
     assert_eq!(completed(&mut site).await.state, Some(State::Unknown));
@@ -115,10 +92,7 @@
 #[tokio::test]
 async fn a_caller_that_leaves_early_gives_its_claim_back() {
     let take = |budget: &Budget, _, _| !matches!(budget, Budget::Region { .. });
-    let tokens = Tokens {
-        take: Arc::new(take),
-        ..Tokens::unlimited()
-    };
+    let tokens = Tokens { take: Arc::new(take), ..Tokens::unlimited() };
     let mut site = Site::with(1, Settings::default(), tokens).await;
     let (caller, _) = claimed(&mut site, "", Verdict::Granted).await;
     let Request::Short { wake, .. } = site.asked().await else {
@@ -135,10 +109,7 @@
 async fn a_request_that_was_not_sent_gives_its_claim_back() {
     let mut site = Site::start(0).await;
     let (mut caller, _) = claimed(&mut site, "", Verdict::Granted).await;
-    caller
-        .answer()
-        .await
-        .assert_refused(503, "no-backend", "not-run");
+    caller.answer().await.assert_refused(503, "no-backend", "not-run");
     assert_eq!(completed(&mut site).await.state, None);
 }
 
@@ -148,10 +119,7 @@
     let mut site = Site::start(1).await;
     let (mut caller, _) = claimed(&mut site, "x-standin-fault: cut=3\r\n", Verdict::Granted).await;
     assert!(!caller.answer().await.complete);
-    assert_eq!(
-        completed(&mut site).await.state,
-        Some(State::DoneWithoutAnswer)
-    );
+    assert_eq!(completed(&mut site).await.state, Some(State::DoneWithoutAnswer));
 }
 
 /// Guards against another body under the same key being taken for a repetition.
@@ -162,12 +130,7 @@
     for body in ["{}", "[]"] {
         let mut caller = site.caller().await;
         caller.send(sign("").replace("{}", body)).await;
-        let Request::Claim {
-            fingerprint,
-            answer,
-            ..
-        } = site.asked().await
-        else {
+        let Request::Claim { fingerprint, answer, .. } = site.asked().await else {
             panic!("expected a claim");
         };
         fingerprints.push(fingerprint);
--- a/crates/entry/tests/callers/common.rs
+++ b/crates/entry/tests/callers/common.rs
@@ -110,15 +110,7 @@
         let address = listener.local_addr().unwrap();
         let callers = Callers::new(shared.clone(), settings, tokens);
         let serving = tokio::spawn(callers::serve(listener, None, callers.clone()));
-        let site = Self {
-            shared,
-            callers,
-            address,
-            backends,
-            listed,
-            serving,
-            control,
-        };
+        let site = Self { shared, callers, address, backends, listed, serving, control };
         site.publish(document(ANCHOR_KEY), "ee-north");
         site
     }
@@ -152,9 +144,7 @@
     /// What the control thread is asked next.
     pub(crate) async fn asked(&mut self) -> Request {
         let asked = tokio::time::timeout(LIMIT, self.control.recv()).await;
-        asked
-            .expect("nothing was asked")
-            .expect("the queue is open")
+        asked.expect("nothing was asked").expect("the queue is open")
     }
 
     /// The backend servers as the request path sees them.
@@ -181,10 +171,8 @@
         address: listener.local_addr().unwrap(),
         state: ListedState::Live,
     };
-    let backend = Backend::new(backend::Settings {
-        name: name.into(),
-        ..backend::Settings::default()
-    });
+    let backend =
+        Backend::new(backend::Settings { name: name.into(), ..backend::Settings::default() });
     tokio::spawn(backend.clone().serve(listener));
     (backend, line)
 }
@@ -251,10 +239,7 @@
 impl From<TcpStream> for Caller {
     fn from(stream: TcpStream) -> Self {
         stream.set_nodelay(true).unwrap();
-        Self {
-            stream,
-            buffer: Vec::new(),
-        }
+        Self { stream, buffer: Vec::new() }
     }
 }
 
@@ -293,12 +278,7 @@
         let head = self.text(end + 4);
         self.buffer.drain(..end + 4);
         let status = head.split(' ').nth(1).unwrap().parse().unwrap();
-        let mut answer = Answer {
-            status,
-            head,
-            body: String::new(),
-            complete: true,
-        };
+        let mut answer = Answer { status, head, body: String::new(), complete: true };
         match answer.header("content-length") {
             Some(length) => {
                 let length: usize = length.parse().unwrap();
@@ -325,12 +305,8 @@
         let size = usize::from_str_radix(&self.text(end), 16).unwrap();
         self.buffer.drain(..end + 2);
         self.take(size, answer).await;
-        let mut line_end = Answer {
-            status: 0,
-            head: String::new(),
-            body: String::new(),
-            complete: true,
-        };
+        let mut line_end =
+            Answer { status: 0, head: String::new(), body: String::new(), complete: true };
         self.take(2, &mut line_end).await;
         answer.complete &= line_end.complete;
         size > 0 && answer.complete
@@ -350,9 +326,8 @@
 
     async fn find(&mut self, from: usize, pattern: &[u8]) -> Option<usize> {
         loop {
-            let found = self.buffer[from..]
-                .windows(pattern.len())
-                .position(|window| window == pattern);
+            let found =
+                self.buffer[from..].windows(pattern.len()).position(|window| window == pattern);
             if let Some(found) = found {
                 return Some(from + found);
             }
--- a/crates/entry/tests/callers/connections.rs
+++ b/crates/entry/tests/callers/connections.rs
@@ -21,10 +21,7 @@
         assert_eq!(second.ask(&other).await.status, 200);
     }
     let seen = site.backends[0].record().seen;
-    assert!(
-        seen.iter()
-            .all(|other| other.connection == seen[0].connection)
-    );
+    assert!(seen.iter().all(|other| other.connection == seen[0].connection));
     let workspaces: Vec<_> = seen
         .iter()
         .flat_map(|seen| &seen.headers)
@@ -65,9 +62,7 @@
         assert_eq!(answer.status, 200);
         assert!(!answer.complete, "{target}");
     }
-    let unframed = site
-        .ask(&look_up("a", "x-standin-fault: unframed\r\n"))
-        .await;
+    let unframed = site.ask(&look_up("a", "x-standin-fault: unframed\r\n")).await;
     unframed.assert_refused(502, "backend-failed", "unknown");
 }
 
@@ -75,9 +70,7 @@
 #[tokio::test]
 async fn an_answer_that_stalls_aborts_the_callers_connection() {
     let site = Site::start(1).await;
-    let answer = site
-        .ask(&look_up("a", "x-standin-fault: silent=body\r\n"))
-        .await;
+    let answer = site.ask(&look_up("a", "x-standin-fault: silent=body\r\n")).await;
     assert_eq!(answer.status, 200);
     assert!(!answer.complete);
 }
@@ -95,11 +88,7 @@
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
     let connections = seen_connections(&site);
-    assert!(
-        connections[1..]
-            .iter()
-            .all(|&connection| connection != connections[0])
-    );
+    assert!(connections[1..].iter().all(|&connection| connection != connections[0]));
 }
 
 /// Guards against silent connections that stay in the pool, and against callers waiting for one
@@ -115,19 +104,11 @@
     silent.plan("silent=head".parse().unwrap(), 1);
     let answers = async {
         for _ in 0..20 {
-            let answer = site
-                .ask(&look_up("a", "x-request-timeout-ms: 800\r\n"))
-                .await;
+            let answer = site.ask(&look_up("a", "x-request-timeout-ms: 800\r\n")).await;
             assert_eq!(answer.status, 200, "{answer:?}");
         }
     };
-    tokio::time::timeout(Duration::from_secs(3), answers)
-        .await
-        .unwrap();
-    assert_eq!(
-        silent.record().cancelled,
-        1,
-        "the silent request was not given up"
-    );
+    tokio::time::timeout(Duration::from_secs(3), answers).await.unwrap();
+    assert_eq!(silent.record().cancelled, 1, "the silent request was not given up");
     assert!(instances.iter().all(|instance| instance.in_flight() == 0));
 }
--- a/crates/entry/tests/callers/credentials.rs
+++ b/crates/entry/tests/callers/credentials.rs
@@ -38,9 +38,7 @@
     let site = Site::start(1).await;
     let missing = site.ask(&keyless("/status", "")).await;
     missing.assert_refused(401, "credential-missing", "not-run");
-    let unknown = site
-        .ask(&keyless("/status", "x-api-key: stranger\r\n"))
-        .await;
+    let unknown = site.ask(&keyless("/status", "x-api-key: stranger\r\n")).await;
     unknown.assert_refused(401, "credential-unknown", "not-run");
     assert!(site.backends[0].record().seen.is_empty());
 }
@@ -70,19 +68,9 @@
     let record = site.backends[0].record();
     assert_eq!(record.seen.len(), 12);
     assert!(!format!("{record:?}").contains(ANCHOR_KEY), "{record:?}");
-    assert!(
-        record
-            .seen
-            .iter()
-            .any(|seen| seen.target == "/status?a=1&b=2")
-    );
+    assert!(record.seen.iter().any(|seen| seen.target == "/status?a=1&b=2"));
     let cookies = ("cookie".to_owned(), "c=1; d=2".to_owned());
-    assert!(
-        record
-            .seen
-            .iter()
-            .any(|seen| seen.headers.contains(&cookies))
-    );
+    assert!(record.seen.iter().any(|seen| seen.headers.contains(&cookies)));
 }
 
 /// Guards against an open connection keeping the rights of a key that was withdrawn.
@@ -112,12 +100,8 @@
 #[tokio::test]
 async fn a_disguised_path_does_not_bypass_the_key() {
     let site = Site::start(1).await;
-    for path in [
-        "/open/../status",
-        "/open/%2e%2e/status",
-        "/open/..%2Fstatus",
-        "/open/..%5cstatus",
-    ] {
+    for path in ["/open/../status", "/open/%2e%2e/status", "/open/..%2Fstatus", "/open/..%5cstatus"]
+    {
         let answer = site.ask(&keyless(path, "")).await;
         answer.assert_refused(400, "bad-request", "not-run");
     }
--- a/crates/entry/tests/callers/drain.rs
+++ b/crates/entry/tests/callers/drain.rs
@@ -11,36 +11,22 @@
 /// never ends.
 #[tokio::test]
 async fn a_long_upload_survives_the_drain() {
-    let settings = Settings {
-        lookup_lifetime: Duration::from_millis(150),
-        ..Settings::default()
-    };
+    let settings = Settings { lookup_lifetime: Duration::from_millis(150), ..Settings::default() };
     let site = Site::with(1, settings, Tokens::unlimited()).await;
     let mut idle = site.caller().await;
     let look_up = request("GET", "/status", "", "");
     assert_eq!(idle.ask(&look_up).await.header("connection"), None);
     let mut upload = site.caller().await;
-    upload
-        .send(request("POST", "/sign", "content-length: 10\r\n", "hello"))
-        .await;
-    until("the upload starts", || {
-        site.backends[0].record().seen.len() == 2
-    })
-    .await;
+    upload.send(request("POST", "/sign", "content-length: 10\r\n", "hello")).await;
+    until("the upload starts", || site.backends[0].record().seen.len() == 2).await;
 
     site.shared.start_draining();
     let mut late = site.caller().await;
     let answer = late.ask(&look_up).await;
-    assert_eq!(
-        (answer.status, answer.header("connection")),
-        (200, Some("close"))
-    );
+    assert_eq!((answer.status, answer.header("connection")), (200, Some("close")));
     assert!(late.is_closed().await);
 
-    assert!(
-        idle.is_closed().await,
-        "idle connections are closed with the listener"
-    );
+    assert!(idle.is_closed().await, "idle connections are closed with the listener");
     while TcpStream::connect(site.address).await.is_ok() {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
@@ -49,20 +35,13 @@
     let answer = upload.answer().await;
     assert_eq!(answer.body, "backend-0 /sign 10 -\n");
     assert!(answer.complete);
-    tokio::time::timeout(LIMIT, site.serving)
-        .await
-        .unwrap()
-        .unwrap()
-        .unwrap();
+    tokio::time::timeout(LIMIT, site.serving).await.unwrap().unwrap().unwrap();
 }
 
 /// Guards against the last callers before the listener closes being cut off.
 #[tokio::test]
 async fn callers_that_connect_at_the_last_moment_are_answered() {
-    let settings = Settings {
-        lookup_lifetime: Duration::from_millis(100),
-        ..Settings::default()
-    };
+    let settings = Settings { lookup_lifetime: Duration::from_millis(100), ..Settings::default() };
     let site = Site::with(1, settings, Tokens::unlimited()).await;
     site.shared.start_draining();
     let mut last = Vec::new();
@@ -86,9 +65,7 @@
     let (stop, stopped) = tokio::sync::oneshot::channel::<()>();
     let callers = site.callers.clone();
     let other = std::thread::spawn(move || {
-        let runtime = tokio::runtime::Builder::new_current_thread()
-            .enable_all()
-            .build();
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         runtime.unwrap().block_on(async {
             let listener = tokio::net::TcpListener::from_std(listener).unwrap();
             tokio::select! {
@@ -123,11 +100,7 @@
     let fleet = site.callers.fleet();
     fleet.instances(site.shared.now(), &older, "signing");
     let instances = site.instances();
-    assert!(
-        instances
-            .iter()
-            .all(|instance| !instance.status().is_leaving())
-    );
+    assert!(instances.iter().all(|instance| !instance.status().is_leaving()));
 }
 
 /// Guards against new work for a backend server that says itself that it is leaving.
--- a/crates/entry/tests/callers/forwarding.rs
+++ b/crates/entry/tests/callers/forwarding.rs
@@ -56,20 +56,11 @@
         first
     };
     assert_eq!(value("marjorampick-workspace").as_deref(), Some("anchor"));
-    assert_eq!(
-        value("x-forwarded-for").as_deref(),
-        Some("10.0.0.1, 127.0.0.1")
-    );
+    assert_eq!(value("x-forwarded-for").as_deref(), Some("10.0.0.1, 127.0.0.1"));
     assert_eq!(value("x-end").as_deref(), Some("2"));
     let left: u64 = value("x-request-timeout-ms").unwrap().parse().unwrap();
     assert!((1..=400).contains(&left), "{left}");
-    for name in [
-        "x-hop",
-        "keep-alive",
-        "te",
-        "marjorampick-outcome",
-        "connection",
-    ] {
+    for name in ["x-hop", "keep-alive", "te", "marjorampick-outcome", "connection"] {
         assert_eq!(value(name), None, "{name}");
     }
 }
@@ -79,20 +70,10 @@
 async fn a_caller_that_goes_away_cancels_the_backend_request() {
     let site = Site::start(1).await;
     let mut caller = site.caller().await;
-    caller
-        .send(request(
-            "POST",
-            "/slow",
-            "x-standin-fault: late=30000\r\n",
-            "",
-        ))
-        .await;
+    caller.send(request("POST", "/slow", "x-standin-fault: late=30000\r\n", "")).await;
     until("the request runs", || site.backends[0].running() == 1).await;
     drop(caller);
-    until("the backend request is cancelled", || {
-        site.backends[0].record().cancelled == 1
-    })
-    .await;
+    until("the backend request is cancelled", || site.backends[0].record().cancelled == 1).await;
     assert_eq!(site.backends[0].running(), 0);
 }
 
@@ -114,10 +95,7 @@
             let backend = &site.backends[0];
             until("the upload starts", || backend.record().seen.len() > index).await;
             drop(caller);
-            until("it is given up", || {
-                backend.record().cancelled > index as u64
-            })
-            .await;
+            until("it is given up", || backend.record().cancelled > index as u64).await;
         }
         assert_eq!(site.runs("/slow"), 0);
     }
@@ -128,13 +106,8 @@
 async fn a_caller_that_goes_away_within_the_answer_closes_the_connection() {
     let site = Site::start(1).await;
     let mut caller = site.caller().await;
-    caller
-        .send(request("GET", "/status?size=50000000", "", ""))
-        .await;
-    until("the answer starts", || {
-        !site.backends[0].record().seen.is_empty()
-    })
-    .await;
+    caller.send(request("GET", "/status?size=50000000", "", "")).await;
+    until("the answer starts", || !site.backends[0].record().seen.is_empty()).await;
     drop(caller);
     let instance = site.instances()[0].clone();
     until("the exchange ends", || instance.in_flight() == 0).await;
@@ -144,10 +117,7 @@
 /// Guards against a caller that stops reading and holds a backend server's slot for good.
 #[tokio::test]
 async fn a_caller_that_takes_nothing_loses_its_connection() {
-    let settings = Settings {
-        write_time: Duration::from_millis(50),
-        ..Settings::default()
-    };
+    let settings = Settings { write_time: Duration::from_millis(50), ..Settings::default() };
     let site = Site::with(1, settings, Tokens::unlimited()).await;
     let mut caller = site.caller().await;
     let large = request("GET", "/status?size=50000000", "", "");
@@ -164,14 +134,7 @@
     let site = Site::start(1).await;
     site.backends[0].plan(Fault::SilentAtHead, 1);
     let mut caller = site.caller().await;
-    caller
-        .send(request(
-            "POST",
-            "/sign",
-            &format!("content-length: {SIZE}\r\n"),
-            "",
-        ))
-        .await;
+    caller.send(request("POST", "/sign", &format!("content-length: {SIZE}\r\n"), "")).await;
     let piece = vec![0; 1 << 20];
     let mut sent = 0;
     let sending = async {
--- a/crates/entry/tests/callers/metrics.rs
+++ b/crates/entry/tests/callers/metrics.rs
@@ -21,10 +21,7 @@
     });
     assert!(counted, "{text}");
     assert!(text.contains("code=\"no-route\""), "{text}");
-    assert!(
-        text.contains("# HELP marjorampick_request_seconds"),
-        "{text}"
-    );
+    assert!(text.contains("# HELP marjorampick_request_seconds"), "{text}");
     assert!(text.contains("marjorampick_requests_in_flight"), "{text}");
     assert!(!text.contains(ANCHOR_KEY));
 }
--- a/crates/entry/tests/callers/once.rs
+++ b/crates/entry/tests/callers/once.rs
@@ -14,10 +14,7 @@
 }
 
 fn sent(site: &Site) -> usize {
-    site.backends
-        .iter()
-        .map(|backend| backend.record().seen.len())
-        .sum()
+    site.backends.iter().map(|backend| backend.record().seen.len()).sum()
 }
 
 /// Guards against a second run after a lost connection, at every point of the exchange, on a new
@@ -38,10 +35,7 @@
         let site = Site::start(3).await;
         if is_used {
             for _ in 0..20 {
-                assert_eq!(
-                    site.ask(&request("GET", "/status", "", "")).await.status,
-                    200
-                );
+                assert_eq!(site.ask(&request("GET", "/status", "", "")).await.status, 200);
             }
         }
         for fault in faults {
@@ -64,9 +58,7 @@
     let mut callers = Vec::new();
     for index in 0..40 {
         let mut caller = site.caller().await;
-        caller
-            .send(sign(&format!("load-{index}"), "late=400"))
-            .await;
+        caller.send(sign(&format!("load-{index}"), "late=400")).await;
         callers.push(caller);
     }
     let mut shed = 0;
@@ -80,10 +72,7 @@
         let runs = site.runs(&format!("load-{index}"));
         assert_eq!(runs, u64::from(answer.status == 200), "{answer:?}");
     }
-    assert!(
-        shed > 0,
-        "two servers with 9 slots each ran 40 requests at once"
-    );
+    assert!(shed > 0, "two servers with 9 slots each ran 40 requests at once");
 }
 
 /// A port that refuses connections and that nobody else gets meanwhile: bound, but not listening.
@@ -123,24 +112,15 @@
 #[tokio::test]
 async fn an_unknown_attempt_is_not_forgotten() {
     let site = Site::start(2).await;
-    let lost = request(
-        "GET",
-        "/status",
-        "x-request-id: lost\r\nx-standin-fault: close=run\r\n",
-        "",
-    );
+    let lost =
+        request("GET", "/status", "x-request-id: lost\r\nx-standin-fault: close=run\r\n", "");
     let mut busy = Vec::new();
     for _ in 0..9 {
         let mut caller = Caller::connect(site.listed[0].address).await;
-        caller
-            .send("GET / HTTP/1.1\r\nhost: x\r\nx-standin-fault: late=2000\r\n\r\n")
-            .await;
+        caller.send("GET / HTTP/1.1\r\nhost: x\r\nx-standin-fault: late=2000\r\n\r\n").await;
         busy.push(caller);
     }
-    until("the first server is full", || {
-        site.backends[0].running() == 9
-    })
-    .await;
+    until("the first server is full", || site.backends[0].running() == 9).await;
     let mut unknown = 0;
     for _ in 0..4 {
         let before = site.runs("lost");
--- a/crates/entry/tests/callers/probes.rs
+++ b/crates/entry/tests/callers/probes.rs
@@ -27,16 +27,10 @@
     let service = Service {
         document: Arc::new(document),
         revision: 1,
-        weights: ServiceWeights {
-            service: "a".into(),
-            regions: vec![("north".into(), 1.0)],
-        },
+        weights: ServiceWeights { service: "a".into(), regions: vec![("north".into(), 1.0)] },
         backends: vec![listed],
     };
-    Snapshot {
-        services: [("a".into(), service)].into(),
-        entry_hosts: Vec::new(),
-    }
+    Snapshot { services: [("a".into(), service)].into(), entry_hosts: Vec::new() }
 }
 
 /// Waits for a report of the region whose `is_lost` is as wanted.
--- a/crates/entry/tests/callers/smuggling.rs
+++ b/crates/entry/tests/callers/smuggling.rs
@@ -45,14 +45,8 @@
     let correct = request("POST", "/sign", chunked, "3\r\nabc\r\n0\r\n\r\n");
     assert_eq!(caller.ask(&correct).await.body, "backend-0 /sign 3 -\n");
     let both = format!("{chunked}content-length: 5\r\n");
-    let answer = caller
-        .ask(&request(
-            "POST",
-            "/sign",
-            &both,
-            &format!("0\r\n\r\n{SMUGGLED}"),
-        ))
-        .await;
+    let answer =
+        caller.ask(&request("POST", "/sign", &both, &format!("0\r\n\r\n{SMUGGLED}"))).await;
     answer.assert_refused(400, "bad-request", "not-run");
     assert!(caller.is_closed().await);
     assert_eq!(site.backends[0].record().seen.len(), 1);
@@ -66,12 +60,7 @@
     let body = "\r\n\r\nPOST / HTTP/1.1\r\ncontent-length: 1\r\ntransfer-encoding: chunked\r\n\r\n";
     let length = body.len();
     for _ in 0..2 {
-        let sized = request(
-            "POST",
-            "/sign",
-            &format!("content-length: {length}\r\n"),
-            body,
-        );
+        let sized = request("POST", "/sign", &format!("content-length: {length}\r\n"), body);
         let expected = format!("backend-0 /sign {length} -\n");
         assert_eq!(caller.ask(&sized).await.body, expected);
         let chunks = format!("{length:x};x=y\r\n{body}\r\n0\r\n\r\n");
--- a/crates/entry/tests/processes/drains.rs
+++ b/crates/entry/tests/processes/drains.rs
@@ -76,10 +76,7 @@
     let status = hosts[2].ended(Duration::from_secs(15));
     assert!(status.success(), "{status}");
     stop.store(true, Ordering::Release);
-    assert!(
-        hosts[2].logged().contains("main: drained in "),
-        "drain time"
-    );
+    assert!(hosts[2].logged().contains("main: drained in "), "drain time");
     let uploaded = platform.runtime.block_on(upload).expect("a caller");
     assert_eq!(uploaded.expect("an answer"), StatusCode::OK);
     let length = platform.runtime.block_on(answer).expect("a caller");
@@ -121,10 +118,7 @@
             });
             // Claims are refused for a moment while the members change.
             let is_served = answer.status() == StatusCode::OK;
-            assert!(
-                is_served || traffic::outcome(&answer) == "not-run",
-                "{answer:?}"
-            );
+            assert!(is_served || traffic::outcome(&answer) == "not-run", "{answer:?}");
             served.extend(is_served.then_some(host));
         }
         tokio::time::sleep(REQUEST_INTERVAL).await;
@@ -158,9 +152,7 @@
     });
     let mut sender = open(address).await.expect("a connection");
     let body = StreamBody::new(pieces).boxed();
-    let response = sender
-        .send_request(request("POST", "/upload", body))
-        .await?;
+    let response = sender.send_request(request("POST", "/upload", body)).await?;
     let status = response.status();
     let text = response.into_body().collect().await?.to_bytes();
     let received = format!(" {} ", UPLOAD_PIECES * UPLOAD_PIECE.len());
@@ -205,9 +197,7 @@
             platform.runtime.spawn(caller)
         })
         .collect();
-    eventually(BOUND, "the backend server runs requests", || {
-        backends[0].running() > 1
-    });
+    eventually(BOUND, "the backend server runs requests", || backends[0].running() > 1);
     backends[0].announce_drain();
     std::thread::sleep(BOUND);
     let seen = backends[0].record().seen.len();
--- a/crates/entry/tests/processes/fleet.rs
+++ b/crates/entry/tests/processes/fleet.rs
@@ -26,28 +26,17 @@
     }
     let stale = hosts[2].edit(0, &document(2)).expect_err("a lost race");
     assert_eq!(stale.exit, Exit::Conflict);
-    let invalid = hosts[2]
-        .edit(revision, "service = 1")
-        .expect_err("an invalid document");
+    let invalid = hosts[2].edit(revision, "service = 1").expect_err("an invalid document");
     assert_eq!(invalid.exit, Exit::Invalid);
     assert!(invalid.text.contains("line 1: service"), "{invalid}");
 
     platform.stop_store();
     std::thread::sleep(OUTAGE);
-    assert!(
-        hosts.iter().all(|host| host.is_current()),
-        "current by the members"
-    );
-    let refused = hosts[0]
-        .edit(revision, &document(3))
-        .expect_err("a refused edit");
+    assert!(hosts.iter().all(|host| host.is_current()), "current by the members");
+    let refused = hosts[0].edit(revision, &document(3)).expect_err("a refused edit");
     assert_eq!(refused.exit, Exit::Unavailable, "{refused}");
     let all: Vec<String> = (0..3).map(name).collect();
-    assert!(
-        hosts
-            .iter()
-            .all(|host| host.look_up().as_ref() == Some(&all))
-    );
+    assert!(hosts.iter().all(|host| host.look_up().as_ref() == Some(&all)));
 
     hosts[2].crash();
     hosts[2] = platform.host(2);
@@ -69,15 +58,11 @@
     let mut hosts = platform.hosts();
     hosts[0].edit(0, &document(1)).expect("an accepted edit");
     let others = [name(0), name(1)];
-    eventually(BOUND, "look-ups are answered", || {
-        hosts[0].look_up().is_some()
-    });
+    eventually(BOUND, "look-ups are answered", || hosts[0].look_up().is_some());
 
     hosts[2].signal("-TERM");
     let left_out = eventually(BOUND, "look-ups leave the host out", || {
-        hosts
-            .iter()
-            .all(|host| host.look_up().as_deref() == Some(&others))
+        hosts.iter().all(|host| host.look_up().as_deref() == Some(&others))
     });
     assert!(left_out < Duration::from_secs(1), "took {left_out:?}");
     let status = hosts[2].ended(Duration::from_secs(8));
--- a/crates/entry/tests/processes/once.rs
+++ b/crates/entry/tests/processes/once.rs
@@ -50,21 +50,13 @@
     let look_ups: Arc<[SocketAddr]> = platform.look_ups().into();
     let started = Instant::now();
     let callers: Vec<JoinHandle<Vec<Known>>> = (0..CALLERS)
-        .map(|number| {
-            platform
-                .runtime
-                .spawn(call(number, look_ups.clone(), started))
-        })
+        .map(|number| platform.runtime.spawn(call(number, look_ups.clone(), started)))
         .collect();
     std::thread::sleep(Duration::from_secs(1));
     hosts[0].crash();
     std::thread::sleep(Duration::from_secs(1));
     hosts[0] = platform.host(0);
-    eventually(
-        Duration::from_secs(8),
-        "the restarted host is current",
-        || hosts[0].is_current(),
-    );
+    eventually(Duration::from_secs(8), "the restarted host is current", || hosts[0].is_current());
     hosts[1].crash();
 
     let mut known = Vec::new();
@@ -85,11 +77,7 @@
         assert!(!request.never_ran || runs == 0, "{} ran", request.id);
     }
     // Otherwise the checks above would say little.
-    assert!(
-        served * 4 > known.len(),
-        "{served} of {} were served",
-        known.len()
-    );
+    assert!(served * 4 > known.len(), "{served} of {} were served", known.len());
 }
 
 async fn call(number: usize, look_ups: Arc<[SocketAddr]>, started: Instant) -> Vec<Known> {
@@ -110,11 +98,7 @@
 
 /// Sends one signing, and repeats it through other hosts until it is served.
 async fn sign(count: usize, look_ups: Arc<[SocketAddr]>) -> Known {
-    let mut known = Known {
-        id: format!("signing-{count}"),
-        served: false,
-        never_ran: true,
-    };
+    let mut known = Known { id: format!("signing-{count}"), served: false, never_ran: true };
     let started = Instant::now();
     let mut attempt = 0;
     while !known.served && started.elapsed() < PATIENCE {
@@ -126,9 +110,7 @@
         if let Some(host) = hosts.get((count + attempt) % hosts.len().max(1)) {
             let answer = traffic::send(*host, &ask).await;
             let refused = answer.as_ref().map(traffic::outcome);
-            known.served = answer
-                .as_ref()
-                .is_some_and(|answer| answer.status() == StatusCode::OK);
+            known.served = answer.as_ref().is_some_and(|answer| answer.status() == StatusCode::OK);
             known.never_ran &= refused == Some("not-run");
         }
         attempt += 1;
--- a/crates/entry/tests/processes/outage.rs
+++ b/crates/entry/tests/processes/outage.rs
@@ -38,20 +38,14 @@
             let answer = traffic::ask(&platform, host.callers(), &Ask::status(KEY));
             let answer = answer.expect("an answer");
             let after = away.elapsed();
-            assert_eq!(
-                answer.status(),
-                StatusCode::OK,
-                "after {after:?}: {answer:?}"
-            );
+            assert_eq!(answer.status(), StatusCode::OK, "after {after:?}: {answer:?}");
         }
         std::thread::sleep(REQUEST_INTERVAL);
     }
 
     hosts[2].crash();
     hosts[2] = platform.host(2);
-    eventually(2 * BOUND, "the guest serves requests", || {
-        serves(&platform, &hosts[2])
-    });
+    eventually(2 * BOUND, "the guest serves requests", || serves(&platform, &hosts[2]));
     let status = hosts[2].status();
     assert_eq!(status["member"], false, "{status}");
     // Slots that the guest borrowed have gone back by the next request.
@@ -63,9 +57,7 @@
     }
 
     platform.start_store();
-    eventually(2 * BOUND, "the restarted host is a member", || {
-        hosts[2].status()["member"] == true
-    });
+    eventually(2 * BOUND, "the restarted host is a member", || hosts[2].status()["member"] == true);
     let text = traffic::keyed_document(&[KEY, OTHER_KEY, "third"]);
     let mut edited = hosts[2].edit(revision, &text);
     // Accepting an edit has to wait until the change of members is held.
--- a/crates/entry/tests/processes/paused.rs
+++ b/crates/entry/tests/processes/paused.rs
@@ -18,9 +18,8 @@
     std::thread::sleep(PAUSE);
     assert!(hosts[0].is_current(), "current by the store");
     hosts[1].signal("-CONT");
-    let back = eventually(Duration::from_secs(3), "the paused host is current", || {
-        hosts[1].is_current()
-    });
+    let back =
+        eventually(Duration::from_secs(3), "the paused host is current", || hosts[1].is_current());
     println!("current again after {} ms", back.as_millis());
 
     // Accepted means that both have it, so that the edit shows messages in both directions.
--- a/crates/entry/tests/processes/silence.rs
+++ b/crates/entry/tests/processes/silence.rs
@@ -50,9 +50,7 @@
     assert!(hosts[2].look_up().is_some(), "look-ups are still answered");
 
     platform.cut_off(2, false);
-    eventually(2 * BOUND, "the host serves again", || {
-        code(&platform, &hosts[2]) == "served"
-    });
+    eventually(2 * BOUND, "the host serves again", || code(&platform, &hosts[2]) == "served");
 }
 
 /// Connections to the backend server that are open when they go silent.
@@ -65,9 +63,7 @@
     let listed = platform.listed.visible().hosts;
     let (forwarder, address) =
         forwarder::Tcp::start(&platform.runtime, any_port(), listed[0].address);
-    platform.listed.replace(List {
-        hosts: vec![traffic::line(1, address)],
-    });
+    platform.listed.replace(List { hosts: vec![traffic::line(1, address)] });
     let hosts = platform.hosts();
     traffic::serve(&platform, &hosts, &[KEY]);
     let host = hosts[0].callers();
--- a/crates/entry/tests/processes/support.rs
+++ b/crates/entry/tests/processes/support.rs
@@ -152,10 +152,7 @@
         let store_address = self.store_address;
         self.runtime.spawn(self.listed.clone().serve(hosts));
         let names: Vec<CertificateHost> = (0..self.addresses.len())
-            .map(|index| CertificateHost {
-                name: name(index),
-                address: None,
-            })
+            .map(|index| CertificateHost { name: name(index), address: None })
             .collect();
         certificate::run(&self.folder.path().join("tls"), &names).expect("certificates");
         let digest = Digest::of_key(TOKEN.as_bytes()).to_text();
@@ -199,45 +196,32 @@
             .stderr(output.expect("a log file"))
             .spawn()
             .expect("a process");
-        Host {
-            platform: self,
-            child,
-            address: self.addresses[index],
-            log,
-        }
+        Host { platform: self, child, address: self.addresses[index], log }
     }
 
     /// Starts all hosts and waits until all are current members of one table.
     pub(crate) fn hosts(&self) -> Vec<Host<'_>> {
         let size = self.addresses.len();
         let hosts: Vec<Host<'_>> = (0..size).map(|index| self.host(index)).collect();
-        eventually(
-            Duration::from_secs(8),
-            "every host is a current member",
-            || {
-                hosts.iter().all(|host| {
-                    let status = host.status();
-                    let members = status["members"].as_array().map_or(0, Vec::len);
-                    members == size && status["current"] == true && status["member"] == true
-                })
-            },
-        );
+        eventually(Duration::from_secs(8), "every host is a current member", || {
+            hosts.iter().all(|host| {
+                let status = host.status();
+                let members = status["members"].as_array().map_or(0, Vec::len);
+                members == size && status["current"] == true && status["member"] == true
+            })
+        });
         hosts
     }
 
     /// Addresses of the look-up listeners of all hosts.
     pub(crate) fn look_ups(&self) -> Vec<SocketAddr> {
         let addresses = self.addresses.iter();
-        addresses
-            .map(|address| SocketAddr::from((*address, LOOKUP_PORT)))
-            .collect()
+        addresses.map(|address| SocketAddr::from((*address, LOOKUP_PORT))).collect()
     }
 
     fn get(&self, address: SocketAddr, path: &str) -> Option<Response<Bytes>> {
         let mut request = Request::new(Bytes::new());
-        *request.uri_mut() = format!("http://{address}{path}")
-            .parse()
-            .expect("an address");
+        *request.uri_mut() = format!("http://{address}{path}").parse().expect("an address");
         let response = http_client::send(request, Duration::from_secs(1));
         self.runtime.block_on(response).ok()
     }
@@ -288,18 +272,16 @@
         }
         let answer: Value = serde_json::from_slice(response.body()).expect("JSON");
         let hosts = answer["hosts"].as_array().expect("hosts").iter();
-        let mut names: Vec<String> = hosts
-            .map(|host| host["host"].as_str().expect("a name").to_owned())
-            .collect();
+        let mut names: Vec<String> =
+            hosts.map(|host| host["host"].as_str().expect("a name").to_owned()).collect();
         names.sort();
         Some(names)
     }
 
     /// Edits the document of `signing` on this host.
     pub(crate) fn edit(&self, base: u64, text: &str) -> Result<u64, Failure> {
-        let address: Uri = format!("http://{}:{ADMIN_PORT}", self.address)
-            .parse()
-            .expect("an address");
+        let address: Uri =
+            format!("http://{}:{ADMIN_PORT}", self.address).parse().expect("an address");
         let client = Client::new(vec![address], TOKEN.to_owned());
         let edit = client.edit("signing", base, text);
         self.platform.runtime.block_on(edit)
@@ -363,10 +345,8 @@
 }
 
 fn runtime() -> Runtime {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build();
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
     runtime.expect("a runtime")
 }
 
--- a/crates/entry/tests/processes/traffic.rs
+++ b/crates/entry/tests/processes/traffic.rs
@@ -141,10 +141,7 @@
         Self {
             method: "POST",
             path: "/sign".to_owned(),
-            headers: vec![
-                ("x-api-key", KEY.to_owned()),
-                ("idempotency-key", id.to_owned()),
-            ],
+            headers: vec![("x-api-key", KEY.to_owned()), ("idempotency-key", id.to_owned())],
         }
     }
 
@@ -154,10 +151,8 @@
     }
 
     fn request(&self) -> Request<Full<Bytes>> {
-        let mut request = Request::builder()
-            .method(self.method)
-            .uri(&self.path)
-            .header(header::HOST, "signing");
+        let mut request =
+            Request::builder().method(self.method).uri(&self.path).header(header::HOST, "signing");
         for (name, value) in &self.headers {
             request = request.header(*name, value);
         }
@@ -224,11 +219,8 @@
 /// Addresses of the caller listeners from the first host that answers a look-up.
 pub(crate) async fn look_up(look_ups: &[SocketAddr]) -> Vec<SocketAddr> {
     for address in look_ups {
-        let ask = Ask {
-            method: "GET",
-            path: "/lookup?service=signing".to_owned(),
-            headers: Vec::new(),
-        };
+        let ask =
+            Ask { method: "GET", path: "/lookup?service=signing".to_owned(), headers: Vec::new() };
         let Some(response) = send(*address, &ask).await else {
             continue;
         };
@@ -237,9 +229,7 @@
             continue;
         };
         let parsed = hosts.iter().filter_map(|host| host["address"].as_str());
-        return parsed
-            .map(|address| address.parse().expect("an address"))
-            .collect();
+        return parsed.map(|address| address.parse().expect("an address")).collect();
     }
     Vec::new()
 }
--- a/crates/entry/tests/processes/withdrawn.rs
+++ b/crates/entry/tests/processes/withdrawn.rs
@@ -109,11 +109,7 @@
     });
     let answer = traffic::ask(&platform, address, &withdrawn()).expect("an answer");
     assert_eq!(answer.status(), StatusCode::UNAUTHORIZED);
-    assert_eq!(
-        marked(&backends[0]),
-        reached,
-        "requests reached a backend server"
-    );
+    assert_eq!(marked(&backends[0]), reached, "requests reached a backend server");
 }
 
 /// Sends a request that is answered after the pause.
@@ -135,8 +131,6 @@
 fn marked(backend: &Arc<Backend>) -> usize {
     let is_marked = |(name, value): &(String, String)| name == MARK && value == WITHDRAWN;
     let seen = backend.record().seen;
-    let marked = seen
-        .iter()
-        .filter(|seen| seen.headers.iter().any(is_marked));
+    let marked = seen.iter().filter(|seen| seen.headers.iter().any(is_marked));
     marked.count()
 }
--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -68,10 +68,7 @@
             let target = copy.path().join(file.file_name().expect("a name"));
             fs::copy(file, &target).expect("a copy");
             let settings = settings::read(&target).unwrap_or_else(|faults| panic!("{faults}"));
-            assert_eq!(
-                *settings.host.name, host.name,
-                "name of the file and the host"
-            );
+            assert_eq!(*settings.host.name, host.name, "name of the file and the host");
         }
     }
 }
--- a/crates/link/examples/slopes.rs
+++ b/crates/link/examples/slopes.rs
@@ -29,14 +29,8 @@
         let bytes = encoded(&Message::Heartbeat(heartbeat(count)));
         println!("  {count:>6} budgets  {bytes:>8} bytes");
     }
-    let reply = HeartbeatReply {
-        sequence: u64::MAX >> 1,
-        revision: 1 << 30,
-    };
-    println!(
-        "heartbeat reply  {} bytes",
-        encoded(&Message::HeartbeatReply(reply))
-    );
+    let reply = HeartbeatReply { sequence: u64::MAX >> 1, revision: 1 << 30 };
+    println!("heartbeat reply  {} bytes", encoded(&Message::HeartbeatReply(reply)));
     println!("time by members: one heartbeat received with its reply, one round sent (tick)");
     for count in [8, 60, 120, 480] {
         let (handled, ticked) = member_costs(count);
@@ -64,10 +58,7 @@
 
 fn encoded(message: &Message) -> usize {
     let from = sender(1);
-    let envelope = Envelope {
-        from,
-        message: message.clone(),
-    };
+    let envelope = Envelope { from, message: message.clone() };
     convert::encode(&envelope).len()
 }
 
@@ -95,11 +86,7 @@
 
 fn sender(index: usize) -> Sender {
     let host = Arc::from(format!("ee-north-host-{index:04}"));
-    Sender {
-        host,
-        incarnation: u64::MAX - index as u64,
-        peer: address(index),
-    }
+    Sender { host, incarnation: u64::MAX - index as u64, peer: address(index) }
 }
 
 fn member(index: usize) -> Member {
@@ -115,15 +102,10 @@
 }
 
 fn host() -> Host {
-    let identity = Identity {
-        member: member(0),
-        currency: Source::StoreOrMembers,
-    };
+    let identity = Identity { member: member(0), currency: Source::StoreOrMembers };
     let mut state = 1_u64;
     Host::new(identity, Vec::new(), move || {
-        state = state
-            .wrapping_mul(6_364_136_223_846_793_005)
-            .wrapping_add(1);
+        state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
         state
     })
 }
@@ -131,34 +113,18 @@
 fn member_costs(count: usize) -> (Duration, Duration) {
     let mut host = host();
     let members: Vec<Member> = (0..count).map(member).collect();
-    let value = Roster {
-        members,
-        ..Roster::default()
-    }
-    .to_text()
-    .expect("a valid table");
-    let record = Record {
-        key: Arc::from("members"),
-        revision: 1,
-        value,
-    };
+    let value = Roster { members, ..Roster::default() }.to_text().expect("a valid table");
+    let record = Record { key: Arc::from("members"), revision: 1, value };
     host.handle(
         Duration::ZERO,
-        Event::Updated(Update {
-            since: 0,
-            through: 1,
-            records: vec![record],
-        }),
+        Event::Updated(Update { since: 0, through: 1, records: vec![record] }),
     );
     let mut now = Duration::from_secs(1);
     let start = Instant::now();
     for run in 0..RUNS {
         now += Duration::from_millis(1);
         let message = Message::Heartbeat(heartbeat(8));
-        let envelope = Envelope {
-            from: sender(1 + run as usize % (count - 1)),
-            message,
-        };
+        let envelope = Envelope { from: sender(1 + run as usize % (count - 1)), message };
         black_box(host.handle(now, Event::Received(envelope)));
     }
     let handled = start.elapsed() / RUNS;
@@ -193,32 +159,19 @@
         revision,
         value: document(service, workspaces, rate),
     };
-    let records: Vec<Record> = (0..documents)
-        .map(|service| record(service, 1, 5))
-        .collect();
+    let records: Vec<Record> = (0..documents).map(|service| record(service, 1, 5)).collect();
     let bytes = records[0].value.len();
     let before = resident_bytes();
     let mut host = host();
     let start = Instant::now();
-    host.handle(
-        Duration::ZERO,
-        Event::Updated(Update {
-            since: 0,
-            through: 1,
-            records,
-        }),
-    );
+    host.handle(Duration::ZERO, Event::Updated(Update { since: 0, through: 1, records }));
     let loaded = start.elapsed();
     let memory = resident_bytes().saturating_sub(before);
     let changes = 20;
     let mut changed = Duration::ZERO;
     for revision in 2..2 + changes {
         let records = vec![record(0, revision, 5 + revision as usize)];
-        let update = Update {
-            since: revision - 1,
-            through: revision,
-            records,
-        };
+        let update = Update { since: revision - 1, through: revision, records };
         let start = Instant::now();
         black_box(host.handle(Duration::from_secs(revision), Event::Updated(update)));
         changed += start.elapsed();
@@ -230,9 +183,6 @@
 fn resident_bytes() -> usize {
     const PAGE: usize = 4096;
     let statistics = fs::read_to_string("/proc/self/statm").unwrap_or_default();
-    let pages = statistics
-        .split(' ')
-        .nth(1)
-        .and_then(|pages| pages.parse::<usize>().ok());
+    let pages = statistics.split(' ').nth(1).and_then(|pages| pages.parse::<usize>().ok());
     pages.unwrap_or_default() * PAGE
 }
--- a/crates/link/src/certificate.rs
+++ b/crates/link/src/certificate.rs
@@ -29,17 +29,12 @@
 pub fn authority() -> Result<Pair, Fault> {
     let key = KeyPair::generate()?;
     let certificate = authority_params().self_signed(&key)?;
-    Ok(Pair {
-        certificate: certificate.pem(),
-        key: key.serialize_pem(),
-    })
+    Ok(Pair { certificate: certificate.pem(), key: key.serialize_pem() })
 }
 
 fn authority_params() -> CertificateParams {
     let mut params = CertificateParams::default();
-    params
-        .distinguished_name
-        .push(DnType::CommonName, "marjorampick authority");
+    params.distinguished_name.push(DnType::CommonName, "marjorampick authority");
     params.is_ca = IsCa::Ca(BasicConstraints::Constrained(0));
     params.key_usages = vec![KeyUsagePurpose::KeyCertSign, KeyUsagePurpose::CrlSign];
     params
@@ -54,14 +49,9 @@
     let addresses = addresses.iter().copied().map(SanType::IpAddress);
     params.subject_alt_names.extend(addresses);
     params.key_usages = vec![KeyUsagePurpose::DigitalSignature];
-    params.extended_key_usages = vec![
-        ExtendedKeyUsagePurpose::ServerAuth,
-        ExtendedKeyUsagePurpose::ClientAuth,
-    ];
+    params.extended_key_usages =
+        vec![ExtendedKeyUsagePurpose::ServerAuth, ExtendedKeyUsagePurpose::ClientAuth];
     let key = KeyPair::generate()?;
     let certificate = params.signed_by(&key, &issuer)?;
-    Ok(Pair {
-        certificate: certificate.pem(),
-        key: key.serialize_pem(),
-    })
+    Ok(Pair { certificate: certificate.pem(), key: key.serialize_pem() })
 }
--- a/crates/link/src/convert.rs
+++ b/crates/link/src/convert.rs
@@ -103,9 +103,7 @@
             sequence: reply.sequence,
             revision: reply.revision,
         }),
-        Wire::UpdateRequest(request) => Core::UpdateRequest {
-            since: request.since,
-        },
+        Wire::UpdateRequest(request) => Core::UpdateRequest { since: request.since },
         Wire::Update(update) => Core::Update(update_from_peer(update)),
         Wire::LoanRequest(request) => Core::LoanRequest(loan::request_from_peer(request)?),
         Wire::Loan(loan) => Core::Loan(loan::loan_from_peer(loan)?),
--- a/crates/link/src/convert/claim.rs
+++ b/crates/link/src/convert/claim.rs
@@ -129,10 +129,7 @@
         Core::Mismatch => Wire::Mismatch(peer::Empty {}),
         Core::Unavailable => Wire::Unavailable(peer::Empty {}),
     };
-    peer::ClaimReply {
-        id: reply.id,
-        verdict: Some(verdict),
-    }
+    peer::ClaimReply { id: reply.id, verdict: Some(verdict) }
 }
 
 pub(super) fn reply_from_peer(reply: peer::ClaimReply) -> Result<claim::Reply, Fault> {
@@ -147,17 +144,11 @@
         Wire::Mismatch(_) => Core::Mismatch,
         Wire::Unavailable(_) => Core::Unavailable,
     };
-    Ok(claim::Reply {
-        id: reply.id,
-        verdict,
-    })
+    Ok(claim::Reply { id: reply.id, verdict })
 }
 
 pub(super) fn copy_to_peer(copy: &claim::Copy) -> peer::ClaimCopy {
-    peer::ClaimCopy {
-        id: copy.id,
-        record: Some(record_to_peer(&copy.record)),
-    }
+    peer::ClaimCopy { id: copy.id, record: Some(record_to_peer(&copy.record)) }
 }
 
 pub(super) fn copy_from_peer(copy: peer::ClaimCopy) -> Result<claim::Copy, Fault> {
--- a/crates/link/src/convert/loan.rs
+++ b/crates/link/src/convert/loan.rs
@@ -16,10 +16,9 @@
             workspace: workspace.to_string(),
         }),
         Budget::CrossRegion { service } => Name::CrossRegion(service.to_string()),
-        Budget::Region { service, region } => Name::Region(Region {
-            service: service.to_string(),
-            region: region.to_string(),
-        }),
+        Budget::Region { service, region } => {
+            Name::Region(Region { service: service.to_string(), region: region.to_string() })
+        }
     };
     peer::Budget { name: Some(name) }
 }
@@ -32,28 +31,19 @@
             service: name.service.into(),
             workspace: name.workspace.into(),
         },
-        Name::CrossRegion(service) => budget::Budget::CrossRegion {
-            service: service.into(),
-        },
-        Name::Region(name) => budget::Budget::Region {
-            service: name.service.into(),
-            region: name.region.into(),
-        },
+        Name::CrossRegion(service) => budget::Budget::CrossRegion { service: service.into() },
+        Name::Region(name) => {
+            budget::Budget::Region { service: name.service.into(), region: name.region.into() }
+        }
     })
 }
 
 pub(super) fn spare_to_peer(spare: &budget::Spare) -> peer::Spare {
-    peer::Spare {
-        budget: Some(budget_to_peer(&spare.budget)),
-        amount: spare.amount,
-    }
+    peer::Spare { budget: Some(budget_to_peer(&spare.budget)), amount: spare.amount }
 }
 
 pub(super) fn spare_from_peer(spare: peer::Spare) -> Result<budget::Spare, Fault> {
-    Ok(budget::Spare {
-        budget: budget_from_peer(spare.budget)?,
-        amount: spare.amount,
-    })
+    Ok(budget::Spare { budget: budget_from_peer(spare.budget)?, amount: spare.amount })
 }
 
 pub(super) fn request_to_peer(request: &budget::LoanRequest) -> peer::LoanRequest {
@@ -99,11 +89,7 @@
 }
 
 pub(super) fn return_to_peer(back: &budget::LoanReturn) -> peer::LoanReturn {
-    peer::LoanReturn {
-        id: back.id,
-        budget: Some(budget_to_peer(&back.budget)),
-        slots: back.slots,
-    }
+    peer::LoanReturn { id: back.id, budget: Some(budget_to_peer(&back.budget)), slots: back.slots }
 }
 
 pub(super) fn return_from_peer(back: peer::LoanReturn) -> Result<budget::LoanReturn, Fault> {
--- a/crates/link/src/hosts.rs
+++ b/crates/link/src/hosts.rs
@@ -93,9 +93,7 @@
 pub async fn read(uri: &http::Uri) -> Result<Vec<event::Listed>, Fault> {
     let mut request = Request::new(Bytes::new());
     *request.uri_mut() = uri.clone();
-    let response = http_client::send(request, READ_TIMEOUT)
-        .await
-        .map_err(Fault::Request)?;
+    let response = http_client::send(request, READ_TIMEOUT).await.map_err(Fault::Request)?;
     if response.status() != http::StatusCode::OK {
         return Err(Fault::Status(response.status()));
     }
--- a/crates/link/src/peer.rs
+++ b/crates/link/src/peer.rs
@@ -104,22 +104,13 @@
         let mut endpoint = bind(address, server).map_err(Fault::Bind)?;
         endpoint.set_default_client_config(client);
         let receiver = tokio::spawn(accept(endpoint.clone(), received));
-        Ok(Self {
-            endpoint,
-            from,
-            links: Mutex::default(),
-            receiver,
-            runtime: Handle::current(),
-        })
+        Ok(Self { endpoint, from, links: Mutex::default(), receiver, runtime: Handle::current() })
     }
 
     /// Queues a message; when the queue is full, the oldest heartbeat in it is dropped.
     pub fn send(&self, to: SocketAddr, message: Message) {
         let is_heartbeat = matches!(message, Message::Heartbeat(_) | Message::HeartbeatReply(_));
-        let envelope = Envelope {
-            from: self.from.clone(),
-            message,
-        };
+        let envelope = Envelope { from: self.from.clone(), message };
         if let Some(queue) = self.queue(to) {
             queue.push(convert::encode(&envelope), is_heartbeat);
         }
@@ -149,9 +140,7 @@
     }
 
     fn is_busy(&self) -> bool {
-        self.links
-            .lock()
-            .is_ok_and(|links| links.values().any(|link| !link.queue.is_empty()))
+        self.links.lock().is_ok_and(|links| links.values().any(|link| !link.queue.is_empty()))
     }
 
     fn queue(&self, to: SocketAddr) -> Option<Arc<Queue>> {
@@ -161,9 +150,7 @@
         }
         let link = links.entry(to).or_insert_with(|| {
             let queue = Arc::new(Queue::new(QUEUE_LENGTH));
-            let task = self
-                .runtime
-                .spawn(deliver(self.endpoint.clone(), to, queue.clone()));
+            let task = self.runtime.spawn(deliver(self.endpoint.clone(), to, queue.clone()));
             Link { queue, task }
         });
         Some(link.queue.clone())
@@ -199,9 +186,7 @@
     let mut connection: Option<Connection> = None;
     loop {
         let bytes = queue.pop().await;
-        let open = connection
-            .take()
-            .filter(|open| open.close_reason().is_none());
+        let open = connection.take().filter(|open| open.close_reason().is_none());
         let open = match open {
             Some(open) => Some(open),
             None => connect(&endpoint, to).await,
@@ -281,9 +266,8 @@
 
 async fn read(mut stream: quinn::RecvStream, identity: &tls::Identity) -> Result<Envelope, Fault> {
     let bytes = timeout(READ_TIMEOUT, stream.read_to_end(MESSAGE_LIMIT)).await;
-    let bytes = bytes
-        .map_err(|_| Fault::Late)?
-        .map_err(|error| Fault::Broken(error.to_string()))?;
+    let bytes =
+        bytes.map_err(|_| Fault::Late)?.map_err(|error| Fault::Broken(error.to_string()))?;
     let envelope = convert::decode(&bytes).map_err(Fault::Message)?;
     if !identity.allows(&envelope.from.host) {
         return Err(Fault::Sender(envelope.from.host));
--- a/crates/link/src/peer/queue.rs
+++ b/crates/link/src/peer/queue.rs
@@ -18,11 +18,7 @@
 
 impl Queue {
     pub(super) fn new(length: usize) -> Self {
-        Self {
-            waiting: Mutex::default(),
-            length,
-            arrived: Notify::new(),
-        }
+        Self { waiting: Mutex::default(), length, arrived: Notify::new() }
     }
 
     /// Adds a message. A full queue drops its oldest heartbeat, or else its oldest message.
@@ -34,10 +30,7 @@
             let oldest = waiting.iter().position(|item| item.is_heartbeat);
             waiting.remove(oldest.unwrap_or(0));
         }
-        waiting.push_back(Item {
-            bytes,
-            is_heartbeat,
-        });
+        waiting.push_back(Item { bytes, is_heartbeat });
         drop(waiting);
         self.arrived.notify_one();
     }
--- a/crates/link/src/peer/tests.rs
+++ b/crates/link/src/peer/tests.rs
@@ -15,9 +15,5 @@
     while !queue.is_empty() {
         kept.extend(queue.pop().await);
     }
-    assert_eq!(
-        kept,
-        [4, 5, 6],
-        "heartbeats go first, then the oldest message"
-    );
+    assert_eq!(kept, [4, 5, 6], "heartbeats go first, then the oldest message");
 }
--- a/crates/link/src/settings.rs
+++ b/crates/link/src/settings.rs
@@ -48,10 +48,7 @@
     parse: impl FnOnce(&mut Table<'_>, &mut Findings) -> T,
 ) -> Result<T, Faults> {
     let mut findings = Findings::default();
-    let faults = |findings| Faults {
-        file: file.to_owned(),
-        findings,
-    };
+    let faults = |findings| Faults { file: file.to_owned(), findings };
     let source = match std::fs::read_to_string(file) {
         Ok(source) => source,
         Err(error) => {
@@ -62,11 +59,7 @@
     let mut table = Table::parse(&source, &mut findings);
     let settings = parse(&mut table, &mut findings);
     table.finish(&mut findings);
-    if findings.is_empty() {
-        Ok(settings)
-    } else {
-        Err(faults(findings))
-    }
+    if findings.is_empty() { Ok(settings) } else { Err(faults(findings)) }
 }
 
 /// Takes a socket address that must be present.
@@ -104,8 +97,7 @@
 /// Takes an array of socket addresses that must not be empty.
 pub fn addresses(table: &mut Table<'_>, findings: &mut Findings, key: &str) -> Vec<SocketAddr> {
     items(table, findings, key, |text| {
-        text.parse()
-            .map_err(|_| "expected IP addresses with ports, for instance 127.0.0.1:8080")
+        text.parse().map_err(|_| "expected IP addresses with ports, for instance 127.0.0.1:8080")
     })
 }
 
@@ -178,11 +170,9 @@
     let expected = "expected an address such as http://127.0.0.1:2379";
     let uri: http::Uri = text.parse().map_err(|_| expected)?;
     let has_port = uri.port_u16().is_some();
-    let has_address = uri.host().is_some_and(|host| {
-        host.trim_matches(['[', ']'])
-            .parse::<std::net::IpAddr>()
-            .is_ok()
-    });
+    let has_address = uri
+        .host()
+        .is_some_and(|host| host.trim_matches(['[', ']']).parse::<std::net::IpAddr>().is_ok());
     if uri.scheme_str() == Some("http") && has_port && has_address {
         Ok(uri)
     } else {
--- a/crates/link/src/store.rs
+++ b/crates/link/src/store.rs
@@ -109,9 +109,7 @@
             timeouts: AtomicU32::new(0),
             attempts: AtomicU32::new(0),
         };
-        Self {
-            shared: Arc::new(shared),
-        }
+        Self { shared: Arc::new(shared) }
     }
 
     /// Revision of `head`; 0 when it does not exist yet.
@@ -164,9 +162,7 @@
             return Written::Unknown;
         };
         if head.writer == Some(write.id) {
-            return Written::Done {
-                revision: head.revision,
-            };
+            return Written::Done { revision: head.revision };
         }
         match record {
             // The record did not change after the revision that the write was made from. As `head`
@@ -175,9 +171,7 @@
             None => Written::Conflict,
             // Values are unique: a document names its edit, a table the incarnations.
             Some(record) if record.value == write.value && !write.value.is_empty() => {
-                Written::Done {
-                    revision: record.revision,
-                }
+                Written::Done { revision: record.revision }
             }
             Some(_) => Written::Unknown,
         }
@@ -197,10 +191,7 @@
     }
 
     async fn get(&self, key: &str) -> Result<Option<etcd::KeyValue>, Fault> {
-        let range = RangeRequest {
-            key: self.key(key).into_bytes(),
-            ..RangeRequest::default()
-        };
+        let range = RangeRequest { key: self.key(key).into_bytes(), ..RangeRequest::default() };
         let answer = self.call(|mut client| async move { client.range(range).await });
         Ok(answer.await?.kvs.into_iter().next())
     }
@@ -235,10 +226,7 @@
         };
         Ok(TxnRequest {
             compare: vec![unchanged],
-            success: vec![
-                put(&write.key, &write.value),
-                put(HEAD, &write.id.to_string()),
-            ],
+            success: vec![put(&write.key, &write.value), put(HEAD, &write.id.to_string())],
             failure: Vec::new(),
         })
     }
@@ -316,11 +304,7 @@
         let key = String::from_utf8(kv.key).map_err(|_| Fault::Malformed)?;
         let key = key.strip_prefix(&self.shared.prefix);
         let value = String::from_utf8(kv.value).map_err(|_| Fault::Malformed)?;
-        Ok(Record {
-            key: Arc::from(key.ok_or(Fault::Malformed)?),
-            revision,
-            value: value.into(),
-        })
+        Ok(Record { key: Arc::from(key.ok_or(Fault::Malformed)?), revision, value: value.into() })
     }
 }
 
@@ -341,10 +325,7 @@
 }
 
 fn channel(endpoints: &[http::Uri], attempt: usize) -> Channel {
-    let uri = endpoints
-        .get(attempt % endpoints.len().max(1))
-        .cloned()
-        .unwrap_or_default();
+    let uri = endpoints.get(attempt % endpoints.len().max(1)).cloned().unwrap_or_default();
     Endpoint::from(uri)
         .connect_timeout(CONNECT_TIMEOUT)
         .http2_keep_alive_interval(KEEP_ALIVE_INTERVAL)
--- a/crates/link/src/store/watch.rs
+++ b/crates/link/src/store/watch.rs
@@ -72,9 +72,7 @@
             progress_notify: false,
         };
         let (requests, stream) = mpsc::channel(1);
-        let request = WatchRequest {
-            request_union: Some(RequestUnion::CreateRequest(create)),
-        };
+        let request = WatchRequest { request_union: Some(RequestUnion::CreateRequest(create)) };
         requests.try_send(request).map_err(|_| Fault::Malformed)?;
         let mut client = WatchClient::new(self.channel()).max_decoding_message_size(MESSAGE_LIMIT);
         let opened = tokio::time::timeout(CALL_TIMEOUT, client.watch(ReceiverStream::new(stream)));
@@ -88,10 +86,7 @@
 
     fn changed(&self, since: u64, change: WatchResponse) -> Result<Update, Fault> {
         let is_put = |kind: i32| kind == EventType::Put as i32;
-        let puts = change
-            .events
-            .into_iter()
-            .filter(|event| is_put(event.r#type));
+        let puts = change.events.into_iter().filter(|event| is_put(event.r#type));
         self.update(since, puts.filter_map(|event| event.kv).collect())
     }
 }
--- a/crates/link/tests/convert.rs
+++ b/crates/link/tests/convert.rs
@@ -47,26 +47,13 @@
         peer: "nowhere".to_owned(),
         message: None,
     };
-    assert_eq!(
-        convert::from_peer(wire.clone()),
-        Err(Fault::Invalid("peer"))
-    );
+    assert_eq!(convert::from_peer(wire.clone()), Err(Fault::Invalid("peer")));
     wire.peer = "127.0.0.1:1".to_owned();
-    assert_eq!(
-        convert::from_peer(wire.clone()),
-        Err(Fault::Missing("message"))
-    );
-    let weight = peer::RegionWeight {
-        region: "north".to_owned(),
-        weight: f64::NAN,
-    };
-    let service = peer::ServiceWeights {
-        service: "signing".to_owned(),
-        regions: vec![weight],
-    };
-    wire.message = Some(peer::envelope::Message::Weights(peer::Weights {
-        services: vec![service],
-    }));
+    assert_eq!(convert::from_peer(wire.clone()), Err(Fault::Missing("message")));
+    let weight = peer::RegionWeight { region: "north".to_owned(), weight: f64::NAN };
+    let service = peer::ServiceWeights { service: "signing".to_owned(), regions: vec![weight] };
+    wire.message =
+        Some(peer::envelope::Message::Weights(peer::Weights { services: vec![service] }));
     assert_eq!(convert::from_peer(wire), Err(Fault::Invalid("weight")));
     assert_eq!(convert::decode(&[0xff]), Err(Fault::Malformed));
 }
@@ -94,9 +81,7 @@
             sequence: u.arbitrary()?,
             revision: u.arbitrary()?,
         }),
-        2 => Message::UpdateRequest {
-            since: u.arbitrary()?,
-        },
+        2 => Message::UpdateRequest { since: u.arbitrary()? },
         3 => Message::Update(Update {
             since: u.arbitrary()?,
             through: u.arbitrary()?,
@@ -120,14 +105,8 @@
             fingerprint: u.arbitrary()?,
             revision: u.arbitrary()?,
         }),
-        8 => Message::ClaimReply(Reply {
-            id: u.arbitrary()?,
-            verdict: verdict(u)?,
-        }),
-        9 => Message::ClaimCopy(claim::Copy {
-            id: u.arbitrary()?,
-            record: claim_record(u)?,
-        }),
+        8 => Message::ClaimReply(Reply { id: u.arbitrary()?, verdict: verdict(u)? }),
+        9 => Message::ClaimCopy(claim::Copy { id: u.arbitrary()?, record: claim_record(u)? }),
         10 => Message::ClaimCopyReply { id: u.arbitrary()? },
         11 => Message::ClaimCompletion(Finish {
             id: u.arbitrary()?,
@@ -159,33 +138,20 @@
 }
 
 fn record(u: &mut Unstructured<'_>) -> Result<Record> {
-    Ok(Record {
-        key: text(u)?,
-        revision: u.arbitrary()?,
-        value: text(u)?,
-    })
+    Ok(Record { key: text(u)?, revision: u.arbitrary()?, value: text(u)? })
 }
 
 fn budget(u: &mut Unstructured<'_>) -> Result<Budget> {
     let service = text(u)?;
     Ok(match u.int_in_range(0..=2)? {
-        0 => Budget::Workspace {
-            service,
-            workspace: text(u)?,
-        },
+        0 => Budget::Workspace { service, workspace: text(u)? },
         1 => Budget::CrossRegion { service },
-        _ => Budget::Region {
-            service,
-            region: text(u)?,
-        },
+        _ => Budget::Region { service, region: text(u)? },
     })
 }
 
 fn spare(u: &mut Unstructured<'_>) -> Result<Spare> {
-    Ok(Spare {
-        budget: budget(u)?,
-        amount: u.arbitrary()?,
-    })
+    Ok(Spare { budget: budget(u)?, amount: u.arbitrary()? })
 }
 
 fn loan(u: &mut Unstructured<'_>) -> Result<Loan> {
@@ -201,11 +167,7 @@
 }
 
 fn name(u: &mut Unstructured<'_>) -> Result<Name> {
-    Ok(Name {
-        service: text(u)?,
-        workspace: text(u)?,
-        key: text(u)?,
-    })
+    Ok(Name { service: text(u)?, workspace: text(u)?, key: text(u)? })
 }
 
 fn outcome(u: &mut Unstructured<'_>) -> Result<Outcome> {
@@ -256,8 +218,5 @@
         let part: u16 = u.arbitrary()?;
         Ok((text(u)?, f64::from(part) / f64::from(u16::MAX)))
     };
-    Ok(ServiceWeights {
-        service: text(u)?,
-        regions: list(u, region)?,
-    })
+    Ok(ServiceWeights { service: text(u)?, regions: list(u, region)? })
 }
--- a/crates/link/tests/generated.rs
+++ b/crates/link/tests/generated.rs
@@ -21,9 +21,6 @@
             fs::write(committed.join(file), &generated).expect("written file");
         }
         let known = fs::read_to_string(committed.join(file)).unwrap_or_default();
-        assert!(
-            known == generated,
-            "{file} differs: run with MARJORAMPICK_REGENERATE=1"
-        );
+        assert!(known == generated, "{file} differs: run with MARJORAMPICK_REGENERATE=1");
     }
 }
--- a/crates/link/tests/peer.rs
+++ b/crates/link/tests/peer.rs
@@ -44,25 +44,14 @@
 fn open(authority: &Pair, certified: &str, name: &str, address: SocketAddr) -> Host {
     let pair = certificate::host(authority, certified, &[]).expect("a certificate");
     let credentials = Credentials::from_pem(&authority.certificate, &pair.certificate, &pair.key);
-    let from = Sender {
-        host: name.into(),
-        incarnation: 1,
-        peer: address,
-    };
+    let from = Sender { host: name.into(), incarnation: 1, peer: address };
     let (sender, received) = mpsc::channel(16);
     let peers = Peers::open(from, &credentials.expect("credentials"), sender);
-    Host {
-        peers: peers.expect("a transport"),
-        address,
-        received,
-    }
+    Host { peers: peers.expect("a transport"), address, received }
 }
 
 fn message(sequence: u64) -> Message {
-    Message::HeartbeatReply(HeartbeatReply {
-        sequence,
-        revision: 0,
-    })
+    Message::HeartbeatReply(HeartbeatReply { sequence, revision: 0 })
 }
 
 #[tokio::test]
@@ -119,9 +108,7 @@
 }
 
 fn runtime() -> Runtime {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(1)
-        .enable_all()
-        .build();
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(1).enable_all().build();
     runtime.expect("a runtime")
 }
--- a/crates/link/tests/robust.rs
+++ b/crates/link/tests/robust.rs
@@ -54,10 +54,7 @@
     if let Ok(envelope) = convert::decode(bytes) {
         let again = convert::decode(&convert::encode(&envelope));
         // A weight that is not a number differs from itself.
-        assert_eq!(
-            format!("{again:?}"),
-            format!("{:?}", Ok::<_, convert::Fault>(envelope))
-        );
+        assert_eq!(format!("{again:?}"), format!("{:?}", Ok::<_, convert::Fault>(envelope)));
     }
 }
 
@@ -98,11 +95,8 @@
             }],
         })
     };
-    let from = Sender {
-        host: "a".into(),
-        incarnation: u.arbitrary()?,
-        peer: ([127, 0, 0, 1], 1).into(),
-    };
+    let from =
+        Sender { host: "a".into(), incarnation: u.arbitrary()?, peer: ([127, 0, 0, 1], 1).into() };
     Ok(Envelope { from, message })
 }
 
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -78,17 +78,10 @@
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(LOOKUP_TIMEOUT));
-        let client = Client::builder(TokioExecutor::new())
-            .retry_canceled_requests(false)
-            .build(connector);
+        let client =
+            Client::builder(TokioExecutor::new()).retry_canceled_requests(false).build(connector);
         let body = Bytes::from(vec![b'm'; stream.body_bytes]);
-        Self {
-            client,
-            stream,
-            body,
-            cached: Mutex::new(None),
-            next: AtomicUsize::new(0),
-        }
+        Self { client, stream, body, cached: Mutex::new(None), next: AtomicUsize::new(0) }
     }
 
     /// Sends one request; `number` makes its idempotency key unique.
@@ -149,10 +142,7 @@
     /// Addresses in the order in which to try them.
     async fn addresses(&self) -> Vec<SocketAddr> {
         if !self.stream.direct.is_empty() {
-            return rotated(
-                &self.stream.direct,
-                self.next.fetch_add(1, Ordering::Relaxed),
-            );
+            return rotated(&self.stream.direct, self.next.fetch_add(1, Ordering::Relaxed));
         }
         if let Some(addresses) = self.known() {
             return addresses;
@@ -190,9 +180,7 @@
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Option<(Instant, Vec<SocketAddr>)>> {
-        self.cached
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
+        self.cached.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 }
 
@@ -204,9 +192,7 @@
 }
 
 fn classify(status: StatusCode, headers: &HeaderMap, body: &[u8]) -> Outcome {
-    let outcome = headers
-        .get("marjorampick-outcome")
-        .and_then(|value| value.to_str().ok());
+    let outcome = headers.get("marjorampick-outcome").and_then(|value| value.to_str().ok());
     match outcome {
         Some("not-run") => Outcome::NotRun(code_of(status, body)),
         Some(_) => Outcome::Unknown(code_of(status, body)),
@@ -218,15 +204,11 @@
 /// The `code` of a problem document, or the status when there is none.
 fn code_of(status: StatusCode, body: &[u8]) -> Arc<str> {
     let problem: Option<serde_json::Value> = serde_json::from_slice(body).ok();
-    let code = problem
-        .as_ref()
-        .and_then(|problem| problem["code"].as_str());
+    let code = problem.as_ref().and_then(|problem| problem["code"].as_str());
     Arc::from(code.unwrap_or(status.as_str()))
 }
 
 fn rotated(addresses: &[SocketAddr], start: usize) -> Vec<SocketAddr> {
     let count = addresses.len();
-    (0..count)
-        .map(|index| addresses[(start + index) % count])
-        .collect()
+    (0..count).map(|index| addresses[(start + index) % count]).collect()
 }
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -46,9 +46,7 @@
     let plan = match Plan::parse(&source) {
         Ok(plan) => plan,
         Err(findings) => {
-            findings
-                .iter()
-                .for_each(|finding| eprintln!("{shown}: {finding}"));
+            findings.iter().for_each(|finding| eprintln!("{shown}: {finding}"));
             return Ok(ExitCode::from(1));
         }
     };
--- a/crates/load/src/plan.rs
+++ b/crates/load/src/plan.rs
@@ -66,24 +66,14 @@
         let seed = table.integer(&mut findings, "seed", 0..=u64::MAX, Some(1));
         let seconds = table.integer(&mut findings, "seconds", 1..=LONGEST_RUN_SECONDS, None);
         let streams = table.tables(&mut findings, "stream");
-        let streams: Vec<Stream> = streams
-            .into_iter()
-            .map(|entry| Stream::read(entry, &mut findings))
-            .collect();
+        let streams: Vec<Stream> =
+            streams.into_iter().map(|entry| Stream::read(entry, &mut findings)).collect();
         if streams.is_empty() {
             table.report(&mut findings, "stream", "is missing");
         }
         table.finish(&mut findings);
-        let plan = Self {
-            seed,
-            duration: Duration::from_secs(seconds),
-            streams,
-        };
-        if findings.is_empty() {
-            Ok(plan)
-        } else {
-            Err(findings)
-        }
+        let plan = Self { seed, duration: Duration::from_secs(seconds), streams };
+        if findings.is_empty() { Ok(plan) } else { Err(findings) }
     }
 }
 
@@ -94,9 +84,7 @@
             name: table.string(findings, "name"),
             service: table.string(findings, "service"),
             key: table.optional_string(findings, "key"),
-            method: table
-                .parsed(findings, "method", method)
-                .unwrap_or(http::Method::GET),
+            method: table.parsed(findings, "method", method).unwrap_or(http::Method::GET),
             path: table.string(findings, "path"),
             body_bytes: size(&mut table, findings),
             idempotency_key: table.boolean(findings, "idempotency_key", false),
@@ -120,10 +108,7 @@
 
     /// Requests per second at `elapsed` time.
     pub fn rate_at(&self, elapsed: Duration) -> f64 {
-        let peak = self
-            .peak
-            .as_ref()
-            .filter(|peak| (peak.from..peak.to).contains(&elapsed));
+        let peak = self.peak.as_ref().filter(|peak| (peak.from..peak.to).contains(&elapsed));
         peak.map_or(self.rate, |peak| peak.rate)
     }
 }
@@ -153,11 +138,7 @@
     for text in texts {
         match text.parse() {
             Ok(address) => addresses.push(address),
-            Err(_) => table.report(
-                findings,
-                key,
-                format!("{text:?} is not an address and port"),
-            ),
+            Err(_) => table.report(findings, key, format!("{text:?} is not an address and port")),
         }
     }
     addresses
--- a/crates/load/src/plot.rs
+++ b/crates/load/src/plot.rs
@@ -14,19 +14,9 @@
 /// Writes `served.svg` and `latency.svg` into `folder`.
 pub fn write(folder: &Path, report: &Report) -> eyre::Result<()> {
     let served = |second: &Second| second.served as f64;
-    draw(
-        &folder.join("served.svg"),
-        "requests served per second",
-        report,
-        served,
-    )?;
+    draw(&folder.join("served.svg"), "requests served per second", report, served)?;
     let latency = |second: &Second| second.largest_latency_ms;
-    draw(
-        &folder.join("latency.svg"),
-        "largest latency in ms",
-        report,
-        latency,
-    )
+    draw(&folder.join("latency.svg"), "largest latency in ms", report, latency)
 }
 
 fn draw(
@@ -55,10 +45,7 @@
             .label(stream.name.to_string())
             .legend(move |(x, y)| legend(x, y, color));
     }
-    chart
-        .configure_series_labels()
-        .background_style(WHITE)
-        .draw()?;
+    chart.configure_series_labels().background_style(WHITE).draw()?;
     area.present()?;
     Ok(())
 }
--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -57,14 +57,9 @@
     /// Empty report of `plan`.
     pub fn new(plan: &Plan) -> Self {
         let seconds = plan.duration.as_secs();
-        let streams = plan
-            .streams
-            .iter()
-            .map(|stream| StreamReport::new(stream.name.clone(), seconds));
-        Self {
-            seconds,
-            streams: streams.collect(),
-        }
+        let streams =
+            plan.streams.iter().map(|stream| StreamReport::new(stream.name.clone(), seconds));
+        Self { seconds, streams: streams.collect() }
     }
 
     /// Adds one request.
@@ -74,9 +69,7 @@
 
     /// Whether every request got a whole answer.
     pub fn all_served(&self) -> bool {
-        self.streams
-            .iter()
-            .all(|stream| stream.served == stream.sent)
+        self.streams.iter().all(|stream| stream.served == stream.sent)
     }
 
     /// The report as a table for people.
@@ -142,10 +135,7 @@
         let micros = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
         self.histogram.saturating_record(micros.max(1));
         for (name, quantile) in PERCENTILES {
-            self.latency_ms.insert(
-                name,
-                self.histogram.value_at_quantile(quantile) as f64 / 1e3,
-            );
+            self.latency_ms.insert(name, self.histogram.value_at_quantile(quantile) as f64 / 1e3);
         }
         if let Some(second) = self.timeline.get_mut(second) {
             second.served += 1;
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -33,9 +33,7 @@
 
 /// Runs `plan` to its end and collects what callers saw.
 pub fn execute(plan: &Plan) -> eyre::Result<Report> {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .build()?;
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build()?;
     Ok(runtime.block_on(run(plan)))
 }
 
@@ -44,13 +42,7 @@
     let start = Instant::now();
     for (index, stream) in plan.streams.iter().enumerate() {
         let arrivals = arrivals(stream, plan.duration, plan.seed.wrapping_add(index as u64));
-        tokio::spawn(send(
-            index,
-            stream.clone(),
-            arrivals,
-            start,
-            samples.clone(),
-        ));
+        tokio::spawn(send(index, stream.clone(), arrivals, start, samples.clone()));
     }
     drop(samples);
     let mut report = Report::new(plan);
@@ -88,12 +80,7 @@
         tokio::time::sleep_until((start + due).into()).await;
         let Ok(permit) = open.clone().try_acquire_owned() else {
             let outcome = Outcome::Unknown(Arc::from("load-tool-full"));
-            let sample = Sample {
-                stream: index,
-                due,
-                latency: Duration::ZERO,
-                outcome,
-            };
+            let sample = Sample { stream: index, due, latency: Duration::ZERO, outcome };
             let _ = samples.send(sample).await;
             continue;
         };
@@ -101,14 +88,7 @@
         tokio::spawn(async move {
             let outcome = caller.call(number as u64).await;
             let latency = start.elapsed().saturating_sub(due);
-            let _ = samples
-                .send(Sample {
-                    stream: index,
-                    due,
-                    latency,
-                    outcome,
-                })
-                .await;
+            let _ = samples.send(Sample { stream: index, due, latency, outcome }).await;
             drop(permit);
         });
     }
--- a/crates/load/tests/plan.rs
+++ b/crates/load/tests/plan.rs
@@ -8,10 +8,8 @@
                   lookups = [\"nowhere\"]\nspeed = 3\n";
     let findings = Plan::parse(source).expect_err("a faulty plan");
     let shown = findings.to_string();
-    let places: Vec<(usize, &str)> = findings
-        .iter()
-        .map(|finding| (finding.line, finding.key.as_str()))
-        .collect();
+    let places: Vec<(usize, &str)> =
+        findings.iter().map(|finding| (finding.line, finding.key.as_str())).collect();
     assert!(places.contains(&(1, "seconds")), "{shown}");
     assert!(places.contains(&(6, "stream[0].rate")), "{shown}");
     assert!(places.contains(&(8, "stream[0].speed")), "{shown}");
--- a/crates/scenario/src/judge.rs
+++ b/crates/scenario/src/judge.rs
@@ -42,15 +42,9 @@
 impl Traffic {
     /// Traffic of a workspace with its first limit.
     pub fn new(workspace: &Workspace) -> Self {
-        let limit = Limit {
-            accepted: Duration::ZERO,
-            rate: workspace.rate,
-            burst: workspace.burst as f64,
-        };
-        Self {
-            limits: vec![limit],
-            ..Self::default()
-        }
+        let limit =
+            Limit { accepted: Duration::ZERO, rate: workspace.rate, burst: workspace.burst as f64 };
+        Self { limits: vec![limit], ..Self::default() }
     }
 
     /// The first window that admits more than the limit allows, with the excess in requests.
@@ -58,11 +52,7 @@
         let mut admitted = self.admitted.clone();
         admitted.sort_unstable();
         for (index, limit) in self.limits.iter().enumerate() {
-            let start = if index == 0 {
-                Duration::ZERO
-            } else {
-                limit.accepted + IN_FORCE_BOUND
-            };
+            let start = if index == 0 { Duration::ZERO } else { limit.accepted + IN_FORCE_BOUND };
             let next = self.limits.get(index + 1);
             let end = next.map_or(Duration::MAX, |next| next.accepted + IN_FORCE_BOUND);
             // Until a raised limit is everywhere, the larger of both is allowed.
--- a/crates/scenario/src/main.rs
+++ b/crates/scenario/src/main.rs
@@ -47,9 +47,7 @@
     let script = match parse::parse(&source) {
         Ok(script) => script,
         Err(findings) => {
-            findings
-                .iter()
-                .for_each(|finding| eprintln!("{shown}: {finding}"));
+            findings.iter().for_each(|finding| eprintln!("{shown}: {finding}"));
             return Ok(false);
         }
     };
--- a/crates/scenario/src/network.rs
+++ b/crates/scenario/src/network.rs
@@ -61,11 +61,7 @@
 
     /// One-way delay between a host and the store, which is in the first region.
     pub fn store_delay(self, host: usize) -> Duration {
-        if host.is_multiple_of(3) {
-            self.domain_delay()
-        } else {
-            self.region_delay()
-        }
+        if host.is_multiple_of(3) { self.domain_delay() } else { self.region_delay() }
     }
 }
 
--- a/crates/scenario/src/parse.rs
+++ b/crates/scenario/src/parse.rs
@@ -50,12 +50,7 @@
                 }
                 Err(error) => {
                     let expected = error.inner().to_string().replace('\n', ", ");
-                    findings.add(
-                        source,
-                        Some(offset),
-                        text,
-                        format!("not understood: {expected}"),
-                    );
+                    findings.add(source, Some(offset), text, format!("not understood: {expected}"));
                 }
             }
         }
@@ -69,11 +64,7 @@
     if script.end.is_zero() {
         findings.add(source, None, "", "the statement `end at TIME` is missing");
     }
-    if findings.is_empty() {
-        Ok(script)
-    } else {
-        Err(findings)
-    }
+    if findings.is_empty() { Ok(script) } else { Err(findings) }
 }
 
 /// One line of a scenario.
@@ -133,9 +124,7 @@
 }
 
 fn host_count(input: &mut &str) -> ModalResult<usize> {
-    dec_uint
-        .verify(|count| (1..=HOSTS_LIMIT).contains(count))
-        .parse_next(input)
+    dec_uint.verify(|count| (1..=HOSTS_LIMIT).contains(count)).parse_next(input)
 }
 
 /// Matches the words of `text` with any spaces between and after them.
@@ -152,18 +141,11 @@
 }
 
 fn name(input: &mut &str) -> ModalResult<Arc<str>> {
-    take_while(1.., ('a'..='z', '0'..='9', '-'))
-        .map(Arc::from)
-        .parse_next(input)
+    take_while(1.., ('a'..='z', '0'..='9', '-')).map(Arc::from).parse_next(input)
 }
 
 fn time(input: &mut &str) -> ModalResult<Duration> {
-    let unit = alt((
-        "ms".value(0.001),
-        "s".value(1.0),
-        "min".value(60.0),
-        "h".value(3600.0),
-    ));
+    let unit = alt(("ms".value(0.001), "s".value(1.0), "min".value(60.0), "h".value(3600.0)));
     (float, unit)
         .verify_map(|(count, unit): (f64, f64)| Duration::try_from_secs_f64(count * unit).ok())
         .verify(|time| *time <= LONGEST)
@@ -172,11 +154,8 @@
 }
 
 fn deployment(input: &mut &str) -> ModalResult<Deployment> {
-    alt((
-        "karnerand".value(Deployment::Karnerand),
-        "lothian".value(Deployment::Lothian),
-    ))
-    .parse_next(input)
+    alt(("karnerand".value(Deployment::Karnerand), "lothian".value(Deployment::Lothian)))
+        .parse_next(input)
 }
 
 fn evidence(input: &mut &str) -> ModalResult<Evidence> {
@@ -211,11 +190,7 @@
 }
 
 fn workspace(input: &mut &str) -> ModalResult<Workspace> {
-    (
-        name,
-        preceded((space1, words("rate")), float),
-        preceded((space1, words("burst")), dec_uint),
-    )
+    (name, preceded((space1, words("rate")), float), preceded((space1, words("burst")), dec_uint))
         .map(|(name, rate, burst)| Workspace { name, rate, burst })
         .parse_next(input)
 }
@@ -224,27 +199,16 @@
     let rate = delimited(space1, positive, (space0, words("per second")));
     let on = preceded(words("on"), hosts);
     (name, rate, on, interval)
-        .map(|(workspace, rate, hosts, (from, to))| Load {
-            workspace,
-            rate,
-            hosts,
-            from,
-            to,
-        })
+        .map(|(workspace, rate, hosts, (from, to))| Load { workspace, rate, hosts, from, to })
         .parse_next(input)
 }
 
 fn positive(input: &mut &str) -> ModalResult<f64> {
-    float
-        .verify(|number: &f64| *number > 0.0 && number.is_finite())
-        .parse_next(input)
+    float.verify(|number: &f64| *number > 0.0 && number.is_finite()).parse_next(input)
 }
 
 fn interval(input: &mut &str) -> ModalResult<(Duration, Duration)> {
-    (
-        preceded((space0, words("from")), time),
-        preceded((space0, words("to")), time),
-    )
+    (preceded((space0, words("from")), time), preceded((space0, words("to")), time))
         .parse_next(input)
 }
 
@@ -257,9 +221,7 @@
 }
 
 fn event(input: &mut &str) -> ModalResult<Event> {
-    alt((host_event, store_event, edit_event))
-        .context(StrContext::Label("event"))
-        .parse_next(input)
+    alt((host_event, store_event, edit_event)).context(StrContext::Label("event")).parse_next(input)
 }
 
 fn host_event(input: &mut &str) -> ModalResult<Event> {
@@ -272,11 +234,8 @@
         preceded(words("cut the store from"), (hosts, lasting))
             .map(|(hosts, time)| Event::CutStore(hosts, time)),
         preceded(words("cut"), (hosts, lasting)).map(|(hosts, time)| Event::Cut(hosts, time)),
-        preceded(
-            words("lose"),
-            (float, preceded(words("% of messages"), lasting)),
-        )
-        .map(|(percent, time)| Event::Loss(percent, time)),
+        preceded(words("lose"), (float, preceded(words("% of messages"), lasting)))
+            .map(|(percent, time)| Event::Loss(percent, time)),
     ))
     .parse_next(input)
 }
@@ -311,27 +270,16 @@
     alt((
         words("every workspace within its limit").value(Check::WithinLimits),
         preceded(words("at least"), share),
-        preceded(words("nothing admitted for"), (name, interval)).map(|(workspace, (from, to))| {
-            Check::NoneAdmitted {
-                workspace,
-                from,
-                to,
-            }
-        }),
+        preceded(words("nothing admitted for"), (name, interval))
+            .map(|(workspace, (from, to))| Check::NoneAdmitted { workspace, from, to }),
         words("accepted edits to hold").value(Check::EditsHold),
         preceded(words("the edit at"), (time, preceded(space1, accepted)))
             .map(|(at, accepted)| Check::Edit { at, accepted }),
-        preceded(
-            words("at most"),
-            (float, (space0, words("store calls per second"))),
-        )
-        .map(|(calls, _)| Check::StoreCalls(calls)),
+        preceded(words("at most"), (float, (space0, words("store calls per second"))))
+            .map(|(calls, _)| Check::StoreCalls(calls)),
         (hosts, preceded((space0, words("to be current at")), time))
             .map(|(hosts, at)| Check::Current(hosts, at)),
-        (
-            hosts,
-            preceded((space0, words("not to be current at")), time),
-        )
+        (hosts, preceded((space0, words("not to be current at")), time))
             .map(|(hosts, at)| Check::NotCurrent(hosts, at)),
         members,
     ))
@@ -340,23 +288,15 @@
 }
 
 fn accepted(input: &mut &str) -> ModalResult<bool> {
-    alt((
-        words("to be accepted").value(true),
-        words("not to be accepted").value(false),
-    ))
-    .parse_next(input)
+    alt((words("to be accepted").value(true), words("not to be accepted").value(false)))
+        .parse_next(input)
 }
 
 fn share(input: &mut &str) -> ModalResult<Check> {
     let percent = (float, words("% of the omniscient limiter"));
     let whose = opt(preceded(words("for"), name));
     (percent, whose, interval)
-        .map(|((percent, ()), workspace, (from, to))| Check::Share {
-            workspace,
-            percent,
-            from,
-            to,
-        })
+        .map(|((percent, ()), workspace, (from, to))| Check::Share { workspace, percent, from, to })
         .parse_next(input)
 }
 
@@ -364,7 +304,5 @@
     let host = preceded(words("host"), dec_uint);
     let count = preceded((space0, words("to list")), dec_uint);
     let at = preceded((space0, words("members at")), time);
-    (host, count, at)
-        .map(|(host, count, at)| Check::Members { host, count, at })
-        .parse_next(input)
+    (host, count, at).map(|(host, count, at)| Check::Members { host, count, at }).parse_next(input)
 }
--- a/crates/scenario/src/parse/reference.rs
+++ b/crates/scenario/src/parse/reference.rs
@@ -39,10 +39,7 @@
     }
 
     fn host(host: usize) -> Self {
-        Self {
-            hosts: vec![host],
-            ..Self::default()
-        }
+        Self { hosts: vec![host], ..Self::default() }
     }
 
     fn workspace(workspace: &Arc<str>) -> Self {
@@ -86,11 +83,9 @@
 
 fn of_check(check: &Check) -> Reference {
     match check {
-        Check::Share {
-            workspace: Some(workspace),
-            ..
+        Check::Share { workspace: Some(workspace), .. } | Check::NoneAdmitted { workspace, .. } => {
+            Reference::workspace(workspace)
         }
-        | Check::NoneAdmitted { workspace, .. } => Reference::workspace(workspace),
         Check::Current(hosts, _) | Check::NotCurrent(hosts, _) => Reference::hosts(hosts),
         Check::Members { host, .. } => Reference::host(*host),
         _ => Reference::default(),
--- a/crates/scenario/src/policies.rs
+++ b/crates/scenario/src/policies.rs
@@ -32,11 +32,7 @@
             Policy::Leased => "leased",
         };
         let (share, name) = &self.worst;
-        let limits = if self.within_limits {
-            "within"
-        } else {
-            "above"
-        };
+        let limits = if self.within_limits { "within" } else { "above" };
         write!(
             f,
             "{policy:<8} total {:>7.3}%  worst {share:>7.3}% ({name})  {limits} limits",
@@ -50,10 +46,7 @@
 /// The expectations of the script are not checked: they are written for one policy.
 pub fn compare(script: &Script, seed: u64) -> Vec<Row> {
     let row = |policy| {
-        let script = Script {
-            policy,
-            ..script.clone()
-        };
+        let script = Script { policy, ..script.clone() };
         let mut world = World::new(&script, seed);
         world.run();
         Row {
--- a/crates/scenario/src/run.rs
+++ b/crates/scenario/src/run.rs
@@ -25,9 +25,7 @@
     let mut outcome = Outcome::default();
     for expectation in &script.expectations {
         if let Err(failure) = check(script, &world, &expectation.check, &mut outcome.figures) {
-            outcome
-                .failures
-                .push(format!("line {}: {failure}", expectation.line));
+            outcome.failures.push(format!("line {}: {failure}", expectation.line));
         }
     }
     outcome
@@ -41,12 +39,7 @@
 ) -> Result<(), String> {
     match check {
         Check::WithinLimits => within_limits(world),
-        Check::Share {
-            workspace,
-            percent,
-            from,
-            to,
-        } => {
+        Check::Share { workspace, percent, from, to } => {
             let share = share(world, workspace.as_ref(), *from, *to);
             let whose = workspace.as_deref().unwrap_or("every workspace");
             if workspace.is_none() {
@@ -54,19 +47,11 @@
                 let _ = write!(figures, "worst workspace {} {:.2}%, ", worst.1, worst.0);
             }
             let _ = writeln!(figures, "{whose}: {share:.3}% of the omniscient limiter");
-            expect(share >= *percent, || {
-                format!("{whose} got {share:.3}%, expected {percent}%")
-            })
+            expect(share >= *percent, || format!("{whose} got {share:.3}%, expected {percent}%"))
         }
-        Check::NoneAdmitted {
-            workspace,
-            from,
-            to,
-        } => {
+        Check::NoneAdmitted { workspace, from, to } => {
             let admitted = world.traffic[workspace].admitted_in(*from, *to).0;
-            expect(admitted == 0, || {
-                format!("{workspace} was admitted {admitted} times")
-            })
+            expect(admitted == 0, || format!("{workspace} was admitted {admitted} times"))
         }
         Check::Current(hosts, at) => currency(script, world, hosts, *at, true),
         Check::NotCurrent(hosts, at) => currency(script, world, hosts, *at, false),
@@ -74,16 +59,12 @@
         Check::Edit { at, accepted } => edit(world, *at, *accepted),
         Check::Members { host, count, at } => {
             let found = probe(world, host - 1, *at).map(|probe| probe.members);
-            expect(found == Some(*count), || {
-                format!("host {host} lists {found:?} members")
-            })
+            expect(found == Some(*count), || format!("host {host} lists {found:?} members"))
         }
         Check::StoreCalls(most) => {
             let calls = world.store_calls() as f64 / script.end.as_secs_f64();
             let _ = writeln!(figures, "{calls:.2} store calls per second");
-            expect(calls <= *most, || {
-                format!("{calls:.2} store calls per second")
-            })
+            expect(calls <= *most, || format!("{calls:.2} store calls per second"))
         }
     }
 }
@@ -107,28 +88,17 @@
     from: Duration,
     to: Duration,
 ) -> f64 {
-    let chosen = world
-        .traffic
-        .iter()
-        .filter(|(name, _)| workspace.is_none_or(|w| w == *name));
+    let chosen = world.traffic.iter().filter(|(name, _)| workspace.is_none_or(|w| w == *name));
     let counts = chosen.map(|(_, traffic)| traffic.admitted_in(from, to));
     let (admitted, possible) = counts.fold((0, 0), |sum, (a, b)| (sum.0 + a, sum.1 + b));
-    if possible == 0 {
-        100.0
-    } else {
-        100.0 * admitted as f64 / possible as f64
-    }
+    if possible == 0 { 100.0 } else { 100.0 * admitted as f64 / possible as f64 }
 }
 
 /// The workspace with the smallest share, and its share in percent.
 pub(crate) fn worst(world: &World, from: Duration, to: Duration) -> (f64, Arc<str>) {
-    let shares = world
-        .traffic
-        .keys()
-        .map(|name| (share(world, Some(name), from, to), name.clone()));
-    shares
-        .min_by(|a, b| a.0.total_cmp(&b.0))
-        .unwrap_or((100.0, Arc::default()))
+    let shares =
+        world.traffic.keys().map(|name| (share(world, Some(name), from, to), name.clone()));
+    shares.min_by(|a, b| a.0.total_cmp(&b.0)).unwrap_or((100.0, Arc::default()))
 }
 
 fn currency(
@@ -144,19 +114,14 @@
     };
     for host in hosts {
         let current = probe(world, host - 1, at).is_some_and(|probe| probe.current);
-        expect(current == expected, || {
-            format!("host {host} is current: {current}")
-        })?;
+        expect(current == expected, || format!("host {host} is current: {current}"))?;
     }
     Ok(())
 }
 
 /// The first probe of a host at `at` or later.
 fn probe(world: &World, host: usize, at: Duration) -> Option<&Probe> {
-    world
-        .probes
-        .iter()
-        .find(|probe| probe.host == host && probe.at >= at)
+    world.probes.iter().find(|probe| probe.host == host && probe.at >= at)
 }
 
 fn edits_hold(world: &World) -> Result<(), String> {
@@ -164,13 +129,8 @@
         let Some((answered, Edited::Accepted { revision })) = edit.answer else {
             continue;
         };
-        let late = world
-            .probes
-            .iter()
-            .filter(|probe| probe.at >= answered + IN_FORCE_BOUND);
-        let stale = late
-            .clone()
-            .find(|probe| probe.current && probe.revision < revision);
+        let late = world.probes.iter().filter(|probe| probe.at >= answered + IN_FORCE_BOUND);
+        let stale = late.clone().find(|probe| probe.current && probe.revision < revision);
         if let Some(stale) = stale {
             return Err(format!(
                 "host {} is current at {:?} with revision {}, edit {revision} was accepted at {answered:?}",
@@ -186,15 +146,9 @@
 fn never_reverts(world: &World) -> Result<(), String> {
     let mut newest = std::collections::BTreeMap::new();
     for probe in &world.probes {
-        let known = newest
-            .entry((probe.host, probe.incarnation))
-            .or_insert(probe.revision);
+        let known = newest.entry((probe.host, probe.incarnation)).or_insert(probe.revision);
         if probe.revision < *known {
-            return Err(format!(
-                "host {} went back at {:?}",
-                probe.host + 1,
-                probe.at
-            ));
+            return Err(format!("host {} went back at {:?}", probe.host + 1, probe.at));
         }
         *known = probe.revision;
     }
@@ -207,7 +161,5 @@
         return Err(format!("no edit was made at {at:?}"));
     };
     let found = matches!(edit.answer, Some((_, Edited::Accepted { .. })));
-    expect(found == accepted, || {
-        format!("the edit at {at:?} was answered {:?}", edit.answer)
-    })
+    expect(found == accepted, || format!("the edit at {at:?} was answered {:?}", edit.answer))
 }
--- a/crates/scenario/src/store.rs
+++ b/crates/scenario/src/store.rs
@@ -36,22 +36,13 @@
             return Written::Conflict;
         }
         self.head += 1;
-        let record = Record {
-            key: write.key.clone(),
-            revision: self.head,
-            value: write.value.clone(),
-        };
+        let record =
+            Record { key: write.key.clone(), revision: self.head, value: write.value.clone() };
         self.records.insert(write.key.clone(), record);
-        Written::Done {
-            revision: self.head,
-        }
+        Written::Done { revision: self.head }
     }
 
     fn snapshot(&self) -> Update {
-        Update {
-            since: 0,
-            through: self.head,
-            records: self.records.values().cloned().collect(),
-        }
+        Update { since: 0, through: self.head, records: self.records.values().cloned().collect() }
     }
 }
--- a/crates/scenario/src/world.rs
+++ b/crates/scenario/src/world.rs
@@ -122,10 +122,7 @@
 impl World {
     /// The world of `script` before its first event.
     pub fn new(script: &Script, seed: u64) -> Self {
-        let traffic = script
-            .workspaces
-            .iter()
-            .map(|w| (w.name.clone(), Traffic::new(w)));
+        let traffic = script.workspaces.iter().map(|w| (w.name.clone(), Traffic::new(w)));
         let mut world = Self {
             now: Duration::ZERO,
             random: StdRng::seed_from_u64(seed),
@@ -224,10 +221,7 @@
             let actions = self.slots[index].host.as_mut().map(|host| host.tick(now));
             self.act(index, actions.unwrap_or_default());
         }
-        self.schedule(
-            resumed.max(self.now + TICK),
-            Occurrence::Tick(index, incarnation),
-        );
+        self.schedule(resumed.max(self.now + TICK), Occurrence::Tick(index, incarnation));
     }
 
     fn event(&mut self, index: usize, incarnation: u64, event: Event) {
@@ -237,16 +231,10 @@
         }
         if slot.paused_until > self.now {
             let resumed = slot.paused_until;
-            return self.schedule(
-                resumed,
-                Occurrence::Event(index, incarnation, Box::new(event)),
-            );
+            return self.schedule(resumed, Occurrence::Event(index, incarnation, Box::new(event)));
         }
         let now = self.clock(index);
-        let actions = self.slots[index]
-            .host
-            .as_mut()
-            .map(|host| host.handle(now, event));
+        let actions = self.slots[index].host.as_mut().map(|host| host.handle(now, event));
         self.act(index, actions.unwrap_or_default());
     }
 
@@ -276,82 +264,50 @@
         if to >= self.slots.len() || cut(&self.slots[from]) || cut(&self.slots[to]) || lost {
             return;
         }
-        let envelope = Envelope {
-            from: self.slots[from].sender.clone(),
-            message,
-        };
+        let envelope = Envelope { from: self.slots[from].sender.clone(), message };
         let jitter = Duration::from_micros(self.random.random_range(0..200));
         let at = self.now + self.script.deployment.delay(from, to) + jitter;
         let incarnation = self.slots[to].sender.incarnation;
-        self.schedule(
-            at,
-            Occurrence::Event(to, incarnation, Box::new(Event::Received(envelope))),
-        );
+        self.schedule(at, Occurrence::Event(to, incarnation, Box::new(Event::Received(envelope))));
     }
 
     fn slowness(&self) -> Duration {
         let (delay, until) = self.store_slow;
-        if self.now < until {
-            delay
-        } else {
-            Duration::ZERO
-        }
+        if self.now < until { delay } else { Duration::ZERO }
     }
 
     /// Performs a call at the store and sends the answer back.
     fn store_call(&mut self, index: usize, incarnation: u64, call: Action) {
         let slot = &self.slots[index];
-        let unreachable = slot
-            .cut_until
-            .max(slot.store_cut_until)
-            .max(self.store_down_until)
-            > self.now;
+        let unreachable =
+            slot.cut_until.max(slot.store_cut_until).max(self.store_down_until) > self.now;
         let back = self.script.deployment.store_delay(index);
         // The call was sent one way earlier, on the host's clock.
-        let sent = self
-            .clock(index)
-            .saturating_sub(back + STORE_WORK + self.slowness());
+        let sent = self.clock(index).saturating_sub(back + STORE_WORK + self.slowness());
         let answer = match &call {
             _ if unreachable => None,
-            Action::ReadHead => Some(Event::HeadRead {
-                sent,
-                revision: self.store.head(),
-            }),
+            Action::ReadHead => Some(Event::HeadRead { sent, revision: self.store.head() }),
             Action::ReadRecords => Some(Event::Updated(self.store.read())),
             Action::Write { ticket, write } => {
                 let result = self.store.write(write);
-                Some(Event::Written {
-                    ticket: *ticket,
-                    result,
-                })
+                Some(Event::Written { ticket: *ticket, result })
             }
             _ => None,
         };
         let lost = self.answers_lost_until > self.now;
         let (delay, event) = match (answer, call) {
             (Some(event), _) if !lost => (back, event),
-            (_, Action::Write { ticket, .. }) => (
-                STORE_TIMEOUT,
-                Event::Written {
-                    ticket,
-                    result: Written::Unknown,
-                },
-            ),
+            (_, Action::Write { ticket, .. }) => {
+                (STORE_TIMEOUT, Event::Written { ticket, result: Written::Unknown })
+            }
             _ => return,
         };
-        self.schedule(
-            self.now + delay,
-            Occurrence::Event(index, incarnation, Box::new(event)),
-        );
+        self.schedule(self.now + delay, Occurrence::Event(index, incarnation, Box::new(event)));
     }
 
     /// Time on the host's own clock, which runs a little fast or slow.
     fn clock(&self, index: usize) -> Duration {
-        let error = if index.is_multiple_of(2) {
-            -CLOCK_SPREAD
-        } else {
-            CLOCK_SPREAD
-        };
+        let error = if index.is_multiple_of(2) { -CLOCK_SPREAD } else { CLOCK_SPREAD };
         let rate = 1.0 + error;
         (self.now - self.slots[index].started).mul_f64(rate)
     }
@@ -360,19 +316,13 @@
         let incarnation = self.random.random::<u64>() | 1;
         let member = self.script.deployment.member(index, incarnation);
         let seeds = (0..self.script.hosts).filter(|other| *other != index);
-        let seeds = seeds
-            .map(|other| self.script.deployment.member(other, 0).peer)
-            .collect();
+        let seeds = seeds.map(|other| self.script.deployment.member(other, 0).peer).collect();
         let currency = match self.script.evidence {
             Evidence::StoreOrMembers => Source::StoreOrMembers,
             Evidence::Store => Source::Store,
         };
         let mut random = StdRng::seed_from_u64(incarnation);
-        let sender = Sender {
-            host: member.host.clone(),
-            incarnation,
-            peer: member.peer,
-        };
+        let sender = Sender { host: member.host.clone(), incarnation, peer: member.peer };
         let identity = Identity { member, currency };
         let settings = settings(self.script.policy);
         let slot = &mut self.slots[index];
@@ -410,11 +360,7 @@
         let member = script.deployment.member(index, 0);
         Self {
             host: None,
-            sender: Sender {
-                host: member.host,
-                incarnation: 0,
-                peer: member.peer,
-            },
+            sender: Sender { host: member.host, incarnation: 0, peer: member.peer },
             started: Duration::ZERO,
             paused_until: Duration::ZERO,
             cut_until: Duration::ZERO,
@@ -430,8 +376,6 @@
     match policy {
         Policy::Lending => budget::Settings::Lending,
         Policy::Fixed => budget::Settings::Fixed,
-        Policy::Leased => budget::Settings::Leased {
-            lease: CURRENCY_TERM,
-        },
+        Policy::Leased => budget::Settings::Leased { lease: CURRENCY_TERM },
     }
 }
--- a/crates/scenario/src/world/callers.rs
+++ b/crates/scenario/src/world/callers.rs
@@ -20,10 +20,7 @@
             return;
         }
         let gap = -(1.0 - self.random.random::<f64>()).ln() / load_spec.rate;
-        self.schedule(
-            self.now + Duration::from_secs_f64(gap),
-            Occurrence::Arrival(load),
-        );
+        self.schedule(self.now + Duration::from_secs_f64(gap), Occurrence::Arrival(load));
         let index = self.choose(&load_spec);
         let slot = &self.slots[index];
         if slot.host.is_none() || slot.paused_until > self.now {
@@ -32,11 +29,8 @@
         if let Some(traffic) = self.traffic.get_mut(&load_spec.workspace) {
             traffic.offered.push(self.now);
         }
-        let request = Request {
-            workspace: load_spec.workspace,
-            arrived: self.now,
-            rounds: BORROW_ROUNDS,
-        };
+        let request =
+            Request { workspace: load_spec.workspace, arrived: self.now, rounds: BORROW_ROUNDS };
         if !self.admit(index, &request) {
             self.wait_for_loan(index, request);
         }
@@ -67,11 +61,7 @@
         let taken = account.is_some_and(|account| {
             // A request that asks again is not new demand.
             let first = request.rounds == BORROW_ROUNDS;
-            let take = if first {
-                account.take(now, 1)
-            } else {
-                account.take_again(now, 1)
-            };
+            let take = if first { account.take(now, 1) } else { account.take_again(now, 1) };
             take.is_ok()
         });
         let admitted = allowed && host.is_current(now) && taken;
@@ -102,18 +92,12 @@
             request.rounds -= 1;
             let waiting = &mut self.slots[index].waiting;
             waiting.entry(budget.clone()).or_default().push(request);
-            let short = Event::Short {
-                budget: budget.clone(),
-                wanted: 1,
-            };
+            let short = Event::Short { budget: budget.clone(), wanted: 1 };
             self.event(index, incarnation, short);
         }
     }
 }
 
 fn workspace_budget(workspace: &Arc<str>) -> Budget {
-    Budget::Workspace {
-        service: Arc::from(SERVICE),
-        workspace: workspace.clone(),
-    }
+    Budget::Workspace { service: Arc::from(SERVICE), workspace: workspace.clone() }
 }
--- a/crates/scenario/src/world/events.rs
+++ b/crates/scenario/src/world/events.rs
@@ -41,17 +41,8 @@
             Scripted::StoreLosesAnswers(time) => self.answers_lost_until = now + time,
             Scripted::Loss(percent, time) => self.loss = (percent, now + time),
             Scripted::ListGone(hosts) => self.list_gone(&hosts),
-            Scripted::SetRate {
-                workspace,
-                rate,
-                burst,
-                via,
-            } => {
-                let limit = Limit {
-                    accepted: now,
-                    rate,
-                    burst: burst as f64,
-                };
+            Scripted::SetRate { workspace, rate, burst, via } => {
+                let limit = Limit { accepted: now, rate, burst: burst as f64 };
                 let known = self.limits.iter_mut().find(|known| known.name == workspace);
                 if let Some(known) = known {
                     (known.rate, known.burst) = (rate, burst);
@@ -71,9 +62,7 @@
 
     fn list_gone(&mut self, hosts: &Hosts) {
         self.gone.extend(self.indexes(hosts));
-        let listed: Vec<Listed> = (0..self.slots.len())
-            .map(|index| self.listed(index))
-            .collect();
+        let listed: Vec<Listed> = (0..self.slots.len()).map(|index| self.listed(index)).collect();
         for index in 0..self.slots.len() {
             let incarnation = self.slots[index].sender.incarnation;
             self.event(index, incarnation, Event::Listed(listed.clone()));
@@ -89,11 +78,7 @@
             region: member.region,
             domain: member.domain,
             address: member.callers,
-            state: if gone {
-                ListedState::Gone
-            } else {
-                ListedState::Live
-            },
+            state: if gone { ListedState::Gone } else { ListedState::Live },
         }
     }
 
@@ -101,16 +86,9 @@
         let Some(host) = &self.slots[via].host else {
             return;
         };
-        let base = host
-            .documents()
-            .get(SERVICE)
-            .map_or(0, |known| known.revision);
+        let base = host.documents().get(SERVICE).map_or(0, |known| known.revision);
         let ticket = self.edits.len() as u64;
-        self.edits.push(EditRecord {
-            at: self.now,
-            answer: None,
-            limit,
-        });
+        self.edits.push(EditRecord { at: self.now, answer: None, limit });
         let edit = Edit {
             service: Arc::from(SERVICE),
             base,
@@ -127,10 +105,7 @@
             && let Some((workspace, limit)) = record.limit.take()
             && let Some(traffic) = self.traffic.get_mut(&workspace)
         {
-            traffic.limits.push(Limit {
-                accepted: self.now,
-                ..limit
-            });
+            traffic.limits.push(Limit { accepted: self.now, ..limit });
         }
         record.answer = Some((self.now, edited));
     }
@@ -160,10 +135,7 @@
             let keys = if self.withdrawn.contains(&workspace.name) {
                 String::new()
             } else {
-                format!(
-                    "\"{}\"",
-                    Digest::of_key(workspace.name.as_bytes()).to_text()
-                )
+                format!("\"{}\"", Digest::of_key(workspace.name.as_bytes()).to_text())
             };
             text += &format!(
                 "[[workspace]]\nname = \"{}\"\nrate_per_second = {}\nburst = {}\nkeys = [{keys}]\n",
--- a/crates/scenario/tests/policies.rs
+++ b/crates/scenario/tests/policies.rs
@@ -18,9 +18,7 @@
 #[test]
 fn every_policy_spends_in_its_own_way() {
     let mut script = script("key-withdrawn-store-away.scenario");
-    script
-        .events
-        .retain(|event| event.at > Duration::from_secs(20));
+    script.events.retain(|event| event.at > Duration::from_secs(20));
     let rows = policies::compare(&script, 1);
     let total = |policy| {
         let row = rows.iter().find(|row| row.policy == policy);
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -172,12 +172,7 @@
 
     /// Service time of a request that starts now.
     fn service_time(&self) -> Duration {
-        let Settings {
-            service_time,
-            cold_start,
-            cold_factor,
-            ..
-        } = self.settings;
+        let Settings { service_time, cold_start, cold_factor, .. } = self.settings;
         let age = self.started.elapsed();
         if age >= cold_start {
             return service_time;
@@ -189,7 +184,5 @@
 
 /// Locks a mutex whose holders never leave it in a broken state.
 fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex
-        .lock()
-        .unwrap_or_else(std::sync::PoisonError::into_inner)
+    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
 }
--- a/crates/standin/src/backend/answer.rs
+++ b/crates/standin/src/backend/answer.rs
@@ -56,13 +56,7 @@
     pub(super) fn filled(text: impl Into<Bytes>, length: usize) -> Self {
         let mut start = text.into();
         start.truncate(length);
-        Self {
-            start,
-            remaining: length,
-            declared: Some(length),
-            end: End::Complete,
-            pause: None,
-        }
+        Self { start, remaining: length, declared: Some(length), end: End::Complete, pause: None }
     }
 
     /// Sends only `sent` bytes, followed by `end`.
@@ -117,9 +111,7 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.declared.map_or_else(SizeHint::default, |length| {
-            SizeHint::with_exact(length as u64)
-        })
+        self.declared.map_or_else(SizeHint::default, |length| SizeHint::with_exact(length as u64))
     }
 }
 
--- a/crates/standin/src/backend/fault.rs
+++ b/crates/standin/src/backend/fault.rs
@@ -46,11 +46,7 @@
 
     fn from_str(text: &str) -> Result<Self, String> {
         let (name, value) = text.split_once('=').unwrap_or((text, ""));
-        let number = || {
-            value
-                .parse::<u64>()
-                .map_err(|_| format!("{text}: expected a number"))
-        };
+        let number = || value.parse::<u64>().map_err(|_| format!("{text}: expected a number"));
         let fault = match (name, value) {
             ("late", _) => Self::Late(Duration::from_millis(number()?)),
             ("cut", _) => Self::Cut(number()? as usize),
--- a/crates/standin/src/backend/service.rs
+++ b/crates/standin/src/backend/service.rs
@@ -57,11 +57,7 @@
 
 impl Service {
     pub(super) fn new(backend: Arc<Backend>, socket: Socket, connection: u64) -> Self {
-        Self {
-            backend,
-            socket,
-            connection,
-        }
+        Self { backend, socket, connection }
     }
 
     /// Answers one request.
@@ -78,19 +74,14 @@
     }
 
     fn report(&self) -> Report {
-        let report = Report {
-            running: self.backend.running(),
-            draining: self.backend.is_draining(),
-        };
+        let report =
+            Report { running: self.backend.running(), draining: self.backend.is_draining() };
         let lag = self.backend.settings.report_lag;
         lock(&self.backend.reports).lagging(Instant::now(), report, lag)
     }
 
     fn health(&self) -> Response<Body> {
-        let state = match (
-            &self.backend.settings.reported_health,
-            self.report().draining,
-        ) {
+        let state = match (&self.backend.settings.reported_health, self.report().draining) {
             (Some(state), _) => state.as_ref(),
             (None, true) => "draining",
             (None, false) => "ready",
@@ -128,20 +119,14 @@
                 self.backend.plan(fault, requests);
                 answer::text(StatusCode::OK, "planned\n")
             }
-            _ => answer::text(
-                StatusCode::BAD_REQUEST,
-                "expected <fault>&requests=<number>\n",
-            ),
+            _ => answer::text(StatusCode::BAD_REQUEST, "expected <fault>&requests=<number>\n"),
         }
     }
 
     async fn run(self, request: Request<Incoming>) -> io::Result<Response<Body>> {
         lock(&self.backend.record).note(self.connection, &request);
         let fault = self.fault(request.headers());
-        let mut running = Running {
-            backend: self.backend.clone(),
-            answered: false,
-        };
+        let mut running = Running { backend: self.backend.clone(), answered: false };
         match fault {
             Some(Fault::CloseAtHead) => return self.close(),
             Some(Fault::SilentAtHead) => pending().await,
@@ -168,9 +153,7 @@
     }
 
     fn fault(&self, headers: &HeaderMap) -> Option<Fault> {
-        let named = headers
-            .get(FAULT_HEADER)
-            .and_then(|value| value.to_str().ok());
+        let named = headers.get(FAULT_HEADER).and_then(|value| value.to_str().ok());
         if let Some(named) = named {
             return named.parse().ok();
         }
@@ -225,15 +208,8 @@
 
     fn body(&self, head: &http::request::Parts, received: usize, fault: Option<Fault>) -> Body {
         let name = &self.backend.settings.name;
-        let id = head
-            .headers
-            .get("x-request-id")
-            .and_then(|id| id.to_str().ok());
-        let text = format!(
-            "{name} {} {received} {}\n",
-            head.uri.path(),
-            id.unwrap_or("-")
-        );
+        let id = head.headers.get("x-request-id").and_then(|id| id.to_str().ok());
+        let text = format!("{name} {} {received} {}\n", head.uri.path(), id.unwrap_or("-"));
         let query = head.uri.query().unwrap_or_default();
         let body = match parameter(query, "size") {
             Some(size) => Body::filled(text, size),
--- a/crates/standin/src/backend/socket.rs
+++ b/crates/standin/src/backend/socket.rs
@@ -23,10 +23,7 @@
 
 impl Socket {
     pub(super) fn new(stream: TcpStream) -> Self {
-        Self {
-            stream: Arc::new(stream),
-            appended: Arc::default(),
-        }
+        Self { stream: Arc::new(stream), appended: Arc::default() }
     }
 
     /// Sends `bytes` directly after the next bytes that the HTTP library writes.
@@ -45,9 +42,7 @@
     pub(super) fn close(&self) {
         let socket = std::os::fd::AsFd::as_fd(&*self.stream).try_clone_to_owned();
         if let Ok(socket) = socket {
-            std::net::TcpStream::from(socket)
-                .shutdown(Shutdown::Both)
-                .ok();
+            std::net::TcpStream::from(socket).shutdown(Shutdown::Both).ok();
         }
     }
 }
--- a/crates/standin/src/hosts.rs
+++ b/crates/standin/src/hosts.rs
@@ -23,10 +23,7 @@
     /// A list whose changes become visible after `lag`; the first version is visible at once.
     pub fn new(list: List, lag: Duration) -> Arc<Self> {
         let visible = Instant::now();
-        Arc::new(Self {
-            lag,
-            versions: Mutex::new(VecDeque::from([(visible, list)])),
-        })
+        Arc::new(Self { lag, versions: Mutex::new(VecDeque::from([(visible, list)])) })
     }
 
     /// The visible list.
@@ -51,10 +48,8 @@
 
     /// Serves `GET /hosts` and `PUT /hosts` until the future is dropped.
     pub async fn serve(self: Arc<Self>, listener: TcpListener) {
-        http_server::serve(listener, move |method, path, body| {
-            self.answer(method, path, body)
-        })
-        .await;
+        http_server::serve(listener, move |method, path, body| self.answer(method, path, body))
+            .await;
     }
 
     fn answer(&self, method: &Method, path: &str, body: &Bytes) -> Answer {
--- a/crates/standin/src/main.rs
+++ b/crates/standin/src/main.rs
@@ -87,9 +87,7 @@
 fn main() -> ExitCode {
     let options = options().run();
     logging::start("info");
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let result = runtime
         .wrap_err("cannot start the runtime")
         .and_then(|runtime| runtime.block_on(run(options)));
@@ -113,21 +111,15 @@
                 () = store.serve_control(control) => Ok(()),
             }
         }
-        Options::Hosts {
-            listen,
-            file,
-            lag_ms,
-        } => {
+        Options::Hosts { listen, file, lag_ms } => {
             let list = file.as_deref().map_or_else(|| Ok(List::default()), read)?;
             let hosts = Hosts::new(list, Duration::from_millis(lag_ms));
             hosts.serve(bind(listen).await?).await;
             Ok(())
         }
-        Options::Backends {
-            file,
-            region,
-            service,
-        } => backends(&read(&file)?, region.as_deref(), &service).await,
+        Options::Backends { file, region, service } => {
+            backends(&read(&file)?, region.as_deref(), &service).await
+        }
     }
 }
 
@@ -173,7 +165,5 @@
 }
 
 async fn bind(address: SocketAddr) -> eyre::Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .wrap_err_with(|| format!("cannot listen on {address}"))
+    TcpListener::bind(address).await.wrap_err_with(|| format!("cannot listen on {address}"))
 }
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -46,10 +46,7 @@
 
     /// Calls since the start, by kind.
     pub fn counts(&self) -> Counts {
-        self.counts
-            .lock()
-            .map(|counts| counts.clone())
-            .unwrap_or_default()
+        self.counts.lock().map(|counts| counts.clone()).unwrap_or_default()
     }
 
     /// Serves the API until the future is dropped.
@@ -72,10 +69,8 @@
 
     /// Serves the control port: `GET` and `PUT /faults`, `GET /counts`.
     pub async fn serve_control(self: Arc<Self>, listener: TcpListener) {
-        http_server::serve(listener, move |method, path, body| {
-            self.control(method, path, body)
-        })
-        .await;
+        http_server::serve(listener, move |method, path, body| self.control(method, path, body))
+            .await;
     }
 
     fn control(&self, method: &Method, path: &str, body: &Bytes) -> Answer {
--- a/crates/standin/src/store/data.rs
+++ b/crates/standin/src/store/data.rs
@@ -42,21 +42,13 @@
     }
 
     pub(super) fn header(&self) -> Option<ResponseHeader> {
-        Some(ResponseHeader {
-            cluster_id: 1,
-            member_id: 1,
-            revision: self.revision,
-            raft_term: 1,
-        })
+        Some(ResponseHeader { cluster_id: 1, member_id: 1, revision: self.revision, raft_term: 1 })
     }
 
     /// Changes from `start` on, and a receiver of all later ones.
     pub(super) fn follow(&self, start: i64) -> (Vec<Change>, broadcast::Receiver<Change>) {
         let start = if start == 0 { self.revision + 1 } else { start };
-        let known = self
-            .history
-            .iter()
-            .filter(|change| change.revision >= start);
+        let known = self.history.iter().filter(|change| change.revision >= start);
         (known.cloned().collect(), self.changes.subscribe())
     }
 
@@ -80,20 +72,14 @@
         let mut events = Vec::new();
         let response = self.put_at(self.revision + 1, request, &mut events);
         self.commit(events);
-        PutResponse {
-            header: self.header(),
-            ..response
-        }
+        PutResponse { header: self.header(), ..response }
     }
 
     pub(super) fn delete_range(&mut self, request: &DeleteRangeRequest) -> DeleteRangeResponse {
         let mut events = Vec::new();
         let response = self.delete_at(self.revision + 1, request, &mut events);
         self.commit(events);
-        DeleteRangeResponse {
-            header: self.header(),
-            ..response
-        }
+        DeleteRangeResponse { header: self.header(), ..response }
     }
 
     pub(super) fn txn(&mut self, request: TxnRequest) -> Result<TxnResponse, Status> {
@@ -108,11 +94,7 @@
             responses.push(self.operate(operation, &mut events)?);
         }
         self.commit(events);
-        Ok(TxnResponse {
-            header: self.header(),
-            succeeded,
-            responses,
-        })
+        Ok(TxnResponse { header: self.header(), succeeded, responses })
     }
 
     fn operate(
@@ -129,9 +111,7 @@
                 Response::ResponseDeleteRange(self.delete_at(revision, &range, events))
             }
         };
-        Ok(ResponseOp {
-            response: Some(response),
-        })
+        Ok(ResponseOp { response: Some(response) })
     }
 
     fn put_at(
@@ -151,10 +131,7 @@
         };
         self.keys.insert(request.key, kv.clone());
         events.push(event(EventType::Put, kv));
-        PutResponse {
-            header: None,
-            prev_kv: previous.filter(|_| request.prev_kv),
-        }
+        PutResponse { header: None, prev_kv: previous.filter(|_| request.prev_kv) }
     }
 
     fn delete_at(
@@ -167,17 +144,11 @@
         let keys: Vec<Vec<u8>> = found.into_iter().map(|kv| kv.key.clone()).collect();
         for key in &keys {
             self.keys.remove(key);
-            let deleted = KeyValue {
-                key: key.clone(),
-                mod_revision: revision,
-                ..KeyValue::default()
-            };
+            let deleted =
+                KeyValue { key: key.clone(), mod_revision: revision, ..KeyValue::default() };
             events.push(event(EventType::Delete, deleted));
         }
-        DeleteRangeResponse {
-            header: None,
-            deleted: i64::try_from(keys.len()).unwrap_or(i64::MAX),
-        }
+        DeleteRangeResponse { header: None, deleted: i64::try_from(keys.len()).unwrap_or(i64::MAX) }
     }
 
     fn commit(&mut self, events: Vec<Event>) {
@@ -185,10 +156,7 @@
             return;
         }
         self.revision += 1;
-        let change = Change {
-            revision: self.revision,
-            events,
-        };
+        let change = Change { revision: self.revision, events };
         self.history.push(change.clone());
         // Without a watch there is no receiver, which is no fault.
         let _ = self.changes.send(change);
@@ -227,9 +195,5 @@
 }
 
 fn event(kind: EventType, kv: KeyValue) -> Event {
-    Event {
-        r#type: kind as i32,
-        kv: Some(kv),
-        prev_kv: None,
-    }
+    Event { r#type: kind as i32, kv: Some(kv), prev_kv: None }
 }
--- a/crates/standin/src/store/fault.rs
+++ b/crates/standin/src/store/fault.rs
@@ -42,9 +42,7 @@
         if slow > 0 {
             tokio::time::sleep(Duration::from_millis(slow)).await;
         }
-        let ready = faults
-            .wait_for(|faults| faults.down || !faults.silent)
-            .await;
+        let ready = faults.wait_for(|faults| faults.down || !faults.silent).await;
         if ready.map_or(true, |faults| faults.down) {
             return Err(Status::unavailable("the store is down"));
         }
--- a/crates/standin/tests/backend.rs
+++ b/crates/standin/tests/backend.rs
@@ -49,10 +49,7 @@
     assert!(running.await.unwrap().starts_with("HTTP/1.1 200"));
     assert!(started.elapsed() >= Duration::from_millis(95), "not cold");
     let record = backend.record();
-    assert_eq!(
-        (record.runs_of("/a"), record.runs_of("/b"), record.shed),
-        (1, 0, 1)
-    );
+    assert_eq!((record.runs_of("/a"), record.runs_of("/b"), record.shed), (1, 0, 1));
 }
 
 /// Guards against reports that are always right: the platform's lag and mislead.
@@ -76,19 +73,11 @@
 #[tokio::test]
 async fn faults_and_records_are_reached_over_http() {
     let (_backend, address) = start(Settings::default()).await;
-    assert!(
-        get(address, "/_admin/fault?cut=2&requests=1")
-            .await
-            .ends_with("planned\n")
-    );
+    assert!(get(address, "/_admin/fault?cut=2&requests=1").await.ends_with("planned\n"));
     assert!(get(address, "/a").await.ends_with("\r\n\r\nba"));
     assert!(get(address, "/a").await.ends_with("backend /a 0 -\n"));
     assert!(get(address, "/_admin/runs").await.contains("\"/a\":2"));
-    assert!(
-        get(address, "/_admin/fault?nothing")
-            .await
-            .starts_with("HTTP/1.1 400")
-    );
+    assert!(get(address, "/_admin/fault?nothing").await.starts_with("HTTP/1.1 400"));
     assert!(get(address, "/_admin/drain").await.ends_with("draining\n"));
     while TcpStream::connect(address).await.is_ok() {
         tokio::time::sleep(Duration::from_millis(1)).await;
--- a/crates/standin/tests/store.rs
+++ b/crates/standin/tests/store.rs
@@ -27,12 +27,7 @@
 }
 
 fn write(head: u64, key: &str, value: &str, id: u64) -> Write {
-    Write {
-        head,
-        key: key.into(),
-        value: value.into(),
-        id,
-    }
+    Write { head, key: key.into(), value: value.into(), id }
 }
 
 fn done(written: Written) -> u64 {
@@ -57,28 +52,19 @@
     assert_eq!(again, Written::Conflict, "0 means that head must not exist");
     let update = client.read_records().await.expect("records");
     assert_eq!((update.since, update.through), (0, second));
-    let known: Vec<(&str, u64)> = update
-        .records
-        .iter()
-        .map(|record| (&*record.key, record.revision))
-        .collect();
+    let known: Vec<(&str, u64)> =
+        update.records.iter().map(|record| (&*record.key, record.revision)).collect();
     assert_eq!(known, [("documents/signing", second), ("members", first)]);
 }
 
 #[tokio::test]
 async fn a_write_whose_answer_is_lost_is_recognised() {
     let (store, client) = start().await;
-    store.set_faults(Faults {
-        lose_answers: 1,
-        ..Faults::default()
-    });
+    store.set_faults(Faults { lose_answers: 1, ..Faults::default() });
     let revision = done(client.write(&write(0, "members", "m", 7)).await);
     assert_eq!(client.read_head().await, Ok(revision));
     assert_eq!(store.counts().0["txn"], 2, "one repetition");
-    store.set_faults(Faults {
-        lose_requests: 1,
-        ..Faults::default()
-    });
+    store.set_faults(Faults { lose_requests: 1, ..Faults::default() });
     let second = done(client.write(&write(revision, "members", "n", 8)).await);
     let update = client.read_records().await.expect("records");
     assert_eq!(update.through, second, "written once");
@@ -88,17 +74,11 @@
 async fn calls_end_while_the_store_is_silent_or_down_and_work_afterwards() {
     let (store, client) = start().await;
     let revision = done(client.write(&write(0, "members", "m", 1)).await);
-    store.set_faults(Faults {
-        silent: true,
-        ..Faults::default()
-    });
+    store.set_faults(Faults { silent: true, ..Faults::default() });
     let started = Instant::now();
     assert_eq!(client.read_head().await, Err(Fault::Late));
     assert!(started.elapsed() < SOON);
-    store.set_faults(Faults {
-        down: true,
-        ..Faults::default()
-    });
+    store.set_faults(Faults { down: true, ..Faults::default() });
     let refused = client.write(&write(revision, "members", "n", 2)).await;
     assert_eq!(refused, Written::Unknown);
     store.set_faults(Faults::default());
@@ -137,10 +117,7 @@
     follow(&mut catalog, &mut updates, first).await;
     let second = done(client.write(&write(first, "documents/a", "1", 2)).await);
     follow(&mut catalog, &mut updates, second).await;
-    store.set_faults(Faults {
-        down: true,
-        ..Faults::default()
-    });
+    store.set_faults(Faults { down: true, ..Faults::default() });
     tokio::time::sleep(Duration::from_millis(50)).await;
     store.set_faults(Faults::default());
     let third = done(client.write(&write(second, "documents/a", "2", 3)).await);
