--- a/crates/core/src/budget/loans.rs
+++ b/crates/core/src/budget/loans.rs
@@ -85,7 +85,7 @@
 
     /// Answers a request for a loan and deducts what it grants. The caller must be current.
     pub fn lend(&self, now: Duration, borrower: &Arc<str>, request: &LoanRequest) -> Loan {
-        let empty = Loan::empty(request);
+        let empty = Loan::denied(request);
         if !self.settings.lends() {
             return empty;
         }
@@ -212,7 +212,7 @@
 
 impl Loan {
     /// Answer that grants nothing.
-    fn empty(request: &LoanRequest) -> Self {
+    pub fn denied(request: &LoanRequest) -> Self {
         Self {
             id: request.id,
             budget: request.budget.clone(),
@@ -306,7 +306,7 @@
     request: &LoanRequest,
 ) -> Loan {
     bucket.advance(now);
-    let mut loan = Loan::empty(request);
+    let mut loan = Loan::denied(request);
     loan.term = term;
     if let Some(granted) = bucket.granted(borrower, request.id) {
         loan.tokens = granted.capacity / MILLI;
@@ -334,7 +334,7 @@
     request: &LoanRequest,
 ) -> Loan {
     slots.advance(now);
-    let mut loan = Loan::empty(request);
+    let mut loan = Loan::denied(request);
     loan.term = SLOT_LOAN_TERM;
     if let Some(granted) = slots.granted(borrower, request.id) {
         loan.tokens = granted;
--- a/crates/core/src/host/budgets.rs
+++ b/crates/core/src/host/budgets.rs
@@ -124,7 +124,7 @@
         let loan = if self.is_current(now) && !self.membership.is_leaving() {
             self.budgets.ledger.lend(now, &from.host, request)
         } else {
-            denial(request)
+            Loan::denied(request)
         };
         self.send(from.peer, Message::Loan(loan));
     }
@@ -178,18 +178,6 @@
     }
 }
 
-fn denial(request: &LoanRequest) -> Loan {
-    Loan {
-        id: request.id,
-        budget: request.budget.clone(),
-        tokens: 0,
-        burst: 0,
-        rate: 0,
-        term: Duration::ZERO,
-        spare: 0,
-    }
-}
-
 /// Limits of one document. Region budgets appear when the list of backend servers is known.
 fn limits(known: &Known, live: Option<&Live>) -> Vec<(Budget, Limit)> {
     let document = &known.document;
