--- a/crates/core/src/budget/limit.rs
+++ b/crates/core/src/budget/limit.rs
@@ -8,17 +8,14 @@
 /// Thousandths in one token. A burst of 2^53 tokens still fits into `u64`.
 pub(super) const MILLI: u64 = 1_000;
 
-/// Hosts that share a small rate budget, so that the death of one leaves the workspace the other.
-const HOMES: u64 = 2;
-
-/// Tokens of burst that each of the hosts that rank first gets before any other host gets some.
+/// Tokens of burst that go to the host that ranks first before any other host gets some.
 ///
 /// A host without a whole token of burst cannot keep what its rate yields, and a token that one host
-/// keeps while another one needs it costs a round trip. Budgets up to this size stay with few hosts.
-const HOME_BURST: u64 = 16;
-/// Rate that each of the hosts that rank first gets before any other host gets some, in thousandths
-/// of a token per second.
-const HOME_RATE: u64 = 8 * MILLI;
+/// keeps while another one needs it costs a round trip. Budgets up to this size stay in one place.
+const HOME_BURST: u64 = 32;
+/// Rate that goes to the host that ranks first before any other host gets some, in thousandths of a
+/// token per second.
+const HOME_RATE: u64 = 16 * MILLI;
 
 /// Limit of a budget over all hosts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -110,21 +107,19 @@
     total / count + u64::from(place < total % count)
 }
 
-/// Part of `total` when the first places share it up to `home` each, the others share the rest until
+/// Part of `total` when the first place gets all of it up to `home`, the others share the rest until
 /// they have as much as the first, and all share what is left.
 ///
 /// No part shrinks when `total` grows. So parts of different totals, which hosts may use while a
 /// limit changes, never add up to more than the largest total, even if a host missed a change.
 fn first_part(total: u64, home: u64, count: u64, place: u64) -> u64 {
-    let homes = HOMES.min(count);
     let even = home.saturating_mul(count);
-    let at_homes = total.min(home.saturating_mul(homes));
     if total >= even {
         home + part(total - even, count, place)
-    } else if place < homes {
-        part(at_homes, homes, place)
+    } else if place == 0 {
+        total.min(home)
     } else {
-        part(total - at_homes, count - homes, place - homes)
+        part(total.saturating_sub(home), count - 1, place - 1)
     }
 }
 
