--- a/crates/core/src/host.rs
+++ b/crates/core/src/host.rs
@@ -143,7 +143,7 @@
             Event::Edit { ticket, edit } => self.edit(now, ticket, edit),
             Event::Short { budget, wanted } => self.short(now, budget, wanted),
             Event::Claim { ticket, name, fingerprint } => {
-                self.claim(now, ticket, name, fingerprint)
+                self.claim(now, ticket, name, fingerprint);
             }
             Event::Completed(completion) => self.completed(now, completion),
             Event::Drain => self.drain(now),
