Use the field's terms for availability and members

Cause: standing, doubtful and seat are private words for what is called availability, degraded and membership. Change: names and comments only.

--- a/crates/core/src/backend.rs
+++ b/crates/core/src/backend.rs
@@ -48,11 +48,11 @@
 
 /// Whether an instance may get new requests.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Standing {
+pub enum Availability {
     /// It may, with this part of the traffic of a warm instance, above 0 and at most 1.
     Eligible(f64),
     /// Only if no instance is eligible: a late report speaks against it, or it sheds load.
-    Doubtful(f64),
+    Degraded(f64),
     /// It gets no new request.
     Unavailable,
 }
@@ -191,17 +191,17 @@
 
     /// Whether the instance may get new requests without reserve.
     pub fn eligible(&self, now: Duration) -> bool {
-        matches!(self.standing(now), Standing::Eligible(_))
+        matches!(self.availability(now), Availability::Eligible(_))
     }
 
     /// Whether and to which part the instance may get new requests.
-    pub fn standing(&self, now: Duration) -> Standing {
+    pub fn availability(&self, now: Duration) -> Availability {
         if self.leaving || self.ejection.is_some() {
-            Standing::Unavailable
+            Availability::Unavailable
         } else if self.reported_failing(now) || self.sheds(now) {
-            Standing::Doubtful(self.share(now))
+            Availability::Degraded(self.share(now))
         } else {
-            Standing::Eligible(self.share(now))
+            Availability::Eligible(self.share(now))
         }
     }
 
--- a/crates/core/src/backend/tests.rs
+++ b/crates/core/src/backend/tests.rs
@@ -31,7 +31,7 @@
                 _ => status.answered(now, sent),
             }
             assert_eq!(status.is_leaving(), leaving);
-            assert!(!leaving || status.standing(now) == Standing::Unavailable);
+            assert!(!leaving || status.availability(now) == Availability::Unavailable);
             assert!(!leaving || !status.probe_due(now));
         }
         Ok(())
@@ -49,7 +49,7 @@
     let mut now = at(20_000);
     for pause in [1, 2, 4, 8, 16, 32, 32] {
         status.answered(now, at(19_900));
-        assert_eq!(status.standing(now), Standing::Unavailable);
+        assert_eq!(status.availability(now), Availability::Unavailable);
         assert!(!status.probe_due(now + at(1000 * pause - 1)));
         now += at(1000 * pause);
         assert!(status.probe_due(now));
@@ -59,9 +59,9 @@
     }
     now += LONGEST_PAUSE;
     status.answered(now, now);
-    assert_eq!(status.standing(now), Standing::Eligible(COLD_SHARE));
-    assert_eq!(status.standing(now + WARMUP / 2), Standing::Eligible(0.55));
-    assert_eq!(status.standing(now + WARMUP), Standing::Eligible(1.0));
+    assert_eq!(status.availability(now), Availability::Eligible(COLD_SHARE));
+    assert_eq!(status.availability(now + WARMUP / 2), Availability::Eligible(0.55));
+    assert_eq!(status.availability(now + WARMUP), Availability::Eligible(1.0));
 }
 
 /// Guards against health reports that outrank what the host sees itself, and against a frozen one.
@@ -70,13 +70,13 @@
     let mut status = Status::new(at(0), Duration::ZERO);
     status.health(at(5000), at(2000), Health::Failing);
     status.health(at(5100), at(3000), Health::Serving);
-    assert_eq!(status.standing(at(5100)), Standing::Doubtful(1.0));
+    assert_eq!(status.availability(at(5100)), Availability::Degraded(1.0));
     assert!(status.eligible(at(3000) + HEALTH_VALIDITY));
     status.answered(at(5200), at(5100));
     assert!(status.eligible(at(5200)));
     (0..3).for_each(|_| status.failed(at(6000), at(5300)));
     status.health(at(6100), at(0), Health::Serving);
-    assert_eq!(status.standing(at(6100)), Standing::Unavailable);
+    assert_eq!(status.availability(at(6100)), Availability::Unavailable);
 }
 
 /// Guards against ejecting a good instance for its silent connections, and against using them.
--- a/crates/core/src/claim/history.rs
+++ b/crates/core/src/claim/history.rs
@@ -58,7 +58,7 @@
 
 /// Whether this host may answer for a name that it has no record of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Standing {
+pub(super) enum Availability {
     /// Every claim of the name would be among the records.
     Complete,
     /// Records may still arrive from other hosts, or another host may still grant.
@@ -262,23 +262,23 @@
     }
 
     /// Whether this host, the owner of `name`, may answer although it has no record of it.
-    pub(super) fn standing(&self, now: Duration, name: &Name) -> Standing {
+    pub(super) fn availability(&self, now: Duration, name: &Name) -> Availability {
         let Some(base) = self.tables.iter().rposition(|t| self.was_ready(&self.me, t.revision))
         else {
-            return Standing::Waiting;
+            return Availability::Waiting;
         };
         let key = key(name);
         let pairs: Vec<Pair<'_>> = self.tables.iter().map(|table| table.pair(key)).collect();
         let owned = |pair: &Pair<'_>| pair.owner.is_some_and(|owner| self.me.is(owner));
         if !pairs[base..].iter().all(owned) {
-            return Standing::Waiting;
+            return Availability::Waiting;
         }
         let relevant = |table: &Table| table.ends.is_none_or(|ends| now < ends);
         let mut earlier = (0..base).filter(|&index| relevant(&self.tables[index]));
         if now < self.gap_until || !earlier.all(|index| self.survived(&pairs, index, base)) {
-            return Standing::Lost;
+            return Availability::Lost;
         }
-        Standing::Complete
+        Availability::Complete
     }
 
     /// Whether the claims recorded under table `from` were held by a member of table `to`.
--- a/crates/core/src/claim/owner.rs
+++ b/crates/core/src/claim/owner.rs
@@ -4,7 +4,7 @@
 
 use super::{
     Book, Copy, Finish, Name, Record, Reply, Request, State, Verdict,
-    history::{Process, Standing},
+    history::{Availability, Process},
 };
 use crate::{
     constants::{CLAIM_ANSWER_WAIT, CLAIM_RETENTION, CLAIM_RETRY_INTERVAL},
@@ -145,8 +145,8 @@
         if !current || outdated || !self.owns(&request.name) || self.history.has_left(&asker) {
             return Some(Verdict::Unavailable);
         }
-        let standing = self.history.standing(now, &request.name);
-        if standing == Standing::Waiting {
+        let availability = self.history.availability(now, &request.name);
+        if availability == Availability::Waiting {
             return Some(Verdict::Unavailable);
         }
         let known = self.records.get(now, &request.name);
@@ -159,7 +159,7 @@
                 Some(Verdict::Unavailable)
             }
             Some((record, _)) if record.state != State::Dropped => Some(verdict(record, request)),
-            _ if standing == Standing::Lost => Some(Verdict::Unknown),
+            _ if availability == Availability::Lost => Some(Verdict::Unknown),
             _ if self.records.is_full() => Some(Verdict::Unavailable),
             _ => None,
         }
--- a/crates/core/src/claim/tests.rs
+++ b/crates/core/src/claim/tests.rs
@@ -264,15 +264,15 @@
     fn disturb(&mut self, u: &mut Unstructured<'_>) -> Result<()> {
         let index = u.int_in_range(0..=HOSTS - 1)?;
         let mut members = self.tables.last().expect("a table").1.members.clone();
-        let seat = members.iter().position(|m| m.peer == self.hosts[index].member.peer);
+        let place = members.iter().position(|m| m.peer == self.hosts[index].member.peer);
         let pause = Duration::from_millis(u.int_in_range(500..=12_000)?);
         match u.int_in_range(0..=6)? {
             0 => self.hosts[index].book = None,
             1 if self.hosts[index].book.is_none() => self.start(index),
             2 => self.hosts[index].paused_until = self.now + pause,
-            3 | 4 if members.len() > 2 && seat.is_some() => {
+            3 | 4 if members.len() > 2 && place.is_some() => {
                 self.hosts[index].cut_off_until = self.now + u.int_in_range(0..=1)? * pause;
-                members.remove(seat.unwrap_or_default());
+                members.remove(place.unwrap_or_default());
                 self.write(members);
             }
             5 | 6 if self.hosts[index].book.is_some() => {
--- a/crates/core/src/claim/tests/cases.rs
+++ b/crates/core/src/claim/tests/cases.rs
@@ -159,14 +159,14 @@
 fn a_list_of_tables_that_was_cut_off_leaves_names_unknown() {
     let me = settled_world(3).hosts[0].member.clone();
     let earlier = vec![Epoch { revision: 3, age: STEP, members: vec![me.clone()] }];
-    for (complete, standing) in
-        [(true, history::Standing::Complete), (false, history::Standing::Lost)]
+    for (complete, availability) in
+        [(true, history::Availability::Complete), (false, history::Availability::Lost)]
     {
         let (members, earlier) = (vec![me.clone()], earlier.clone());
         let mut book = Book::new(me.sender());
         book.set_members(STEP, &Tables { revision: 4, members, earlier, complete });
         book.in_force(STEP, 4);
-        assert_eq!(book.history.standing(STEP, &name(1)), standing);
+        assert_eq!(book.history.availability(STEP, &name(1)), availability);
     }
 }
 
--- a/crates/core/src/host/membership.rs
+++ b/crates/core/src/host/membership.rs
@@ -26,7 +26,7 @@
     /// When the change that is due now may be written.
     due: Option<Duration>,
     /// Whether the table has ever held this process.
-    seated: bool,
+    was_member: bool,
     draining: bool,
     leave_since: Option<Duration>,
     out_since: Option<Duration>,
@@ -88,16 +88,16 @@
             self.peers.expect(now, member);
         }
         let own = &self.identity.member;
-        let seat = roster.member(&own.host);
-        let replaced = seat.is_some_and(|seat| seat.incarnation != own.incarnation);
-        self.membership.seated |= roster.mentions(&own.host, own.incarnation);
+        let entry = roster.member(&own.host);
+        let replaced = entry.is_some_and(|entry| entry.incarnation != own.incarnation);
+        self.membership.was_member |= roster.mentions(&own.host, own.incarnation);
         self.membership.due = None;
         self.budget_members(now, self.roster_revision, &roster, record.revision);
         self.claim_members(now, &roster, record.revision);
         self.roster = roster;
         self.roster_revision = record.revision;
         self.roster_learned = now;
-        if replaced && self.membership.seated {
+        if replaced && self.membership.was_member {
             self.stop();
         }
     }
@@ -140,8 +140,8 @@
         let age = now.saturating_sub(self.roster_learned);
         let (own, revision) = (&self.identity.member, self.roster_revision);
         if self.membership.leave_since.is_some() {
-            let seat = (!self.is_out()).then_some(&own.host)?;
-            return Some(self.roster.without(std::slice::from_ref(seat), revision, age));
+            let listed = (!self.is_out()).then_some(&own.host)?;
+            return Some(self.roster.without(std::slice::from_ref(listed), revision, age));
         }
         if !self.is_member() && !self.membership.draining {
             return Some(self.roster.with(own, revision, age));
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -6,7 +6,7 @@
 
 use std::fmt;
 
-use crate::backend::Standing;
+use crate::backend::Availability;
 
 #[cfg(test)]
 mod tests;
@@ -37,8 +37,8 @@
 /// A backend server that may run the request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate {
-    /// Standing of the instance; [`Standing::Unavailable`] also for those already tried.
-    pub standing: Standing,
+    /// Availability of the instance; [`Availability::Unavailable`] also for those already tried.
+    pub availability: Availability,
     /// Requests of this host that run there now.
     pub in_flight: u64,
     /// Requests that the instance runs at the same time.
@@ -102,19 +102,19 @@
 /// Chooses a backend server of a region; answers its index.
 ///
 /// Of two random candidates the one with fewer own in-flight requests per slot wins. A cold
-/// candidate counts with the part of its slots that its standing states.
+/// candidate counts with the part of its slots that its availability states.
 pub fn backend(candidates: &[Candidate], random: [u64; 2]) -> Result<usize, Refusal> {
-    let eligible = |candidate: &Candidate| match candidate.standing {
-        Standing::Eligible(share) => share,
-        Standing::Doubtful(_) | Standing::Unavailable => 0.0,
+    let eligible = |candidate: &Candidate| match candidate.availability {
+        Availability::Eligible(share) => share,
+        Availability::Degraded(_) | Availability::Unavailable => 0.0,
     };
-    let doubtful = |candidate: &Candidate| match candidate.standing {
-        Standing::Doubtful(share) => share,
-        Standing::Eligible(_) | Standing::Unavailable => 0.0,
+    let degraded = |candidate: &Candidate| match candidate.availability {
+        Availability::Degraded(share) => share,
+        Availability::Eligible(_) | Availability::Unavailable => 0.0,
     };
     let chosen = better_of_two(candidates, random, eligible)
-        .or_else(|| better_of_two(candidates, random, doubtful));
-    let usable = |candidate: &Candidate| candidate.standing != Standing::Unavailable;
+        .or_else(|| better_of_two(candidates, random, degraded));
+    let usable = |candidate: &Candidate| candidate.availability != Availability::Unavailable;
     chosen.ok_or_else(|| match candidates.iter().any(usable) {
         true => Refusal::RegionFull,
         false => Refusal::NoBackend,
--- a/crates/core/src/route/tests.rs
+++ b/crates/core/src/route/tests.rs
@@ -4,7 +4,7 @@
 use crate::testing::check;
 
 fn warm(in_flight: u64) -> Candidate {
-    Candidate { standing: Standing::Eligible(1.0), in_flight, slots: 9 }
+    Candidate { availability: Availability::Eligible(1.0), in_flight, slots: 9 }
 }
 
 /// Guards against a region filled over its slots because a late load report calls it empty, and
@@ -85,13 +85,13 @@
 /// Guards against work for unavailable or full instances while another one could take it.
 #[test]
 fn backend_choice_skips_full_and_unavailable_ones() {
-    let with = |standing, in_flight| Candidate { standing, in_flight, slots: 9 };
-    let away = with(Standing::Unavailable, 0);
-    let doubtful = with(Standing::Doubtful(1.0), 0);
+    let with = |availability, in_flight| Candidate { availability, in_flight, slots: 9 };
+    let away = with(Availability::Unavailable, 0);
+    let degraded = with(Availability::Degraded(1.0), 0);
     check(500, 16, |u| {
         let random = u.arbitrary()?;
-        assert_eq!(backend(&[away, warm(9), doubtful, warm(8)], random), Ok(3));
-        assert_eq!(backend(&[away, warm(9), doubtful], random), Ok(2));
+        assert_eq!(backend(&[away, warm(9), degraded, warm(8)], random), Ok(3));
+        assert_eq!(backend(&[away, warm(9), degraded], random), Ok(2));
         assert_eq!(backend(&[away, warm(9)], random), Err(Refusal::RegionFull));
         assert_eq!(backend(&[away], random), Err(Refusal::NoBackend));
         assert_eq!(backend(&[warm(5), warm(2)], random), Ok(1));
@@ -104,7 +104,7 @@
 fn a_cold_instance_gets_a_rising_part() {
     let part = |share: f64, in_flight: u64| {
         let mut candidates = [warm(in_flight); 10];
-        candidates[0].standing = Standing::Eligible(share);
+        candidates[0].availability = Availability::Eligible(share);
         let random = |step: u64| step.wrapping_mul(0x9e37_79b9_7f4a_7c15);
         let chosen = (0..20_000).map(|step| backend(&candidates, [random(step), random(!step)]));
         let cold = chosen.filter(|choice| *choice == Ok(0)).count();
--- a/crates/core/tests/host/main.rs
+++ b/crates/core/tests/host/main.rs
@@ -75,7 +75,7 @@
     assert_eq!(fleet.current().len(), HOSTS);
 }
 
-/// Guards against a fleet that stops with the store, and a starting host that takes a seat then.
+/// Guards against a fleet that stops with the store, and a starting host that becomes a member then.
 #[test]
 fn connected_hosts_outlast_the_store() {
     let mut fleet = Fleet::formed(3, HOSTS);
@@ -115,7 +115,7 @@
     assert_eq!(fleet.current(), []);
 }
 
-/// Guards against a paused host that acts on what it knew before, and one whose seat was taken.
+/// Guards against a paused host that acts on what it knew before, and one that was replaced.
 #[test]
 fn a_paused_host_is_confirmed_before_it_acts() {
     let mut fleet = Fleet::formed(5, HOSTS);
@@ -262,7 +262,7 @@
     assert_eq!(fleet.current().len(), 2 * HOSTS);
 }
 
-/// Guards against a leaving host that keeps its seat or is still named in look-ups, and a fleet that
+/// Guards against a leaving host that stays a member or is still named in look-ups, and a fleet that
 /// cannot stop as a whole or start again afterwards.
 #[test]
 fn hosts_leave_gracefully() {
--- a/crates/ctl/src/edit.rs
+++ b/crates/ctl/src/edit.rs
@@ -68,7 +68,7 @@
                 true => format!("[{quoted}]"),
                 false => format!("[{open}, {quoted}]"),
             };
-            // A comment at the end of the array would swallow the new digest.
+            // A comment at the end of the array would make the new digest a part of it.
             let fresh = format!("[{quoted},{inner}]");
             vec![splice(text, keys, &filled), splice(text, keys, &fresh)]
         }
--- a/crates/entry/src/callers/choice.rs
+++ b/crates/entry/src/callers/choice.rs
@@ -5,7 +5,7 @@
 use std::{sync::Arc, time::Duration};
 
 use marjorampick_core::{
-    backend::Standing,
+    backend::Availability,
     budget::Budget,
     constants::BORROW_WAIT,
     document::{Document, Region},
@@ -142,7 +142,7 @@
     for instance in there.filter(|there| !is_tried(there)) {
         found.instances.push(instance.clone());
         found.candidates.push(Candidate {
-            standing: instance.standing(now),
+            availability: instance.availability(now),
             in_flight: instance.in_flight(),
             slots: region.slots_per_backend,
         });
@@ -236,6 +236,6 @@
 impl Candidates {
     fn is_lost(&self) -> bool {
         let mut candidates = self.candidates.iter();
-        candidates.all(|candidate| candidate.standing == Standing::Unavailable)
+        candidates.all(|candidate| candidate.availability == Availability::Unavailable)
     }
 }
--- a/crates/entry/src/callers/fleet.rs
+++ b/crates/entry/src/callers/fleet.rs
@@ -12,7 +12,7 @@
 
 use arc_swap::ArcSwapOption;
 use marjorampick_core::{
-    backend::{Standing, Status},
+    backend::{Availability, Status},
     host::event::Listed,
 };
 
@@ -60,8 +60,8 @@
     }
 
     /// Whether and to which part the instance may get new requests.
-    pub(crate) fn standing(&self, now: Duration) -> Standing {
-        self.status().standing(now)
+    pub(crate) fn availability(&self, now: Duration) -> Availability {
+        self.status().availability(now)
     }
 }
 
--- a/crates/entry/src/probes.rs
+++ b/crates/entry/src/probes.rs
@@ -13,7 +13,7 @@
 use bytes::Bytes;
 use http::{Request as HttpRequest, StatusCode, Uri};
 use marjorampick_core::{
-    backend::{Health, PROBE_TIMEOUT, Standing},
+    backend::{Availability, Health, PROBE_TIMEOUT},
     document::Document,
 };
 use marjorampick_link::http_client::Connection;
@@ -154,7 +154,7 @@
         let instances = known.instances.iter();
         let instances = instances.filter(|instance| instance.region == *region);
         let is_lost = |instance: &Arc<Instance>| {
-            matches!(instance.status().standing(now), Standing::Unavailable)
+            matches!(instance.status().availability(now), Availability::Unavailable)
         };
         let probed = instances.clone().filter_map(|known| self.known.get(&known.name));
         let recent = probed.filter(|known| now < known.probed + LOAD_VALIDITY);
