Share the polling of TCP streams between request path and backend stand-in

Cause: the same read and write loops stood in entry and standin. Change: marjorampick_link::socket holds them. The stand-in's appended bytes are written as before, after a whole write. Measured: the tests of link, entry and standin pass, the process tests included; clippy with warnings denied is clean.

--- a/crates/entry/src/callers/socket.rs
+++ b/crates/entry/src/callers/socket.rs
@@ -8,9 +8,10 @@
         Arc,
         atomic::{AtomicU8, Ordering},
     },
-    task::{Context, Poll, ready},
+    task::{Context, Poll},
 };
 
+use marjorampick_link::socket;
 use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
@@ -64,17 +65,7 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        loop {
-            ready!(self.stream.poll_read_ready(context))?;
-            match self.stream.try_read(buffer.initialize_unfilled()) {
-                Ok(length) => {
-                    buffer.advance(length);
-                    return Poll::Ready(Ok(()));
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
-            }
-        }
+        socket::poll_read(&self.stream, context, buffer)
     }
 }
 
@@ -89,13 +80,7 @@
         if marked == Err(SEALED) {
             return Poll::Ready(Err(io::Error::other("the request was given up")));
         }
-        loop {
-            ready!(self.stream.poll_write_ready(context))?;
-            match self.stream.try_write(bytes) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
-            }
-        }
+        socket::poll_write(&self.stream, context, bytes)
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod log;
 pub mod peer;
 pub mod settings;
+pub mod socket;
 pub mod store;
--- a/crates/standin/src/backend/socket.rs
+++ b/crates/standin/src/backend/socket.rs
@@ -9,6 +9,7 @@
 };
 
 use bytes::{Buf, Bytes};
+use marjorampick_link::socket;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -53,17 +54,7 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        loop {
-            ready!(self.stream.poll_read_ready(context))?;
-            match self.stream.try_read(buffer.initialize_unfilled()) {
-                Ok(length) => {
-                    buffer.advance(length);
-                    return Poll::Ready(Ok(()));
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
-            }
-        }
+        socket::poll_read(&self.stream, context, buffer)
     }
 }
 
@@ -73,21 +64,13 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.stream.poll_write_ready(context))?;
-            match self.stream.try_write(bytes) {
-                Ok(length) => {
-                    let mut appended = super::lock(&self.appended);
-                    if length == bytes.len() && appended.has_remaining() {
-                        let rest = std::mem::take(&mut *appended);
-                        self.write_now(&rest);
-                    }
-                    return Poll::Ready(Ok(length));
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
-            }
+        let length = ready!(socket::poll_write(&self.stream, context, bytes))?;
+        let mut appended = super::lock(&self.appended);
+        if length == bytes.len() && appended.has_remaining() {
+            let rest = std::mem::take(&mut *appended);
+            self.write_now(&rest);
         }
+        Poll::Ready(Ok(length))
     }
 
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
