Entry host for platforms whose store holds all shared state, and its adapter

Cause: the product ran only beside the users' platform. It needs no peers, claims or currency there: the store gives one history of revisions, and a request runs at most once for each id.

Change: core::steering takes the decisions (routes, placement, rates, retries, cold instances, seats), crates/steer serves them on one thread, and platform/ translates the wire. The scanner, the caller stream and the hop-by-hop headers move from the entry host to link::wire, as both hosts use them.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod reader;
 pub mod rendezvous;
 pub mod route;
+pub mod steering;
 
 #[cfg(test)]
 mod testing;
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -14,7 +14,6 @@
 mod fair;
 pub mod fleet;
 mod forward;
-mod framing;
 mod handler;
 mod headers;
 pub mod metrics;
@@ -25,8 +24,6 @@
 mod refusal;
 mod retry;
 pub mod settings;
-mod socket;
-mod stream;
 pub mod tokens;
 
 use std::sync::{
--- a/crates/entry/src/callers/accept.rs
+++ b/crates/entry/src/callers/accept.rs
@@ -20,6 +20,7 @@
     rt::{TokioIo, TokioTimer},
     server::graceful::{GracefulShutdown, Watcher},
 };
+use marjorampick_link::wire::stream::Stream;
 use tokio::{
     io::{AsyncRead, AsyncWrite},
     net::{TcpListener, TcpStream},
@@ -33,7 +34,6 @@
     handler::Entry,
     metrics,
     refusal::{Code, Refusal},
-    stream::Stream,
 };
 
 /// Interval at which the listener looks for the start of a drain.
--- a/crates/entry/src/callers/headers.rs
+++ b/crates/entry/src/callers/headers.rs
@@ -1,6 +1,8 @@
 //! Headers that concern one connection only, and headers that the entry host sets itself.
 
-use http::{HeaderMap, HeaderName, HeaderValue, header};
+use http::{HeaderMap, HeaderName, HeaderValue};
+pub(crate) use marjorampick_link::wire::headers::says_close;
+use marjorampick_link::wire::headers::strip_hop_by_hop;
 
 /// Prefix of the headers between entry hosts and backend servers; a caller's own are removed.
 const OWN_PREFIX: &str = "marjorampick-";
@@ -17,47 +19,14 @@
 /// Name under which a request runs at most once.
 pub(crate) const IDEMPOTENCY_KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
-/// Headers that concern one connection, beside those that `Connection` names.
-const HOP_BY_HOP: [HeaderName; 8] = [
-    header::CONNECTION,
-    HeaderName::from_static("keep-alive"),
-    HeaderName::from_static("proxy-connection"),
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::UPGRADE,
-];
-
 /// Removes hop-by-hop headers and the headers of ours that the sender has set.
-///
-/// `Connection` can't remove the headers that frame or route the message.
 pub(crate) fn strip(headers: &mut HeaderMap) {
-    let is_kept = |name: &HeaderName| name == header::HOST || name == header::CONTENT_LENGTH;
-    let mut removed: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .filter(|name| !is_kept(name))
-        .collect();
+    strip_hop_by_hop(headers);
     let own = |name: &&HeaderName| name.as_str().starts_with(OWN_PREFIX);
-    removed.extend(headers.keys().filter(own).cloned());
-    for name in HOP_BY_HOP.iter().chain(&removed) {
+    let own: Vec<HeaderName> = headers.keys().filter(own).cloned().collect();
+    for name in &own {
         headers.remove(name);
     }
-    headers.remove(header::TRANSFER_ENCODING);
-}
-
-/// Whether `Connection` contains `close`.
-pub(crate) fn says_close(headers: &HeaderMap) -> bool {
-    headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .any(|option| option.trim().eq_ignore_ascii_case("close"))
 }
 
 /// Appends an address to `X-Forwarded-For`.
--- a/crates/entry/src/callers/pool.rs
+++ b/crates/entry/src/callers/pool.rs
@@ -20,10 +20,9 @@
 #[cfg(test)]
 mod tests;
 
-use super::{
-    constants::{CHARGE_STEP_BYTES, FRESH_LIMIT, IDLE_CONNECTIONS, IDLE_LIMIT},
-    socket::Socket,
-};
+use marjorampick_link::wire::socket::Socket;
+
+use super::constants::{CHARGE_STEP_BYTES, FRESH_LIMIT, IDLE_CONNECTIONS, IDLE_LIMIT};
 
 /// One connection; dropping it closes it.
 pub(crate) struct Connection {
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod settings;
 pub mod socket;
 pub mod store;
+pub mod wire;
--- a/crates/entry/src/callers/framing.rs
+++ b/crates/link/src/wire/framing.rs
@@ -7,7 +7,7 @@
 
 /// Follows the messages of one connection.
 #[derive(Debug)]
-pub(crate) struct Scanner {
+pub struct Scanner {
     state: State,
     line: Vec<u8>,
     line_limit: usize,
@@ -34,15 +34,16 @@
 
 /// The length of a request can be read in two ways.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct Ambiguous;
+pub struct Ambiguous;
 
 impl Scanner {
-    pub(crate) fn new(line_limit: usize) -> Self {
+    /// A scanner that refuses lines of more than `line_limit` bytes.
+    pub fn new(line_limit: usize) -> Self {
         Self { state: State::Head, line: Vec::new(), line_limit, head: Head::default() }
     }
 
     /// Follows `bytes`, the next ones of the connection.
-    pub(crate) fn scan(&mut self, mut bytes: &[u8]) -> Result<(), Ambiguous> {
+    pub fn scan(&mut self, mut bytes: &[u8]) -> Result<(), Ambiguous> {
         while !bytes.is_empty() {
             bytes = match self.state {
                 State::Sized(left) => self.skip(bytes, left, State::Sized, State::Head),
--- a/crates/entry/src/callers/socket.rs
+++ b/crates/link/src/wire/socket.rs
@@ -11,7 +11,7 @@
     task::{Context, Poll},
 };
 
-use marjorampick_link::socket;
+use crate::socket;
 use socket2::SockRef;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
@@ -27,23 +27,24 @@
 
 /// Socket shared by the HTTP library's task and the pool.
 #[derive(Clone)]
-pub(crate) struct Socket {
+pub struct Socket {
     stream: Arc<TcpStream>,
     state: Arc<AtomicU8>,
 }
 
 impl Socket {
-    pub(crate) fn new(stream: TcpStream) -> Self {
+    /// Wraps a new connection.
+    pub fn new(stream: TcpStream) -> Self {
         Self { stream: Arc::new(stream), state: Arc::new(AtomicU8::new(UNSENT)) }
     }
 
     /// Starts a new request on an idle connection.
-    pub(crate) fn start_request(&self) {
+    pub fn start_request(&self) {
         self.state.store(UNSENT, Ordering::Release);
     }
 
     /// Prevents further writes if nothing was sent; answers whether that is certain.
-    pub(crate) fn seal(&self) -> bool {
+    pub fn seal(&self) -> bool {
         let sealed =
             self.state.compare_exchange(UNSENT, SEALED, Ordering::AcqRel, Ordering::Acquire);
         matches!(sealed, Ok(_) | Err(SEALED))
@@ -52,7 +53,7 @@
     /// Whether the idle connection is open and holds no unread bytes.
     ///
     /// Asks the kernel, as the HTTP library's task may not have seen the bytes yet.
-    pub(crate) fn is_quiet(&self) -> bool {
+    pub fn is_quiet(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
         let peeked = SockRef::from(&*self.stream).peek(&mut byte);
         matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
--- a/crates/entry/src/callers/stream.rs
+++ b/crates/link/src/wire/stream.rs
@@ -20,7 +20,7 @@
 use super::framing::Scanner;
 
 /// Connection of a caller.
-pub(crate) struct Stream<S> {
+pub struct Stream<S> {
     inner: S,
     scanner: Scanner,
     ambiguous: Arc<AtomicBool>,
@@ -34,7 +34,7 @@
     /// `ambiguous` is set before the library sees a request whose length can be read in two ways.
     /// A caller that takes no byte for `write_limit` loses its connection, as it would hold a slot of
     /// a backend server meanwhile.
-    pub(crate) fn new(
+    pub fn new(
         inner: S,
         line_limit: usize,
         write_limit: Duration,
--- /dev/null
+++ b/crates/steer/src/backend.rs
@@ -0,0 +1,5 @@
+//! Connections to backend servers, one request at a time each.
+
+pub mod answer;
+pub mod connection;
+pub mod pool;
--- /dev/null
+++ b/crates/steer/src/feed.rs
@@ -0,0 +1,351 @@
+//! Follows the store: configuration, evacuations, instances and hosts.
+//!
+//! A full read, and then every change after its revision. A watch that fails is asked again from the
+//! same revision; when that history is gone, everything is read anew. See docs/platform.md.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use marjorampick_core::steering::{fleet::RETURN_TIME, instance::Listed, plan::Plan};
+use tokio::time::sleep;
+
+use crate::{
+    clock,
+    codec::{Fact, Subject},
+    constants::{FIRST_STORE_PAUSE, LONGEST_STORE_PAUSE, OUTAGE, WATCH_PAUSE, WATCH_WAIT},
+    events::{Event, Rank},
+    metrics,
+    presence::{HOSTS, PREFIX, SEATS},
+    state::{Registration, State},
+    store::{Call, Change, Client, Fault, Item, Reply},
+};
+
+/// Everything in the store: one watch is enough, and every waiting watch costs money.
+const ALL_KEYS: &str = "";
+
+/// Follows the store until the process ends.
+pub async fn run(state: Rc<State>, client: Client) {
+    let mut feed = Feed {
+        state,
+        client,
+        revision: 0,
+        is_listed: false,
+        is_reachable: false,
+        lost_at: clock::now(),
+        returned_at: None,
+    };
+    let mut pause = FIRST_STORE_PAUSE;
+    loop {
+        let step = if feed.is_listed { feed.watch().await } else { feed.read().await };
+        match step {
+            Ok(()) => {
+                pause = FIRST_STORE_PAUSE;
+                sleep(WATCH_PAUSE).await;
+            }
+            Err(fault) => {
+                feed.failed(&fault);
+                sleep(pause).await;
+                pause = (pause * 2).min(LONGEST_STORE_PAUSE);
+            }
+        }
+    }
+}
+
+struct Feed {
+    state: Rc<State>,
+    client: Client,
+    revision: u64,
+    is_listed: bool,
+    is_reachable: bool,
+    lost_at: Duration,
+    /// When the store last came back after an outage in which entries may have lapsed.
+    returned_at: Option<Duration>,
+}
+
+impl Feed {
+    /// Waits for changes and takes them.
+    async fn watch(&mut self) -> Result<(), Fault> {
+        let prefix = ALL_KEYS.to_owned();
+        let call = Call::Watch { prefix, after: self.revision, wait: WATCH_WAIT };
+        let reply = self.client.call(&call).await;
+        metrics::called("watch", reply.is_ok());
+        let Reply::Changes { changes, revision } = reply? else {
+            return Err(Fault::Malformed("no changes in the answer".to_owned()));
+        };
+        self.answered();
+        for change in changes {
+            match change {
+                Change::Written(item) => self.take(&item),
+                Change::Removed { key, revision } => self.remove(&key, revision),
+            }
+        }
+        self.revision = self.revision.max(revision);
+        self.publish();
+        Ok(())
+    }
+
+    /// Reads everything, and drops what is no longer there.
+    async fn read(&mut self) -> Result<(), Fault> {
+        let mut items = Vec::new();
+        let mut first_revision = u64::MAX;
+        let prefixes: Vec<&str> =
+            self.state.codec.prefixes.iter().copied().chain([PREFIX]).collect();
+        for prefix in prefixes {
+            let (page, revision) = self.range(prefix).await?;
+            items.extend(page);
+            first_revision = first_revision.min(revision);
+        }
+        self.answered();
+        let keys: BTreeSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
+        for key in self.known_keys().into_iter().filter(|key| !keys.contains(key.subject.as_str()))
+        {
+            self.gone(&key.kind, first_revision);
+        }
+        for item in &items {
+            self.take(item);
+        }
+        self.state.fleet.borrow_mut().finish_list();
+        self.revision = first_revision;
+        self.is_listed = true;
+        self.publish();
+        Ok(())
+    }
+
+    async fn range(&self, prefix: &str) -> Result<(Vec<Item>, u64), Fault> {
+        let mut all = Vec::new();
+        let mut after = None;
+        let mut first_revision = u64::MAX;
+        loop {
+            let call = Call::Range { prefix: prefix.to_owned(), after };
+            let reply = self.client.call(&call).await;
+            metrics::called("range", reply.is_ok());
+            let Reply::Items { items, has_more, revision } = reply? else {
+                return Err(Fault::Malformed("no items in the answer".to_owned()));
+            };
+            first_revision = first_revision.min(revision);
+            after = items.last().map(|item| item.key.clone());
+            all.extend(items);
+            if !has_more || after.is_none() {
+                return Ok((all, first_revision));
+            }
+        }
+    }
+
+    fn answered(&mut self) {
+        let now = clock::now();
+        if !self.is_reachable {
+            let away = now.saturating_sub(self.lost_at);
+            if self.is_listed && away >= OUTAGE {
+                self.returned_at = Some(now);
+            }
+            let event = Event::StoreRegained { away_ms: away.as_millis(), revision: self.revision };
+            self.state.log.write(Rank::Notice, event);
+        }
+        self.is_reachable = true;
+        self.lost_at = now;
+        self.state.store_answered.set(now);
+    }
+
+    fn failed(&mut self, fault: &Fault) {
+        if *fault == Fault::Compacted {
+            self.is_listed = false;
+            // Nothing was heard for an unknown time, so entries may have lapsed and come back.
+            self.state.log.write(
+                Rank::Notice,
+                Event::StoreFault { call: "watch", reason: "the history is gone; reading anew" },
+            );
+            return;
+        }
+        let reason = fault.to_string();
+        let event = if self.is_reachable {
+            Event::StoreLost { reason: &reason, revision: self.revision }
+        } else {
+            Event::StoreFault { call: "watch", reason: &reason }
+        };
+        let rank = if self.is_reachable { Rank::Notice } else { Rank::Failure };
+        self.state.log.write(rank, event);
+        self.is_reachable = false;
+    }
+
+    /// When an entry that is gone now stops counting; `None` for at once.
+    fn grace(&self) -> Option<Duration> {
+        let until = self.returned_at? + RETURN_TIME;
+        (clock::now() < until).then_some(until)
+    }
+
+    fn take(&self, item: &Item) {
+        let now = clock::now();
+        if let Some(name) = item.key.strip_prefix(HOSTS) {
+            return self.take_host(name, item);
+        }
+        if let Some(name) = item.key.strip_prefix(SEATS) {
+            return self.state.seats.borrow_mut().hold(now, &Arc::from(name));
+        }
+        match (self.state.codec.fact)(item) {
+            Ok(Fact::Plan(plan)) => self.take_plan(*plan, item.revision),
+            Ok(Fact::Evacuation(domain)) => self.evacuate(&domain, true, item.revision),
+            Ok(Fact::Instance(listed)) => self.take_instance(listed, item.revision),
+            Ok(Fact::Other) => {}
+            Err(reason) => self.ignore(item, &reason.to_string()),
+        }
+    }
+
+    fn take_host(&self, name: &str, item: &Item) {
+        match serde_json::from_slice::<Registration>(&item.value) {
+            Ok(registration) => {
+                let name: Arc<str> = Arc::from(name);
+                self.state.seats.borrow_mut().registered(&name);
+                self.state.hosts.borrow_mut().insert(name, (registration, None));
+            }
+            Err(error) => self.ignore(item, &error.to_string()),
+        }
+    }
+
+    fn take_plan(&self, plan: Plan, revision: u64) {
+        let now = clock::now();
+        let known = self.state.plan.borrow().as_ref().map(|plan| plan.version);
+        if known.is_some_and(|known| known >= plan.version) {
+            return;
+        }
+        let mut fleet = self.state.fleet.borrow_mut();
+        for (name, service) in &plan.services {
+            fleet.set_cold(now, name, service.warmup, service.cold_rate);
+        }
+        let event = Event::Plan {
+            version: plan.version,
+            routes: plan.route_count(),
+            workspaces: plan.workspaces.len(),
+            revision,
+        };
+        self.state.log.write(Rank::Notice, event);
+        *self.state.plan.borrow_mut() = Some(Rc::new(plan));
+    }
+
+    fn evacuate(&self, domain: &Arc<str>, active: bool, revision: u64) {
+        if self.state.fleet.borrow_mut().evacuate(clock::now(), domain, active) {
+            let event = Event::Evacuation { domain, active, revision };
+            self.state.log.write(Rank::Notice, event);
+        }
+    }
+
+    fn take_instance(&self, listed: Listed, revision: u64) {
+        let changed = self.state.fleet.borrow_mut().list(clock::now(), listed.clone());
+        if changed {
+            let event = Event::Instance {
+                id: &listed.id,
+                service: &listed.service,
+                domain: &listed.domain,
+                draining: listed.is_draining,
+                cold_ms: listed.cold_left.as_millis(),
+                revision,
+            };
+            self.state.log.write(Rank::Notice, event);
+        }
+    }
+
+    /// An unusable entry names no instance, whatever it said before.
+    fn ignore(&self, item: &Item, reason: &str) {
+        let event = Event::Ignored { key: &item.key, reason, revision: item.revision };
+        self.state.log.write(Rank::Notice, event);
+        if let subject @ Subject::Instance(_) = (self.state.codec.subject)(&item.key) {
+            self.gone(&Kind::Platform(subject), item.revision);
+        }
+    }
+
+    fn remove(&self, key: &str, revision: u64) {
+        if let Some(kind) = self.kind(key) {
+            self.gone(&kind, revision);
+        }
+    }
+
+    fn kind(&self, key: &str) -> Option<Kind> {
+        if let Some(name) = key.strip_prefix(HOSTS) {
+            return Some(Kind::Host(Arc::from(name)));
+        }
+        if let Some(name) = key.strip_prefix(SEATS) {
+            return Some(Kind::Seat(Arc::from(name)));
+        }
+        Some(Kind::Platform((self.state.codec.subject)(key)))
+    }
+
+    fn gone(&self, kind: &Kind, revision: u64) {
+        let now = clock::now();
+        let grace = self.grace();
+        match kind {
+            Kind::Host(name) => {
+                self.state.seats.borrow_mut().ended(now, name);
+                let mut hosts = self.state.hosts.borrow_mut();
+                match (grace, hosts.get_mut(name)) {
+                    (Some(until), Some((_, missing))) => *missing = Some(until),
+                    _ => drop(hosts.remove(name)),
+                }
+            }
+            Kind::Seat(name) => self.state.seats.borrow_mut().release(name),
+            Kind::Platform(Subject::Instance(id)) => {
+                self.state.fleet.borrow_mut().unlist(id, grace);
+                let reason = if grace.is_some() { "missing after an outage" } else { "removed" };
+                self.state.log.write(Rank::Notice, Event::InstanceGone { id, reason });
+            }
+            Kind::Platform(Subject::Evacuation(domain)) => self.evacuate(domain, false, revision),
+            // The last configuration stays in force.
+            Kind::Platform(Subject::Plan | Subject::Other) => {}
+        }
+    }
+
+    /// Keys that were there as far as this host knows.
+    fn known_keys(&self) -> Vec<Known> {
+        let fleet = self.state.fleet.borrow();
+        let instances = fleet.ids().into_iter().map(Subject::Instance);
+        let evacuated = fleet.evacuated().cloned().map(Subject::Evacuation);
+        let of_platform = instances.chain(evacuated).map(Kind::Platform);
+        let hosts = self.state.hosts.borrow();
+        let of_hosts = hosts.keys().cloned().map(Kind::Host);
+        let kinds: Vec<Kind> = of_platform.chain(of_hosts).collect();
+        kinds.into_iter().map(|kind| Known { subject: self.key(&kind), kind }).collect()
+    }
+
+    fn key(&self, kind: &Kind) -> String {
+        match kind {
+            Kind::Host(name) => format!("{HOSTS}{name}"),
+            Kind::Seat(name) => format!("{SEATS}{name}"),
+            Kind::Platform(subject) => (self.state.codec.key)(subject),
+        }
+    }
+
+    fn publish(&self) {
+        self.state.publish_hosts();
+        self.state.publish_readiness();
+    }
+}
+
+/// What a key is about.
+enum Kind {
+    Host(Arc<str>),
+    Seat(Arc<str>),
+    Platform(Subject),
+}
+
+struct Known {
+    subject: String,
+    kind: Kind,
+}
+
+/// Drops what has not come back in time after an outage.
+pub fn settle(state: &Rc<State>) {
+    let now = clock::now();
+    for id in state.fleet.borrow_mut().settle(now) {
+        let event = Event::InstanceGone { id: &id, reason: "did not come back" };
+        state.log.write(Rank::Notice, event);
+    }
+    let mut hosts: std::cell::RefMut<'_, BTreeMap<_, _>> = state.hosts.borrow_mut();
+    hosts.retain(|_, (_, missing): &mut (Registration, Option<Duration>)| {
+        missing.is_none_or(|due| now < due)
+    });
+    drop(hosts);
+    state.publish_hosts();
+    state.publish_readiness();
+}
--- /dev/null
+++ b/crates/steer/src/presence.rs
@@ -0,0 +1,133 @@
+//! Registers this host in the store: a seat in the budgets, and an entry under a lease.
+
+use std::{rc::Rc, time::Duration};
+
+use marjorampick_core::steering::seats::SEEN_AFTER;
+use tokio::{sync::watch, time::sleep};
+
+use crate::{
+    clock,
+    constants::{FIRST_STORE_PAUSE, LONGEST_STORE_PAUSE, REGISTRATION_LEASE, RENEWAL_INTERVAL},
+    events::{Event, Rank},
+    metrics,
+    state::{Registration, State},
+    store::{Call, Client, Fault, Reply, Transaction, Write},
+};
+
+/// Beginning of all keys of the entry hosts.
+pub const PREFIX: &str = "marjorampick/";
+
+/// Beginning of the keys of registrations.
+pub const HOSTS: &str = "marjorampick/hosts/";
+
+/// Beginning of the keys of seats.
+pub const SEATS: &str = "marjorampick/seats/";
+
+/// Keeps the host registered until `stopping` is closed or true, and then takes the entry away.
+pub async fn run(state: Rc<State>, client: Client, mut stopping: watch::Receiver<bool>) {
+    let mut lease = None;
+    tokio::select! {
+        () = register(&state, &client, &mut lease) => {}
+        _ = stopping.wait_for(|stopping| *stopping) => {}
+    }
+    if let Some(lease) = lease {
+        call(&state, &client, &Call::Revoke(lease)).await.ok();
+    }
+}
+
+async fn register(state: &Rc<State>, client: &Client, held: &mut Option<u64>) {
+    let mut pause = FIRST_STORE_PAUSE;
+    let mut seat = Seat::Wanted;
+    loop {
+        let step = match (seat, *held) {
+            (Seat::Wanted, _) => take_seat(state, client).await.map(|taken| seat = taken),
+            (Seat::Held, None) => enter(state, client).await.map(|lease| *held = Some(lease)),
+            (Seat::Held, Some(lease)) => call(state, client, &Call::Renew(lease)).await.map(drop),
+        };
+        match step {
+            Ok(()) => {
+                pause = FIRST_STORE_PAUSE;
+                if held.is_some() {
+                    sleep(RENEWAL_INTERVAL).await;
+                }
+            }
+            Err(Fault::NoLease) => *held = None,
+            Err(_) => {
+                sleep(pause).await;
+                pause = (pause * 2).min(LONGEST_STORE_PAUSE);
+            }
+        }
+    }
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Seat {
+    Wanted,
+    Held,
+}
+
+/// Takes a seat in the budgets. With a seat from before, the others count this host already.
+async fn take_seat(state: &Rc<State>, client: &Client) -> Result<Seat, Fault> {
+    let key = format!("{SEATS}{}", state.settings.host.name);
+    let transaction = Transaction {
+        conditions: vec![(key.clone(), 0)],
+        writes: vec![Write { key, value: Vec::new(), lease: 0 }],
+        removals: Vec::new(),
+    };
+    let wait = match call(state, client, &Call::Write(transaction)).await {
+        Ok(_) => SEEN_AFTER,
+        Err(Fault::Conflict) => Duration::ZERO,
+        Err(fault) => return Err(fault),
+    };
+    state.seated_from.set(Some(clock::now() + wait));
+    Ok(Seat::Held)
+}
+
+/// Writes the registration under a new lease.
+async fn enter(state: &Rc<State>, client: &Client) -> Result<u64, Fault> {
+    let Reply::Lease(lease) = call(state, client, &Call::Grant(REGISTRATION_LEASE)).await? else {
+        return Err(Fault::Malformed("no lease in the answer".to_owned()));
+    };
+    let host = &state.settings.host;
+    let registration = Registration {
+        callers: state.settings.listeners.callers,
+        region: host.region.clone(),
+        failure_domain: host.failure_domain.clone(),
+    };
+    let value = serde_json::to_vec(&registration)
+        .map_err(|error| Fault::Refused(format!("cannot encode the registration: {error}")))?;
+    let write = Write { key: format!("{HOSTS}{}", host.name), value, lease };
+    let transaction = Transaction { writes: vec![write], ..Transaction::default() };
+    call(state, client, &Call::Write(transaction)).await?;
+    Ok(lease)
+}
+
+/// Takes away the seats that are due.
+pub async fn release_seats(state: &Rc<State>, client: &Client) {
+    let due = state.seats.borrow().due(clock::now());
+    if due.is_empty() {
+        return;
+    }
+    let removals = due.iter().map(|host| format!("{SEATS}{host}")).collect();
+    let transaction = Transaction { removals, ..Transaction::default() };
+    // A failure is logged, and the seats are still due at the next upkeep.
+    call(state, client, &Call::Write(transaction)).await.ok();
+}
+
+async fn call(state: &Rc<State>, client: &Client, call: &Call) -> Result<Reply, Fault> {
+    let name = match call {
+        Call::Grant(_) => "grant",
+        Call::Renew(_) => "renew",
+        Call::Revoke(_) => "revoke",
+        _ => "write",
+    };
+    let result = client.call(call).await;
+    metrics::called(name, result.is_ok());
+    if let Err(fault) = &result
+        && *fault != Fault::Conflict
+    {
+        let reason = fault.to_string();
+        state.log.write(Rank::Failure, Event::StoreFault { call: name, reason: &reason });
+    }
+    result
+}
--- /dev/null
+++ b/crates/steer/src/settings.rs
@@ -0,0 +1,152 @@
+//! Settings of the entry host: one TOML file. See docs/platform.md for each key.
+
+use std::{collections::HashMap, net::SocketAddr, path::Path, sync::Arc, time::Duration};
+
+use marjorampick_core::{
+    finding::Findings,
+    reader::Table,
+    steering::{rate::Tolerance, retry},
+};
+use marjorampick_link::settings::{Faults, address, read as read_file};
+
+use crate::constants::LOOKUP_LIFETIME;
+
+/// Who the host is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Host {
+    /// Unique name.
+    pub name: Arc<str>,
+    /// Region.
+    pub region: Arc<str>,
+    /// Failure domain.
+    pub failure_domain: Arc<str>,
+}
+
+/// Addresses that the host listens on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Listeners {
+    /// Callers' requests.
+    pub callers: SocketAddr,
+    /// Look-ups.
+    pub lookup: SocketAddr,
+    /// The platform's readiness check.
+    pub readiness: SocketAddr,
+    /// Metrics.
+    pub metrics: SocketAddr,
+}
+
+/// Everything that a process is told when it starts.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Who the host is.
+    pub host: Host,
+    /// Region of each failure domain.
+    pub failure_domains: HashMap<Arc<str>, Arc<str>>,
+    /// Addresses that the host listens on.
+    pub listeners: Listeners,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Time between the request to stop and the kill.
+    pub grace: Duration,
+    /// Lifetime of look-up answers.
+    pub lookup_lifetime: Duration,
+    /// What is allowed beyond a workspace's rate.
+    pub rates: Tolerance,
+    /// Limits on retries over all hosts.
+    pub retries: retry::Limit,
+    /// Log lines about requests in one second.
+    pub log_lines_per_second: u32,
+}
+
+/// Reads and checks a settings file; all faults are reported together.
+pub fn read(file: &Path) -> Result<Settings, Faults> {
+    read_file(file, parse)
+}
+
+fn parse(table: &mut Table<'_>, findings: &mut Findings) -> Settings {
+    let mut host = table.table(findings, "host");
+    let mut listen = table.table(findings, "listen");
+    let mut store = table.table(findings, "store");
+    let mut stop = table.table(findings, "stop");
+    let mut lookup = table.table(findings, "lookup");
+    let mut log = table.table(findings, "log");
+    let settings = Settings {
+        host: Host {
+            name: host.string(findings, "name"),
+            region: host.string(findings, "region"),
+            failure_domain: host.string(findings, "failure_domain"),
+        },
+        failure_domains: failure_domains(table, findings),
+        listeners: Listeners {
+            callers: address(&mut listen, findings, "callers"),
+            lookup: address(&mut listen, findings, "lookup"),
+            readiness: address(&mut listen, findings, "readiness"),
+            metrics: address(&mut listen, findings, "metrics"),
+        },
+        store: address(&mut store, findings, "address"),
+        grace: duration(&mut stop, findings, "grace"),
+        lookup_lifetime: duration(&mut lookup, findings, "longest_lifetime").min(LOOKUP_LIFETIME),
+        rates: rates(table, findings),
+        retries: retries(table, findings),
+        log_lines_per_second: log
+            .integer(findings, "lines_per_second", 0..=100_000, Some(200))
+            .try_into()
+            .unwrap_or(u32::MAX),
+    };
+    for section in [host, listen, store, stop, lookup, log] {
+        section.finish(findings);
+    }
+    settings
+}
+
+fn failure_domains(table: &mut Table<'_>, findings: &mut Findings) -> HashMap<Arc<str>, Arc<str>> {
+    let mut domains = HashMap::new();
+    for mut domain in table.tables(findings, "failure_domain") {
+        let name = domain.string(findings, "name");
+        domains.insert(name, domain.string(findings, "region"));
+        domain.finish(findings);
+    }
+    domains
+}
+
+fn rates(table: &mut Table<'_>, findings: &mut Findings) -> Tolerance {
+    let mut rates = table.table(findings, "rates");
+    let tolerance = Tolerance {
+        window: duration(&mut rates, findings, "window"),
+        overage: rates.number(findings, "overage", 0.0..=10.0, Some(0.0)),
+        slack: rates.number(findings, "slack", 0.0..=1e6, Some(0.0)),
+    };
+    rates.finish(findings);
+    tolerance
+}
+
+fn retries(table: &mut Table<'_>, findings: &mut Findings) -> retry::Limit {
+    let mut retries = table.table(findings, "retries");
+    let limit = retry::Limit {
+        ratio: retries.number(findings, "ratio", 0.0..=10.0, Some(0.1)),
+        window: duration(&mut retries, findings, "window"),
+        allowance: retries.number(findings, "allowance", 0.0..=1e6, Some(0.0)),
+    };
+    retries.finish(findings);
+    limit
+}
+
+/// Takes a time such as `1500ms` or `2.5s`, which must be present.
+fn duration(table: &mut Table<'_>, findings: &mut Findings, key: &str) -> Duration {
+    if !table.has(key) {
+        table.report(findings, key, "is missing");
+        return Duration::ZERO;
+    }
+    table.parsed(findings, key, parse_duration).unwrap_or_default()
+}
+
+/// Reads a time such as `1500ms` or `2.5s`.
+pub fn parse_duration(text: &str) -> Result<Duration, &'static str> {
+    const EXPECTED: &str = "expected a time such as 1500ms or 2.5s";
+    let (number, unit) = match text.strip_suffix("ms") {
+        Some(number) => (number, 0.001),
+        None => (text.strip_suffix('s').ok_or(EXPECTED)?, 1.0),
+    };
+    let number: f64 = number.parse().map_err(|_| EXPECTED)?;
+    Duration::try_from_secs_f64(number * unit).map_err(|_| EXPECTED)
+}
