forward: wait for the instance until the request's end

Change: an attempt takes all the time that is left. Dead machines are noticed by the kernel, which gives up a connection without acknowledgements.

--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -373,7 +373,8 @@
     /// Whether the rules allow the request at the instance, whatever its load.
     fn may_run(&self, instance: &Instance, wish: &Wish<'_>) -> bool {
         let allows = |homes: &[Arc<str>]| {
-            homes.is_empty() || instance.region.as_ref().is_some_and(|region| homes.contains(region))
+            homes.is_empty()
+                || instance.region.as_ref().is_some_and(|region| homes.contains(region))
         };
         !instance.listed.is_draining
             && !self.evacuated.contains(&instance.listed.domain)
@@ -481,7 +482,8 @@
             if !is_usable {
                 continue;
             }
-            let sum = if instance.region.as_ref() == Some(&region) { &mut own } else { &mut others };
+            let sum =
+                if instance.region.as_ref() == Some(&region) { &mut own } else { &mut others };
             sum.0 += instance.load.total(now);
             sum.1 += f64::from(instance.listed.slots);
         }
--- a/crates/steer/src/callers/forward.rs
+++ b/crates/steer/src/callers/forward.rs
@@ -13,9 +13,7 @@
 use crate::{
     backend::answer::Answer,
     clock,
-    constants::{
-        ATTEMPT_PART, LEAST_ATTEMPT, LEAST_SILENCE, NO_INSTANCE_RETRY_AFTER, UNRUN_ATTEMPTS,
-    },
+    constants::{LEAST_ATTEMPT, NO_INSTANCE_RETRY_AFTER, UNRUN_ATTEMPTS},
     state::State,
 };
 
@@ -46,8 +44,7 @@
             }
         };
         tried.push(choice.id.clone());
-        let limit = attempt_limit(call, left, attempts);
-        let failure = match attempt(state, call, body, &choice, limit).await {
+        let failure = match attempt(state, call, body, &choice, left).await {
             Ok(answer) => {
                 let instance = Some(choice.id);
                 return Ending { result: Ok(answer), instance, attempts: attempts + 1 };
@@ -99,15 +96,6 @@
     (hash >> 11) as f64 / (1_u64 << 53) as f64
 }
 
-/// Longest time for an attempt. One that may be followed by another leaves time for it.
-fn attempt_limit(call: &Call, left: Duration, attempts: u32) -> Duration {
-    if call.is_idempotent() && attempts + 1 < call.route.attempts {
-        left.mul_f64(ATTEMPT_PART).max(LEAST_SILENCE).min(left)
-    } else {
-        left
-    }
-}
-
 /// Whether a request may be sent to another instance after a failure.
 fn may_go_on(
     state: &Rc<State>,
--- a/crates/steer/src/constants.rs
+++ b/crates/steer/src/constants.rs
@@ -70,12 +70,6 @@
 /// Least time in which an attempt can be of use.
 pub(crate) const LEAST_ATTEMPT: Duration = Duration::from_millis(60);
 
-/// Part of the time left that an attempt may take when another one may follow.
-pub(crate) const ATTEMPT_PART: f64 = 0.55;
-
-/// Least time limit of an attempt when another one may follow.
-pub(crate) const LEAST_SILENCE: Duration = Duration::from_millis(1200);
-
 /// Attempts that did not run, for one request.
 pub(crate) const UNRUN_ATTEMPTS: usize = 3;
 
