instance: a late answer of an instance that answers others is no failure

Change: a request that ran out of time counts as a failure only if the instance has answered nothing for 2.5 s.

--- a/crates/core/src/steering/instance.rs
+++ b/crates/core/src/steering/instance.rs
@@ -16,6 +16,9 @@
 /// Longest pause between trial requests.
 const LONGEST_PAUSE: Duration = Duration::from_secs(4);
 
+/// Time without any answer of an instance after which a late one counts as a failure.
+const SILENCE: Duration = Duration::from_millis(2500);
+
 /// Weight of the newest answer in the moving averages.
 const NEWEST_WEIGHT: f64 = 0.2;
 
@@ -61,8 +64,10 @@
     Failed,
     /// It refused before running the request.
     Shed,
-    /// No connection, no answer, or an answer that cannot be used.
+    /// No connection, a broken one, or an answer that cannot be used.
     Lost,
+    /// No answer in the request's time.
+    Late,
     /// The caller left, or another instance answered first.
     Cancelled,
 }
@@ -84,6 +89,7 @@
     shunned_until: Duration,
     trial_running: bool,
     failure_part: f64,
+    answered_at: Duration,
     answer_seconds: Option<f64>,
     objects: HashMap<u64, Duration>,
 }
@@ -103,6 +109,7 @@
             shunned_until: Duration::ZERO,
             trial_running: false,
             failure_part: 0.0,
+            answered_at: Duration::ZERO,
             answer_seconds: None,
             objects: HashMap::new(),
         }
@@ -170,13 +177,16 @@
             }
         }
         match outcome {
-            Outcome::Answered(time) => self.answered(time),
+            Outcome::Answered(time) => self.answered(now, time),
             Outcome::Failed => self.note_failure(1.0),
             Outcome::Shed => {
                 let is_full = self.load.total(now) >= f64::from(self.listed.slots);
                 self.note_failure(if is_full { 0.0 } else { 1.0 });
             }
             Outcome::Lost => self.lost(now),
+            // An instance that answers others is alive, though it may have too much to do.
+            Outcome::Late if now.saturating_sub(self.answered_at) > SILENCE => self.lost(now),
+            Outcome::Late => {}
             Outcome::Cancelled => {}
         }
     }
@@ -200,8 +210,9 @@
         self.failure_part
     }
 
-    fn answered(&mut self, time: Duration) {
+    fn answered(&mut self, now: Duration, time: Duration) {
         self.failures = 0;
+        self.answered_at = now;
         self.note_failure(0.0);
         let seconds = time.as_secs_f64();
         let before = self.answer_seconds.unwrap_or(seconds);
--- a/crates/steer/src/callers/attempt.rs
+++ b/crates/steer/src/callers/attempt.rs
@@ -122,7 +122,7 @@
             Err(note(state, call, choice, failure))
         }
         Err(_) => {
-            sending.end(Outcome::Lost, None);
+            sending.end(Outcome::Late, None);
             // Other connections to the instance may be as silent.
             state.pool.borrow_mut().clear(&key);
             let reason = format!("no answer within {} ms", limit.as_millis());
