fleet: expected time decides where a request runs and when an instance is full

Cause: a fixed ratio of requests to slots filled instances with requests that were answered late, and a region with 2 of 14 instances kept all of its traffic until its load was high, while others had free slots. Change: an instance takes more than its slots only while the answer is expected within the route's target; the part that stays in a region starts from its part of the slots.

--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -22,30 +22,42 @@
 /// Work on an object that the instance handled lately, relative to the work on another one.
 const KNOWN_OBJECT_WORK: f64 = 0.35;
 
-/// Cost of a fully busy instance beside the wait, so that equal instances share the load.
+/// Work on an object, in seconds, until it is known.
+const FIRST_WORK: f64 = 0.5;
+
+/// Cost of a fully busy instance beside the wait, relative to the work, so that equal instances
+/// share the load.
 const BUSY_COST: f64 = 0.3;
 
-/// Cost of a failure, in units of one request's work.
+/// Cost of a failure, relative to the work on an unknown object.
 const FAILURE_COST: f64 = 4.0;
 
-/// Cost of another failure domain of the own region, in units of one request's work.
-const OTHER_DOMAIN_COST: f64 = 0.01;
+/// Cost of another failure domain of the own region, in seconds.
+const OTHER_DOMAIN_COST: f64 = 0.005;
 
-/// Cost of another region, in units of one request's work.
-const OTHER_REGION_COST: f64 = 0.1;
+/// Cost of another region beside the time on the way, in seconds.
+const OTHER_REGION_COST: f64 = 0.02;
 
-/// Requests at an instance, relative to its slots, at which it gets no more of the least urgent rank.
-const FULL_LOAD: f64 = 1.6;
+/// Part of the target time that the most urgent requests may be expected to take at an instance
+/// whose slots are all taken. Beyond it they would be late and make others late.
+const FULL_PART: f64 = 1.0;
 
-/// What each more urgent rank may add to [`FULL_LOAD`].
-const LOAD_PER_RANK: f64 = 0.2;
+/// What each less urgent rank loses of [`FULL_PART`].
+const PART_PER_RANK: f64 = 0.1;
 
 /// Ranks that are told apart.
 const RANKS: u8 = 4;
 
-/// Weight of the newest answer in a service's average.
+/// Target time of routes that name none, in seconds.
+const DEFAULT_TARGET: f64 = 1.0;
+
+/// Weight of the newest answer in a service's averages.
 const NEWEST_WEIGHT: f64 = 0.05;
 
+/// How much more than an equal part of the requests a region is expected to keep at first, relative
+/// to its part of the slots.
+const FIRST_STAY: f64 = 1.4;
+
 /// How long entries that vanished while the store was away may take to come back.
 pub const RETURN_TIME: Duration = Duration::from_millis(2300);
 
@@ -64,6 +76,8 @@
     pub tried: &'a [Arc<str>],
     /// Rank, where 0 is the most urgent.
     pub priority: u8,
+    /// Time within which an answer is of full use.
+    pub target: Option<Duration>,
     /// Number between 0 and 1 that decides whether the request stays in the own region.
     pub draw: f64,
 }
@@ -79,7 +93,9 @@
     pub address: std::net::SocketAddr,
     /// Whether it is in another region.
     pub is_remote: bool,
-    /// Likely time to the answer, in units of one request's work.
+    /// Whether the instance is expected to know the object.
+    pub knows: bool,
+    /// Likely time to the answer with its other costs, in seconds.
     pub cost: f64,
 }
 
@@ -101,6 +117,8 @@
     instances: Vec<Instance>,
     spill: Spill,
     answer_seconds: Option<f64>,
+    /// Seconds of work on an object that the instance knows.
+    known_work: Option<f64>,
     warmup: Duration,
     cold_rate: f64,
 }
@@ -132,6 +150,29 @@
     is_listed: bool,
 }
 
+impl Group {
+    fn known_work(&self) -> f64 {
+        self.known_work.unwrap_or(FIRST_WORK * KNOWN_OBJECT_WORK)
+    }
+
+    fn new_work(&self) -> f64 {
+        self.known_work() / KNOWN_OBJECT_WORK
+    }
+
+    /// Takes the time of an answer. Only answers of instances without a queue tell the work.
+    fn answered(&mut self, seconds: f64, choice: &Choice, report: Option<Report>) {
+        average(&mut self.answer_seconds, seconds);
+        if choice.knows && report.is_some_and(|report| report.waiting == 0) {
+            average(&mut self.known_work, seconds);
+        }
+    }
+}
+
+fn average(mean: &mut Option<f64>, newest: f64) {
+    let before = mean.unwrap_or(newest);
+    *mean = Some(before + NEWEST_WEIGHT * (newest - before));
+}
+
 impl Fleet {
     /// No instances.
     pub fn new(place: Place) -> Self {
@@ -309,9 +350,7 @@
             return;
         };
         if let (Outcome::Answered(time), Some(group)) = (outcome, self.groups.get_mut(&service)) {
-            let seconds = time.as_secs_f64();
-            let before = group.answer_seconds.unwrap_or(seconds);
-            group.answer_seconds = Some(before + NEWEST_WEIGHT * (seconds - before));
+            group.answered(time.as_secs_f64(), choice, report);
         }
         if let Some(instance) = self.instance(&choice.id)
             && instance.listed.incarnation == choice.incarnation
@@ -348,6 +387,7 @@
             instances: Vec::new(),
             spill: Spill::new(now),
             answer_seconds: None,
+            known_work: None,
             warmup: Duration::ZERO,
             cold_rate: f64::INFINITY,
         })
@@ -391,38 +431,46 @@
         wish: &Wish<'_>,
         key: Option<rendezvous::Key>,
     ) -> Option<Choice> {
-        let rank = f64::from(RANKS.saturating_sub(wish.priority.min(RANKS)));
-        let full = FULL_LOAD + rank * LOAD_PER_RANK;
         let first = key.and_then(|key| {
             let settled = candidates.iter().filter(|i| !i.is_cold(now) && i.is_trusted(now));
             settled.max_by_key(|i| key.weight(&i.listed.id)).map(|i| i.listed.id.clone())
         });
-        let mut best: Option<(f64, u64, &Instance)> = None;
+        let mut best: Option<(f64, u64, &Instance, bool)> = None;
         for instance in candidates {
-            if !self.is_open(now, group, instance, full) {
+            let is_first = first.as_ref() == Some(&instance.listed.id);
+            let knows = wish.object.is_some_and(|object| is_first || instance.knows(now, object));
+            let time = self.expected_time(now, group, instance, wish, knows);
+            if !self.is_open(now, group, instance, wish, time) {
                 continue;
             }
-            let is_first = first.as_ref() == Some(&instance.listed.id);
-            let cost = self.cost(now, group, instance, wish, is_first);
+            let cost = time + self.other_costs(now, group, instance);
             let tie = key.map_or(0, |key| key.weight(&instance.listed.id));
-            let wins = best.is_none_or(|(least, weight, _)| {
+            let wins = best.is_none_or(|(least, weight, ..)| {
                 cost < least - f64::EPSILON || (cost <= least && tie > weight)
             });
             if wins {
-                best = Some((cost, tie, instance));
+                best = Some((cost, tie, instance, knows));
             }
         }
-        best.map(|(cost, _, instance)| Choice {
+        best.map(|(cost, _, instance, knows)| Choice {
             id: instance.listed.id.clone(),
             incarnation: instance.listed.incarnation,
             address: instance.listed.address,
             is_remote: !self.is_local(instance),
+            knows,
             cost,
         })
     }
 
-    /// Whether the instance can take one more request now.
-    fn is_open(&self, now: Duration, group: &Group, instance: &Instance, full: f64) -> bool {
+    /// Whether the instance can take one more request now that is expected to take `time`.
+    fn is_open(
+        &self,
+        now: Duration,
+        group: &Group,
+        instance: &Instance,
+        wish: &Wish<'_>,
+        time: f64,
+    ) -> bool {
         if !instance.is_trusted(now) {
             return false;
         }
@@ -434,24 +482,34 @@
             }
         }
         let slots = f64::from(instance.listed.slots.max(1));
-        instance.load.total(now) + 1.0 <= slots * full
+        let has_slot = instance.load.total(now) + 1.0 <= slots;
+        let rank = f64::from(wish.priority.min(RANKS));
+        let part = FULL_PART - rank * PART_PER_RANK;
+        let target = wish.target.map_or(DEFAULT_TARGET, |target| target.as_secs_f64());
+        has_slot || time <= target * part
     }
 
-    fn cost(
+    /// Seconds in which the instance is likely to answer.
+    fn expected_time(
         &self,
         now: Duration,
         group: &Group,
         instance: &Instance,
         wish: &Wish<'_>,
-        is_first: bool,
+        knows: bool,
     ) -> f64 {
         let slots = f64::from(instance.listed.slots.max(1));
         let load = instance.load.total(now);
-        let knows = wish.object.is_some_and(|object| is_first || instance.knows(now, object));
-        let work = if knows { KNOWN_OBJECT_WORK } else { 1.0 };
-        let usual_work = if wish.object.is_some() { KNOWN_OBJECT_WORK } else { 1.0 };
+        let work = if knows { group.known_work() } else { group.new_work() };
+        let usual_work = if wish.object.is_some() { group.known_work() } else { group.new_work() };
         let wait = (load + 1.0 - slots).max(0.0) / slots * usual_work;
-        let busy = BUSY_COST * load / slots;
+        (work + wait) * instance.slowness(group.answer_seconds)
+    }
+
+    /// What speaks against an instance beside the time, in seconds.
+    fn other_costs(&self, now: Duration, group: &Group, instance: &Instance) -> f64 {
+        let slots = f64::from(instance.listed.slots.max(1));
+        let busy = BUSY_COST * group.known_work() * instance.load.total(now) / slots;
         let distance = if !self.is_local(instance) {
             OTHER_REGION_COST
         } else if instance.listed.domain != self.place.domain {
@@ -459,8 +517,7 @@
         } else {
             0.0
         };
-        let time = (work + wait) * instance.slowness(group.answer_seconds);
-        time + busy + distance + FAILURE_COST * instance.failure_part()
+        busy + distance + FAILURE_COST * group.new_work() * instance.failure_part()
     }
 
     fn cold_part(&self, id: &str, rate: f64) -> f64 {
@@ -487,6 +544,9 @@
             sum.0 += instance.load.total(now);
             sum.1 += f64::from(instance.listed.slots);
         }
+        let regions: BTreeSet<&Arc<str>> = self.place.domains.values().collect();
+        let part = own.1 / (own.1 + others.1).max(1.0);
+        group.spill.start(part * regions.len() as f64 * FIRST_STAY);
         let relative = |(load, slots): (f64, f64)| if slots > 0.0 { load / slots } else { 1.0 };
         group.spill.update(now, relative(own), relative(others));
     }
--- a/crates/core/src/steering/spill.rs
+++ b/crates/core/src/steering/spill.rs
@@ -7,31 +7,32 @@
 use std::time::Duration;
 
 /// Load, relative to the slots, above which the part that stays shrinks.
-const HIGH_LOAD: f64 = 0.95;
+const HIGH_LOAD: f64 = 0.85;
 
 /// Load, relative to the slots, below which the part that stays grows.
-const LOW_LOAD: f64 = 0.75;
+const LOW_LOAD: f64 = 0.6;
 
 /// Largest change of the part in one second.
-const STEP_PER_SECOND: f64 = 0.03;
+const STEP_PER_SECOND: f64 = 0.04;
 
 /// Longest time that one step makes up for, so that a paused host does not jump.
 const LONGEST_STEP: Duration = Duration::from_millis(250);
 
 /// Smallest part that stays.
-const SMALLEST_PART: f64 = 0.3;
+const SMALLEST_PART: f64 = 0.15;
 
 /// The part that stays, and when it last changed.
 #[derive(Clone, Debug)]
 pub struct Spill {
     stays: f64,
+    has_started: bool,
     updated: Duration,
 }
 
 impl Spill {
     /// Everything stays.
     pub fn new(now: Duration) -> Self {
-        Self { stays: 1.0, updated: now }
+        Self { stays: 1.0, has_started: false, updated: now }
     }
 
     /// Part of the requests that stays, 0 to 1.
@@ -39,6 +40,14 @@
         self.stays
     }
 
+    /// Sets the part at first, before any request; later it only moves by steps.
+    pub fn start(&mut self, stays: f64) {
+        if !self.has_started {
+            self.has_started = true;
+            self.stays = stays.clamp(SMALLEST_PART, 1.0);
+        }
+    }
+
     /// Takes the present load of the own region and of the others, relative to their slots.
     pub fn update(&mut self, now: Duration, own: f64, others: f64) {
         let elapsed = now.saturating_sub(self.updated).min(LONGEST_STEP);
--- a/crates/steer/src/callers/forward.rs
+++ b/crates/steer/src/callers/forward.rs
@@ -79,6 +79,7 @@
         object: call.object,
         tried,
         priority: call.priority(),
+        target: call.route.target,
         draw: draw(call),
     };
     let chosen = state.fleet.borrow_mut().choose(clock::now(), &wish);
