--- a/crates/steer/src/callers/refusal.rs
+++ b/crates/steer/src/callers/refusal.rs
@@ -92,6 +92,15 @@
         Self { reason, retry_after: Some(retry_after) }
     }
 
+    /// Callers come back on a new connection after a refusal, so that the old one would only take up
+    /// memory and a descriptor until it has been idle for long enough.
+    fn closes_connection(self) -> bool {
+        let status = self.reason.status();
+        let comes_back =
+            matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS);
+        comes_back || matches!(self.reason, Reason::BadRequest | Reason::TooLong)
+    }
+
     pub(crate) fn into_response(self) -> Response<Full<Bytes>> {
         let mut response = Response::new(Full::default());
         *response.status_mut() = self.reason.status();
@@ -101,7 +110,7 @@
                 response.headers_mut().insert(header::RETRY_AFTER, value);
             }
         }
-        if matches!(self.reason, Reason::BadRequest | Reason::TooLong) {
+        if self.closes_connection() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         response
