rate: hosts lend tokens; slowness by the work on a known object; tests of the decisions

The property test of the limit also showed that a bucket with half a second of tokens at its start breaks the limit when a process restarts often. The test of a slow instance showed that one which gets every request raises the usual time and never counts as slow. Change: a host that runs short asks one near and one far host over UDP; the lender deducts first, and a loan counts for 300 ms. Buckets earn from the time at which the host has its part. Slowness compares the work on a known object without the wait with the median of the instances.

--- a/crates/core/src/steering.rs
+++ b/crates/core/src/steering.rs
@@ -7,6 +7,7 @@
 pub mod cold;
 pub mod fleet;
 pub mod instance;
+pub mod lenders;
 pub mod load;
 pub mod plan;
 pub mod rate;
--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -168,6 +168,20 @@
     }
 }
 
+/// Median of the instances' work on a known object; those that have not answered count as usual. A
+/// slow instance that gets many requests does not change it.
+fn usual_seconds(group: &Group) -> f64 {
+    let instances = group.instances.iter();
+    let mut seconds: Vec<f64> = instances
+        .map(|instance| instance.answer_seconds().unwrap_or_else(|| group.known_work()))
+        .collect();
+    let middle = seconds.len() / 2;
+    if seconds.is_empty() {
+        return group.known_work();
+    }
+    *seconds.select_nth_unstable_by(middle, f64::total_cmp).1
+}
+
 fn average(mean: &mut Option<f64>, newest: f64) {
     let before = mean.unwrap_or(newest);
     *mean = Some(before + NEWEST_WEIGHT * (newest - before));
@@ -355,7 +369,8 @@
         if let Some(instance) = self.instance(&choice.id)
             && instance.listed.incarnation == choice.incarnation
         {
-            instance.end(now, outcome, report);
+            let known_part = if choice.knows { 1.0 } else { KNOWN_OBJECT_WORK };
+            instance.end(now, outcome, report, known_part);
         }
     }
 
@@ -435,11 +450,12 @@
             let settled = candidates.iter().filter(|i| !i.is_cold(now) && i.is_trusted(now));
             settled.max_by_key(|i| key.weight(&i.listed.id)).map(|i| i.listed.id.clone())
         });
+        let usual = usual_seconds(group);
         let mut best: Option<(f64, u64, &Instance, bool)> = None;
         for instance in candidates {
             let is_first = first.as_ref() == Some(&instance.listed.id);
             let knows = wish.object.is_some_and(|object| is_first || instance.knows(now, object));
-            let time = self.expected_time(now, group, instance, wish, knows);
+            let time = self.expected_time(now, group, instance, wish, knows, usual);
             if !self.is_open(now, group, instance, wish, time) {
                 continue;
             }
@@ -497,13 +513,14 @@
         instance: &Instance,
         wish: &Wish<'_>,
         knows: bool,
+        usual: f64,
     ) -> f64 {
         let slots = f64::from(instance.listed.slots.max(1));
         let load = instance.load.total(now);
         let work = if knows { group.known_work() } else { group.new_work() };
         let usual_work = if wish.object.is_some() { group.known_work() } else { group.new_work() };
         let wait = (load + 1.0 - slots).max(0.0) / slots * usual_work;
-        (work + wait) * instance.slowness(group.answer_seconds)
+        (work + wait) * instance.slowness(usual)
     }
 
     /// What speaks against an instance beside the time, in seconds.
--- a/crates/core/src/steering/instance.rs
+++ b/crates/core/src/steering/instance.rs
@@ -167,7 +167,15 @@
     }
 
     /// Notes the end of a request and what came with it.
-    pub fn end(&mut self, now: Duration, outcome: Outcome, report: Option<Report>) {
+    ///
+    /// `known_part` is the part of the request's work that would be left on a known object.
+    pub fn end(
+        &mut self,
+        now: Duration,
+        outcome: Outcome,
+        report: Option<Report>,
+        known_part: f64,
+    ) {
         self.load.end();
         self.trial_running = false;
         if let Some(report) = report {
@@ -177,7 +185,12 @@
             }
         }
         match outcome {
-            Outcome::Answered(time) => self.answered(now, time),
+            Outcome::Answered(time) => {
+                let queued = report.map_or(0.0, |report| {
+                    f64::from(report.waiting) / f64::from(report.slots.max(1))
+                });
+                self.answered(now, time.as_secs_f64() / (1.0 + queued) * known_part);
+            }
             Outcome::Failed => self.note_failure(1.0),
             Outcome::Shed => {
                 let is_full = self.load.total(now) >= f64::from(self.listed.slots);
@@ -197,24 +210,28 @@
     }
 
     /// How much slower than `usual` its answers are, at least 1.
-    pub fn slowness(&self, usual: Option<f64>) -> f64 {
-        let (Some(own), Some(usual)) = (self.answer_seconds, usual) else {
+    pub fn slowness(&self, usual: f64) -> f64 {
+        let Some(own) = self.answer_seconds else {
             return 1.0;
         };
         let ratio = own / usual.max(0.001);
         if ratio < USUAL_SLOWNESS { 1.0 } else { ratio.min(MOST_SLOWNESS) }
     }
 
+    /// Usual seconds of its work on a known object, without the wait in its queue.
+    pub fn answer_seconds(&self) -> Option<f64> {
+        self.answer_seconds
+    }
+
     /// Part of its recent answers that were failures.
     pub fn failure_part(&self) -> f64 {
         self.failure_part
     }
 
-    fn answered(&mut self, now: Duration, time: Duration) {
+    fn answered(&mut self, now: Duration, seconds: f64) {
         self.failures = 0;
         self.answered_at = now;
         self.note_failure(0.0);
-        let seconds = time.as_secs_f64();
         let before = self.answer_seconds.unwrap_or(seconds);
         self.answer_seconds = Some(before + NEWEST_WEIGHT * (seconds - before));
     }
--- a/crates/core/src/steering/seats.rs
+++ b/crates/core/src/steering/seats.rs
@@ -55,6 +55,11 @@
         self.hosts.contains_key(host)
     }
 
+    /// Names of the hosts with seats, in order.
+    pub fn names(&self) -> Vec<Arc<str>> {
+        self.hosts.keys().cloned().collect()
+    }
+
     /// Number of seats, at least one.
     pub fn count(&self) -> usize {
         self.hosts.len().max(1)
--- /dev/null
+++ b/crates/core/src/steering/tests/retry.rs
@@ -0,0 +1,39 @@
+//! Guards the budget for retries.
+
+use std::time::Duration;
+
+use super::{
+    super::retry::{Budget, Limit},
+    support::at,
+};
+
+const LIMIT: Limit = Limit { ratio: 0.2, window: Duration::from_secs(10), allowance: 7.0 };
+
+/// Load pattern: every request fails once. Guards against a service that gets twice its load just when
+/// it fails.
+#[test]
+fn retries_stay_a_part_of_the_requests() {
+    let mut budget = Budget::default();
+    let mut retries = Vec::new();
+    for step in 0..3000_u64 {
+        let now = at(step * 10);
+        budget.request(now, &LIMIT);
+        if budget.retry(now, &LIMIT) {
+            retries.push(now);
+        }
+    }
+    for (index, start) in retries.iter().enumerate() {
+        let window = retries[index..].iter().take_while(|at| **at < *start + LIMIT.window);
+        let count = window.count();
+        assert!(count as f64 <= 0.2 * 1000.0 + 7.0, "{count} retries for 1000 requests");
+    }
+    assert!(retries.len() > 300, "only {} retries", retries.len());
+}
+
+/// Guards against a budget that grows without requests.
+#[test]
+fn a_quiet_service_has_only_the_allowance() {
+    let mut budget = Budget::default();
+    let retries = (0..100).filter(|_| budget.retry(at(0), &LIMIT)).count();
+    assert!((1..=7).contains(&retries));
+}
--- a/crates/steer/src/callers/accept.rs
+++ b/crates/steer/src/callers/accept.rs
@@ -24,6 +24,7 @@
 use super::handle;
 use crate::{
     constants::{ACCEPT_PAUSE, WRITE_TIME},
+    lending::Lending,
     state::State,
 };
 
@@ -37,15 +38,24 @@
 const IDLE_TIME: Duration = Duration::from_secs(30);
 
 /// Starts to accept callers, until `closing` is true.
-pub async fn listen(state: Rc<State>, closing: watch::Receiver<bool>) -> eyre::Result<()> {
+pub async fn listen(
+    state: Rc<State>,
+    lending: Rc<Lending>,
+    closing: watch::Receiver<bool>,
+) -> eyre::Result<()> {
     let address = state.settings.listeners.callers;
     let listener = TcpListener::bind(address).await;
     let listener = listener.wrap_err_with(|| format!("cannot listen on {address}"))?;
-    tokio::task::spawn_local(accept(state, listener, closing));
+    tokio::task::spawn_local(accept(state, lending, listener, closing));
     Ok(())
 }
 
-async fn accept(state: Rc<State>, listener: TcpListener, mut closing: watch::Receiver<bool>) {
+async fn accept(
+    state: Rc<State>,
+    lending: Rc<Lending>,
+    listener: TcpListener,
+    mut closing: watch::Receiver<bool>,
+) {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -53,7 +63,12 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(serve(state.clone(), stream, closing.clone()));
+                tokio::task::spawn_local(serve(
+                    state.clone(),
+                    lending.clone(),
+                    stream,
+                    closing.clone(),
+                ));
             }
             Err(error) => {
                 log::warn!("callers: accept failed: {error}");
@@ -64,7 +79,12 @@
 }
 
 /// Serves one connection.
-async fn serve(state: Rc<State>, stream: TcpStream, mut closing: watch::Receiver<bool>) {
+async fn serve(
+    state: Rc<State>,
+    lending: Rc<Lending>,
+    stream: TcpStream,
+    mut closing: watch::Receiver<bool>,
+) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("callers: cannot set the no-delay option: {error}");
     }
@@ -76,8 +96,9 @@
     let stream = Stream::new(stream, header_bytes, WRITE_TIME, ambiguous.clone());
     let service = service_fn(move |request: Request<Incoming>| {
         let state = state.clone();
+        let lending = lending.clone();
         let is_ambiguous = ambiguous.load(Ordering::Acquire);
-        async move { Ok::<_, Infallible>(handle::answer(&state, request, is_ambiguous).await) }
+        async move { Ok::<_, Infallible>(handle::answer(&state, &lending, request, is_ambiguous).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/crates/steer/src/callers/handle.rs
+++ b/crates/steer/src/callers/handle.rs
@@ -19,6 +19,7 @@
     clock,
     constants::{DEFAULT_TIME_LIMIT, REQUEST_BYTES},
     events::{Event, Rank},
+    lending::Lending,
     metrics,
     state::State,
 };
@@ -42,6 +43,7 @@
 /// Answers a request, whatever happens.
 pub(crate) async fn answer(
     state: &Rc<State>,
+    lending: &Lending,
     request: Request<Incoming>,
     is_ambiguous: bool,
 ) -> Response<Full<Bytes>> {
@@ -52,7 +54,7 @@
         refuse(state, None, Refusal::new(Reason::BadRequest), started)
     } else {
         match arrival::identify(state, parts, started) {
-            Ok(call) => run(state, &call, body).await,
+            Ok(call) => run(state, lending, &call, body).await,
             Err(refusal) => {
                 // Closing a connection with unread bytes would reset it under the answer.
                 discard(body).await;
@@ -66,8 +68,13 @@
     response
 }
 
-async fn run(state: &Rc<State>, call: &Call, body: Incoming) -> Response<Full<Bytes>> {
-    if let Err(refusal) = admit(state, call) {
+async fn run(
+    state: &Rc<State>,
+    lending: &Lending,
+    call: &Call,
+    body: Incoming,
+) -> Response<Full<Bytes>> {
+    if let Err(refusal) = admit(state, lending, call).await {
         discard(body).await;
         return refuse(state, Some(call), refusal, call.started);
     }
@@ -91,19 +98,24 @@
     response
 }
 
-/// Takes a token of the workspace's limit.
-fn admit(state: &State, call: &Call) -> Result<(), Refusal> {
+/// Takes a token of the workspace's limit, if need be one that another host lends.
+async fn admit(state: &State, lending: &Lending, call: &Call) -> Result<(), Refusal> {
     let (Some(name), Some(limits)) = (&call.workspace, call.limits()) else {
         return Ok(());
     };
-    let taken = state.rates.borrow_mut().take(clock::now(), name, limits);
+    let take = || state.rates.borrow_mut().take(clock::now(), name, limits);
+    let mut taken = take();
+    if taken.is_err() && lending.wait(state, name, limits).await {
+        taken = take();
+    }
+    lending.ask(state, name, limits);
     taken.map_err(|exceeded| Refusal::after(Reason::OverRate, exceeded.retry_after))
 }
 
 /// Gives back the token of a request that has not run.
 fn give_back(state: &State, call: &Call) {
-    if let (Some(name), Some(limits)) = (&call.workspace, call.limits()) {
-        state.rates.borrow_mut().give_back(name, limits);
+    if let Some(name) = &call.workspace {
+        state.rates.borrow_mut().give_back(name);
     }
 }
 
--- a/crates/steer/src/constants.rs
+++ b/crates/steer/src/constants.rs
@@ -97,3 +97,6 @@
 
 /// Log lines that may wait to be written.
 pub(crate) const LOG_QUEUE_LINES: usize = 2048;
+
+/// Longest wait of a request for tokens that another host lends.
+pub(crate) const LOAN_WAIT: Duration = Duration::from_millis(130);
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -11,6 +11,7 @@
 mod constants;
 pub mod events;
 pub mod feed;
+pub mod lending;
 pub mod listeners;
 mod metrics;
 pub mod presence;
--- a/crates/steer/src/metrics.rs
+++ b/crates/steer/src/metrics.rs
@@ -11,6 +11,7 @@
 const REFUSALS: &str = "marjorampick_refusals_total";
 const ATTEMPTS: &str = "marjorampick_attempts_total";
 const STORE_CALLS: &str = "marjorampick_store_calls_total";
+const LENT: &str = "marjorampick_tokens_lent_total";
 const IN_FLIGHT: &str = "marjorampick_requests_in_flight";
 
 /// Upper bounds of the buckets of histograms of seconds.
@@ -30,6 +31,7 @@
     describe_counter!(REFUSALS, Unit::Count, "Requests that the host refused, by reason.");
     describe_counter!(ATTEMPTS, Unit::Count, "Requests sent to backend servers, by outcome.");
     describe_counter!(STORE_CALLS, Unit::Count, "Calls to the store, by kind and outcome.");
+    describe_counter!(LENT, Unit::Count, "Tokens of workspaces lent to other hosts.");
     describe_gauge!(IN_FLIGHT, Unit::Count, "Requests that have not ended.");
     Ok(handle)
 }
@@ -71,3 +73,8 @@
 pub(crate) fn in_flight(count: u32) {
     gauge!(IN_FLIGHT).set(count);
 }
+
+/// Notes tokens lent to another host.
+pub(crate) fn lent(tokens: u32) {
+    counter!(LENT).increment(tokens.into());
+}
--- a/crates/steer/src/presence.rs
+++ b/crates/steer/src/presence.rs
@@ -91,6 +91,7 @@
     let host = &state.settings.host;
     let registration = Registration {
         callers: state.settings.listeners.callers,
+        peers: state.settings.listeners.peers,
         region: host.region.clone(),
         failure_domain: host.failure_domain.clone(),
     };
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -17,6 +17,7 @@
     constants::{GRACE_MARGIN, NOTICE_PART, UPKEEP_INTERVAL},
     events::{Event, Log, Rank},
     feed,
+    lending::{self, Lending},
     listeners::{self, Context},
     metrics, presence,
     settings::{self, Settings},
@@ -56,9 +57,11 @@
     let (closing, closed) = watch::channel(false);
     tokio::task::spawn_local(feed::run(state.clone(), client.clone()));
     let present = tokio::task::spawn_local(presence::run(state.clone(), client.clone(), stopped));
-    tokio::task::spawn_local(upkeep(state.clone(), client, recorder));
+    let lending = Rc::new(Lending::open(state.settings.listeners.peers).await?);
+    tokio::task::spawn_local(lending::run(state.clone(), lending.clone()));
+    tokio::task::spawn_local(upkeep(state.clone(), client, recorder, lending.clone()));
     tokio::task::spawn_local(reload(state.clone(), file.to_owned(), hang_up));
-    callers::accept::listen(state.clone(), closed).await?;
+    callers::accept::listen(state.clone(), lending, closed).await?;
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
@@ -101,13 +104,19 @@
     sleep(DRAIN_CHECK).await;
 }
 
-async fn upkeep(state: Rc<State>, client: Client, recorder: PrometheusHandle) {
+async fn upkeep(
+    state: Rc<State>,
+    client: Client,
+    recorder: PrometheusHandle,
+    lending: Rc<Lending>,
+) {
     let mut due = interval(UPKEEP_INTERVAL);
     let mut rounds: u32 = 0;
     loop {
         due.tick().await;
         rounds = rounds.wrapping_add(1);
         feed::settle(&state);
+        lending.sweep();
         state.pool.borrow_mut().sweep(clock::now());
         metrics::in_flight(state.in_flight.get());
         if rounds.is_multiple_of(10) {
--- a/crates/steer/src/settings.rs
+++ b/crates/steer/src/settings.rs
@@ -31,6 +31,8 @@
     pub lookup: SocketAddr,
     /// The platform's readiness check.
     pub readiness: SocketAddr,
+    /// Messages of other hosts, over UDP.
+    pub peers: SocketAddr,
     /// Metrics.
     pub metrics: SocketAddr,
 }
@@ -81,6 +83,7 @@
             callers: address(&mut listen, findings, "callers"),
             lookup: address(&mut listen, findings, "lookup"),
             readiness: address(&mut listen, findings, "readiness"),
+            peers: address(&mut listen, findings, "peers"),
             metrics: address(&mut listen, findings, "metrics"),
         },
         store: address(&mut store, findings, "address"),
--- a/crates/steer/src/state.rs
+++ b/crates/steer/src/state.rs
@@ -36,6 +36,8 @@
 pub struct Registration {
     /// Address of its caller listener.
     pub callers: SocketAddr,
+    /// Address for messages of other hosts.
+    pub peers: SocketAddr,
     /// Its region.
     pub region: Arc<str>,
     /// Its failure domain.
@@ -98,7 +100,7 @@
         Rc::new(Self {
             plan: RefCell::new(None),
             fleet: RefCell::new(Fleet::new(place)),
-            rates: RefCell::new(Rates::new(settings.rates)),
+            rates: RefCell::new(Rates::new(settings.rates, settings.host.name.clone())),
             seats: RefCell::default(),
             hosts: RefCell::default(),
             pool: RefCell::default(),
@@ -156,13 +158,13 @@
         let listed: Vec<Registration> = hosts.values().map(|(host, _)| host.clone()).collect();
         let registered = listed.len();
         self.board.hosts.store(Arc::new(listed));
-        let seats = self.seats.borrow().count();
         let is_seated = self.seated_from.get().is_some_and(|from| from <= clock::now());
-        let part = if is_seated { 1.0 / seats as f64 } else { 0.0 };
-        let before = self.rates.borrow().part();
-        self.rates.borrow_mut().set_part(part);
-        if (before - part).abs() > f64::EPSILON {
-            self.log.write(Rank::Notice, Event::Hosts { registered, seats, part });
+        let seats = if is_seated { self.seats.borrow().names() } else { Vec::new() };
+        let mut rates = self.rates.borrow_mut();
+        let count = seats.len();
+        if rates.set_seats(clock::now(), seats) {
+            let event = Event::Hosts { registered, seats: count, part: rates.part() };
+            self.log.write(Rank::Notice, event);
         }
     }
 
