spill: give traffic away while the other regions have much less load

Change: the part shrinks above half of the slots while the others are at least 15% of the slots less loaded, and grows back when they are not. Request lines say whether the instance was remote, was expected to know the object, and the time that was expected.

--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -56,7 +56,7 @@
 
 /// How much more than an equal part of the requests a region is expected to keep at first, relative
 /// to its part of the slots.
-const FIRST_STAY: f64 = 1.4;
+const FIRST_STAY: f64 = 1.15;
 
 /// How long entries that vanished while the store was away may take to come back.
 pub const RETURN_TIME: Duration = Duration::from_millis(2300);
--- a/crates/core/src/steering/spill.rs
+++ b/crates/core/src/steering/spill.rs
@@ -6,11 +6,14 @@
 
 use std::time::Duration;
 
-/// Load, relative to the slots, above which the part that stays shrinks.
-const HIGH_LOAD: f64 = 0.85;
+/// Load, relative to the slots, above which the part that stays may shrink.
+const HIGH_LOAD: f64 = 0.5;
 
 /// Load, relative to the slots, below which the part that stays grows.
-const LOW_LOAD: f64 = 0.6;
+const LOW_LOAD: f64 = 0.4;
+
+/// How much less loaded the other regions must be for the part to shrink.
+const LESS_LOAD: f64 = 0.15;
 
 /// Largest change of the part in one second.
 const STEP_PER_SECOND: f64 = 0.04;
@@ -53,9 +56,9 @@
         let elapsed = now.saturating_sub(self.updated).min(LONGEST_STEP);
         self.updated = now;
         let step = STEP_PER_SECOND * elapsed.as_secs_f64();
-        if own > HIGH_LOAD && others < own {
+        if own > HIGH_LOAD && others + LESS_LOAD < own {
             self.stays = (self.stays - step).max(SMALLEST_PART);
-        } else if own < LOW_LOAD {
+        } else if own < LOW_LOAD || own < others {
             self.stays = (self.stays + step).min(1.0);
         }
     }
--- a/crates/steer/src/callers/forward.rs
+++ b/crates/steer/src/callers/forward.rs
@@ -22,7 +22,7 @@
     /// The instance's answer, or the host's own.
     pub(crate) result: Result<Answer, Refusal>,
     /// Instance that answered, or was tried last.
-    pub(crate) instance: Option<Arc<str>>,
+    pub(crate) choice: Option<Choice>,
     /// Attempts that reached an instance, as far as known.
     pub(crate) attempts: u32,
 }
@@ -34,23 +34,24 @@
     let mut attempts = 0;
     let mut may_have_run = false;
     let mut last: Option<Failure> = None;
+    let mut chosen: Option<Choice> = None;
     loop {
         let left = call.end.saturating_sub(clock::now());
         let choice = match choose(state, call, &tried, left) {
             Ok(choice) => choice,
             Err(refusal) => {
                 let result = conclude(last, may_have_run, refusal);
-                return Ending { result, instance: tried.pop(), attempts };
+                return Ending { result, choice: chosen, attempts };
             }
         };
         tried.push(choice.id.clone());
         let failure = match attempt(state, call, body, &choice, left).await {
             Ok(answer) => {
-                let instance = Some(choice.id);
-                return Ending { result: Ok(answer), instance, attempts: attempts + 1 };
+                return Ending { result: Ok(answer), choice: Some(choice), attempts: attempts + 1 };
             }
             Err(failure) => failure,
         };
+        chosen = Some(choice);
         attempts += u32::from(failure.arrived);
         may_have_run |= failure.may_have_run;
         let goes_on = may_go_on(state, call, &failure, attempts, tried.len());
@@ -58,7 +59,7 @@
         if !goes_on {
             let refusal = Refusal::after(Reason::Shed, NO_INSTANCE_RETRY_AFTER);
             let result = conclude(last, may_have_run, refusal);
-            return Ending { result, instance: tried.pop(), attempts };
+            return Ending { result, choice: chosen, attempts };
         }
     }
 }
--- a/crates/steer/src/callers/handle.rs
+++ b/crates/steer/src/callers/handle.rs
@@ -1,11 +1,12 @@
 //! Answers one request.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::{Body as _, Incoming};
+use marjorampick_core::steering::fleet::Choice;
 use marjorampick_link::wire::headers::strip_hop_by_hop;
 use tokio::time::timeout;
 
@@ -82,7 +83,7 @@
         Ok(body) => body,
         Err(refusal) => return refuse(state, Some(call), refusal, call.started),
     };
-    let Ending { result, instance, attempts } = forward::forward(state, call, &body).await;
+    let Ending { result, choice, attempts } = forward::forward(state, call, &body).await;
     let response = match result {
         Ok(answer) => pass_on(answer),
         Err(refusal) => {
@@ -90,11 +91,18 @@
             if refusal.reason.is_not_run() {
                 give_back(state, call);
             }
-            note(state, call, refusal.reason.name(), &refusal.into_response(), instance, attempts);
+            note(
+                state,
+                call,
+                refusal.reason.name(),
+                &refusal.into_response(),
+                choice.as_ref(),
+                attempts,
+            );
             return refusal.into_response();
         }
     };
-    note(state, call, "answered", &response, instance, attempts);
+    note(state, call, "answered", &response, choice.as_ref(), attempts);
     response
 }
 
@@ -171,6 +179,9 @@
                 workspace: "",
                 service: "",
                 instance: "",
+                remote: false,
+                known: false,
+                expected_ms: 0,
                 status: response.status().as_u16(),
                 reason,
                 attempts: 0,
@@ -190,7 +201,7 @@
     call: &Call,
     reason: &str,
     response: &Response<Full<Bytes>>,
-    instance: Option<Arc<str>>,
+    choice: Option<&Choice>,
     attempts: u32,
 ) {
     let elapsed = clock::now().saturating_sub(call.started);
@@ -202,7 +213,10 @@
         route: &call.route.name,
         workspace: &workspace,
         service: &call.service,
-        instance: instance.as_deref().unwrap_or_default(),
+        instance: choice.map_or("", |choice| &choice.id),
+        remote: choice.is_some_and(|choice| choice.is_remote),
+        known: choice.is_some_and(|choice| choice.knows),
+        expected_ms: choice.map_or(0, |choice| Duration::from_secs_f64(choice.cost).as_millis()),
         status: status.as_u16(),
         reason,
         attempts,
--- a/crates/steer/src/events.rs
+++ b/crates/steer/src/events.rs
@@ -169,6 +169,12 @@
         service: &'a str,
         /// Instance that answered.
         instance: &'a str,
+        /// Whether that instance is in another region.
+        remote: bool,
+        /// Whether it was expected to know the object.
+        known: bool,
+        /// Milliseconds in which it was expected to answer, other costs included.
+        expected_ms: u128,
         /// Status of the answer.
         status: u16,
         /// Why it has this status.
