feed: the pause between watches follows the time in which changes must be known

Entries change many times a second, so that each call returns at once, and the fixed pause of 600 ms set the rate. Change: the pause is 45% of the shorter of the times for configurations and drains, from the settings.

--- a/crates/steer/src/constants.rs
+++ b/crates/steer/src/constants.rs
@@ -5,8 +5,9 @@
 /// Wait of one watch call. A connection that went silent is noticed soon after it.
 pub(crate) const WATCH_WAIT: Duration = Duration::from_millis(1000);
 
-/// Pause between two watch calls. Every call costs money, and entries change many times a second.
-pub(crate) const WATCH_PAUSE: Duration = Duration::from_millis(600);
+/// Part of the time in which changes must be known after which the next watch call is made. Every
+/// call costs money, and entries change many times a second.
+pub(crate) const WATCH_PART: f64 = 0.45;
 
 /// Longest time for an answer of the store beyond the time that the call may wait.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(900);
--- a/crates/steer/src/feed.rs
+++ b/crates/steer/src/feed.rs
@@ -16,7 +16,7 @@
 use crate::{
     clock,
     codec::{Fact, Subject},
-    constants::{FIRST_STORE_PAUSE, LONGEST_STORE_PAUSE, OUTAGE, WATCH_PAUSE, WATCH_WAIT},
+    constants::{FIRST_STORE_PAUSE, LONGEST_STORE_PAUSE, OUTAGE, WATCH_PART, WATCH_WAIT},
     events::{Event, Rank},
     metrics,
     presence::{HOSTS, PREFIX, SEATS},
@@ -38,13 +38,14 @@
         lost_at: clock::now(),
         returned_at: None,
     };
+    let between = feed.state.settings.store.propagation.mul_f64(WATCH_PART);
     let mut pause = FIRST_STORE_PAUSE;
     loop {
         let step = if feed.is_listed { feed.watch().await } else { feed.read().await };
         match step {
             Ok(()) => {
                 pause = FIRST_STORE_PAUSE;
-                sleep(WATCH_PAUSE).await;
+                sleep(between).await;
             }
             Err(fault) => {
                 feed.failed(&fault);
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -52,7 +52,7 @@
     state.log.write(Rank::Notice, start);
     let recorder = metrics::install()?;
     serve_others(&state, recorder.clone()).await?;
-    let client = Client::new(state.settings.store, state.codec.store.clone());
+    let client = Client::new(state.settings.store.address, state.codec.store.clone());
     let (stopping, stopped) = watch::channel(false);
     let (closing, closed) = watch::channel(false);
     tokio::task::spawn_local(feed::run(state.clone(), client.clone()));
--- a/crates/steer/src/settings.rs
+++ b/crates/steer/src/settings.rs
@@ -37,6 +37,15 @@
     pub metrics: SocketAddr,
 }
 
+/// The platform's store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Store {
+    /// Its address.
+    pub address: SocketAddr,
+    /// Time in which every change must take effect at every host.
+    pub propagation: Duration,
+}
+
 /// Everything that a process is told when it starts.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -46,8 +55,8 @@
     pub failure_domains: HashMap<Arc<str>, Arc<str>>,
     /// Addresses that the host listens on.
     pub listeners: Listeners,
-    /// Address of the platform's store.
-    pub store: SocketAddr,
+    /// The platform's store.
+    pub store: Store,
     /// Time between the request to stop and the kill.
     pub grace: Duration,
     /// Lifetime of look-up answers.
@@ -86,7 +95,14 @@
             peers: address(&mut listen, findings, "peers"),
             metrics: address(&mut listen, findings, "metrics"),
         },
-        store: address(&mut store, findings, "address"),
+        store: Store {
+            address: address(&mut store, findings, "address"),
+            propagation: duration(&mut store, findings, "configuration_time").min(duration(
+                &mut store,
+                findings,
+                "drain_time",
+            )),
+        },
         grace: duration(&mut stop, findings, "grace"),
         lookup_lifetime: duration(&mut lookup, findings, "longest_lifetime").min(LOOKUP_LIFETIME),
         rates: rates(table, findings),
