--- a/crates/steer/src/callers/attempt.rs
+++ b/crates/steer/src/callers/attempt.rs
@@ -29,7 +29,7 @@
     /// Whether the time ran out.
     pub(crate) is_late: bool,
     /// The instance's own failure, which the caller gets if nothing better follows.
-    pub(crate) answer: Option<Answer>,
+    pub(crate) answer: Option<Box<Answer>>,
     /// What happened.
     pub(crate) reason: String,
 }
@@ -160,7 +160,7 @@
     } else if status.is_server_error() {
         sending.end(Outcome::Failed, report);
         let reason = format!("failed with {}", status.as_u16());
-        Failure { answer: Some(answer), ..Failure::unknown(reason) }
+        Failure { answer: Some(Box::new(answer)), ..Failure::unknown(reason) }
     } else {
         sending.end(Outcome::Answered(elapsed), report);
         metrics::attempted(&call.service, "answered");
--- a/crates/steer/src/callers/forward.rs
+++ b/crates/steer/src/callers/forward.rs
@@ -124,7 +124,7 @@
         return Err(refusal);
     };
     if let Some(answer) = failure.answer {
-        return Ok(answer);
+        return Ok(*answer);
     }
     match (may_have_run, failure.is_late) {
         (false, _) => Err(refusal),
--- a/crates/steer/src/feed.rs
+++ b/crates/steer/src/feed.rs
@@ -3,12 +3,7 @@
 //! A full read, and then every change after its revision. A watch that fails is asked again from the
 //! same revision; when that history is gone, everything is read anew. See docs/platform.md.
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    rc::Rc,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeSet, rc::Rc, sync::Arc, time::Duration};
 
 use marjorampick_core::steering::{fleet::RETURN_TIME, instance::Listed, plan::Plan};
 use tokio::time::sleep;
@@ -20,7 +15,7 @@
     events::{Event, Rank},
     metrics,
     presence::{HOSTS, PREFIX, SEATS},
-    state::{Registration, State},
+    state::{Known, Registration, State},
     store::{Call, Change, Client, Fault, Item, Reply},
 };
 
@@ -102,9 +97,9 @@
         }
         self.answered();
         let keys: BTreeSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
-        for key in self.known_keys().into_iter().filter(|key| !keys.contains(key.subject.as_str()))
-        {
-            self.gone(&key.kind, first_revision);
+        let entries = self.known_entries().into_iter();
+        for entry in entries.filter(|entry| !keys.contains(entry.key.as_str())) {
+            self.gone(&entry.kind, first_revision);
         }
         for item in &items {
             self.take(item);
@@ -189,7 +184,7 @@
         match (self.state.codec.fact)(item) {
             Ok(Fact::Plan(plan)) => self.take_plan(*plan, item.revision),
             Ok(Fact::Evacuation(domain)) => self.evacuate(&domain, true, item.revision),
-            Ok(Fact::Instance(listed)) => self.take_instance(listed, item.revision),
+            Ok(Fact::Instance(listed)) => self.take_instance(&listed, item.revision),
             Ok(Fact::Other) => {}
             Err(reason) => self.ignore(item, &reason.to_string()),
         }
@@ -200,7 +195,10 @@
             Ok(registration) => {
                 let name: Arc<str> = Arc::from(name);
                 self.state.seats.borrow_mut().registered(&name);
-                self.state.hosts.borrow_mut().insert(name, (registration, None));
+                self.state
+                    .hosts
+                    .borrow_mut()
+                    .insert(name, Known { registration, missing_until: None });
             }
             Err(error) => self.ignore(item, &error.to_string()),
         }
@@ -233,7 +231,7 @@
         }
     }
 
-    fn take_instance(&self, listed: Listed, revision: u64) {
+    fn take_instance(&self, listed: &Listed, revision: u64) {
         let changed = self.state.fleet.borrow_mut().list(clock::now(), listed.clone());
         if changed {
             let event = Event::Instance {
@@ -281,7 +279,7 @@
                 self.state.seats.borrow_mut().ended(now, name);
                 let mut hosts = self.state.hosts.borrow_mut();
                 match (grace, hosts.get_mut(name)) {
-                    (Some(until), Some((_, missing))) => *missing = Some(until),
+                    (Some(until), Some(host)) => host.missing_until = Some(until),
                     _ => drop(hosts.remove(name)),
                 }
             }
@@ -297,8 +295,8 @@
         }
     }
 
-    /// Keys that were there as far as this host knows.
-    fn known_keys(&self) -> Vec<Known> {
+    /// Entries that were there as far as this host knows.
+    fn known_entries(&self) -> Vec<Entry> {
         let fleet = self.state.fleet.borrow();
         let instances = fleet.ids().into_iter().map(Subject::Instance);
         let evacuated = fleet.evacuated().cloned().map(Subject::Evacuation);
@@ -306,7 +304,7 @@
         let hosts = self.state.hosts.borrow();
         let of_hosts = hosts.keys().cloned().map(Kind::Host);
         let kinds: Vec<Kind> = of_platform.chain(of_hosts).collect();
-        kinds.into_iter().map(|kind| Known { subject: self.key(&kind), kind }).collect()
+        kinds.into_iter().map(|kind| Entry { key: self.key(&kind), kind }).collect()
     }
 
     fn key(&self, kind: &Kind) -> String {
@@ -330,8 +328,8 @@
     Platform(Subject),
 }
 
-struct Known {
-    subject: String,
+struct Entry {
+    key: String,
     kind: Kind,
 }
 
@@ -342,11 +340,8 @@
         let event = Event::InstanceGone { id: &id, reason: "did not come back" };
         state.log.write(Rank::Notice, event);
     }
-    let mut hosts: std::cell::RefMut<'_, BTreeMap<_, _>> = state.hosts.borrow_mut();
-    hosts.retain(|_, (_, missing): &mut (Registration, Option<Duration>)| {
-        missing.is_none_or(|due| now < due)
-    });
-    drop(hosts);
+    let is_kept = |host: &Known| host.missing_until.is_none_or(|due| now < due);
+    state.hosts.borrow_mut().retain(|_, host| is_kept(host));
     state.publish_hosts();
     state.publish_readiness();
 }
--- a/crates/steer/src/lending.rs
+++ b/crates/steer/src/lending.rs
@@ -89,7 +89,8 @@
         let mut lenders = self.lenders.borrow_mut();
         let chosen = lenders.entry(workspace.clone()).or_default().choose(now, &hosts);
         for host in chosen {
-            let Some(address) = state.hosts.borrow().get(&host).map(|(host, _)| host.peers) else {
+            let Some(address) = state.hosts.borrow().get(&host).map(|host| host.registration.peers)
+            else {
                 continue;
             };
             let id = self.new_id();
@@ -187,7 +188,10 @@
     let others = hosts.iter().filter(|(name, _)| **name != own.name);
     others
         .filter(|(name, _)| rates.is_holder(name, workspace, limits))
-        .map(|(name, (host, _))| Lender { host: name.clone(), is_near: host.region == own.region })
+        .map(|(name, host)| {
+            let is_near = host.registration.region == own.region;
+            Lender { host: name.clone(), is_near }
+        })
         .collect()
 }
 
--- a/crates/steer/src/state.rs
+++ b/crates/steer/src/state.rs
@@ -44,6 +44,15 @@
     pub failure_domain: Arc<str>,
 }
 
+/// A host as this one knows it.
+#[derive(Clone, Debug)]
+pub struct Known {
+    /// What it registered.
+    pub registration: Registration,
+    /// When it is dropped although its entry may come back, after an outage of the store.
+    pub missing_until: Option<Duration>,
+}
+
 /// What the listeners of look-ups and readiness read.
 #[derive(Debug)]
 pub struct Board {
@@ -69,8 +78,8 @@
     pub rates: RefCell<Rates>,
     /// Hosts that share budgets.
     pub seats: RefCell<Seats>,
-    /// Registered hosts, with the time at which one whose entry is missing is dropped.
-    pub hosts: RefCell<BTreeMap<Arc<str>, (Registration, Option<Duration>)>>,
+    /// Registered hosts by name.
+    pub hosts: RefCell<BTreeMap<Arc<str>, Known>>,
     /// Connections to backend servers.
     pub pool: RefCell<Pool>,
     /// What other listeners read.
@@ -149,13 +158,14 @@
     pub fn publish_hosts(&self) {
         let hosts = self.hosts.borrow();
         let own = &self.settings.host;
-        let near = hosts.iter().filter(|(_, (host, _))| host.region == own.region);
+        let near = hosts.iter().filter(|(_, host)| host.registration.region == own.region);
         let mut peers: Vec<Arc<str>> = near.map(|(name, _)| name.clone()).collect();
         if !peers.contains(&own.name) {
             peers.push(own.name.clone());
         }
         self.fleet.borrow_mut().set_peers(peers);
-        let listed: Vec<Registration> = hosts.values().map(|(host, _)| host.clone()).collect();
+        let listed: Vec<Registration> =
+            hosts.values().map(|host| host.registration.clone()).collect();
         let registered = listed.len();
         self.board.hosts.store(Arc::new(listed));
         let is_seated = self.seated_from.get().is_some_and(|from| from <= clock::now());
