--- a/crates/steer/src/feed.rs
+++ b/crates/steer/src/feed.rs
@@ -5,6 +5,7 @@
 
 use std::{collections::BTreeSet, rc::Rc, sync::Arc, time::Duration};
 
+use futures_util::future::try_join_all;
 use marjorampick_core::steering::{fleet::RETURN_TIME, instance::Listed, plan::Plan};
 use tokio::time::sleep;
 
@@ -90,8 +91,8 @@
         let mut first_revision = u64::MAX;
         let prefixes: Vec<&str> =
             self.state.codec.prefixes.iter().copied().chain([PREFIX]).collect();
-        for prefix in prefixes {
-            let (page, revision) = self.range(prefix).await?;
+        let ranges = prefixes.into_iter().map(|prefix| self.range(prefix));
+        for (page, revision) in try_join_all(ranges).await? {
             items.extend(page);
             first_revision = first_revision.min(revision);
         }
--- a/crates/steer/src/presence.rs
+++ b/crates/steer/src/presence.rs
@@ -80,6 +80,7 @@
         Err(fault) => return Err(fault),
     };
     state.seated_from.set(Some(clock::now() + wait));
+    state.publish_hosts();
     Ok(Seat::Held)
 }
 
