--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -549,18 +549,15 @@
             return;
         };
         let (mut own, mut others) = ((0.0, 0.0), (0.0, 0.0));
-        let mut own_slots = 0.0;
         for instance in &group.instances {
             let is_usable = !instance.listed.is_draining
-                && !self.evacuated.contains(&instance.listed.domain);
-            let is_own = instance.region.as_ref() == Some(&region);
-            if is_usable && is_own {
-                own_slots += f64::from(instance.listed.slots);
-            }
-            if !is_usable || !instance.is_trusted(now) {
+                && !self.evacuated.contains(&instance.listed.domain)
+                && instance.is_trusted(now);
+            if !is_usable {
                 continue;
             }
-            let sum = if is_own { &mut own } else { &mut others };
+            let sum =
+                if instance.region.as_ref() == Some(&region) { &mut own } else { &mut others };
             sum.0 += instance.load.total(now);
             sum.1 += f64::from(instance.listed.slots);
         }
@@ -568,7 +565,6 @@
         let part = own.1 / (own.1 + others.1).max(1.0);
         group.spill.start(part * regions.len() as f64 * FIRST_STAY);
         let relative = |(load, slots): (f64, f64)| if slots > 0.0 { load / slots } else { 1.0 };
-        group.spill.set_slots(own_slots, relative(others));
         group.spill.update(now, relative(own), relative(others));
     }
 
--- a/crates/core/src/steering/spill.rs
+++ b/crates/core/src/steering/spill.rs
@@ -24,27 +24,18 @@
 /// Smallest part that stays.
 const SMALLEST_PART: f64 = 0.15;
 
-/// Part of the slots that is left after a loss which moves requests at once.
-const LARGE_LOSS: f64 = 0.7;
-
-/// Load of the other regions, relative to their slots, below which they have room for a large move.
-/// Objects that move are new to the instances there, which costs more than it gives under high load.
-const ROOM: f64 = 0.45;
-
 /// The part that stays, and when it last changed.
 #[derive(Clone, Debug)]
 pub struct Spill {
     stays: f64,
     has_started: bool,
-    /// Slots of the own region when they last changed.
-    slots: f64,
     updated: Duration,
 }
 
 impl Spill {
     /// Everything stays.
     pub fn new(now: Duration) -> Self {
-        Self { stays: 1.0, has_started: false, slots: 0.0, updated: now }
+        Self { stays: 1.0, has_started: false, updated: now }
     }
 
     /// Part of the requests that stays, 0 to 1.
@@ -60,18 +51,6 @@
         }
     }
 
-    /// Takes the slots of the own region, and the load of the other regions relative to theirs.
-    ///
-    /// Load pattern: a failure domain is evacuated or dies, and with it half of the region's slots. What
-    /// they carried leaves at once if the others have room. Small changes move nothing by themselves.
-    pub fn set_slots(&mut self, slots: f64, others: f64) {
-        let is_large = self.slots > 0.0 && slots < self.slots * LARGE_LOSS;
-        if is_large && others < ROOM {
-            self.stays = (self.stays * slots / self.slots).max(SMALLEST_PART);
-        }
-        self.slots = slots;
-    }
-
     /// Takes the present load of the own region and of the others, relative to their slots.
     pub fn update(&mut self, now: Duration, own: f64, others: f64) {
         let elapsed = now.saturating_sub(self.updated).min(LONGEST_STEP);
