--- a/crates/steer/src/constants.rs
+++ b/crates/steer/src/constants.rs
@@ -7,7 +7,7 @@
 
 /// Part of the time in which changes must be known after which the next watch call is made. Every
 /// call costs money, and entries change many times a second.
-pub(crate) const WATCH_PART: f64 = 0.45;
+pub(crate) const WATCH_PART: f64 = 0.6;
 
 /// Longest time for an answer of the store beyond the time that the call may wait.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(900);
