presence: a host names itself in look-ups as soon as it is registered

Cause: foreign_entries_are_ignored failed once: a host learned of its own registration with its next watch, up to 1.5 s after it was ready, and its look-ups did not name it until then. Change: the host adds its own registration when it is written and removes it when it is told to stop.

--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -465,7 +465,7 @@
         for instance in candidates {
             let is_first = first.as_ref() == Some(&instance.listed.id);
             let knows = wish.object.is_none_or(|object| is_first || instance.knows(now, object));
-            let time = self.expected_time(now, group, instance, wish, knows, usual);
+            let time = self.expected_time(now, group, instance, knows, usual);
             if !self.is_open(now, group, instance, wish, time) {
                 continue;
             }
@@ -524,7 +524,6 @@
         now: Duration,
         group: &Group,
         instance: &Instance,
-        wish: &Wish<'_>,
         knows: bool,
         usual: f64,
     ) -> f64 {
--- a/crates/core/src/steering/tests/fleet.rs
+++ b/crates/core/src/steering/tests/fleet.rs
@@ -252,9 +252,12 @@
         let first = fleet.choose(at(0), &object).unwrap().id;
         let second = if first == name("n1") { name("n2") } else { name("n1") };
         // The instance that knows the object is full, and the other one has `others` requests.
-        while send(&mut fleet, at(0), &Wish { tried: &[second.clone()], ..wish() }).is_ok() {}
+        while send(&mut fleet, at(0), &Wish { tried: std::slice::from_ref(&second), ..wish() })
+            .is_ok()
+        {}
         for _ in 0..others {
-            send(&mut fleet, at(0), &Wish { tried: &[first.clone()], ..wish() }).unwrap();
+            send(&mut fleet, at(0), &Wish { tried: std::slice::from_ref(&first), ..wish() })
+                .unwrap();
         }
         fleet.choose(at(0), &object).is_ok()
     };
--- a/crates/steer/src/feed.rs
+++ b/crates/steer/src/feed.rs
@@ -192,6 +192,10 @@
     }
 
     fn take_host(&self, name: &str, item: &Item) {
+        let is_own = *name == *self.state.settings.host.name;
+        if is_own && self.state.is_draining.get() {
+            return;
+        }
         match serde_json::from_slice::<Registration>(&item.value) {
             Ok(registration) => {
                 let name: Arc<str> = Arc::from(name);
--- a/crates/steer/src/presence.rs
+++ b/crates/steer/src/presence.rs
@@ -10,7 +10,7 @@
     constants::{FIRST_STORE_PAUSE, LONGEST_STORE_PAUSE, REGISTRATION_LEASE, RENEWAL_INTERVAL},
     events::{Event, Rank},
     metrics,
-    state::{Registration, State},
+    state::{Known, Registration, State},
     store::{Call, Client, Fault, Reply, Transaction, Write},
 };
 
@@ -101,6 +101,10 @@
     let write = Write { key: format!("{HOSTS}{}", host.name), value, lease };
     let transaction = Transaction { writes: vec![write], ..Transaction::default() };
     call(state, client, &Call::Write(transaction)).await?;
+    // The feed would tell only with the next watch.
+    let known = Known { registration, missing_until: None };
+    state.hosts.borrow_mut().insert(host.name.clone(), known);
+    state.publish_hosts();
     Ok(lease)
 }
 
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -85,6 +85,8 @@
     let started = clock::now();
     state.is_draining.set(true);
     state.publish_readiness();
+    state.hosts.borrow_mut().remove(&state.settings.host.name);
+    state.publish_hosts();
     stopping.send_replace(true);
     state.log.write(Rank::Notice, Event::Stopping { in_flight: state.in_flight.get() });
     let grace = state.settings.grace;
