--- /dev/null
+++ b/crates/core/src/steering/fleet/choice.rs
@@ -0,0 +1,285 @@
+//! The choice of an instance for a request.
+//!
+//! An instance is chosen by the time in which it is likely to answer: the work, which is much less if
+//! it handled the request's object lately, and the wait behind the requests that it already has. With
+//! equal instances the first one by rendezvous hash of the object wins, so that all hosts send the
+//! requests of one object to the same instance without talking. See docs/platform.md.
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use super::{
+    Fleet,
+    group::{Group, usual_seconds},
+};
+use crate::{
+    rendezvous,
+    steering::{cold, instance::Instance},
+};
+
+/// Cost of a fully busy instance beside the wait, relative to the work, so that equal instances
+/// share the load.
+const BUSY_COST: f64 = 0.3;
+
+/// Cost of a failure, relative to the work on an unknown object.
+const FAILURE_COST: f64 = 4.0;
+
+/// Cost of another failure domain of the own region, in seconds.
+const OTHER_DOMAIN_COST: f64 = 0.005;
+
+/// Cost of another region beside the time on the way, in seconds.
+const OTHER_REGION_COST: f64 = 0.02;
+
+/// Part of the target time that the most urgent requests may be expected to take at an instance
+/// whose slots are all taken. Beyond it they would be late and make others late.
+const FULL_PART: f64 = 1.0;
+
+/// Load of the own region, relative to its slots, above which [`SLOW_PART`] counts.
+const BUSY_LOAD: f64 = 0.7;
+
+/// Part of an instance's slots that requests may take which are expected to miss the target anyway.
+/// Work on unknown objects would otherwise push out several times as much work on known ones.
+const SLOW_PART: f64 = 0.6;
+
+/// What each less urgent rank loses of [`FULL_PART`].
+const PART_PER_RANK: f64 = 0.1;
+
+/// Ranks that are told apart.
+const RANKS: u8 = 4;
+
+/// Target time of routes that name none, in seconds.
+const DEFAULT_TARGET: f64 = 1.0;
+
+/// How much more than an equal part of the requests a region is expected to keep at first, relative
+/// to its part of the slots.
+const FIRST_STAY: f64 = 1.15;
+
+/// What a request needs of an instance.
+#[derive(Clone, Debug)]
+pub struct Wish<'a> {
+    /// Service that runs it.
+    pub service: &'a str,
+    /// Regions in which it may run; all when empty.
+    pub homes: &'a [Arc<str>],
+    /// Further regions that must also be allowed; all when empty.
+    pub also: &'a [Arc<str>],
+    /// Hash of the object that it concerns, where instances remember objects.
+    pub object: Option<u64>,
+    /// Instances that must not be tried again.
+    pub tried: &'a [Arc<str>],
+    /// Rank, where 0 is the most urgent.
+    pub priority: u8,
+    /// Time within which an answer is of full use.
+    pub target: Option<Duration>,
+    /// Number between 0 and 1 that decides whether the request stays in the own region.
+    pub draw: f64,
+}
+
+/// Instance that gets a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// The instance.
+    pub id: Arc<str>,
+    /// Its start.
+    pub incarnation: u64,
+    /// Its address.
+    pub address: std::net::SocketAddr,
+    /// Whether it is in another region.
+    pub is_remote: bool,
+    /// Whether the instance is expected to know the object.
+    pub knows: bool,
+    /// Likely time to the answer with its other costs, in seconds.
+    pub cost: f64,
+}
+
+/// Why no instance can get a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Shortage {
+    /// No instance of the service is known that may run it.
+    NoInstance,
+    /// Those that may run it have as much as they can do in time.
+    Full {
+        /// When it is worth coming back.
+        retry_after: Duration,
+    },
+}
+
+impl Fleet {
+    /// Chooses an instance.
+    pub fn choose(&mut self, now: Duration, wish: &Wish<'_>) -> Result<Choice, Shortage> {
+        self.update_spill(now, wish.service);
+        let Some(group) = self.groups.get(wish.service) else {
+            return Err(Shortage::NoInstance);
+        };
+        let candidates: Vec<&Instance> =
+            group.instances.iter().filter(|instance| self.may_run(instance, wish)).collect();
+        if candidates.is_empty() {
+            return Err(Shortage::NoInstance);
+        }
+        let is_local = |instance: &&&Instance| self.is_local(instance);
+        let stays = wish.draw < group.spill.stays();
+        let near: Vec<&Instance> =
+            candidates.iter().filter(|i| is_local(i) == stays).copied().collect();
+        let key = wish.object.map(|object| rendezvous::Key::new([object.to_string().as_str()]));
+        let best = self.best(now, group, &near, wish, key);
+        let best = best.or_else(|| {
+            let far: Vec<&Instance> =
+                candidates.iter().filter(|i| is_local(i) != stays).copied().collect();
+            let has_room = near.is_empty() || near.iter().all(|i| !i.is_trusted(now)) || !stays;
+            if has_room { self.best(now, group, &far, wish, key) } else { None }
+        });
+        best.ok_or_else(|| Shortage::Full { retry_after: self.retry_after(group) })
+    }
+
+    /// Whether the rules allow the request at the instance, whatever its load.
+    fn may_run(&self, instance: &Instance, wish: &Wish<'_>) -> bool {
+        let allows = |homes: &[Arc<str>]| {
+            homes.is_empty()
+                || instance.region.as_ref().is_some_and(|region| homes.contains(region))
+        };
+        !instance.listed.is_draining
+            && !self.evacuated.contains(&instance.listed.domain)
+            && !wish.tried.contains(&instance.listed.id)
+            && allows(wish.homes)
+            && allows(wish.also)
+    }
+
+    fn best(
+        &self,
+        now: Duration,
+        group: &Group,
+        candidates: &[&Instance],
+        wish: &Wish<'_>,
+        key: Option<rendezvous::Key>,
+    ) -> Option<Choice> {
+        let first = key.and_then(|key| {
+            let settled = candidates.iter().filter(|i| !i.is_cold(now) && i.is_trusted(now));
+            settled.max_by_key(|i| key.weight(&i.listed.id)).map(|i| i.listed.id.clone())
+        });
+        let usual = usual_seconds(group);
+        let mut best: Option<(f64, u64, &Instance, bool)> = None;
+        for instance in candidates {
+            let is_first = first.as_ref() == Some(&instance.listed.id);
+            let knows = wish.object.is_none_or(|object| is_first || instance.knows(now, object));
+            let time = self.expected_time(now, group, instance, knows, usual);
+            if !self.is_open(now, group, instance, wish, time) {
+                continue;
+            }
+            let cost = time + self.other_costs(now, group, instance);
+            let tie = key.map_or(0, |key| key.weight(&instance.listed.id));
+            let wins = best.is_none_or(|(least, weight, ..)| {
+                cost < least - f64::EPSILON || (cost <= least && tie > weight)
+            });
+            if wins {
+                best = Some((cost, tie, instance, knows));
+            }
+        }
+        best.map(|(cost, _, instance, knows)| Choice {
+            id: instance.listed.id.clone(),
+            incarnation: instance.listed.incarnation,
+            address: instance.listed.address,
+            is_remote: !self.is_local(instance),
+            knows,
+            cost,
+        })
+    }
+
+    /// Whether the instance can take one more request now that is expected to take `time`.
+    fn is_open(
+        &self,
+        now: Duration,
+        group: &Group,
+        instance: &Instance,
+        wish: &Wish<'_>,
+        time: f64,
+    ) -> bool {
+        if !instance.is_trusted(now) {
+            return false;
+        }
+        if instance.is_cold(now) {
+            let part = self.cold_part(&instance.listed.id, group.cold_rate);
+            let may_send = self.is_local(instance) && part > 0.0 && instance.pace_is_open(now);
+            if !may_send {
+                return false;
+            }
+        }
+        let slots = f64::from(instance.listed.slots.max(1));
+        let in_target = time <= wish.target.map_or(DEFAULT_TARGET, |target| target.as_secs_f64());
+        let free_for =
+            if in_target || group.own_load < BUSY_LOAD { slots } else { slots * SLOW_PART };
+        let has_slot = instance.load.total(now) + 1.0 <= free_for.max(1.0);
+        let rank = f64::from(wish.priority.min(RANKS));
+        let part = FULL_PART - rank * PART_PER_RANK;
+        let target = wish.target.map_or(DEFAULT_TARGET, |target| target.as_secs_f64());
+        has_slot || time <= target * part
+    }
+
+    /// Seconds in which the instance is likely to answer.
+    fn expected_time(
+        &self,
+        now: Duration,
+        group: &Group,
+        instance: &Instance,
+        knows: bool,
+        usual: f64,
+    ) -> f64 {
+        let slots = f64::from(instance.listed.slots.max(1));
+        let load = instance.load.total(now);
+        let work = if knows { group.known_work() } else { group.new_work() };
+        let wait = (load + 1.0 - slots).max(0.0) / slots * group.known_work();
+        (work + wait) * instance.slowness(usual)
+    }
+
+    /// What speaks against an instance beside the time, in seconds.
+    fn other_costs(&self, now: Duration, group: &Group, instance: &Instance) -> f64 {
+        let slots = f64::from(instance.listed.slots.max(1));
+        let busy = BUSY_COST * group.known_work() * instance.load.total(now) / slots;
+        let distance = if !self.is_local(instance) {
+            OTHER_REGION_COST
+        } else if instance.listed.domain != self.place.domain {
+            OTHER_DOMAIN_COST
+        } else {
+            0.0
+        };
+        busy + distance + FAILURE_COST * group.new_work() * instance.failure_part()
+    }
+
+    pub(super) fn cold_part(&self, id: &str, rate: f64) -> f64 {
+        let hosts: Vec<&str> = self.peers.iter().map(AsRef::as_ref).collect();
+        cold::part(rate, id, &self.place.host, &hosts)
+    }
+
+    /// Moves the part of the service's requests that stays in the own region.
+    fn update_spill(&mut self, now: Duration, service: &str) {
+        let region = self.place.region.clone();
+        let Some(group) = self.groups.get_mut(service) else {
+            return;
+        };
+        let (mut own, mut others) = ((0.0, 0.0), (0.0, 0.0));
+        for instance in &group.instances {
+            let is_usable = !instance.listed.is_draining
+                && !self.evacuated.contains(&instance.listed.domain)
+                && instance.is_trusted(now);
+            if !is_usable {
+                continue;
+            }
+            let sum =
+                if instance.region.as_ref() == Some(&region) { &mut own } else { &mut others };
+            sum.0 += instance.load.total(now);
+            sum.1 += f64::from(instance.listed.slots);
+        }
+        let regions: BTreeSet<&Arc<str>> = self.place.domains.values().collect();
+        let part = own.1 / (own.1 + others.1).max(1.0);
+        group.spill.start(part * regions.len() as f64 * FIRST_STAY);
+        let relative = |(load, slots): (f64, f64)| if slots > 0.0 { load / slots } else { 1.0 };
+        group.own_load = relative(own);
+        group.spill.update(now, group.own_load, relative(others));
+    }
+
+    /// A full instance has room again after about one answer.
+    fn retry_after(&self, group: &Group) -> Duration {
+        const SHORTEST: Duration = Duration::from_millis(200);
+        const LONGEST: Duration = Duration::from_millis(1500);
+        let usual = Duration::from_secs_f64(group.answer_seconds.unwrap_or(0.5));
+        usual.clamp(SHORTEST, LONGEST)
+    }
+}
--- a/crates/core/src/steering/plan.rs
+++ b/crates/core/src/steering/plan.rs
@@ -52,10 +52,6 @@
 /// One service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
-    /// Path of its health check.
-    pub health_path: Arc<str>,
-    /// Connections that an instance accepts from all hosts together.
-    pub connections: u32,
     /// How long an instance is cold after its start.
     pub warmup: Duration,
     /// Requests per second that a cold instance tolerates, from all hosts together.
@@ -82,8 +78,6 @@
     pub header_bytes: usize,
     /// Largest body, in bytes.
     pub body_bytes: usize,
-    /// Longest time for sending a head.
-    pub header_time: Duration,
     /// How long a connection may be idle.
     pub idle_time: Duration,
 }
--- a/crates/core/src/steering/tests/plan.rs
+++ b/crates/core/src/steering/tests/plan.rs
@@ -25,12 +25,8 @@
 }
 
 fn plan(routes: Vec<Route>) -> Plan {
-    let limits = Limits {
-        header_bytes: 16_384,
-        body_bytes: 1 << 20,
-        header_time: Duration::from_secs(3),
-        idle_time: Duration::from_secs(15),
-    };
+    let limits =
+        Limits { header_bytes: 16_384, body_bytes: 1 << 20, idle_time: Duration::from_secs(15) };
     Plan::new(1, routes, HashMap::new(), HashMap::new(), HashMap::new(), limits)
 }
 
--- a/crates/steer/src/backend/answer.rs
+++ b/crates/steer/src/backend/answer.rs
@@ -101,11 +101,6 @@
         }
     }
 
-    /// Whether a part of an answer has arrived.
-    pub fn has_begun(&self) -> bool {
-        self.head.is_some()
-    }
-
     fn finish(&mut self, ended_connection: bool) -> Option<Answer> {
         let (head, _) = self.head.take()?;
         self.chunk = Chunk::Size;
--- a/crates/steer/src/codec.rs
+++ b/crates/steer/src/codec.rs
@@ -58,8 +58,6 @@
     pub not_run: HeaderName,
     /// Load of an instance.
     pub load: HeaderName,
-    /// Milliseconds for which an instance stays cold.
-    pub cold_left: HeaderName,
 }
 
 /// Something that the store holds.
