fleet: say in one place when an instance has room, and when a request may change region

The names of the platform's wire are gone from the core, and the whole limit of a workspace is worked out in one function.

--- a/crates/core/src/steering/fleet/choice.rs
+++ b/crates/core/src/steering/fleet/choice.rs
@@ -46,6 +46,9 @@
 /// Ranks that are told apart.
 const RANKS: u8 = 4;
 
+/// Usual time to an answer until one is known, in seconds.
+const FIRST_ANSWER: f64 = 0.5;
+
 /// Target time of routes that name none, in seconds.
 const DEFAULT_TARGET: f64 = 1.0;
 
@@ -105,29 +108,29 @@
 
 impl Fleet {
     /// Chooses an instance.
+    ///
+    /// The draw decides between the own region and the others. A request goes to the other side only if
+    /// no instance of the first one can be used at all, or if it may come home: moving to another region
+    /// for want of a slot would shift traffic too fast.
     pub fn choose(&mut self, now: Duration, wish: &Wish<'_>) -> Result<Choice, Shortage> {
         self.update_spill(now, wish.service);
         let Some(group) = self.groups.get(wish.service) else {
             return Err(Shortage::NoInstance);
         };
-        let candidates: Vec<&Instance> =
-            group.instances.iter().filter(|instance| self.may_run(instance, wish)).collect();
-        if candidates.is_empty() {
+        let allowed = group.instances.iter().filter(|instance| self.may_run(instance, wish));
+        let stays = wish.draw < group.spill.stays();
+        let (preferred, others): (Vec<&Instance>, Vec<&Instance>) =
+            allowed.partition(|instance| self.is_local(instance) == stays);
+        if preferred.is_empty() && others.is_empty() {
             return Err(Shortage::NoInstance);
         }
-        let is_local = |instance: &&&Instance| self.is_local(instance);
-        let stays = wish.draw < group.spill.stays();
-        let near: Vec<&Instance> =
-            candidates.iter().filter(|i| is_local(i) == stays).copied().collect();
         let key = wish.object.map(|object| rendezvous::Key::new([object.to_string().as_str()]));
-        let best = self.best(now, group, &near, wish, key);
-        let best = best.or_else(|| {
-            let far: Vec<&Instance> =
-                candidates.iter().filter(|i| is_local(i) != stays).copied().collect();
-            let has_room = near.is_empty() || near.iter().all(|i| !i.is_trusted(now)) || !stays;
-            if has_room { self.best(now, group, &far, wish, key) } else { None }
+        let is_unusable = preferred.iter().all(|instance| !instance.is_trusted(now));
+        let best = self.best(now, group, &preferred, wish, key).or_else(|| {
+            let may_change = is_unusable || !stays;
+            may_change.then(|| self.best(now, group, &others, wish, key)).flatten()
         });
-        best.ok_or_else(|| Shortage::Full { retry_after: self.retry_after(group) })
+        best.ok_or_else(|| Shortage::Full { retry_after: retry_after(group) })
     }
 
     /// Whether the rules allow the request at the instance, whatever its load.
@@ -143,6 +146,7 @@
             && allows(wish.also)
     }
 
+    /// The open instance with the least cost among the candidates.
     fn best(
         &self,
         now: Duration,
@@ -161,7 +165,10 @@
             let is_first = first.as_ref() == Some(&instance.listed.id);
             let knows = wish.object.is_none_or(|object| is_first || instance.knows(now, object));
             let time = self.expected_time(now, group, instance, knows, usual);
-            if !self.is_open(now, group, instance, wish, time) {
+            let is_open = instance.is_trusted(now)
+                && self.tolerates(now, group, instance)
+                && has_room(now, group, instance, wish, time);
+            if !is_open {
                 continue;
             }
             let cost = time + self.other_costs(now, group, instance);
@@ -183,34 +190,13 @@
         })
     }
 
-    /// Whether the instance can take one more request now that is expected to take `time`.
-    fn is_open(
-        &self,
-        now: Duration,
-        group: &Group,
-        instance: &Instance,
-        wish: &Wish<'_>,
-        time: f64,
-    ) -> bool {
-        if !instance.is_trusted(now) {
-            return false;
+    /// Whether a cold instance tolerates a request of this host now.
+    fn tolerates(&self, now: Duration, group: &Group, instance: &Instance) -> bool {
+        if !instance.is_cold(now) {
+            return true;
         }
-        if instance.is_cold(now) {
-            let part = self.cold_part(&instance.listed.id, group.cold_rate);
-            let may_send = self.is_local(instance) && part > 0.0 && instance.pace_is_open(now);
-            if !may_send {
-                return false;
-            }
-        }
-        let slots = f64::from(instance.listed.slots.max(1));
-        let in_target = time <= wish.target.map_or(DEFAULT_TARGET, |target| target.as_secs_f64());
-        let free_for =
-            if in_target || group.own_load < BUSY_LOAD { slots } else { slots * SLOW_PART };
-        let has_slot = instance.load.total(now) + 1.0 <= free_for.max(1.0);
-        let rank = f64::from(wish.priority.min(RANKS));
-        let part = FULL_PART - rank * PART_PER_RANK;
-        let target = wish.target.map_or(DEFAULT_TARGET, |target| target.as_secs_f64());
-        has_slot || time <= target * part
+        let part = self.cold_part(&instance.listed.id, group.cold_rate);
+        self.is_local(instance) && part > 0.0 && instance.pace_is_open(now)
     }
 
     /// Seconds in which the instance is likely to answer.
@@ -243,6 +229,7 @@
         busy + distance + FAILURE_COST * group.new_work() * instance.failure_part()
     }
 
+    /// This host's part of a cold instance's rate, in requests per second.
     pub(super) fn cold_part(&self, id: &str, rate: f64) -> f64 {
         let hosts: Vec<&str> = self.peers.iter().map(AsRef::as_ref).collect();
         cold::part(rate, id, &self.place.host, &hosts)
@@ -274,12 +261,26 @@
         group.own_load = relative(own);
         group.spill.update(now, group.own_load, relative(others));
     }
+}
 
-    /// A full instance has room again after about one answer.
-    fn retry_after(&self, group: &Group) -> Duration {
-        const SHORTEST: Duration = Duration::from_millis(200);
-        const LONGEST: Duration = Duration::from_millis(1500);
-        let usual = Duration::from_secs_f64(group.answer_seconds.unwrap_or(0.5));
-        usual.clamp(SHORTEST, LONGEST)
-    }
+/// Whether the instance has room for one more request that is expected to take `time` seconds.
+///
+/// Free slots are for everybody, but in a busy region requests that will be late anyway may take only
+/// a part of them. Beyond the slots there is room while the request is expected within its target.
+fn has_room(now: Duration, group: &Group, instance: &Instance, wish: &Wish<'_>, time: f64) -> bool {
+    let target = wish.target.map_or(DEFAULT_TARGET, |target| target.as_secs_f64());
+    let slots = f64::from(instance.listed.slots.max(1));
+    let is_late_and_busy = time > target && group.own_load >= BUSY_LOAD;
+    let open_slots = if is_late_and_busy { slots * SLOW_PART } else { slots };
+    let has_slot = instance.load.total(now) + 1.0 <= open_slots.max(1.0);
+    let rank = f64::from(wish.priority.min(RANKS));
+    has_slot || time <= target * (FULL_PART - rank * PART_PER_RANK)
+}
+
+/// A full instance has room again after about one answer.
+fn retry_after(group: &Group) -> Duration {
+    const SHORTEST: Duration = Duration::from_millis(200);
+    const LONGEST: Duration = Duration::from_millis(1500);
+    let usual = Duration::from_secs_f64(group.answer_seconds.unwrap_or(FIRST_ANSWER));
+    usual.clamp(SHORTEST, LONGEST)
 }
--- a/crates/core/src/steering/instance.rs
+++ b/crates/core/src/steering/instance.rs
@@ -52,7 +52,7 @@
     /// Whether it is about to leave and takes no new requests.
     pub is_draining: bool,
     /// How much longer it is cold.
-    pub cold_left: Duration,
+    pub cold_for: Duration,
 }
 
 /// How a request to an instance ended.
@@ -97,7 +97,7 @@
 impl Instance {
     /// An instance that was just listed.
     pub fn new(now: Duration, listed: Listed, region: Option<Arc<str>>) -> Self {
-        let cold_until = now + listed.cold_left;
+        let cold_until = now + listed.cold_for;
         Self {
             listed,
             region,
@@ -118,8 +118,8 @@
     /// Takes a newer entry of the same start. Draining is never taken back.
     pub fn update(&mut self, now: Duration, listed: Listed) {
         let was_draining = self.listed.is_draining;
-        if !listed.cold_left.is_zero() {
-            self.cold_until = now + listed.cold_left;
+        if !listed.cold_for.is_zero() {
+            self.cold_until = now + listed.cold_for;
         }
         self.listed = listed;
         self.listed.is_draining |= was_draining;
--- a/crates/core/src/steering/rate.rs
+++ b/crates/core/src/steering/rate.rs
@@ -210,14 +210,20 @@
 
     /// Tokens per second, and most tokens at once, of this host.
     fn share(&self, name: &str, workspace: &Workspace) -> (f64, f64) {
-        let stretch = 1.0 + self.tolerance.overage * OVERAGE_USED;
-        let burst = workspace.burst * stretch + self.tolerance.slack * SLACK_USED;
+        let (rate, burst) = self.whole(workspace);
         let holders = self.holders(name, burst);
         if !holders.contains(&&self.host) {
             return (0.0, 0.0);
         }
         let part = 1.0 / holders.len() as f64;
-        (workspace.rate * stretch * part, burst * part)
+        (rate * part, burst * part)
+    }
+
+    /// Tokens per second, and most tokens at once, of all hosts together.
+    fn whole(&self, workspace: &Workspace) -> (f64, f64) {
+        let stretch = 1.0 + self.tolerance.overage * OVERAGE_USED;
+        let burst = workspace.burst * stretch + self.tolerance.slack * SLACK_USED;
+        (workspace.rate * stretch, burst)
     }
 
     /// Hosts that hold parts of a workspace's limit.
@@ -232,8 +238,7 @@
 
     /// Whether `host` holds a part of a workspace's limit and can lend of it.
     pub fn is_holder(&self, host: &str, name: &str, workspace: &Workspace) -> bool {
-        let stretch = 1.0 + self.tolerance.overage * OVERAGE_USED;
-        let burst = workspace.burst * stretch + self.tolerance.slack * SLACK_USED;
+        let (_, burst) = self.whole(workspace);
         self.holders(name, burst).iter().any(|holder| holder.as_ref() == host)
     }
 }
--- a/crates/core/src/steering/tests/support.rs
+++ b/crates/core/src/steering/tests/support.rs
@@ -40,7 +40,7 @@
         slots: SLOTS,
         incarnation: 1,
         is_draining: false,
-        cold_left: Duration::ZERO,
+        cold_for: Duration::ZERO,
     }
 }
 
--- a/crates/steer/src/feed.rs
+++ b/crates/steer/src/feed.rs
@@ -244,7 +244,7 @@
                 service: &listed.service,
                 domain: &listed.domain,
                 draining: listed.is_draining,
-                cold_ms: listed.cold_left.as_millis(),
+                cold_ms: listed.cold_for.as_millis(),
                 revision,
             };
             self.state.log.write(Rank::Notice, event);
