--- a/crates/core/src/steering/fleet/choice.rs
+++ b/crates/core/src/steering/fleet/choice.rs
@@ -13,7 +13,7 @@
 };
 use crate::{
     rendezvous,
-    steering::{cold, instance::Instance, mix::Side},
+    steering::{cold, instance::Instance},
 };
 
 /// Cost of a fully busy instance beside the wait, relative to the work, so that equal instances
@@ -118,12 +118,7 @@
             return Err(Shortage::NoInstance);
         };
         let allowed = group.instances.iter().filter(|instance| self.may_run(instance, wish));
-        let side = self.mix.side(now);
-        let stays = match side {
-            Side::Either => wish.draw < group.spill.stays(),
-            Side::Local => true,
-            Side::Remote => false,
-        };
+        let stays = wish.draw < group.spill.stays();
         let (preferred, others): (Vec<&Instance>, Vec<&Instance>) =
             allowed.partition(|instance| self.is_local(instance) == stays);
         if preferred.is_empty() && others.is_empty() {
--- a/crates/core/src/steering/tests.rs
+++ b/crates/core/src/steering/tests.rs
@@ -4,7 +4,6 @@
 mod fleet;
 mod instance;
 mod lenders;
-mod mix;
 mod plan;
 mod rate;
 mod retry;
