mix: refuse for a surge, not for chance

Change: the bound is wide while the part that is asked for is near the allowed part and narrows to one request as it moves away.

--- a/crates/core/src/steering/mix.rs
+++ b/crates/core/src/steering/mix.rs
@@ -21,11 +21,17 @@
 /// Time in which the requests beyond the allowed part lose two thirds of their weight.
 const EXCESS_MEMORY: Duration = Duration::from_secs(6);
 
-/// Requests beyond the allowed part that always pass.
-const LEAST_EXCESS: f64 = 2.0;
+/// Requests beyond the allowed part that pass when it is only chance.
+const LEAST_EXCESS: f64 = 4.0;
 
 /// Further requests that pass, relative to the requests within [`MEMORY`].
-const EXCESS_PART: f64 = 0.05;
+const EXCESS_PART: f64 = 0.1;
+
+/// How far the part that is asked for is above the allowed part in a surge.
+const SURGE: f64 = 0.2;
+
+/// Requests beyond the allowed part that pass during a surge.
+const SURGE_EXCESS: f64 = 1.0;
 
 /// Which part of a host's requests runs in other regions.
 #[derive(Clone, Debug, Default)]
@@ -58,7 +64,7 @@
         self.excess *= kept_after(elapsed, EXCESS_MEMORY);
         let side = if is_remote { &mut self.asked.remote } else { &mut self.asked.local };
         *side += 1.0;
-        let asked = self.asked.remote / self.all();
+        let asked = self.asked_part();
         let step = STEP_PER_SECOND * elapsed.min(LONGEST_STEP).as_secs_f64();
         self.started.get_or_insert(now);
         self.part = if self.is_settled(now) {
@@ -83,12 +89,18 @@
         self.started.is_some_and(|started| now >= started + FIRST_TIME)
     }
 
+    fn asked_part(&self) -> f64 {
+        self.asked.remote / self.all().max(1.0)
+    }
+
     fn all(&self) -> f64 {
         self.asked.local + self.asked.remote
     }
 
     fn most_excess(&self) -> f64 {
-        LEAST_EXCESS + EXCESS_PART * self.all()
+        let chance = LEAST_EXCESS + EXCESS_PART * self.all();
+        let surge = ((self.asked_part() - self.part) / SURGE).max(0.0);
+        (chance * (1.0 - surge)).max(SURGE_EXCESS)
     }
 
     fn change(&self, is_remote: bool) -> f64 {
--- a/crates/core/src/steering/tests/mix.rs
+++ b/crates/core/src/steering/tests/mix.rs
@@ -6,6 +6,7 @@
     super::fleet::{Fleet, Shortage, Wish},
     support::{answer, at, four, name, send, wish},
 };
+use crate::rendezvous;
 
 /// Largest change of the part from one window to the next (`max_shift` of both deployments).
 const LARGEST_CHANGE: f64 = 0.15;
@@ -82,6 +83,27 @@
     assert_eq!(refused, 0, "{windows:?}");
 }
 
+/// Guards against refusals for chance alone: twenty requests a second come at random times, a quarter of
+/// them at home in the south.
+#[test]
+fn chance_is_no_surge() {
+    const REQUESTS: u32 = 2400;
+    let homes = [name("south")];
+    let south = Wish { homes: &homes, ..wish() };
+    let mut fleet = four();
+    let mut refused = 0;
+    for number in 0..REQUESTS {
+        let random = rendezvous::Key::new([number.to_string().as_str()]).weight("");
+        let millisecond = u64::from(number) * 50 + random % 50;
+        let wish = if (random >> 32) % 4 == 0 { &south } else { &wish() };
+        match send(&mut fleet, at(millisecond), wish) {
+            Ok(choice) => answer(&mut fleet, at(millisecond), &choice, 0, 0),
+            Err(_) => refused += 1,
+        }
+    }
+    assert!(refused * 100 < REQUESTS, "{refused} of {REQUESTS}");
+}
+
 /// Guards against keeping requests from the others when the own region has no instance left.
 #[test]
 fn a_lost_region_is_no_reason_to_refuse() {
