fleet: share unknown instances with the other hosts of the region

Change: until an instance has answered a host, the host sends it at most its equal part of twice the slots. A lone host has no such bound. The test (four hosts, 16 requests of each where 4 are its part) fails without it.

--- a/crates/core/src/steering/fleet/choice.rs
+++ b/crates/core/src/steering/fleet/choice.rs
@@ -40,6 +40,10 @@
 /// Work on unknown objects would otherwise push out several times as much work on known ones.
 const SLOW_PART: f64 = 0.6;
 
+/// Requests that all hosts of a region may have at an instance that has not answered, relative to its
+/// slots.
+const UNKNOWN_LOAD: u32 = 2;
+
 /// What each less urgent rank loses of [`FULL_PART`].
 const PART_PER_RANK: f64 = 0.1;
 
@@ -178,6 +182,7 @@
             let time = self.expected_time(now, group, instance, knows, usual);
             let is_open = instance.is_trusted(now)
                 && self.tolerates(now, group, instance)
+                && self.has_part(instance)
                 && has_room(now, group, instance, wish, time);
             if !is_open {
                 continue;
@@ -210,6 +215,15 @@
         self.is_local(instance) && part > 0.0 && instance.pace_is_open(now)
     }
 
+    /// Whether the host may send one more request to an instance that has not answered it yet. The other
+    /// hosts of the region know as little, so that each takes an equal part of what the instance holds.
+    /// A host without others sees all requests itself.
+    fn has_part(&self, instance: &Instance) -> bool {
+        let hosts = u32::try_from(self.peers.len()).unwrap_or(u32::MAX).max(1);
+        let held = instance.listed.slots * UNKNOWN_LOAD;
+        hosts == 1 || instance.load.is_known() || instance.load.own() < held.div_ceil(hosts)
+    }
+
     /// Seconds in which the instance is likely to answer.
     fn expected_time(
         &self,
--- a/crates/core/src/steering/tests/fleet.rs
+++ b/crates/core/src/steering/tests/fleet.rs
@@ -264,3 +264,31 @@
     assert!(takes_new_object(0), "free slots stay empty");
     assert!(!takes_new_object(SLOTS - 1), "a new object takes the last slot");
 }
+
+/// Found by hunting Lothian, deploy/days/store-refuses-some.toml with seed 723261085233 (SHIFT): in the
+/// first second of the day, each of the hosts filled the slots and the queues of the region as if it
+/// were alone, so that the instances took nothing more for two seconds.
+#[test]
+fn hosts_that_know_nothing_share_what_instances_hold() {
+    const HOSTS: usize = 4;
+    const INSTANCES: usize = 2;
+    let mut fleet = four();
+    fleet.set_peers((1..=HOSTS).map(|number| name(&format!("host-{number}"))).collect());
+    let sent = (0..40).filter(|_| send(&mut fleet, at(0), &wish()).is_ok()).count();
+    let held = 2 * INSTANCES * SLOTS as usize;
+    assert!(sent * HOSTS <= held, "{sent} requests of each host");
+    assert!(sent >= INSTANCES, "{sent} requests of each host");
+}
+
+/// Guards against a bound on instances that have answered: their reports tell the load.
+#[test]
+fn an_answer_lifts_the_bound_on_unknown_instances() {
+    let mut fleet = four();
+    fleet.set_peers((1..=8).map(|number| name(&format!("host-{number}"))).collect());
+    for _ in 0..2 {
+        let choice = send(&mut fleet, at(0), &wish()).unwrap();
+        answer(&mut fleet, at(100), &choice, 0, 0);
+    }
+    let sent = (0..8).filter(|_| send(&mut fleet, at(100), &wish()).is_ok()).count();
+    assert!(sent >= SLOTS as usize, "{sent}");
+}
