--- a/crates/core/src/steering/tests/mix.rs
+++ b/crates/core/src/steering/tests/mix.rs
@@ -95,7 +95,7 @@
     for number in 0..REQUESTS {
         let random = rendezvous::Key::new([number.to_string().as_str()]).weight("");
         let millisecond = u64::from(number) * 50 + random % 50;
-        let wish = if (random >> 32) % 4 == 0 { &south } else { &wish() };
+        let wish = if (random >> 32).is_multiple_of(4) { &south } else { &wish() };
         match send(&mut fleet, at(millisecond), wish) {
             Ok(choice) => answer(&mut fleet, at(millisecond), &choice, 0, 0),
             Err(_) => refused += 1,
