Untie the circles between modules of the first entry host

Change: the time on other hosts' clocks has its module (budget/drift), the term of slot loans stands beside the other terms, the member tables of claims have theirs (claim/tables), a bad request is made by Refusal, and passing an answer on (callers/reply) is apart from the state of an exchange. No change of behaviour.

--- a/crates/core/src/budget.rs
+++ b/crates/core/src/budget.rs
@@ -9,6 +9,7 @@
 mod borrowing;
 mod bucket;
 mod demand;
+mod drift;
 pub mod fair;
 mod ledger;
 mod limit;
--- a/crates/core/src/budget/ledger.rs
+++ b/crates/core/src/budget/ledger.rs
@@ -7,11 +7,11 @@
 };
 
 use super::{
-    Account, Budget, Limit, Settings, borrowing::Borrowing, limit::Share, loans::SLOT_LOAN_TERM,
+    Account, Budget, Limit, Settings, borrowing::Borrowing, drift::with_drift, limit::Share,
     version::Versions,
 };
 use crate::{
-    constants::{CLOCK_DRIFT_PERCENT, LOAN_TERM},
+    constants::{LOAN_TERM, SLOT_LOAN_TERM},
     message::Message,
 };
 
@@ -322,8 +322,3 @@
         Limit::Concurrency { longest, .. } => with_drift(SLOT_LOAN_TERM + longest),
     }
 }
-
-/// Time on this host's clock in which `duration` passes on every other host's clock.
-pub(super) fn with_drift(duration: Duration) -> Duration {
-    duration * 100 / (100 - CLOCK_DRIFT_PERCENT) + Duration::from_nanos(1)
-}
--- a/crates/core/src/budget/loans.rs
+++ b/crates/core/src/budget/loans.rs
@@ -6,11 +6,11 @@
     Account, Budget, Ledger, Loan, LoanRequest, LoanReturn, Send, Spare,
     account::{Holding, State},
     bucket::{Bucket, Moved},
-    ledger::with_drift,
+    drift::with_drift,
     limit::{MILLI, Share},
     slots::{Borrowed, Lent, Slots},
 };
-use crate::message::Message;
+use crate::{constants::SLOT_LOAN_TERM, message::Message};
 
 /// Longest term of a loan of tokens. Covers a round trip to the farthest region; until the term ends
 /// the lender cannot refill what it lent.
@@ -19,9 +19,6 @@
 /// Part of the term of a loan of tokens that does not depend on the round trip.
 const TERM_MARGIN: Duration = Duration::from_millis(20);
 
-/// Term in which requests may start on borrowed slots.
-pub(super) const SLOT_LOAN_TERM: Duration = Duration::from_secs(10);
-
 /// Time for which a loan covers the lacking rate ahead of demand.
 const AHEAD: Duration = Duration::from_millis(500);
 
--- a/crates/core/src/claim.rs
+++ b/crates/core/src/claim.rs
@@ -10,11 +10,13 @@
 mod holder;
 mod owner;
 mod records;
+mod tables;
 
 #[cfg(test)]
 mod tests;
 
-pub use book::{Book, Epoch, Tables};
+pub use book::Book;
+pub use tables::{Epoch, Tables};
 
 /// Name of a claim.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
--- a/crates/core/src/claim/history.rs
+++ b/crates/core/src/claim/history.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use super::{Name, book::Tables};
+use super::{Name, tables::Tables};
 use crate::{
     constants::{CLAIM_RETENTION, CLOCK_DRIFT_PERCENT, IN_FORCE_BOUND},
     member::Member,
--- /dev/null
+++ b/crates/core/src/claim/tables.rs
@@ -0,0 +1,52 @@
+//! The member tables that decide who keeps the claims of a name.
+
+use std::time::Duration;
+
+use crate::{
+    constants::EARLIER_TABLES_LIMIT,
+    member::{
+        Member,
+        roster::{self, Roster},
+    },
+};
+
+/// A member table that was replaced.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Epoch {
+    /// Revision at which the table was written.
+    pub revision: u64,
+    /// Time since the table was replaced; never too large.
+    pub age: Duration,
+    /// Members of the table.
+    pub members: Vec<Member>,
+}
+
+/// The member table and those that it replaced within the retention time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Tables {
+    /// Revision of the table.
+    pub revision: u64,
+    /// Members of the table.
+    pub members: Vec<Member>,
+    /// Earlier tables.
+    pub earlier: Vec<Epoch>,
+    /// Whether `earlier` has every table that was replaced within the retention time.
+    pub complete: bool,
+}
+
+impl Tables {
+    /// The tables of the members record that was written at `revision`.
+    pub fn new(revision: u64, roster: &Roster) -> Self {
+        let epoch = |earlier: &roster::Earlier| Epoch {
+            revision: earlier.revision,
+            age: Duration::from_millis(earlier.ended_ms),
+            members: earlier.members.clone(),
+        };
+        Self {
+            revision,
+            members: roster.members.clone(),
+            earlier: roster.earlier.iter().map(epoch).collect(),
+            complete: roster.earlier.len() < EARLIER_TABLES_LIMIT,
+        }
+    }
+}
--- a/crates/core/src/constants.rs
+++ b/crates/core/src/constants.rs
@@ -20,6 +20,9 @@
 /// Term of a rate loan, counted by the lender from granting it.
 pub const LOAN_TERM: Duration = Duration::from_secs(2);
 
+/// Term in which requests may start on borrowed slots.
+pub const SLOT_LOAN_TERM: Duration = Duration::from_secs(10);
+
 /// Longest time that a request waits for borrowed tokens.
 pub const BORROW_WAIT: Duration = Duration::from_millis(150);
 
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -22,6 +22,7 @@
 mod pool;
 mod rate;
 mod refusal;
+mod reply;
 mod retry;
 pub mod settings;
 pub mod tokens;
--- a/crates/entry/src/callers/arrival.rs
+++ b/crates/entry/src/callers/arrival.rs
@@ -94,7 +94,7 @@
         let service = snapshot.services.get(self.service()?).ok_or_else(no_route)?;
         labels.service = service.document.service.clone();
         let path = path::normalize(self.uri.path())
-            .ok_or_else(|| bad_request("the path holds dot segments or broken escapes"))?;
+            .ok_or_else(|| Refusal::bad_request("the path holds dot segments or broken escapes"))?;
         let route = service.document.route(self.method.as_str(), &path);
         let route = route.ok_or_else(no_route)?;
         labels.class = route.class.clone();
@@ -119,10 +119,10 @@
     /// Refuses forms that name the service in two places or can't mark the end of an answer.
     fn check_form(&self) -> Result<(), Refusal> {
         if self.version != Version::HTTP_11 {
-            return Err(bad_request("HTTP/1.1 is required"));
+            return Err(Refusal::bad_request("HTTP/1.1 is required"));
         }
         if self.uri.authority().is_some() || self.uri.path_and_query().is_none() {
-            return Err(bad_request("the target must be a path"));
+            return Err(Refusal::bad_request("the target must be a path"));
         }
         Ok(())
     }
@@ -132,10 +132,10 @@
         let mut hosts = self.headers.get_all(header::HOST).iter();
         match (hosts.next(), hosts.next()) {
             (Some(host), None) => {
-                let host = host.to_str().map_err(|_| bad_request("Host is not ASCII"))?;
+                let host = host.to_str().map_err(|_| Refusal::bad_request("Host is not ASCII"))?;
                 Ok(host.split(['.', ':']).next().unwrap_or_default())
             }
-            _ => Err(bad_request("exactly one Host is required")),
+            _ => Err(Refusal::bad_request("exactly one Host is required")),
         }
     }
 
@@ -166,7 +166,8 @@
             return Ok(route.deadline);
         };
         let asked = value.to_str().ok().and_then(|text| text.parse().ok());
-        let asked = asked.ok_or_else(|| bad_request("X-Request-Timeout-Ms is not a number"))?;
+        let asked =
+            asked.ok_or_else(|| Refusal::bad_request("X-Request-Timeout-Ms is not a number"))?;
         Ok(route.deadline.min(Duration::from_millis(asked)))
     }
 
@@ -198,10 +199,6 @@
     address.to_canonical()
 }
 
-pub(crate) fn bad_request(detail: &'static str) -> Refusal {
-    Refusal::not_run(Code::BadRequest, detail)
-}
-
 fn no_route() -> Refusal {
     Refusal::not_run(Code::NoRoute, "no route matches the host, method and path")
 }
--- a/crates/entry/src/callers/attempt.rs
+++ b/crates/entry/src/callers/attempt.rs
@@ -20,11 +20,11 @@
     choice::Target,
     claims::Claim,
     constants::CHARGE_STEP_BYTES,
-    exchange::Reply,
     fleet::Instance,
     headers,
     pool::Connection,
     refusal::{Code, OUTCOME_HEADER, Refusal},
+    reply::Reply,
 };
 
 /// Longest time for reading the rest of an answer that is not passed on.
--- a/crates/entry/src/callers/claims.rs
+++ b/crates/entry/src/callers/claims.rs
@@ -16,7 +16,7 @@
 
 use super::{
     Callers,
-    arrival::{Call, Outgoing, bad_request},
+    arrival::{Call, Outgoing},
     constants::CLAIM_REQUEST_BYTES,
     headers::IDEMPOTENCY_KEY,
     refusal::{Code, Refusal},
@@ -219,7 +219,7 @@
     let mut values = headers.get_all(&IDEMPOTENCY_KEY).iter();
     match (values.next().map(HeaderValue::to_str), values.next()) {
         (Some(Ok(key)), None) if !key.is_empty() => Ok(Arc::from(key)),
-        _ => Err(bad_request("exactly one Idempotency-Key is allowed")),
+        _ => Err(Refusal::bad_request("exactly one Idempotency-Key is allowed")),
     }
 }
 
@@ -252,7 +252,7 @@
     };
     match tokio::time::timeout(call.left(), body.collect()).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(_)) => Err(bad_request("the body was cut short")),
+        Ok(Err(_)) => Err(Refusal::bad_request("the body was cut short")),
         Err(_) => Err(Refusal::not_run(Code::Deadline, "the body did not arrive in time")),
     }
 }
--- a/crates/entry/src/callers/credential.rs
+++ b/crates/entry/src/callers/credential.rs
@@ -8,17 +8,16 @@
     document::Digest,
 };
 
-use super::{
-    arrival::bad_request,
-    refusal::{Code, Refusal},
-};
+use super::refusal::{Code, Refusal};
 
 /// Digest of the request's one key, `None` if it presents none.
 pub(crate) fn digest(headers: &HeaderMap, query: Option<&str>) -> Result<Option<Digest>, Refusal> {
     let pairs = headers.iter().map(|(name, value)| (name.as_str(), value.as_bytes()));
     match credential::extract(pairs, query) {
         Ok(found) => Ok(found.map(|credential| credential.digest)),
-        Err(Fault::Malformed(_)) => Err(bad_request("a place for a key does not hold a key")),
+        Err(Fault::Malformed(_)) => {
+            Err(Refusal::bad_request("a place for a key does not hold a key"))
+        }
         Err(Fault::Conflicting | Fault::Duplicated(_)) => {
             let detail = "the request presents several keys";
             Err(Refusal::not_run(Code::CredentialConflict, detail))
@@ -68,5 +67,5 @@
     let query = credential::strip_query(uri.query().unwrap_or_default());
     let separator = if query.is_empty() { "" } else { "?" };
     PathAndQuery::try_from(format!("{}{separator}{query}", uri.path()))
-        .map_err(|_| bad_request("the query can't be forwarded"))
+        .map_err(|_| Refusal::bad_request("the query can't be forwarded"))
 }
--- a/crates/entry/src/callers/forward.rs
+++ b/crates/entry/src/callers/forward.rs
@@ -12,11 +12,11 @@
     choice,
     claims::Claim,
     constants::RETRIES,
-    exchange,
     fleet::Instance,
     metrics::{self, InFlight},
     outcome::Outcome,
     refusal::Refusal,
+    reply,
 };
 
 /// Forwards the request; with retries if it may run twice and has no body.
@@ -40,7 +40,7 @@
         let failure = match attempt.run(&mut outgoing, claim.as_mut()).await {
             Ok(reply) => {
                 let response =
-                    exchange::pass_on(callers, call, target, reply, claim.take(), in_flight);
+                    reply::pass_on(callers, call, target, reply, claim.take(), in_flight);
                 return Ok(response);
             }
             Err(failure) => failure,
--- a/crates/entry/src/callers/refusal.rs
+++ b/crates/entry/src/callers/refusal.rs
@@ -92,6 +92,11 @@
         Self { code, outcome: Outcome::NotRun, detail, retry_after: None }
     }
 
+    /// Refusal of a request that breaks the rules of the protocol.
+    pub(crate) fn bad_request(detail: &'static str) -> Self {
+        Self::not_run(Code::BadRequest, detail)
+    }
+
     /// Refusal of a request that may have run.
     pub(crate) fn unknown(code: Code, detail: &'static str) -> Self {
         Self { outcome: Outcome::Unknown, ..Self::not_run(code, detail) }
