mix: a drained or evacuated region is no reason to refuse

Change: only an instance that takes requests counts as one of the own region. The case is in a_lost_region_is_no_reason_to_refuse, which fails without it.

--- a/crates/core/src/steering/fleet/choice.rs
+++ b/crates/core/src/steering/fleet/choice.rs
@@ -142,7 +142,8 @@
         });
         let best = best.ok_or(Shortage::Full { retry_after })?;
         let may_stay = preferred.iter().chain(&others).any(|instance| self.is_local(instance));
-        let has_own = group.instances.iter().any(|i| self.is_local(i) && i.is_trusted(now));
+        let has_own =
+            group.instances.iter().any(|i| self.is_local(i) && is_usable(now, &self.evacuated, i));
         let is_allowed = may_stay || !has_own || self.mix.allows_remote(now);
         self.mix.ask(now, best.is_remote);
         if is_allowed { Ok(best) } else { Err(Shortage::Shift { retry_after }) }
@@ -268,10 +269,7 @@
         };
         let (mut own, mut others) = ((0.0, 0.0), (0.0, 0.0));
         for instance in &group.instances {
-            let is_usable = !instance.listed.is_draining
-                && !self.evacuated.contains(&instance.listed.domain)
-                && instance.is_trusted(now);
-            if !is_usable {
+            if !is_usable(now, &self.evacuated, instance) {
                 continue;
             }
             let sum =
@@ -288,6 +286,13 @@
     }
 }
 
+/// Whether the instance takes requests at all.
+fn is_usable(now: Duration, evacuated: &BTreeSet<Arc<str>>, instance: &Instance) -> bool {
+    !instance.listed.is_draining
+        && !evacuated.contains(&instance.listed.domain)
+        && instance.is_trusted(now)
+}
+
 /// Whether the instance has room for one more request that is expected to take `time` seconds.
 ///
 /// Free slots are for everybody, but in a busy region requests that will be late anyway may take only
--- a/crates/core/src/steering/tests/mix.rs
+++ b/crates/core/src/steering/tests/mix.rs
@@ -3,8 +3,11 @@
 use std::time::Duration;
 
 use super::{
-    super::fleet::{Fleet, Shortage, Wish},
-    support::{answer, at, four, name, send, wish},
+    super::{
+        fleet::{Fleet, Shortage, Wish},
+        instance::Listed,
+    },
+    support::{answer, at, four, listed, name, send, wish},
 };
 use crate::rendezvous;
 
@@ -107,10 +110,25 @@
 /// Guards against keeping requests from the others when the own region has no instance left.
 #[test]
 fn a_lost_region_is_no_reason_to_refuse() {
-    let mut fleet = four();
-    fleet.unlist("n1", None);
-    fleet.unlist("n2", None);
-    let windows = surge(&mut fleet);
-    let refused: u32 = windows.iter().map(|window| window.refused).sum();
-    assert_eq!(refused, 0, "{windows:?}");
+    let lost = |fleet: &mut Fleet| {
+        fleet.unlist("n1", None);
+        fleet.unlist("n2", None);
+    };
+    let draining = |fleet: &mut Fleet| {
+        for (id, domain) in [("n1", "north-a"), ("n2", "north-b")] {
+            fleet.list(at(0), Listed { is_draining: true, ..listed(id, domain) });
+        }
+    };
+    let evacuated = |fleet: &mut Fleet| {
+        for domain in ["north-a", "north-b"] {
+            fleet.evacuate(at(0), &name(domain), true);
+        }
+    };
+    for take_away in [&lost as &dyn Fn(&mut Fleet), &draining, &evacuated] {
+        let mut fleet = four();
+        take_away(&mut fleet);
+        let windows = surge(&mut fleet);
+        let refused: u32 = windows.iter().map(|window| window.refused).sum();
+        assert_eq!(refused, 0, "{windows:?}");
+    }
 }
