Restarted hosts: requests wait for the first answer of the store, parts count from the start

In the window from 34 s, 220 requests were refused as starting, since they came between the start of a process and its first answer from the store (100 to 300 ms), and 437 within their rates as over_rate, since the host counted its part of the limits from that answer on. Change: for 0.8 s after the start of a process, requests wait for the first configuration instead of being refused; then they are refused at once, as before. A host whose seat stands from before counts its part from the start of the process: the earlier process had ended by then and has used nothing since.

--- a/crates/steer/src/callers/handle.rs
+++ b/crates/steer/src/callers/handle.rs
@@ -50,6 +50,7 @@
 ) -> Response<Full<Bytes>> {
     let _in_flight = InFlight::start(state);
     let started = clock::now();
+    state.wait_until_ready().await;
     let (parts, body) = request.into_parts();
     let mut response = if is_ambiguous {
         refuse(state, None, Refusal::new(Reason::BadRequest), started)
--- a/crates/steer/src/constants.rs
+++ b/crates/steer/src/constants.rs
@@ -74,6 +74,9 @@
 /// Attempts that did not run, for one request.
 pub(crate) const UNRUN_ATTEMPTS: usize = 3;
 
+/// Time after the start of a process in which requests wait for the first configuration.
+pub(crate) const STARTING_WAIT: Duration = Duration::from_millis(800);
+
 /// `Retry-After` of a host that is starting.
 pub(crate) const STARTING_RETRY_AFTER: Duration = Duration::from_millis(500);
 
--- a/crates/steer/src/presence.rs
+++ b/crates/steer/src/presence.rs
@@ -1,6 +1,6 @@
 //! Registers this host in the store: a seat in the budgets, and an entry under a lease.
 
-use std::{rc::Rc, time::Duration};
+use std::rc::Rc;
 
 use marjorampick_core::steering::seats::SEEN_AFTER;
 use tokio::{sync::watch, time::sleep};
@@ -74,12 +74,13 @@
         writes: vec![Write { key, value: Vec::new(), lease: 0 }],
         removals: Vec::new(),
     };
-    let wait = match call(state, client, &Call::Write(transaction)).await {
-        Ok(_) => SEEN_AFTER,
-        Err(Fault::Conflict) => Duration::ZERO,
+    let from = match call(state, client, &Call::Write(transaction)).await {
+        Ok(_) => clock::now() + SEEN_AFTER,
+        // The seat's earlier process ended before this one started and has used nothing since.
+        Err(Fault::Conflict) => state.started,
         Err(fault) => return Err(fault),
     };
-    state.seated_from.set(Some(clock::now() + wait));
+    state.seated_from.set(Some(from));
     state.publish_hosts();
     Ok(Seat::Held)
 }
--- a/crates/steer/src/state.rs
+++ b/crates/steer/src/state.rs
@@ -22,11 +22,13 @@
     split::Round,
 };
 use serde::{Deserialize, Serialize};
+use tokio::{sync::Notify, time::timeout};
 
 use crate::{
     backend::pool::Pool,
     clock,
     codec::Codec,
+    constants::STARTING_WAIT,
     events::{Event, Log, Rank},
     settings::Settings,
 };
@@ -88,6 +90,10 @@
     pub store_answered: Cell<Duration>,
     /// When this host may spend its part of the budgets.
     pub seated_from: Cell<Option<Duration>>,
+    /// When the process started.
+    pub started: Duration,
+    /// Tells the requests that wait that the host is ready.
+    pub readiness: Notify,
     /// Requests that have not ended.
     pub in_flight: Cell<u32>,
     /// Whether the process was asked to stop.
@@ -116,6 +122,8 @@
             board: Arc::new(board),
             store_answered: Cell::new(Duration::ZERO),
             seated_from: Cell::new(None),
+            started: clock::now(),
+            readiness: Notify::new(),
             in_flight: Cell::new(0),
             is_draining: Cell::new(false),
             retries: RefCell::default(),
@@ -168,11 +176,11 @@
             hosts.values().map(|host| host.registration.clone()).collect();
         let registered = listed.len();
         self.board.hosts.store(Arc::new(listed));
-        let is_seated = self.seated_from.get().is_some_and(|from| from <= clock::now());
-        let seats = if is_seated { self.seats.borrow().names() } else { Vec::new() };
+        let seated_from = self.seated_from.get().filter(|from| *from <= clock::now());
+        let seats = seated_from.map_or_else(Vec::new, |_| self.seats.borrow().names());
         let mut rates = self.rates.borrow_mut();
         let count = seats.len();
-        if rates.set_seats(clock::now(), seats) {
+        if rates.set_seats(seated_from.unwrap_or_else(clock::now), seats) {
             let event = Event::Hosts { registered, seats: count, part: rates.part() };
             self.log.write(Rank::Notice, event);
         }
@@ -184,6 +192,19 @@
             && self.plan.borrow().is_some()
             && !self.fleet.borrow().is_empty();
         self.board.is_ready.store(is_ready, Ordering::Release);
+        if is_ready {
+            self.readiness.notify_waiters();
+        }
+    }
+
+    /// Waits until the host knows where requests may go, for a short time after its start.
+    pub async fn wait_until_ready(&self) {
+        let ready = self.readiness.notified();
+        let left = (self.started + STARTING_WAIT).saturating_sub(clock::now());
+        if self.plan.borrow().is_none() && !left.is_zero() {
+            // Without a plan in time, the request is refused.
+            let _ = timeout(left, ready).await;
+        }
     }
 
     fn retry_limit(&self) -> retry::Limit {
