fleet: whether an instance has room stands apart from the choice

Change: room, cold pace, parts of unknown instances and usability are in fleet/room; choose is split into the draw, the bound on shifts and the refusal. No change of behaviour.

--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -2,6 +2,7 @@
 
 mod choice;
 mod group;
+mod room;
 
 use std::{
     collections::{BTreeSet, HashMap},
--- a/crates/core/src/steering/fleet/choice.rs
+++ b/crates/core/src/steering/fleet/choice.rs
@@ -10,6 +10,7 @@
 use super::{
     Fleet,
     group::{Group, usual_seconds},
+    room::{has_room, is_usable},
 };
 use crate::{
     rendezvous,
@@ -29,33 +30,9 @@
 /// Cost of another region beside the time on the way, in seconds.
 const OTHER_REGION_COST: f64 = 0.02;
 
-/// Part of the target time that the most urgent requests may be expected to take at an instance
-/// whose slots are all taken. Beyond it they would be late and make others late.
-const FULL_PART: f64 = 1.0;
-
-/// Load of the own region, relative to its slots, above which [`SLOW_PART`] counts.
-const BUSY_LOAD: f64 = 0.7;
-
-/// Part of an instance's slots that requests may take which are expected to miss the target anyway.
-/// Work on unknown objects would otherwise push out several times as much work on known ones.
-const SLOW_PART: f64 = 0.6;
-
-/// Requests that all hosts of a region may have at an instance that has not answered, relative to its
-/// slots.
-const UNKNOWN_LOAD: u32 = 2;
-
-/// What each less urgent rank loses of [`FULL_PART`].
-const PART_PER_RANK: f64 = 0.1;
-
-/// Ranks that are told apart.
-const RANKS: u8 = 4;
-
 /// Usual time to an answer until one is known, in seconds.
 const FIRST_ANSWER: f64 = 0.5;
 
-/// Target time of routes that name none, in seconds.
-const DEFAULT_TARGET: f64 = 1.0;
-
 /// How much more than an equal part of the requests a region is expected to keep at first, relative
 /// to its part of the slots.
 const FIRST_STAY: f64 = 1.15;
@@ -123,32 +100,48 @@
     /// for want of a slot would shift traffic too fast.
     pub fn choose(&mut self, now: Duration, wish: &Wish<'_>) -> Result<Choice, Shortage> {
         self.update_spill(now, wish.service);
-        let Some(group) = self.groups.get(wish.service) else {
-            return Err(Shortage::NoInstance);
-        };
+        let group = self.groups.get(wish.service).ok_or(Shortage::NoInstance)?;
+        let retry_after = retry_after(group);
         let allowed = group.instances.iter().filter(|instance| self.may_run(instance, wish));
-        let stays = wish.draw < group.spill.stays();
-        let (preferred, others): (Vec<&Instance>, Vec<&Instance>) =
-            allowed.partition(|instance| self.is_local(instance) == stays);
-        if preferred.is_empty() && others.is_empty() {
+        let candidates: Vec<&Instance> = allowed.collect();
+        if candidates.is_empty() {
             return Err(Shortage::NoInstance);
         }
-        let key = wish.object.map(|object| rendezvous::Key::new([object.to_string().as_str()]));
-        let is_unusable = preferred.iter().all(|instance| !instance.is_trusted(now));
-        let retry_after = retry_after(group);
-        let best = self.best(now, group, &preferred, wish, key).or_else(|| {
-            let may_change = is_unusable || !stays;
-            may_change.then(|| self.best(now, group, &others, wish, key)).flatten()
-        });
+        let best = self.best_by_draw(now, group, &candidates, wish);
         let best = best.ok_or(Shortage::Full { retry_after })?;
-        let may_stay = preferred.iter().chain(&others).any(|instance| self.is_local(instance));
-        let has_own =
-            group.instances.iter().any(|i| self.is_local(i) && is_usable(now, &self.evacuated, i));
-        let is_allowed = may_stay || !has_own || self.mix.allows_remote(now);
+        let is_bound = self.is_bound(now, group, &candidates);
+        let is_allowed = !is_bound || self.mix.allows_remote(now);
         self.mix.ask(now, best.is_remote);
         if is_allowed { Ok(best) } else { Err(Shortage::Shift { retry_after }) }
     }
 
+    /// Whether a request with these candidates can only run in other regions although the own region
+    /// takes requests, so that the bound on shifts counts.
+    fn is_bound(&self, now: Duration, group: &Group, candidates: &[&Instance]) -> bool {
+        let is_local = |instance: &&Instance| self.is_local(instance);
+        let takes = |instance: &Instance| is_usable(now, &self.evacuated, instance);
+        let has_own = group.instances.iter().filter(is_local).any(takes);
+        has_own && !candidates.iter().any(is_local)
+    }
+
+    /// The best instance of the side that the draw decides for, or of the other one.
+    fn best_by_draw(
+        &self,
+        now: Duration,
+        group: &Group,
+        candidates: &[&Instance],
+        wish: &Wish<'_>,
+    ) -> Option<Choice> {
+        let stays = wish.draw < group.spill.stays();
+        let (preferred, others): (Vec<&Instance>, Vec<&Instance>) =
+            candidates.iter().partition(|instance| self.is_local(instance) == stays);
+        let key = wish.object.map(|object| rendezvous::Key::new([object.to_string().as_str()]));
+        let is_unusable = preferred.iter().all(|instance| !instance.is_trusted(now));
+        let may_change = is_unusable || !stays;
+        self.best(now, group, &preferred, wish, key)
+            .or_else(|| may_change.then(|| self.best(now, group, &others, wish, key)).flatten())
+    }
+
     /// Whether the rules allow the request at the instance, whatever its load.
     fn may_run(&self, instance: &Instance, wish: &Wish<'_>) -> bool {
         let allows = |homes: &[Arc<str>]| {
@@ -207,24 +200,6 @@
         })
     }
 
-    /// Whether a cold instance tolerates a request of this host now.
-    fn tolerates(&self, now: Duration, group: &Group, instance: &Instance) -> bool {
-        if !instance.is_cold(now) {
-            return true;
-        }
-        let part = self.cold_part(&instance.listed.id, group.cold_rate);
-        self.is_local(instance) && part > 0.0 && instance.pace_is_open(now)
-    }
-
-    /// Whether the host may send one more request to an instance that has not answered it yet. The other
-    /// hosts of the region know as little, so that each takes an equal part of what the instance holds.
-    /// A host without others sees all requests itself.
-    fn has_part(&self, instance: &Instance) -> bool {
-        let hosts = u32::try_from(self.peers.len()).unwrap_or(u32::MAX).max(1);
-        let held = instance.listed.slots * UNKNOWN_LOAD;
-        hosts == 1 || instance.load.is_known() || instance.load.own() < held.div_ceil(hosts)
-    }
-
     /// Seconds in which the instance is likely to answer.
     fn expected_time(
         &self,
@@ -286,27 +261,6 @@
     }
 }
 
-/// Whether the instance takes requests at all.
-fn is_usable(now: Duration, evacuated: &BTreeSet<Arc<str>>, instance: &Instance) -> bool {
-    !instance.listed.is_draining
-        && !evacuated.contains(&instance.listed.domain)
-        && instance.is_trusted(now)
-}
-
-/// Whether the instance has room for one more request that is expected to take `time` seconds.
-///
-/// Free slots are for everybody, but in a busy region requests that will be late anyway may take only
-/// a part of them. Beyond the slots there is room while the request is expected within its target.
-fn has_room(now: Duration, group: &Group, instance: &Instance, wish: &Wish<'_>, time: f64) -> bool {
-    let target = wish.target.map_or(DEFAULT_TARGET, |target| target.as_secs_f64());
-    let slots = f64::from(instance.listed.slots.max(1));
-    let is_late_and_busy = time > target && group.own_load >= BUSY_LOAD;
-    let open_slots = if is_late_and_busy { slots * SLOW_PART } else { slots };
-    let has_slot = instance.load.total(now) + 1.0 <= open_slots.max(1.0);
-    let rank = f64::from(wish.priority.min(RANKS));
-    has_slot || time <= target * (FULL_PART - rank * PART_PER_RANK)
-}
-
 /// A full instance has room again after about one answer.
 fn retry_after(group: &Group) -> Duration {
     const SHORTEST: Duration = Duration::from_millis(200);
