fleet: a failure rate that all instances have alike says nothing about where to send a request

Hypothesis: instances that all reject more than half of the requests are scattered over by their chance differences (standard deviation 0.17 at weight 0.2, times four times the work on an uncached object). Each object then goes everywhere and has to be loaded, which keeps the overload going after its cause. Change: a failure rate costs only beyond the median of the service and two standard deviations of chance.

--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -230,6 +230,9 @@
             let cached_work_ratio = if choice.is_cached { 1.0 } else { CACHED_WORK_RATIO };
             instance.end_request(now, outcome, report, cached_work_ratio);
         }
+        if let Some(upstream) = self.upstreams.get_mut(&service) {
+            upstream.update_usual();
+        }
     }
 
     /// Removes an instance whose registration is out of date, because another instance answers at
--- a/crates/core/src/steering/fleet/choice.rs
+++ b/crates/core/src/steering/fleet/choice.rs
@@ -248,7 +248,10 @@
         } else {
             0.0
         };
-        busy + distance + FAILURE_COST * upstream.uncached_work_seconds() * instance.failure_rate()
+        busy + distance
+            + FAILURE_COST
+                * upstream.uncached_work_seconds()
+                * upstream.excess_failure_rate(instance)
     }
 
     /// This host's rate for a cold instance, in requests per second. `rate` is what the instance
--- a/crates/core/src/steering/fleet/upstream.rs
+++ b/crates/core/src/steering/fleet/upstream.rs
@@ -3,7 +3,11 @@
 use std::time::Duration;
 
 use super::choice::Choice;
-use crate::steering::{instance::Instance, load::Report, spill};
+use crate::steering::{
+    instance::{self, Instance},
+    load::Report,
+    spill,
+};
 
 /// Work on a cached object relative to the work on one that the instance has to load first.
 pub(super) const CACHED_WORK_RATIO: f64 = 0.35;
@@ -14,6 +18,13 @@
 /// Weight of the newest sample in the exponential moving averages of a service.
 const SMOOTHING_FACTOR: f64 = 0.05;
 
+/// Variance of an instance's failure rate, which is a moving average, relative to the variance of
+/// one sample: `a / (2 - a)` for the weight `a` of the newest sample.
+const FAILURE_RATE_VARIANCE: f64 = instance::SMOOTHING_FACTOR / (2.0 - instance::SMOOTHING_FACTOR);
+
+/// Standard deviations up to which a failure rate is put down to chance.
+const CHANCE_DEVIATIONS: f64 = 2.0;
+
 /// Instances of one service.
 #[derive(Clone, Debug)]
 pub(super) struct Upstream {
@@ -26,6 +37,8 @@
     /// Moving average of the time that an instance without a queue works on a cached object, in
     /// seconds.
     pub(super) cached_work_seconds: Option<f64>,
+    /// Median over the instances of the failure rate.
+    pub(super) usual_failure_rate: f64,
     /// How long an instance is cold after its start.
     pub(super) warmup: Duration,
     /// Requests per second that a cold instance tolerates from all hosts together.
@@ -41,6 +54,7 @@
             response_seconds: None,
             local_load: 0.0,
             cached_work_seconds: None,
+            usual_failure_rate: 0.0,
             warmup: Duration::ZERO,
             cold_rate: f64::INFINITY,
         }
@@ -56,6 +70,21 @@
         self.cached_work_seconds() / CACHED_WORK_RATIO
     }
 
+    /// Failure rate of the instance beyond what most instances of the service have, and beyond what
+    /// chance explains. A rate that all instances have alike says nothing about where to send a
+    /// request; acting on it would move objects between instances, which then have to load them.
+    pub(super) fn excess_failure_rate(&self, instance: &Instance) -> f64 {
+        let usual = self.usual_failure_rate;
+        let deviation = (usual * (1.0 - usual) * FAILURE_RATE_VARIANCE).sqrt();
+        (instance.failure_rate() - usual - CHANCE_DEVIATIONS * deviation).max(0.0)
+    }
+
+    /// Updates what is usual among the instances, after the end of a request.
+    pub(super) fn update_usual(&mut self) {
+        let mut rates: Vec<f64> = self.instances.iter().map(Instance::failure_rate).collect();
+        self.usual_failure_rate = median(&mut rates).unwrap_or(0.0);
+    }
+
     /// Records the time of an answer. Only an answer for a cached object from an instance without a
     /// queue shows the work, as others include loading the object or waiting.
     pub(super) fn record_answer(&mut self, seconds: f64, choice: &Choice, report: Option<Report>) {
@@ -76,11 +105,13 @@
             instance.cached_work_seconds().unwrap_or_else(|| upstream.cached_work_seconds())
         })
         .collect();
-    let middle = seconds.len() / 2;
-    if seconds.is_empty() {
-        return upstream.cached_work_seconds();
-    }
-    *seconds.select_nth_unstable_by(middle, f64::total_cmp).1
+    median(&mut seconds).unwrap_or_else(|| upstream.cached_work_seconds())
+}
+
+/// Median of the values; `None` without values.
+fn median(values: &mut [f64]) -> Option<f64> {
+    let middle = values.len() / 2;
+    (!values.is_empty()).then(|| *values.select_nth_unstable_by(middle, f64::total_cmp).1)
 }
 
 fn update_average(mean: &mut Option<f64>, sample: f64) {
--- a/crates/core/src/steering/instance.rs
+++ b/crates/core/src/steering/instance.rs
@@ -21,7 +21,7 @@
 const TIMEOUT_GRACE: Duration = Duration::from_millis(2500);
 
 /// Weight of the newest sample in the exponential moving averages.
-const SMOOTHING_FACTOR: f64 = 0.2;
+pub(super) const SMOOTHING_FACTOR: f64 = 0.2;
 
 /// Slowdown below which an instance counts as having the usual speed.
 const SLOWDOWN_THRESHOLD: f64 = 1.7;
--- a/crates/core/src/steering/tests.rs
+++ b/crates/core/src/steering/tests.rs
@@ -7,6 +7,7 @@
 mod load;
 mod plan;
 mod rate;
+mod replay;
 mod retry;
 mod seats;
 mod shift;
--- /dev/null
+++ b/crates/core/src/steering/tests/replay.rs
@@ -0,0 +1,72 @@
+//! Replays of load patterns after which the hosts' decisions kept an overload going, or turned away
+//! what could have been served.
+
+mod world;
+
+use world::{Condition, Kind, SOUND, Scenario, Window, mean_worth, play};
+
+const SEEDS: std::ops::Range<u64> = 1..3;
+
+/// Share of the worth before a fault that must be back soon after its end.
+const RECOVERED_SHARE: f64 = 0.95;
+
+/// Two kinds of request on one service, one of them with more work.
+const KINDS: [Kind; 2] = [
+    Kind { work_ms: 480, target_ms: 400, deadline_ms: 1200, priority: 2, objects: 108, share: 0.7 },
+    Kind { work_ms: 640, target_ms: 400, deadline_ms: 1500, priority: 1, objects: 47, share: 0.3 },
+];
+
+/// 12 hosts and 28 instances, of which one region has only two. Cached work fills half of the slots.
+fn twelve_hosts() -> Scenario {
+    Scenario {
+        kinds: KINDS.to_vec(),
+        instances: [2, 12, 14],
+        hosts_per_region: 4,
+        slots: 9,
+        cache_objects: 60,
+        rate: 280.0,
+        seconds: 24,
+        condition: |_, _| SOUND,
+        hosts_restart_at_ms: None,
+    }
+}
+
+fn describe(windows: &[Window]) -> String {
+    let rows = windows.iter().enumerate().map(|(second, window)| {
+        format!(
+            "{second:3} s: worth {:.2}, {} asked, {} run, {} loaded",
+            window.worth(),
+            window.asked,
+            window.run,
+            window.loaded
+        )
+    });
+    rows.collect::<Vec<_>>().join("\n")
+}
+
+/// All instances reject more than half of the requests from 8 s to 16 s.
+fn rejecting(at_ms: u64, _: usize) -> Condition {
+    Condition { rejected: if (8_000..16_000).contains(&at_ms) { 0.55 } else { 0.0 }, ..SOUND }
+}
+
+/// Asserts that the worth is back 3 s after the instances stop rejecting requests.
+fn assert_recovery(scenario: &Scenario) {
+    let scenario = Scenario { condition: rejecting, ..scenario.clone() };
+    for seed in SEEDS {
+        let windows = play(&scenario, seed);
+        let (before, after) = (mean_worth(&windows, 6, 8), mean_worth(&windows, 19, 23));
+        assert!(
+            after >= RECOVERED_SHARE * before,
+            "seed {seed}: worth {before:.2} before and {after:.2} after\n{}",
+            describe(&windows)
+        );
+    }
+}
+
+/// The hosts took rejections that all instances gave alike for failures of single ones and scattered
+/// the objects over all instances, so that most requests had to load their object. That kept the
+/// overload going after its cause had ended.
+#[test]
+fn an_overload_ends_soon_after_its_cause() {
+    assert_recovery(&twelve_hosts());
+}
--- /dev/null
+++ b/crates/core/src/steering/tests/replay/world.rs
@@ -0,0 +1,486 @@
+//! Replays a load pattern on hosts and instances in virtual time.
+//!
+//! Every host has a [`Fleet`] of its own, as in production, so that what the hosts believe and what
+//! the instances have cached can drift apart. An instance runs as many requests as it has slots,
+//! queues a few more and rejects the rest. It keeps the objects that it handled last, and takes less
+//! time for those.
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap, HashMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use super::super::super::{
+    fleet::{Choice, Criteria, Fleet, Locality, Rejection},
+    instance::{Endpoint, Outcome},
+    load::Report,
+};
+
+const SERVICE: &str = "status";
+const REGIONS: [&str; 3] = ["north", "south", "west"];
+
+/// Work on a cached object relative to the work on one that the instance must load.
+const CACHED_WORK_RATIO: f64 = 0.3;
+
+/// Network latency of a response from another region, both ways.
+const REMOTE_LATENCY: Duration = Duration::from_millis(40);
+
+/// Retries of the hosts per request.
+const RETRY_RATIO: f64 = 0.14;
+
+/// Worth of an answer after the target latency, relative to one in time.
+const LATE_WORTH: f64 = 0.2;
+
+/// Virtual time at which the traffic starts, as hosts reserve zero for "never".
+const START: Duration = Duration::from_secs(1000);
+
+/// Length of the windows over which the worth is averaged.
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// One kind of request.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Kind {
+    pub(super) work_ms: u64,
+    pub(super) target_ms: u64,
+    pub(super) deadline_ms: u64,
+    pub(super) priority: u8,
+    /// Number of objects in each region.
+    pub(super) objects: u64,
+    /// Share of the requests.
+    pub(super) share: f64,
+}
+
+/// What is replayed.
+#[derive(Clone, Debug)]
+pub(super) struct Scenario {
+    pub(super) kinds: Vec<Kind>,
+    /// Instances in each of the three regions.
+    pub(super) instances: [u32; 3],
+    pub(super) hosts_per_region: u32,
+    pub(super) slots: u32,
+    /// Objects that an instance keeps.
+    pub(super) cache_objects: usize,
+    /// Requests per second in each region.
+    pub(super) rate: f64,
+    pub(super) seconds: u64,
+    /// What the instances do at a time, in milliseconds since the start of traffic: rejects this
+    /// fraction of the requests, and takes this many times as long.
+    pub(super) condition: fn(u64, usize) -> Condition,
+    /// Time at which all hosts start anew, in milliseconds since the start of traffic.
+    pub(super) hosts_restart_at_ms: Option<u64>,
+}
+
+/// How an instance behaves.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Condition {
+    pub(super) rejected: f64,
+    pub(super) slowness: f64,
+}
+
+pub(super) const SOUND: Condition = Condition { rejected: 0.0, slowness: 1.0 };
+
+/// What the callers got in one window, by the time at which they sent the request.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Window {
+    pub(super) asked: u32,
+    pub(super) on_time: u32,
+    pub(super) late: u32,
+    /// Requests for objects that the instance had to load.
+    pub(super) loaded: u32,
+    pub(super) run: u32,
+}
+
+impl Window {
+    pub(super) fn worth(&self) -> f64 {
+        (f64::from(self.on_time) + LATE_WORTH * f64::from(self.late)) / f64::from(self.asked.max(1))
+    }
+}
+
+/// Plays the scenario and returns what the callers got in each window.
+pub(super) fn play(scenario: &Scenario, seed: u64) -> Vec<Window> {
+    let mut world = World::new(scenario.clone(), seed);
+    world.run();
+    world.windows.into_values().collect()
+}
+
+/// Mean worth of the windows from `from` to `to`, in seconds since the start of traffic.
+pub(super) fn mean_worth(windows: &[Window], from: usize, to: usize) -> f64 {
+    let part = &windows[from..to];
+    part.iter().map(Window::worth).sum::<f64>() / part.len() as f64
+}
+
+struct Host {
+    region: usize,
+    fleet: Fleet,
+    requests: f64,
+    retries: f64,
+}
+
+struct Server {
+    region: usize,
+    running: u32,
+    waiting: VecDeque<usize>,
+    /// Objects that the instance has cached, the oldest one first.
+    cache: Vec<u64>,
+}
+
+struct Request {
+    host: usize,
+    kind: usize,
+    object: u64,
+    /// When the caller first sent it.
+    asked_at: Duration,
+    /// When this caller's attempt reached the host.
+    arrived_at: Duration,
+    /// When the present attempt was sent to an instance.
+    sent_at: Duration,
+    has_returned: bool,
+    tried: Vec<Arc<str>>,
+    choice: Option<Choice>,
+    server: usize,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrival,
+    Return(usize),
+    Finish(usize),
+    Answer(usize, bool, u32, u32),
+}
+
+struct World {
+    scenario: Scenario,
+    now: Duration,
+    random: u64,
+    events: BinaryHeap<Reverse<(Duration, u64, Event)>>,
+    sequence: u64,
+    hosts: Vec<Host>,
+    servers: Vec<Server>,
+    server_by_id: HashMap<Arc<str>, usize>,
+    requests: Vec<Request>,
+    windows: BTreeMap<u64, Window>,
+}
+
+impl World {
+    fn new(scenario: Scenario, seed: u64) -> Self {
+        let mut world = Self {
+            now: START,
+            random: seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1,
+            events: BinaryHeap::new(),
+            sequence: 0,
+            hosts: Vec::new(),
+            servers: Vec::new(),
+            server_by_id: HashMap::new(),
+            requests: Vec::new(),
+            windows: BTreeMap::new(),
+            scenario,
+        };
+        for (region, count) in world.scenario.instances.into_iter().enumerate() {
+            for _ in 0..count {
+                let server =
+                    Server { region, running: 0, waiting: VecDeque::new(), cache: Vec::new() };
+                let id = instance_id(world.servers.len());
+                world.server_by_id.insert(id, world.servers.len());
+                world.servers.push(server);
+            }
+        }
+        world.start_hosts();
+        world.schedule(START, Event::Arrival);
+        world
+    }
+
+    fn start_hosts(&mut self) {
+        let regions = 0..REGIONS.len();
+        let numbers = 0..self.scenario.hosts_per_region;
+        let places: Vec<(usize, u32)> =
+            regions.flat_map(|region| numbers.clone().map(move |n| (region, n))).collect();
+        self.hosts = places
+            .into_iter()
+            .map(|(region, number)| Host {
+                region,
+                fleet: self.new_fleet(region, number),
+                requests: 0.0,
+                retries: 0.0,
+            })
+            .collect();
+    }
+
+    fn new_fleet(&self, region: usize, number: u32) -> Fleet {
+        let domains = REGIONS.iter().map(|region| (domain(region), Arc::from(*region)));
+        let host_name = |number| Arc::from(format!("host-{}-{number}", REGIONS[region]).as_str());
+        let mut fleet = Fleet::new(Locality {
+            host: host_name(number),
+            region: Arc::from(REGIONS[region]),
+            domain: domain(REGIONS[region]),
+            domain_regions: domains.collect(),
+        });
+        fleet.set_warmup(self.now, &Arc::from(SERVICE), Duration::from_secs(3), 16.0);
+        fleet.set_region_hosts((0..self.scenario.hosts_per_region).map(host_name).collect());
+        for (index, server) in self.servers.iter().enumerate() {
+            fleet.register(
+                self.now,
+                Endpoint {
+                    id: instance_id(index),
+                    service: Arc::from(SERVICE),
+                    address: "127.0.0.1:9000".parse().unwrap(),
+                    domain: domain(REGIONS[server.region]),
+                    slots: self.scenario.slots,
+                    incarnation: 1,
+                    is_draining: false,
+                    warmup_left: Duration::ZERO,
+                },
+            );
+        }
+        fleet.finish_initial_sync();
+        fleet
+    }
+
+    fn run(&mut self) {
+        let end = START + Duration::from_secs(self.scenario.seconds);
+        let mut restart_at =
+            self.scenario.hosts_restart_at_ms.map(|at| START + Duration::from_millis(at));
+        while let Some(Reverse((at, _, event))) = self.events.pop() {
+            self.now = at;
+            if restart_at.is_some_and(|restart_at| restart_at <= at) {
+                restart_at = None;
+                self.start_hosts();
+            }
+            match event {
+                Event::Arrival if at < end => self.arrive(),
+                Event::Arrival => {}
+                Event::Return(request) => self.attempt(request),
+                Event::Finish(request) => self.finish(request),
+                Event::Answer(request, is_shed, running, waiting) => {
+                    self.answer(
+                        request,
+                        is_shed,
+                        Report { running, waiting, slots: self.scenario.slots },
+                    );
+                }
+            }
+        }
+    }
+
+    fn arrive(&mut self) {
+        let total = self.scenario.rate * REGIONS.len() as f64;
+        let wait = -(1.0 - self.draw()).ln() / total;
+        self.schedule(self.now + Duration::from_secs_f64(wait), Event::Arrival);
+        let host = self.below(self.hosts.len() as u64) as usize;
+        let mut draw = self.draw();
+        let is_kind = |kind: &Kind| {
+            draw -= kind.share;
+            draw < 0.0
+        };
+        let kind = self.scenario.kinds.iter().position(is_kind).unwrap_or(0);
+        let number = self.below(self.scenario.kinds[kind].objects);
+        let object = hash(number + 1000 * (kind as u64 + 10 * self.hosts[host].region as u64));
+        self.requests.push(Request {
+            host,
+            kind,
+            object,
+            asked_at: self.now,
+            arrived_at: self.now,
+            sent_at: self.now,
+            has_returned: false,
+            tried: Vec::new(),
+            choice: None,
+            server: 0,
+        });
+        self.window(self.now).asked += 1;
+        self.attempt(self.requests.len() - 1);
+    }
+
+    /// Lets the host choose an instance for the request, and sends it there.
+    fn attempt(&mut self, id: usize) {
+        let request = &mut self.requests[id];
+        let kind = self.scenario.kinds[request.kind];
+        let host = &mut self.hosts[request.host];
+        if request.tried.is_empty() {
+            host.requests += 1.0;
+            request.arrived_at = self.now;
+        }
+        let criteria = Criteria {
+            service: SERVICE,
+            route_regions: &[],
+            workspace_regions: &[],
+            object_hash: Some(request.object),
+            excluded: &request.tried,
+            priority: kind.priority,
+            target_latency: Some(Duration::from_millis(kind.target_ms)),
+            locality_draw: (request.object >> 11) as f64 / (1_u64 << 53) as f64,
+        };
+        match host.fleet.choose(self.now, &criteria) {
+            Ok(choice) => {
+                host.fleet.start_request(self.now, &choice, Some(request.object));
+                request.sent_at = self.now;
+                request.tried.push(choice.id.clone());
+                request.server = self.server_by_id[&choice.id];
+                request.choice = Some(choice);
+                self.reach(id);
+            }
+            Err(rejection) => self.refuse(id, rejection),
+        }
+    }
+
+    /// Handles a request that has reached its instance.
+    fn reach(&mut self, id: usize) {
+        let index = self.requests[id].server;
+        let condition = (self.scenario.condition)(self.since_start_ms(), index);
+        let is_rejected = self.draw() < condition.rejected;
+        let slots = self.scenario.slots;
+        let server = &mut self.servers[index];
+        if is_rejected || server.waiting.len() >= 3 * slots as usize {
+            self.respond(id, true);
+        } else if server.running < slots {
+            server.running += 1;
+            self.start(id);
+        } else {
+            server.waiting.push_back(id);
+        }
+    }
+
+    /// Starts to run a request at its instance.
+    fn start(&mut self, id: usize) {
+        let request = &self.requests[id];
+        let kind = self.scenario.kinds[request.kind];
+        let condition = (self.scenario.condition)(self.since_start_ms(), request.server);
+        let (object, asked_at) = (request.object, request.asked_at);
+        let server = &mut self.servers[request.server];
+        let position = server.cache.iter().position(|cached| *cached == object);
+        let ratio = if position.is_some() { CACHED_WORK_RATIO } else { 1.0 };
+        let window = self.window(asked_at);
+        window.run += 1;
+        window.loaded += u32::from(position.is_none());
+        let spread = 0.85 + 0.3 * self.draw();
+        let work = kind.work_ms as f64 / 1000.0 * ratio * condition.slowness * spread;
+        self.schedule(self.now + Duration::from_secs_f64(work), Event::Finish(id));
+    }
+
+    fn finish(&mut self, id: usize) {
+        let object = self.requests[id].object;
+        let limit = self.scenario.cache_objects;
+        let server = &mut self.servers[self.requests[id].server];
+        server.cache.retain(|cached| *cached != object);
+        server.cache.push(object);
+        if server.cache.len() > limit {
+            server.cache.remove(0);
+        }
+        server.running -= 1;
+        self.respond(id, false);
+        self.start_next(self.requests[id].server);
+    }
+
+    /// Starts the next waiting request whose deadline has not passed.
+    fn start_next(&mut self, index: usize) {
+        while let Some(next) = self.servers[index].waiting.pop_front() {
+            let request = &self.requests[next];
+            let deadline = Duration::from_millis(self.scenario.kinds[request.kind].deadline_ms);
+            if request.arrived_at + deadline <= self.now {
+                self.respond(next, true);
+                continue;
+            }
+            self.servers[index].running += 1;
+            self.start(next);
+            return;
+        }
+    }
+
+    fn respond(&mut self, id: usize, is_shed: bool) {
+        let request = &self.requests[id];
+        let server = &self.servers[request.server];
+        let is_remote = server.region != self.hosts[request.host].region;
+        let latency = if is_remote { REMOTE_LATENCY } else { Duration::from_millis(2) };
+        let event = Event::Answer(id, is_shed, server.running, server.waiting.len() as u32);
+        self.schedule(self.now + latency, event);
+    }
+
+    fn answer(&mut self, id: usize, is_shed: bool, report: Report) {
+        let request = &self.requests[id];
+        let host = &mut self.hosts[request.host];
+        let Some(choice) = &request.choice else {
+            return;
+        };
+        let elapsed = self.now - request.sent_at;
+        let outcome = if is_shed { Outcome::Shed } else { Outcome::Answered(elapsed) };
+        host.fleet.end_request(self.now, choice, outcome, Some(report));
+        if is_shed {
+            if request.tried.len() < 2 && host.retries < host.requests * RETRY_RATIO {
+                host.retries += 1.0;
+                self.attempt(id);
+            } else {
+                let retry_after = Duration::from_millis(700);
+                self.refuse(id, Rejection::NoCapacity { retry_after });
+            }
+            return;
+        }
+        let kind = self.scenario.kinds[request.kind];
+        let asked_at = request.asked_at;
+        let total = self.now - asked_at;
+        let window = self.window(asked_at);
+        if total <= Duration::from_millis(kind.target_ms) {
+            window.on_time += 1;
+        } else if total <= Duration::from_millis(kind.deadline_ms) {
+            window.late += 1;
+        }
+    }
+
+    /// Refuses a request, which the caller sends once more after the suggested delay.
+    fn refuse(&mut self, id: usize, rejection: Rejection) {
+        let retry_after = match rejection {
+            Rejection::NoInstance => Duration::from_millis(700),
+            Rejection::NoCapacity { retry_after } | Rejection::ShiftLimited { retry_after } => {
+                retry_after
+            }
+        };
+        let hosts = self.hosts.len() as u64 / REGIONS.len() as u64;
+        let other = self.below(hosts) as usize;
+        let request = &mut self.requests[id];
+        if !request.has_returned {
+            request.has_returned = true;
+            request.tried.clear();
+            let region = self.hosts[request.host].region;
+            request.host = region * hosts as usize + other;
+            self.schedule(self.now + retry_after, Event::Return(id));
+        }
+    }
+
+    fn window(&mut self, at: Duration) -> &mut Window {
+        let index = ((at - START).as_nanos() / WINDOW.as_nanos()) as u64;
+        self.windows.entry(index).or_default()
+    }
+
+    fn since_start_ms(&self) -> u64 {
+        (self.now - START).as_millis() as u64
+    }
+
+    fn schedule(&mut self, at: Duration, event: Event) {
+        self.sequence += 1;
+        self.events.push(Reverse((at, self.sequence, event)));
+    }
+
+    fn below(&mut self, limit: u64) -> u64 {
+        self.random = self.random.wrapping_add(0x9E37_79B9_7F4A_7C15);
+        hash(self.random) % limit.max(1)
+    }
+
+    fn draw(&mut self) -> f64 {
+        self.below(1 << 53) as f64 / (1_u64 << 53) as f64
+    }
+}
+
+/// Spreads the bits of a number (SplitMix64).
+fn hash(number: u64) -> u64 {
+    let mixed = (number ^ (number >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    mixed ^ (mixed >> 31)
+}
+
+fn instance_id(index: usize) -> Arc<str> {
+    Arc::from(format!("i-{:08x}", hash(index as u64 + 7) >> 32).as_str())
+}
+
+fn domain(region: &str) -> Arc<str> {
+    Arc::from(format!("{region}-a").as_str())
+}
