fleet: the work on a request is learned for each route, cached and not

Hypothesis: one average for all kinds of a service makes an instance with more of the longer kind seem slow and requests seem late that are not; averages over cached and loaded objects move with their mix, so that in an overload every expectation grows. Change: work::Model learns the work of each route as a lower quantile of answers, and of uncached objects by the ratio seen; an instance's slowness is the median of its last answers, each relative to the work expected, and fades while it does not answer. Services that report no load are learned too. Requests without an object take the longest unused of equal instances.

--- a/crates/core/src/steering.rs
+++ b/crates/core/src/steering.rs
@@ -13,10 +13,12 @@
 pub mod plan;
 pub mod rate;
 pub mod retry;
+pub mod samples;
 pub mod seats;
 pub mod shift;
 pub mod spill;
 pub mod split;
+pub mod work;
 
 #[cfg(test)]
 mod tests;
--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -11,7 +11,7 @@
 };
 
 pub use choice::{Choice, Criteria, Rejection};
-use upstream::{CACHED_WORK_RATIO, Upstream};
+use upstream::Upstream;
 
 use super::{
     instance::{Endpoint, Instance, Outcome},
@@ -219,20 +219,22 @@
         let Some(service) = self.service_by_id.get(&choice.id).cloned() else {
             return;
         };
-        if let (Outcome::Answered(time), Some(upstream)) =
-            (outcome, self.upstreams.get_mut(&service))
-        {
+        let Some(upstream) = self.upstreams.get_mut(&service) else {
+            return;
+        };
+        let times = upstream.work.times(&choice.route);
+        if let Outcome::Answered(time) = outcome {
             upstream.record_answer(time.as_secs_f64(), choice, report);
         }
-        if let Some(instance) = self.instance(&choice.id)
+        let instances = &mut upstream.instances;
+        let instance = instances.iter_mut().find(|instance| instance.endpoint.id == choice.id);
+        if let Some(instance) = instance
             && instance.endpoint.incarnation == choice.incarnation
         {
-            let cached_work_ratio = if choice.is_cached { 1.0 } else { CACHED_WORK_RATIO };
-            instance.end_request(now, outcome, report, cached_work_ratio);
-        }
-        if let Some(upstream) = self.upstreams.get_mut(&service) {
-            upstream.update_usual();
+            let expected = if choice.is_cached { times.cached } else { times.uncached };
+            instance.end_request(now, outcome, report, expected);
         }
+        upstream.update_usual();
     }
 
     /// Removes an instance whose registration is out of date, because another instance answers at
--- a/crates/core/src/steering/fleet/choice.rs
+++ b/crates/core/src/steering/fleet/choice.rs
@@ -11,11 +11,11 @@
 use super::{
     Fleet,
     admission::{has_capacity, is_serving},
-    upstream::{Upstream, median_work_seconds},
+    upstream::Upstream,
 };
 use crate::{
     rendezvous,
-    steering::{cold, instance::Instance},
+    steering::{cold, instance::Instance, work},
 };
 
 /// Cost of an instance whose slots are all taken, relative to the work on a cached object. It is
@@ -43,6 +43,8 @@
 pub struct Criteria<'a> {
     /// Service that runs the request.
     pub service: &'a str,
+    /// Name of the route, which tells kinds of requests with different work apart.
+    pub route: &'a Arc<str>,
     /// Regions that the route allows; all if empty.
     pub route_regions: &'a [Arc<str>],
     /// Regions that the workspace allows; all if empty.
@@ -69,6 +71,8 @@
     pub incarnation: u64,
     /// Address of the instance.
     pub address: std::net::SocketAddr,
+    /// Name of the request's route.
+    pub route: Arc<str>,
     /// Whether the instance is in another region.
     pub is_remote: bool,
     /// Whether the instance is expected to have the request's object cached. True if the request
@@ -182,15 +186,14 @@
             let ready = candidates.iter().filter(|i| !i.is_cold(now) && i.is_available(now));
             ready.max_by_key(|i| key.weight(&i.endpoint.id)).map(|i| i.endpoint.id.clone())
         });
-        let median_seconds = median_work_seconds(upstream);
+        let times = upstream.work.times(criteria.route);
         let mut best: Option<(f64, u64, &Instance, bool)> = None;
         for instance in candidates {
             let is_first = first_ranked.as_ref() == Some(&instance.endpoint.id);
             let is_cached = criteria
                 .object_hash
                 .is_none_or(|object| is_first || instance.has_cached(now, object));
-            let expected =
-                self.expected_seconds(now, upstream, instance, is_cached, median_seconds);
+            let expected = expected_seconds(now, upstream, instance, is_cached, times);
             let is_admitted = instance.is_available(now)
                 && self.is_warm_or_paced(now, upstream, instance)
                 && self.is_within_unreported_share(instance)
@@ -198,8 +201,11 @@
             if !is_admitted {
                 continue;
             }
-            let cost = expected + self.other_costs_seconds(now, upstream, instance);
-            let weight = key.map_or(0, |key| key.weight(&instance.endpoint.id));
+            let cost = expected + self.other_costs_seconds(now, upstream, instance, times);
+            let weight = key.map_or_else(
+                || u64::MAX - instance.last_request_at().as_nanos() as u64,
+                |key| key.weight(&instance.endpoint.id),
+            );
             let is_better = best.is_none_or(|(best_cost, best_weight, ..)| {
                 cost < best_cost - f64::EPSILON || (cost <= best_cost && weight > best_weight)
             });
@@ -211,36 +217,23 @@
             id: instance.endpoint.id.clone(),
             incarnation: instance.endpoint.incarnation,
             address: instance.endpoint.address,
+            route: criteria.route.clone(),
             is_remote: !self.is_local(instance),
             is_cached,
             cost_seconds,
         })
     }
 
-    /// Expected response time of the instance, in seconds.
-    fn expected_seconds(
+    /// Costs of the instance's load, distance and failures, in seconds.
+    fn other_costs_seconds(
         &self,
         now: Duration,
         upstream: &Upstream,
         instance: &Instance,
-        is_cached: bool,
-        median_seconds: f64,
+        times: work::Times,
     ) -> f64 {
         let slots = f64::from(instance.endpoint.slots.max(1));
-        let load = instance.load.total(now);
-        let work = if is_cached {
-            upstream.cached_work_seconds()
-        } else {
-            upstream.uncached_work_seconds()
-        };
-        let wait = (load + 1.0 - slots).max(0.0) / slots * upstream.cached_work_seconds();
-        (work + wait) * instance.slowdown(median_seconds)
-    }
-
-    /// Costs of the instance's load, distance and failures, in seconds.
-    fn other_costs_seconds(&self, now: Duration, upstream: &Upstream, instance: &Instance) -> f64 {
-        let slots = f64::from(instance.endpoint.slots.max(1));
-        let busy = BUSY_COST * upstream.cached_work_seconds() * instance.load.total(now) / slots;
+        let busy = BUSY_COST * times.cached * instance.load.total(now) / slots;
         let distance = if !self.is_local(instance) {
             OTHER_REGION_COST_SECONDS
         } else if instance.endpoint.domain != self.locality.domain {
@@ -248,10 +241,7 @@
         } else {
             0.0
         };
-        busy + distance
-            + FAILURE_COST
-                * upstream.uncached_work_seconds()
-                * upstream.excess_failure_rate(instance)
+        busy + distance + FAILURE_COST * times.uncached * upstream.excess_failure_rate(instance)
     }
 
     /// This host's rate for a cold instance, in requests per second. `rate` is what the instance
@@ -287,6 +277,21 @@
     }
 }
 
+/// Expected response time of the instance, in seconds.
+fn expected_seconds(
+    now: Duration,
+    upstream: &Upstream,
+    instance: &Instance,
+    is_cached: bool,
+    times: work::Times,
+) -> f64 {
+    let slots = f64::from(instance.endpoint.slots.max(1));
+    let load = instance.load.total(now);
+    let work = if is_cached { times.cached } else { times.uncached };
+    let wait = (load + 1.0 - slots).max(0.0) / slots * upstream.work.mean_seconds();
+    (work + wait) * instance.slowdown(now, upstream.usual_slowness)
+}
+
 /// Suggested retry delay: an instance without capacity has some again after about one response.
 fn retry_after(upstream: &Upstream) -> Duration {
     const MIN_DELAY: Duration = Duration::from_millis(200);
--- a/crates/core/src/steering/fleet/upstream.rs
+++ b/crates/core/src/steering/fleet/upstream.rs
@@ -6,15 +6,9 @@
 use crate::steering::{
     instance::{self, Instance},
     load::Report,
-    spill,
+    spill, work,
 };
 
-/// Work on a cached object relative to the work on one that the instance has to load first.
-pub(super) const CACHED_WORK_RATIO: f64 = 0.35;
-
-/// Assumed work on an uncached object until an answer shows it, in seconds.
-const DEFAULT_UNCACHED_WORK_SECONDS: f64 = 0.5;
-
 /// Weight of the newest sample in the exponential moving averages of a service.
 const SMOOTHING_FACTOR: f64 = 0.05;
 
@@ -34,9 +28,10 @@
     pub(super) response_seconds: Option<f64>,
     /// Requests at the instances of the host's own region, relative to their slots.
     pub(super) local_load: f64,
-    /// Moving average of the time that an instance without a queue works on a cached object, in
-    /// seconds.
-    pub(super) cached_work_seconds: Option<f64>,
+    /// Learned work on each kind of request.
+    pub(super) work: work::Model,
+    /// Median over the instances of the slowness.
+    pub(super) usual_slowness: f64,
     /// Median over the instances of the failure rate.
     pub(super) usual_failure_rate: f64,
     /// How long an instance is cold after its start.
@@ -53,23 +48,14 @@
             spill: spill::Controller::new(now),
             response_seconds: None,
             local_load: 0.0,
-            cached_work_seconds: None,
+            work: work::Model::default(),
+            usual_slowness: 1.0,
             usual_failure_rate: 0.0,
             warmup: Duration::ZERO,
             cold_rate: f64::INFINITY,
         }
     }
 
-    /// Expected work on a cached object, in seconds.
-    pub(super) fn cached_work_seconds(&self) -> f64 {
-        self.cached_work_seconds.unwrap_or(DEFAULT_UNCACHED_WORK_SECONDS * CACHED_WORK_RATIO)
-    }
-
-    /// Expected work on an uncached object, in seconds.
-    pub(super) fn uncached_work_seconds(&self) -> f64 {
-        self.cached_work_seconds() / CACHED_WORK_RATIO
-    }
-
     /// Failure rate of the instance beyond what most instances of the service have, and beyond what
     /// chance explains. A rate that all instances have alike says nothing about where to send a
     /// request; acting on it would move objects between instances, which then have to load them.
@@ -83,31 +69,20 @@
     pub(super) fn update_usual(&mut self) {
         let mut rates: Vec<f64> = self.instances.iter().map(Instance::failure_rate).collect();
         self.usual_failure_rate = median(&mut rates).unwrap_or(0.0);
+        let slowness = self.instances.iter().map(|instance| instance.slowness().unwrap_or(1.0));
+        self.usual_slowness = median(&mut slowness.collect::<Vec<_>>()).unwrap_or(1.0);
     }
 
-    /// Records the time of an answer. Only an answer for a cached object from an instance without a
-    /// queue shows the work, as others include loading the object or waiting.
+    /// Records the time of an answer. Only an instance without a queue shows the work, as other
+    /// times include waiting.
     pub(super) fn record_answer(&mut self, seconds: f64, choice: &Choice, report: Option<Report>) {
         update_average(&mut self.response_seconds, seconds);
-        if choice.is_cached && report.is_some_and(|report| report.waiting == 0) {
-            update_average(&mut self.cached_work_seconds, seconds);
+        if report.is_none_or(|report| report.waiting == 0) {
+            self.work.record(&choice.route, seconds, choice.is_cached);
         }
     }
 }
 
-/// Median over the instances of the work on a cached object, in seconds. An instance that has not
-/// answered counts with the service's average. Unlike the average, the median stays the same when a
-/// slow instance gets many requests.
-pub(super) fn median_work_seconds(upstream: &Upstream) -> f64 {
-    let instances = upstream.instances.iter();
-    let mut seconds: Vec<f64> = instances
-        .map(|instance| {
-            instance.cached_work_seconds().unwrap_or_else(|| upstream.cached_work_seconds())
-        })
-        .collect();
-    median(&mut seconds).unwrap_or_else(|| upstream.cached_work_seconds())
-}
-
 /// Median of the values; `None` without values.
 fn median(values: &mut [f64]) -> Option<f64> {
     let middle = values.len() / 2;
--- a/crates/core/src/steering/instance.rs
+++ b/crates/core/src/steering/instance.rs
@@ -5,6 +5,7 @@
 use super::{
     cold,
     load::{Estimate, Report},
+    samples::Samples,
 };
 
 /// Consecutive failures after which an instance is ejected and gets probe requests only.
@@ -26,6 +27,13 @@
 /// Slowdown below which an instance counts as having the usual speed.
 const SLOWDOWN_THRESHOLD: f64 = 1.7;
 
+/// Latest answers from which the slowness is estimated.
+const SLOWNESS_SAMPLES: usize = 8;
+
+/// Time constant of the exponential decay of the slowness since the last answer. A slow instance
+/// gets hardly any requests that could show that it has recovered.
+const SLOWNESS_DECAY_TIME: Duration = Duration::from_secs(4);
+
 /// Upper limit of the slowdown.
 const MAX_SLOWDOWN: f64 = 8.0;
 
@@ -92,9 +100,11 @@
     is_probe_running: bool,
     failure_rate: f64,
     last_answer_at: Duration,
-    cached_work_seconds: Option<f64>,
+    /// Times of the latest answers relative to what was expected, without the waits.
+    slowness: Samples,
     /// Hashes of the objects for which this host sent requests, with the time of the last one.
     objects: HashMap<u64, Duration>,
+    last_request_at: Duration,
 }
 
 impl Instance {
@@ -113,8 +123,9 @@
             is_probe_running: false,
             failure_rate: 0.0,
             last_answer_at: Duration::ZERO,
-            cached_work_seconds: None,
+            slowness: Samples::new(SLOWNESS_SAMPLES),
             objects: HashMap::new(),
+            last_request_at: Duration::ZERO,
         }
     }
 
@@ -160,6 +171,7 @@
     /// it is cold, in requests per second.
     pub fn start_request(&mut self, now: Duration, object_hash: Option<u64>, cold_rate: f64) {
         self.load.start_request();
+        self.last_request_at = now;
         if self.is_cold(now) {
             self.cold_pacer.record_request(now, cold_rate);
         }
@@ -173,13 +185,13 @@
 
     /// Records the end of a request, with the load report of its response.
     ///
-    /// `cached_work_ratio` converts the request's time to that of a request for a cached object.
+    /// `expected_seconds` is the expected work on the request.
     pub fn end_request(
         &mut self,
         now: Duration,
         outcome: Outcome,
         report: Option<Report>,
-        cached_work_ratio: f64,
+        expected_seconds: f64,
     ) {
         self.load.end_request();
         self.is_probe_running = false;
@@ -194,8 +206,8 @@
                 let queued_per_slot = report.map_or(0.0, |report| {
                     f64::from(report.waiting) / f64::from(report.slots.max(1))
                 });
-                let seconds = time.as_secs_f64() / (1.0 + queued_per_slot) * cached_work_ratio;
-                self.record_answer(now, seconds);
+                let seconds = time.as_secs_f64() / (1.0 + queued_per_slot);
+                self.record_answer(now, seconds / expected_seconds);
             }
             Outcome::ServerError => self.update_failure_rate(1.0),
             Outcome::Shed => {
@@ -217,20 +229,27 @@
         self.objects.get(&object_hash).is_some_and(|at| now.saturating_sub(*at) < OBJECT_CACHE_TIME)
     }
 
-    /// Ratio of the instance's usual time for a request to `median_seconds`, between 1 and
-    /// `MAX_SLOWDOWN`. It is 1 if the ratio is small or the instance has not answered yet.
-    pub fn slowdown(&self, median_seconds: f64) -> f64 {
-        let Some(own_seconds) = self.cached_work_seconds else {
+    /// When this host last sent the instance a request.
+    pub fn last_request_at(&self) -> Duration {
+        self.last_request_at
+    }
+
+    /// Factor between 1 and `MAX_SLOWDOWN` by which the instance is slower than usual. It is 1 if
+    /// the difference is small or the instance has not answered for long.
+    pub fn slowdown(&self, now: Duration, usual_slowness: f64) -> f64 {
+        let Some(slowness) = self.slowness() else {
             return 1.0;
         };
-        let ratio = own_seconds / median_seconds.max(0.001);
+        let age = now.saturating_sub(self.last_answer_at).as_secs_f64();
+        let decay = (-age / SLOWNESS_DECAY_TIME.as_secs_f64()).exp();
+        let ratio = 1.0 + (slowness / usual_slowness.max(0.01) - 1.0) * decay;
         if ratio < SLOWDOWN_THRESHOLD { 1.0 } else { ratio.min(MAX_SLOWDOWN) }
     }
 
-    /// Moving average of the time for a request on a cached object, in seconds, without the wait in
-    /// the instance's queue; `None` until the first answer.
-    pub fn cached_work_seconds(&self) -> Option<f64> {
-        self.cached_work_seconds
+    /// Median of the times of the latest answers, each relative to the expected work; `None` until
+    /// the first answer.
+    pub fn slowness(&self) -> Option<f64> {
+        self.slowness.quantile(0.5)
     }
 
     /// Moving average of the fraction of requests that failed.
@@ -238,12 +257,11 @@
         self.failure_rate
     }
 
-    fn record_answer(&mut self, now: Duration, seconds: f64) {
+    fn record_answer(&mut self, now: Duration, slowness: f64) {
         self.consecutive_failures = 0;
         self.last_answer_at = now;
         self.update_failure_rate(0.0);
-        let before = self.cached_work_seconds.unwrap_or(seconds);
-        self.cached_work_seconds = Some(before + SMOOTHING_FACTOR * (seconds - before));
+        self.slowness.record(slowness);
     }
 
     fn record_failure(&mut self, now: Duration) {
--- a/crates/core/src/steering/tests.rs
+++ b/crates/core/src/steering/tests.rs
@@ -14,3 +14,4 @@
 mod spill;
 mod split;
 mod support;
+mod work;
--- a/crates/core/src/steering/tests/replay.rs
+++ b/crates/core/src/steering/tests/replay.rs
@@ -12,8 +12,24 @@
 
 /// Two kinds of request on one service, one of them with more work.
 const KINDS: [Kind; 2] = [
-    Kind { work_ms: 480, target_ms: 400, deadline_ms: 1200, priority: 2, objects: 108, share: 0.7 },
-    Kind { work_ms: 640, target_ms: 400, deadline_ms: 1500, priority: 1, objects: 47, share: 0.3 },
+    Kind {
+        name: "short",
+        work_ms: 480,
+        target_ms: 400,
+        deadline_ms: 1200,
+        priority: 2,
+        objects: 108,
+        share: 0.7,
+    },
+    Kind {
+        name: "long",
+        work_ms: 640,
+        target_ms: 400,
+        deadline_ms: 1500,
+        priority: 1,
+        objects: 47,
+        share: 0.3,
+    },
 ];
 
 /// 12 hosts and 28 instances, of which one region has only two. Cached work fills half of the slots.
--- a/crates/core/src/steering/tests/replay/world.rs
+++ b/crates/core/src/steering/tests/replay/world.rs
@@ -42,6 +42,7 @@
 /// One kind of request.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Kind {
+    pub(super) name: &'static str,
     pub(super) work_ms: u64,
     pub(super) target_ms: u64,
     pub(super) deadline_ms: u64,
@@ -301,8 +302,10 @@
             host.requests += 1.0;
             request.arrived_at = self.now;
         }
+        let route = Arc::from(kind.name);
         let criteria = Criteria {
             service: SERVICE,
+            route: &route,
             route_regions: &[],
             workspace_regions: &[],
             object_hash: Some(request.object),
--- a/crates/core/src/steering/tests/support.rs
+++ b/crates/core/src/steering/tests/support.rs
@@ -1,6 +1,10 @@
 //! Fleets with instances in two regions, for the tests of this module.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    sync::{Arc, LazyLock},
+    time::Duration,
+};
 
 use super::super::{
     fleet::{Choice, Criteria, Fleet, Locality, Rejection},
@@ -10,6 +14,7 @@
 
 pub(super) const SERVICE: &str = "status";
 pub(super) const SLOTS: u32 = 4;
+static ROUTE: LazyLock<Arc<str>> = LazyLock::new(|| name("read"));
 
 pub(super) fn name(text: &str) -> Arc<str> {
     Arc::from(text)
@@ -63,6 +68,7 @@
 pub(super) fn criteria<'a>() -> Criteria<'a> {
     Criteria {
         service: SERVICE,
+        route: &ROUTE,
         route_regions: &[],
         workspace_regions: &[],
         object_hash: None,
@@ -94,3 +100,10 @@
     let report = Report { running, waiting, slots: SLOTS };
     fleet.end_request(now, choice, Outcome::Answered(Duration::from_millis(100)), Some(report));
 }
+
+/// Answers a request after this time, from an instance that runs nothing else.
+pub(super) fn answer_after(fleet: &mut Fleet, now: Duration, choice: &Choice, milliseconds: u64) {
+    let report = Report { running: 0, waiting: 0, slots: SLOTS };
+    let time = Duration::from_millis(milliseconds);
+    fleet.end_request(now, choice, Outcome::Answered(time), Some(report));
+}
--- a/crates/steer/src/callers/forward.rs
+++ b/crates/steer/src/callers/forward.rs
@@ -79,6 +79,7 @@
     }
     let criteria = Criteria {
         service: &call.service,
+        route: &call.route.name,
         route_regions: &call.route.home_regions,
         workspace_regions: call.workspace().map_or(&[], |workspace| &workspace.home_regions),
         object_hash: call.object_hash,
