cache: only answers show what an instance has cached; a full first instance is followed by the next in order

Hypothesis: a host believes an object cached for 40 s after each request it sent, so that objects once scattered stay scattered while each instance keeps a fraction of them; among instances without the object the least loaded one gets it, another each time. Change: an answer within the work of a cached object shows that the object was there, a long one for a known object shortens the time for which objects are believed to stay; that belief returns as the evidence gets old. Among instances that do not have the object the first by rendezvous order gets it.

--- a/crates/core/src/steering.rs
+++ b/crates/core/src/steering.rs
@@ -5,6 +5,7 @@
 //! share of a common budget each host may spend. The modules do no I/O and read no clock: each
 //! decision depends only on its arguments and on what the host has recorded. See docs/platform.md.
 
+pub mod cache;
 pub mod cold;
 pub mod fleet;
 pub mod instance;
--- a/crates/core/src/steering/cache.rs
+++ b/crates/core/src/steering/cache.rs
@@ -15,6 +15,9 @@
 /// Number of objects that are tracked for one instance.
 const MAX_TRACKED_OBJECTS: usize = 128;
 
+/// Smallest age of an object that counts, in seconds.
+const MIN_AGE_SECONDS: f64 = 0.05;
+
 /// Objects of one instance.
 #[derive(Clone, Debug, Default)]
 pub struct Contents {
@@ -78,6 +81,3 @@
         self.updated_at = now;
     }
 }
-
-/// Smallest age that counts, in seconds.
-const MIN_AGE_SECONDS: f64 = 0.05;
--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -196,7 +196,7 @@
     }
 
     /// Records that a request is being sent to the chosen instance.
-    pub fn start_request(&mut self, now: Duration, choice: &Choice, object_hash: Option<u64>) {
+    pub fn start_request(&mut self, now: Duration, choice: &Choice) {
         let Some(service) = self.service_by_id.get(&choice.id) else {
             return;
         };
@@ -204,7 +204,7 @@
         let cold_rate = self.upstreams.get(service).map_or(1.0, |upstream| upstream.cold_rate);
         let host_rate = self.cold_host_rate(&choice.id, cold_rate);
         if let Some(instance) = self.instance(&choice.id) {
-            instance.start_request(now, object_hash, host_rate);
+            instance.start_request(now, host_rate);
         }
     }
 
@@ -231,6 +231,14 @@
         if let Some(instance) = instance
             && instance.endpoint.incarnation == choice.incarnation
         {
+            if let (Outcome::Answered(time), Some(object)) = (outcome, choice.object_hash) {
+                let has_queue = report.is_some_and(|report| report.waiting > 0);
+                if let (Some(age), false) = (instance.objects.age(now, object), has_queue) {
+                    let was_cached = !times.is_uncached(time.as_secs_f64());
+                    upstream.residence.record(now, age, was_cached);
+                }
+                instance.objects.record(now, object);
+            }
             let expected = if choice.is_cached { times.cached } else { times.uncached };
             instance.end_request(now, outcome, report, expected);
         }
--- a/crates/core/src/steering/fleet/choice.rs
+++ b/crates/core/src/steering/fleet/choice.rs
@@ -73,6 +73,8 @@
     pub address: std::net::SocketAddr,
     /// Name of the request's route.
     pub route: Arc<str>,
+    /// Hash of the request's object.
+    pub object_hash: Option<u64>,
     /// Whether the instance is in another region.
     pub is_remote: bool,
     /// Whether the instance is expected to have the request's object cached. True if the request
@@ -188,11 +190,12 @@
         });
         let times = upstream.work.times(criteria.route);
         let mut best: Option<(f64, u64, &Instance, bool)> = None;
+        let mut first_uncached: Option<(f64, u64, &Instance, bool)> = None;
         for instance in candidates {
             let is_first = first_ranked.as_ref() == Some(&instance.endpoint.id);
             let is_cached = criteria
                 .object_hash
-                .is_none_or(|object| is_first || instance.has_cached(now, object));
+                .is_none_or(|object| is_first || upstream.has_cached(now, instance, object));
             let expected = expected_seconds(now, upstream, instance, is_cached, times);
             let is_admitted = instance.is_available(now)
                 && self.is_warm_or_paced(now, upstream, instance)
@@ -206,18 +209,29 @@
                 || u64::MAX - instance.last_request_at().as_nanos() as u64,
                 |key| key.weight(&instance.endpoint.id),
             );
-            let is_better = best.is_none_or(|(best_cost, best_weight, ..)| {
-                cost < best_cost - f64::EPSILON || (cost <= best_cost && weight > best_weight)
-            });
-            if is_better {
-                best = Some((cost, weight, instance, is_cached));
+            let candidate = Some((cost, weight, *instance, is_cached));
+            if is_cached {
+                let is_better = best.is_none_or(|(best_cost, best_weight, ..)| {
+                    cost < best_cost - f64::EPSILON || (cost <= best_cost && weight > best_weight)
+                });
+                if is_better {
+                    best = candidate;
+                }
+            } else if first_uncached.is_none_or(|(_, best_weight, ..)| weight > best_weight) {
+                first_uncached = candidate;
             }
         }
+        let best = match (best, first_uncached) {
+            (Some(cached), Some(uncached)) if uncached.0 < cached.0 => Some(uncached),
+            (None, uncached) => uncached,
+            (cached, _) => cached,
+        };
         best.map(|(cost_seconds, _, instance, is_cached)| Choice {
             id: instance.endpoint.id.clone(),
             incarnation: instance.endpoint.incarnation,
             address: instance.endpoint.address,
             route: criteria.route.clone(),
+            object_hash: criteria.object_hash,
             is_remote: !self.is_local(instance),
             is_cached,
             cost_seconds,
--- a/crates/core/src/steering/fleet/upstream.rs
+++ b/crates/core/src/steering/fleet/upstream.rs
@@ -4,6 +4,7 @@
 
 use super::choice::Choice;
 use crate::steering::{
+    cache,
     instance::{self, Instance},
     load::Report,
     spill, work,
@@ -32,6 +33,8 @@
     pub(super) work: work::Model,
     /// Median over the instances of the slowness.
     pub(super) usual_slowness: f64,
+    /// How long the instances keep an object.
+    pub(super) residence: cache::Residence,
     /// Median over the instances of the failure rate.
     pub(super) usual_failure_rate: f64,
     /// How long an instance is cold after its start.
@@ -50,6 +53,7 @@
             local_load: 0.0,
             work: work::Model::default(),
             usual_slowness: 1.0,
+            residence: cache::Residence::new(now),
             usual_failure_rate: 0.0,
             warmup: Duration::ZERO,
             cold_rate: f64::INFINITY,
@@ -73,6 +77,12 @@
         self.usual_slowness = median(&mut slowness.collect::<Vec<_>>()).unwrap_or(1.0);
     }
 
+    /// Whether the instance is believed to have the object cached, because it answered this host
+    /// about it not longer ago than objects stay.
+    pub(super) fn has_cached(&self, now: Duration, instance: &Instance, object: u64) -> bool {
+        instance.objects.age(now, object).is_some_and(|age| age < self.residence.time(now))
+    }
+
     /// Records the time of an answer. Only an instance without a queue shows the work, as other
     /// times include waiting.
     pub(super) fn record_answer(&mut self, seconds: f64, choice: &Choice, report: Option<Report>) {
--- a/crates/core/src/steering/instance.rs
+++ b/crates/core/src/steering/instance.rs
@@ -1,9 +1,9 @@
 //! State that a host keeps about one backend server instance.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 use super::{
-    cold,
+    cache, cold,
     load::{Estimate, Report},
     samples::Samples,
 };
@@ -37,12 +37,6 @@
 /// Upper limit of the slowdown.
 const MAX_SLOWDOWN: f64 = 8.0;
 
-/// How long an object is assumed to stay in an instance's cache after a request for it.
-const OBJECT_CACHE_TIME: Duration = Duration::from_secs(40);
-
-/// Number of objects that are tracked for one instance.
-const MAX_TRACKED_OBJECTS: usize = 128;
-
 /// An instance as it is registered with the platform.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Endpoint {
@@ -102,8 +96,8 @@
     last_answer_at: Duration,
     /// Times of the latest answers relative to what was expected, without the waits.
     slowness: Samples,
-    /// Hashes of the objects for which this host sent requests, with the time of the last one.
-    objects: HashMap<u64, Duration>,
+    /// Objects that the instance is believed to have cached.
+    pub(super) objects: cache::Contents,
     last_request_at: Duration,
 }
 
@@ -124,7 +118,7 @@
             failure_rate: 0.0,
             last_answer_at: Duration::ZERO,
             slowness: Samples::new(SLOWNESS_SAMPLES),
-            objects: HashMap::new(),
+            objects: cache::Contents::default(),
             last_request_at: Duration::ZERO,
         }
     }
@@ -169,7 +163,7 @@
 
     /// Records a request that is being sent. `cold_rate` is this host's rate for the instance while
     /// it is cold, in requests per second.
-    pub fn start_request(&mut self, now: Duration, object_hash: Option<u64>, cold_rate: f64) {
+    pub fn start_request(&mut self, now: Duration, cold_rate: f64) {
         self.load.start_request();
         self.last_request_at = now;
         if self.is_cold(now) {
@@ -178,9 +172,6 @@
         if self.is_ejected() {
             self.is_probe_running = true;
         }
-        if let Some(object_hash) = object_hash {
-            self.record_object(now, object_hash);
-        }
     }
 
     /// Records the end of a request, with the load report of its response.
@@ -223,12 +214,6 @@
         }
     }
 
-    /// Whether the instance is assumed to have the object in its cache, because this host sent it a
-    /// request for the object recently.
-    pub fn has_cached(&self, now: Duration, object_hash: u64) -> bool {
-        self.objects.get(&object_hash).is_some_and(|at| now.saturating_sub(*at) < OBJECT_CACHE_TIME)
-    }
-
     /// When this host last sent the instance a request.
     pub fn last_request_at(&self) -> Duration {
         self.last_request_at
@@ -275,14 +260,4 @@
     fn update_failure_rate(&mut self, sample: f64) {
         self.failure_rate += SMOOTHING_FACTOR * (sample - self.failure_rate);
     }
-
-    fn record_object(&mut self, now: Duration, object_hash: u64) {
-        if self.objects.len() >= MAX_TRACKED_OBJECTS && !self.objects.contains_key(&object_hash) {
-            let oldest = self.objects.iter().min_by_key(|(_, at)| **at).map(|(object, _)| *object);
-            if let Some(oldest) = oldest {
-                self.objects.remove(&oldest);
-            }
-        }
-        self.objects.insert(object_hash, now);
-    }
 }
--- a/crates/core/src/steering/tests.rs
+++ b/crates/core/src/steering/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions, under the load or failure that each decision is made for.
 
+mod cache;
 mod cold;
 mod fleet;
 mod instance;
--- a/crates/core/src/steering/tests/instance.rs
+++ b/crates/core/src/steering/tests/instance.rs
@@ -12,7 +12,7 @@
 }
 
 fn fail(instance: &mut Instance, now: Duration, outcome: Outcome) {
-    instance.start_request(now, None, 1.0);
+    instance.start_request(now, 1.0);
     instance.end_request(now, outcome, None, 1.0);
 }
 
@@ -25,7 +25,7 @@
     fail(&mut instance, at(10), Outcome::TransportError);
     assert!(!instance.is_available(at(20)));
     assert!(instance.is_available(at(2_000)));
-    instance.start_request(at(2_000), None, 1.0);
+    instance.start_request(at(2_000), 1.0);
     assert!(!instance.is_available(at(2_001)), "a second probe at the same time");
     instance.end_request(at(2_100), Outcome::Answered(Duration::from_millis(100)), None, 1.0);
     assert!(instance.is_available(at(2_100)));
@@ -49,20 +49,8 @@
     assert!(idle.failure_rate() > 0.0);
     let mut full = instance();
     for _ in 0..10 {
-        full.start_request(at(0), None, 1.0);
+        full.start_request(at(0), 1.0);
     }
     full.end_request(at(0), Outcome::Shed, None, 1.0);
     assert!(full.failure_rate() <= 0.0);
 }
-
-/// The memory for an instance's objects must be bounded.
-#[test]
-fn the_oldest_objects_are_forgotten() {
-    let mut instance = instance();
-    for object in 0..500 {
-        instance.start_request(at(object), Some(object), 1.0);
-    }
-    assert!(!instance.has_cached(at(500), 0));
-    assert!(instance.has_cached(at(500), 499));
-    assert!(!instance.has_cached(at(100_000), 499));
-}
--- a/crates/core/src/steering/tests/replay.rs
+++ b/crates/core/src/steering/tests/replay.rs
@@ -47,6 +47,25 @@
     }
 }
 
+/// 60 hosts and 138 instances, so that a host hears of an instance seldom.
+fn sixty_hosts() -> Scenario {
+    let mut kinds = KINDS;
+    for (kind, objects) in kinds.iter_mut().zip([241, 105]) {
+        kind.work_ms = kind.work_ms * 13 / 6;
+        kind.target_ms = 800;
+        kind.deadline_ms = 2500;
+        kind.objects = objects;
+    }
+    Scenario {
+        kinds: kinds.to_vec(),
+        instances: [14, 56, 68],
+        hosts_per_region: 20,
+        cache_objects: 31,
+        rate: 600.0,
+        ..twelve_hosts()
+    }
+}
+
 fn describe(windows: &[Window]) -> String {
     let rows = windows.iter().enumerate().map(|(second, window)| {
         format!(
@@ -86,3 +105,9 @@
 fn an_overload_ends_soon_after_its_cause() {
     assert_recovery(&twelve_hosts());
 }
+
+/// Hosts that hear of an instance seldom believed in objects that others had displaced there since.
+#[test]
+fn an_overload_ends_soon_with_many_hosts_too() {
+    assert_recovery(&sixty_hosts());
+}
--- a/crates/core/src/steering/tests/replay/world.rs
+++ b/crates/core/src/steering/tests/replay/world.rs
@@ -316,7 +316,7 @@
         };
         match host.fleet.choose(self.now, &criteria) {
             Ok(choice) => {
-                host.fleet.start_request(self.now, &choice, Some(request.object));
+                host.fleet.start_request(self.now, &choice);
                 request.sent_at = self.now;
                 request.tried.push(choice.id.clone());
                 request.server = self.server_by_id[&choice.id];
--- a/crates/core/src/steering/tests/support.rs
+++ b/crates/core/src/steering/tests/support.rs
@@ -86,7 +86,7 @@
     criteria: &Criteria<'_>,
 ) -> Result<Choice, Rejection> {
     let choice = fleet.choose(now, criteria)?;
-    fleet.start_request(now, &choice, criteria.object_hash);
+    fleet.start_request(now, &choice);
     Ok(choice)
 }
 
--- a/crates/steer/src/callers/attempt.rs
+++ b/crates/steer/src/callers/attempt.rs
@@ -67,8 +67,8 @@
 }
 
 impl<'a> Guard<'a> {
-    fn start(state: &'a Rc<State>, choice: &'a Choice, object_hash: Option<u64>) -> Self {
-        state.fleet.borrow_mut().start_request(clock::now(), choice, object_hash);
+    fn start(state: &'a Rc<State>, choice: &'a Choice) -> Self {
+        state.fleet.borrow_mut().start_request(clock::now(), choice);
         Self { state, choice, has_ended: false }
     }
 
@@ -96,7 +96,7 @@
     choice: &Choice,
     limit: Duration,
 ) -> Result<Answer, Failure> {
-    let guard = Guard::start(state, choice, call.object_hash);
+    let guard = Guard::start(state, choice);
     let key: Key = (choice.id.clone(), choice.incarnation);
     let is_at_most_once = call.route.idempotency == Idempotency::AtMostOnce;
     let started_at = clock::now();
