load: an instance of which a host has not heard is about as busy as the others

Hypothesis: a report decays to an empty instance, so that a host of sixty takes instances it hears of seldom for idle and fills their slots with requests that must load their object. Change: the estimate approaches the usual utilization of the region's, or the other regions', instances, a moving average over all reports.

--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -117,6 +117,7 @@
         }
         let is_synced = self.is_synced;
         let region = self.locality.domain_regions.get(&endpoint.domain).cloned();
+        let is_local = region.as_ref() == Some(&self.locality.region);
         let is_evacuated = self.evacuated_domains.contains(&endpoint.domain);
         self.service_by_id.insert(endpoint.id.clone(), endpoint.service.clone());
         let upstream = self.upstream(now, &endpoint.service.clone());
@@ -137,6 +138,7 @@
             }
             position => {
                 let mut instance = Instance::new(now, endpoint, region);
+                instance.is_local = is_local;
                 if is_synced || is_evacuated {
                     instance.mark_cold(now, warmup);
                 }
@@ -222,6 +224,9 @@
         let Some(upstream) = self.upstreams.get_mut(&service) else {
             return;
         };
+        if let Some(report) = report {
+            upstream.record_report(now, choice, report);
+        }
         let times = upstream.work.times(&choice.route);
         if let Outcome::Answered(time) = outcome {
             upstream.record_answer(time.as_secs_f64(), choice, report);
@@ -267,8 +272,4 @@
             upstream.instances.retain(|instance| instance.endpoint.id.as_ref() != id);
         }
     }
-
-    fn is_local(&self, instance: &Instance) -> bool {
-        instance.region.as_ref() == Some(&self.locality.region)
-    }
 }
--- a/crates/core/src/steering/fleet/admission.rs
+++ b/crates/core/src/steering/fleet/admission.rs
@@ -47,7 +47,7 @@
             return true;
         }
         let rate = self.cold_host_rate(&instance.endpoint.id, upstream.cold_rate);
-        self.is_local(instance) && rate > 0.0 && instance.allows_cold_request(now)
+        instance.is_local && rate > 0.0 && instance.allows_cold_request(now)
     }
 
     /// Whether the host may send one more request to an instance that has not reported its load.
@@ -91,7 +91,7 @@
     let slots = f64::from(instance.endpoint.slots.max(1));
     let is_late_and_busy = expected_seconds > target && upstream.local_load >= BUSY_LOAD;
     let open_slots = if is_late_and_busy { slots * LATE_SLOT_FRACTION } else { slots };
-    let has_slot = instance.load.total(now) + 1.0 <= open_slots.max(1.0);
+    let has_slot = upstream.load(now, instance) + 1.0 <= open_slots.max(1.0);
     let level = f64::from(criteria.priority.min(MAX_PRIORITY));
     has_slot
         || expected_seconds <= target * (MAX_TARGET_FRACTION - level * TARGET_FRACTION_PER_LEVEL)
--- a/crates/core/src/steering/fleet/choice.rs
+++ b/crates/core/src/steering/fleet/choice.rs
@@ -135,7 +135,7 @@
         upstream: &Upstream,
         candidates: &[&Instance],
     ) -> bool {
-        let is_local = |instance: &&Instance| self.is_local(instance);
+        let is_local = |instance: &&Instance| instance.is_local;
         let is_serving = |instance: &Instance| is_serving(now, &self.evacuated_domains, instance);
         let has_serving_local = upstream.instances.iter().filter(is_local).any(is_serving);
         has_serving_local && !candidates.iter().any(is_local)
@@ -152,7 +152,7 @@
     ) -> Option<Choice> {
         let stays_local = criteria.locality_draw < upstream.spill.local_share();
         let (preferred, others): (Vec<&Instance>, Vec<&Instance>) =
-            candidates.iter().partition(|instance| self.is_local(instance) == stays_local);
+            candidates.iter().partition(|instance| instance.is_local == stays_local);
         let key =
             criteria.object_hash.map(|object| rendezvous::Key::new([object.to_string().as_str()]));
         let is_unavailable = preferred.iter().all(|instance| !instance.is_available(now));
@@ -232,7 +232,7 @@
             address: instance.endpoint.address,
             route: criteria.route.clone(),
             object_hash: criteria.object_hash,
-            is_remote: !self.is_local(instance),
+            is_remote: !instance.is_local,
             is_cached,
             cost_seconds,
         })
@@ -247,8 +247,8 @@
         times: work::Times,
     ) -> f64 {
         let slots = f64::from(instance.endpoint.slots.max(1));
-        let busy = BUSY_COST * times.cached * instance.load.total(now) / slots;
-        let distance = if !self.is_local(instance) {
+        let busy = BUSY_COST * times.cached * upstream.load(now, instance) / slots;
+        let distance = if !instance.is_local {
             OTHER_REGION_COST_SECONDS
         } else if instance.endpoint.domain != self.locality.domain {
             OTHER_DOMAIN_COST_SECONDS
@@ -268,9 +268,11 @@
     /// Updates the load of the own region and the local share of the service's requests.
     fn update_spill(&mut self, now: Duration, service: &str) {
         let region = self.locality.region.clone();
+        let hosts = self.region_hosts.len().max(1) as f64;
         let Some(upstream) = self.upstreams.get_mut(service) else {
             return;
         };
+        upstream.others_share = 1.0 - 1.0 / hosts;
         // Sums of requests and of slots.
         let (mut local, mut remote) = ((0.0, 0.0), (0.0, 0.0));
         for instance in &upstream.instances {
@@ -279,7 +281,7 @@
             }
             let sums =
                 if instance.region.as_ref() == Some(&region) { &mut local } else { &mut remote };
-            sums.0 += instance.load.total(now);
+            sums.0 += upstream.load(now, instance);
             sums.1 += f64::from(instance.endpoint.slots);
         }
         let regions: BTreeSet<&Arc<str>> = self.locality.domain_regions.values().collect();
@@ -300,7 +302,7 @@
     times: work::Times,
 ) -> f64 {
     let slots = f64::from(instance.endpoint.slots.max(1));
-    let load = instance.load.total(now);
+    let load = upstream.load(now, instance);
     let work = if is_cached { times.cached } else { times.uncached };
     let wait = (load + 1.0 - slots).max(0.0) / slots * upstream.work.mean_seconds();
     (work + wait) * instance.slowdown(now, upstream.usual_slowness)
--- a/crates/core/src/steering/fleet/upstream.rs
+++ b/crates/core/src/steering/fleet/upstream.rs
@@ -6,7 +6,7 @@
 use crate::steering::{
     cache,
     instance::{self, Instance},
-    load::Report,
+    load::{self, Report},
     spill, work,
 };
 
@@ -27,6 +27,12 @@
     pub(super) spill: spill::Controller,
     /// Moving average of the response time, in seconds.
     pub(super) response_seconds: Option<f64>,
+    /// Usual utilization of the instances of the host's own region.
+    pub(super) local_utilization: load::Utilization,
+    /// Usual utilization of the instances of other regions.
+    pub(super) remote_utilization: load::Utilization,
+    /// Fraction of the requests that other hosts send.
+    pub(super) others_share: f64,
     /// Requests at the instances of the host's own region, relative to their slots.
     pub(super) local_load: f64,
     /// Learned work on each kind of request.
@@ -50,6 +56,9 @@
             instances: Vec::new(),
             spill: spill::Controller::new(now),
             response_seconds: None,
+            local_utilization: load::Utilization::default(),
+            remote_utilization: load::Utilization::default(),
+            others_share: 0.0,
             local_load: 0.0,
             work: work::Model::default(),
             usual_slowness: 1.0,
@@ -77,6 +86,24 @@
         self.usual_slowness = median(&mut slowness.collect::<Vec<_>>()).unwrap_or(1.0);
     }
 
+    /// Estimated number of requests of all hosts at the instance.
+    pub(super) fn load(&self, now: Duration, instance: &Instance) -> f64 {
+        let utilization =
+            if instance.is_local { &self.local_utilization } else { &self.remote_utilization };
+        let slots = f64::from(instance.endpoint.slots);
+        instance.load.total(now, utilization.ratio(now) * slots * self.others_share)
+    }
+
+    /// Records the load that the instance reported.
+    pub(super) fn record_report(&mut self, now: Duration, choice: &Choice, report: Report) {
+        let utilization = if choice.is_remote {
+            &mut self.remote_utilization
+        } else {
+            &mut self.local_utilization
+        };
+        utilization.record(now, report);
+    }
+
     /// Whether the instance is believed to have the object cached, because it answered this host
     /// about it not longer ago than objects stay.
     pub(super) fn has_cached(&self, now: Duration, instance: &Instance, object: u64) -> bool {
--- a/crates/core/src/steering/instance.rs
+++ b/crates/core/src/steering/instance.rs
@@ -83,6 +83,8 @@
     pub endpoint: Endpoint,
     /// Region of the instance; `None` if its failure domain is unknown.
     pub region: Option<Arc<str>>,
+    /// Whether the instance is in the host's own region.
+    pub is_local: bool,
     /// When the instance is removed unless it registers again; `None` while it is registered.
     pub expires_at: Option<Duration>,
     /// Estimated requests at the instance.
@@ -108,6 +110,7 @@
         Self {
             endpoint,
             region,
+            is_local: false,
             expires_at: None,
             load: Estimate::default(),
             cold_until,
@@ -202,7 +205,7 @@
             }
             Outcome::ServerError => self.update_failure_rate(1.0),
             Outcome::Shed => {
-                let is_full = self.load.total(now) >= f64::from(self.endpoint.slots);
+                let is_full = self.load.total(now, 0.0) >= f64::from(self.endpoint.slots);
                 self.update_failure_rate(if is_full { 0.0 } else { 1.0 });
             }
             Outcome::TransportError => self.record_failure(now),
--- a/crates/core/src/steering/load.rs
+++ b/crates/core/src/steering/load.rs
@@ -2,8 +2,9 @@
 //! reports.
 //!
 //! Several hosts share an instance's slots, and each sees the requests of the others only in the
-//! load reports that come with responses. The reported numbers decay with time, because those
-//! requests end and the report says nothing about new ones.
+//! load reports that come with responses. The reported requests end, and the report says nothing
+//! about new ones. With many hosts, each hears of an instance seldom; an instance of which it has
+//! not heard for a while is then not idle, but about as busy as the others.
 
 use std::time::Duration;
 
@@ -14,6 +15,9 @@
 /// refuse requests or send them elsewhere while there is a queue, so that the queue only shrinks.
 const QUEUE_DECAY_TIME: Duration = Duration::from_millis(600);
 
+/// Weight of the newest report in the usual utilization.
+const SMOOTHING_FACTOR: f64 = 0.05;
+
 /// Load that an instance reports with a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Report {
@@ -48,12 +52,15 @@
         !self.reported_at.is_zero()
     }
 
-    /// Estimated number of requests of all hosts at the instance.
-    pub fn total(&self, now: Duration) -> f64 {
+    /// Estimated number of requests of all hosts at the instance. `usual` is the number of running
+    /// requests that other hosts usually have at one; a report says less the older it is, so that the
+    /// estimate approaches that number.
+    pub fn total(&self, now: Duration, usual: f64) -> f64 {
         let age = now.saturating_sub(self.reported_at).as_secs_f64();
         let decay = |time: Duration| (-age / time.as_secs_f64()).exp();
         f64::from(self.own_requests)
-            + self.others_running * decay(RUNNING_DECAY_TIME)
+            + usual
+            + (self.others_running - usual) * decay(RUNNING_DECAY_TIME)
             + self.others_waiting * decay(QUEUE_DECAY_TIME)
     }
 
@@ -77,3 +84,27 @@
         self.reported_at = now;
     }
 }
+
+/// Running requests at the instances of some regions relative to their slots, as a moving average
+/// over the reports.
+#[derive(Clone, Debug, Default)]
+pub struct Utilization {
+    ratio: f64,
+    updated_at: Duration,
+}
+
+impl Utilization {
+    /// Utilization now, 0 to 1. It decays while there are no reports, as there are then hardly any
+    /// requests.
+    pub fn ratio(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.updated_at).as_secs_f64();
+        self.ratio * (-age / RUNNING_DECAY_TIME.as_secs_f64()).exp()
+    }
+
+    /// Records the load report of one instance.
+    pub fn record(&mut self, now: Duration, report: Report) {
+        let reported = f64::from(report.running) / f64::from(report.slots.max(1));
+        self.ratio += SMOOTHING_FACTOR * (reported.min(1.0) - self.ratio);
+        self.updated_at = now;
+    }
+}
