fleet: loading an object for the first time is no slowness

Hypothesis: the first instance for an object is expected to have it; while a fleet starts cold that makes every instance slow, and requests leave it for others that have the object no more than it. Change: without an earlier answer about the object, a long time counts against the work on an uncached one.

--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -231,22 +231,7 @@
         if let Outcome::Answered(time) = outcome {
             upstream.record_answer(time.as_secs_f64(), choice, report);
         }
-        let instances = &mut upstream.instances;
-        let instance = instances.iter_mut().find(|instance| instance.endpoint.id == choice.id);
-        if let Some(instance) = instance
-            && instance.endpoint.incarnation == choice.incarnation
-        {
-            if let (Outcome::Answered(time), Some(object)) = (outcome, choice.object_hash) {
-                let has_queue = report.is_some_and(|report| report.waiting > 0);
-                if let (Some(age), false) = (instance.objects.age(now, object), has_queue) {
-                    let was_cached = !times.is_uncached(time.as_secs_f64());
-                    upstream.residence.record(now, age, was_cached);
-                }
-                instance.objects.record(now, object);
-            }
-            let expected = if choice.is_cached { times.cached } else { times.uncached };
-            instance.end_request(now, outcome, report, expected);
-        }
+        upstream.end_request(now, choice, outcome, report, times);
         upstream.update_usual();
     }
 
--- a/crates/core/src/steering/fleet/upstream.rs
+++ b/crates/core/src/steering/fleet/upstream.rs
@@ -5,7 +5,7 @@
 use super::choice::Choice;
 use crate::steering::{
     cache,
-    instance::{self, Instance},
+    instance::{self, Instance, Outcome},
     load::{self, Report},
     spill, work,
 };
@@ -110,6 +110,40 @@
         instance.objects.age(now, object).is_some_and(|age| age < self.residence.time(now))
     }
 
+    /// Records the end of a request in the state of its instance, with the work that was expected
+    /// before.
+    pub(super) fn end_request(
+        &mut self,
+        now: Duration,
+        choice: &Choice,
+        outcome: Outcome,
+        report: Option<Report>,
+        times: work::Times,
+    ) {
+        let is_chosen = |instance: &&mut Instance| {
+            instance.endpoint.id == choice.id && instance.endpoint.incarnation == choice.incarnation
+        };
+        let Some(instance) = self.instances.iter_mut().find(is_chosen) else {
+            return;
+        };
+        let mut expected_seconds = times.cached;
+        if let (Outcome::Answered(time), Some(object)) = (outcome, choice.object_hash) {
+            let is_uncached = times.is_uncached(time.as_secs_f64());
+            let age = instance.objects.age(now, object);
+            let is_known = age.is_some_and(|age| age < self.residence.time(now));
+            let has_queue = report.is_some_and(|report| report.waiting > 0);
+            if let (Some(age), false) = (age, has_queue) {
+                self.residence.record(now, age, !is_uncached);
+            }
+            // Without an earlier answer about the object, a long time may come from loading it.
+            if is_uncached && !is_known {
+                expected_seconds = times.uncached;
+            }
+            instance.objects.record(now, object);
+        }
+        instance.end_request(now, outcome, report, expected_seconds);
+    }
+
     /// Records the time of an answer. Only an instance without a queue shows the work, as other
     /// times include waiting.
     pub(super) fn record_answer(&mut self, seconds: f64, choice: &Choice, report: Option<Report>) {
--- a/crates/core/src/steering/tests/replay.rs
+++ b/crates/core/src/steering/tests/replay.rs
@@ -111,3 +111,15 @@
 fn an_overload_ends_soon_with_many_hosts_too() {
     assert_recovery(&sixty_hosts());
 }
+
+/// Hosts of a large fleet took instances of which they had not heard for idle, and filled the slots
+/// with requests that had to load their object, so that the fleet did not get over a cold start.
+#[test]
+fn many_hosts_get_over_a_cold_start() {
+    for seed in SEEDS {
+        let windows = play(&sixty_hosts(), seed);
+        // All objects can be loaded within a second of the time of all slots.
+        let worth = mean_worth(&windows, 5, 8);
+        assert!(worth >= 0.6, "seed {seed}: worth {worth:.2}\n{}", describe(&windows));
+    }
+}
