load: queues approach the usual one; work is learned while there are queues

Hypothesis: in an overload of many hosts a reported queue is forgotten in 0.6 s although it stands, and the work is learned only from instances without a queue, of which there are none, so that waits are expected at half their length. Change: the estimate of the queue approaches the usual queue; every answer teaches the work, less the wait by its report.

--- a/crates/core/src/steering/fleet/upstream.rs
+++ b/crates/core/src/steering/fleet/upstream.rs
@@ -90,8 +90,8 @@
     pub(super) fn load(&self, now: Duration, instance: &Instance) -> f64 {
         let utilization =
             if instance.is_local { &self.local_utilization } else { &self.remote_utilization };
-        let slots = f64::from(instance.endpoint.slots);
-        instance.load.total(now, utilization.ratio(now) * slots * self.others_share)
+        let slots_of_others = f64::from(instance.endpoint.slots) * self.others_share;
+        instance.load.total(now, utilization.at(now, slots_of_others))
     }
 
     /// Records the load that the instance reported.
@@ -144,13 +144,11 @@
         instance.end_request(now, outcome, report, expected_seconds);
     }
 
-    /// Records the time of an answer. Only an instance without a queue shows the work, as other
-    /// times include waiting.
+    /// Records the time of an answer.
     pub(super) fn record_answer(&mut self, seconds: f64, choice: &Choice, report: Option<Report>) {
         update_average(&mut self.response_seconds, seconds);
-        if report.is_none_or(|report| report.waiting == 0) {
-            self.work.record(&choice.route, seconds, choice.is_cached);
-        }
+        let work_seconds = report.map_or(seconds, |report| report.work_seconds(seconds));
+        self.work.record(&choice.route, work_seconds, choice.is_cached);
     }
 }
 
--- a/crates/core/src/steering/instance.rs
+++ b/crates/core/src/steering/instance.rs
@@ -4,7 +4,7 @@
 
 use super::{
     cache, cold,
-    load::{Estimate, Report},
+    load::{self, Estimate, Report},
     samples::Samples,
 };
 
@@ -197,15 +197,14 @@
         }
         match outcome {
             Outcome::Answered(time) => {
-                let queued_per_slot = report.map_or(0.0, |report| {
-                    f64::from(report.waiting) / f64::from(report.slots.max(1))
-                });
-                let seconds = time.as_secs_f64() / (1.0 + queued_per_slot);
+                let seconds = time.as_secs_f64();
+                let seconds = report.map_or(seconds, |report| report.work_seconds(seconds));
                 self.record_answer(now, seconds / expected_seconds);
             }
             Outcome::ServerError => self.update_failure_rate(1.0),
             Outcome::Shed => {
-                let is_full = self.load.total(now, 0.0) >= f64::from(self.endpoint.slots);
+                let is_full =
+                    self.load.total(now, load::Usual::default()) >= f64::from(self.endpoint.slots);
                 self.update_failure_rate(if is_full { 0.0 } else { 1.0 });
             }
             Outcome::TransportError => self.record_failure(now),
--- a/crates/core/src/steering/load.rs
+++ b/crates/core/src/steering/load.rs
@@ -29,6 +29,14 @@
     pub slots: u32,
 }
 
+impl Report {
+    /// Work on a request that took `seconds`, without the wait in the instance's queue. A request
+    /// that found `w` others waiting for `s` slots took about `1 + w / s` times its work.
+    pub fn work_seconds(self, seconds: f64) -> f64 {
+        seconds / (1.0 + f64::from(self.waiting) / f64::from(self.slots.max(1)))
+    }
+}
+
 /// Estimate of the requests at one instance.
 #[derive(Clone, Debug, Default)]
 pub struct Estimate {
@@ -52,16 +60,16 @@
         !self.reported_at.is_zero()
     }
 
-    /// Estimated number of requests of all hosts at the instance. `usual` is the number of running
-    /// requests that other hosts usually have at one; a report says less the older it is, so that the
-    /// estimate approaches that number.
-    pub fn total(&self, now: Duration, usual: f64) -> f64 {
+    /// Estimated number of requests of all hosts at the instance. `usual` is what other hosts usually
+    /// have at one; a report says less the older it is, so that the estimate approaches that number.
+    pub fn total(&self, now: Duration, usual: Usual) -> f64 {
         let age = now.saturating_sub(self.reported_at).as_secs_f64();
         let decay = |time: Duration| (-age / time.as_secs_f64()).exp();
         f64::from(self.own_requests)
-            + usual
-            + (self.others_running - usual) * decay(RUNNING_DECAY_TIME)
-            + self.others_waiting * decay(QUEUE_DECAY_TIME)
+            + usual.running
+            + (self.others_running - usual.running) * decay(RUNNING_DECAY_TIME)
+            + usual.waiting
+            + (self.others_waiting - usual.waiting) * decay(QUEUE_DECAY_TIME)
     }
 
     /// Counts a request that this host sends.
@@ -85,26 +93,38 @@
     }
 }
 
-/// Running requests at the instances of some regions relative to their slots, as a moving average
-/// over the reports.
+/// Requests that other hosts usually have at an instance.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Usual {
+    /// Number of running requests.
+    pub running: f64,
+    /// Number of requests in the queue.
+    pub waiting: f64,
+}
+
+/// Requests at the instances of some regions relative to their slots, as moving averages over the
+/// reports.
 #[derive(Clone, Debug, Default)]
 pub struct Utilization {
-    ratio: f64,
+    running: f64,
+    waiting: f64,
     updated_at: Duration,
 }
 
 impl Utilization {
-    /// Utilization now, 0 to 1. It decays while there are no reports, as there are then hardly any
-    /// requests.
-    pub fn ratio(&self, now: Duration) -> f64 {
+    /// Requests at an instance with this number of slots. They decay while there are no reports, as
+    /// there are then hardly any requests.
+    pub fn at(&self, now: Duration, slots: f64) -> Usual {
         let age = now.saturating_sub(self.updated_at).as_secs_f64();
-        self.ratio * (-age / RUNNING_DECAY_TIME.as_secs_f64()).exp()
+        let scale = slots * (-age / RUNNING_DECAY_TIME.as_secs_f64()).exp();
+        Usual { running: self.running * scale, waiting: self.waiting * scale }
     }
 
     /// Records the load report of one instance.
     pub fn record(&mut self, now: Duration, report: Report) {
-        let reported = f64::from(report.running) / f64::from(report.slots.max(1));
-        self.ratio += SMOOTHING_FACTOR * (reported.min(1.0) - self.ratio);
+        let slots = f64::from(report.slots.max(1));
+        self.running += SMOOTHING_FACTOR * (f64::from(report.running) / slots - self.running);
+        self.waiting += SMOOTHING_FACTOR * (f64::from(report.waiting) / slots - self.waiting);
         self.updated_at = now;
     }
 }
--- a/crates/core/src/steering/tests/load.rs
+++ b/crates/core/src/steering/tests/load.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{
-    super::load::{Estimate, Report},
+    super::load::{Estimate, Report, Usual},
     support::at,
 };
 
@@ -20,13 +20,13 @@
 fn a_reported_queue_decays_as_fast_as_it_is_served() {
     let mut load = Estimate::default();
     load.record_report(at(0), Report { running: SLOTS, waiting: QUEUE, slots: SLOTS });
-    assert_eq!(load.total(at(0), 0.0), f64::from(SLOTS + QUEUE));
+    assert_eq!(load.total(at(0), Usual::default()), f64::from(SLOTS + QUEUE));
     let batches = QUEUE.div_ceil(SLOTS) + 1;
     let emptied_at = at(0) + WORK * batches;
     assert!(
-        load.total(emptied_at, 0.0) + 1.0 <= f64::from(SLOTS),
+        load.total(emptied_at, Usual::default()) + 1.0 <= f64::from(SLOTS),
         "{}",
-        load.total(emptied_at, 0.0)
+        load.total(emptied_at, Usual::default())
     );
 }
 
@@ -35,5 +35,9 @@
 fn running_requests_of_others_decay_slowly() {
     let mut load = Estimate::default();
     load.record_report(at(0), Report { running: SLOTS, waiting: 0, slots: SLOTS });
-    assert!(load.total(at(600), 0.0) >= f64::from(SLOTS) * 0.75, "{}", load.total(at(600), 0.0));
+    assert!(
+        load.total(at(600), Usual::default()) >= f64::from(SLOTS) * 0.75,
+        "{}",
+        load.total(at(600), Usual::default())
+    );
 }
--- a/crates/core/src/steering/work.rs
+++ b/crates/core/src/steering/work.rs
@@ -78,9 +78,9 @@
         self.mean_seconds.unwrap_or(DEFAULT_UNCACHED_SECONDS * DEFAULT_CACHED_WORK_RATIO)
     }
 
-    /// Records the time of an answer from an instance without a queue. `is_first_choice` says that
-    /// the instance is the one to which all hosts send the object, or that the request has none.
-    pub fn record(&mut self, route: &Arc<str>, seconds: f64, is_first_choice: bool) {
+    /// Records the work on a request, without the wait in the instance's queue. `is_cached` says
+    /// that the instance was believed to have the request's object cached.
+    pub fn record(&mut self, route: &Arc<str>, seconds: f64, is_cached: bool) {
         let mean = self.mean_seconds.unwrap_or(seconds);
         self.mean_seconds = Some(mean + SMOOTHING_FACTOR * (seconds - mean));
         let times = self.default_times();
@@ -89,7 +89,7 @@
             uncached_samples: Samples::new(UNCACHED_SAMPLES),
             times,
         });
-        route.record(seconds, is_first_choice);
+        route.record(seconds, is_cached);
     }
 
     fn default_times(&self) -> Times {
@@ -99,8 +99,8 @@
 }
 
 impl Route {
-    fn record(&mut self, seconds: f64, is_first_choice: bool) {
-        if is_first_choice || seconds < self.times.cached {
+    fn record(&mut self, seconds: f64, is_cached: bool) {
+        if is_cached || seconds < self.times.cached {
             self.cached_samples.record(seconds);
         }
         let cached = self.cached_samples.quantile(CACHED_QUANTILE).unwrap_or(self.times.cached);
