--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod choice;
+mod ranking;
 mod upstream;
 
 use std::{
