--- a/crates/core/src/steering/cache.rs
+++ b/crates/core/src/steering/cache.rs
@@ -5,11 +5,7 @@
 //! displaces the objects of the others, and most requests have to load theirs. A host that goes on
 //! believing in its own earlier requests keeps that going. So only answers show what an instance
 //! has: one that took the time for loading shows that the object had been displaced, and how fast
-//! that happens.
-//!
-//! With many hosts, each of them sees an object seldom. All hosts rank the instances for an object in
-//! the same order, so that one host's answers about other objects show how likely the first and the
-//! second instance of an order have their object. See docs/steering-study.md.
+//! that happens. See docs/steering-study.md.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -19,9 +15,6 @@
 /// Number of objects that are tracked for one instance.
 const MAX_TRACKED_OBJECTS: usize = 128;
 
-/// Weight of the newest answer in the hit rates.
-const SMOOTHING_FACTOR: f64 = 0.1;
-
 /// Smallest age of an object that counts, in seconds.
 const MIN_AGE_SECONDS: f64 = 0.05;
 
@@ -88,54 +81,3 @@
         self.updated_at = now;
     }
 }
-
-/// What a host knows about whether an instance has cached a request's object.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Position {
-    /// The instance answered this host about the object a short time ago, or the request has no
-    /// object.
-    Known,
-    /// The instance is the first one for the object in the order of all hosts.
-    First,
-    /// The instance is the second one.
-    Second,
-    /// The instance comes later in the order.
-    Later,
-}
-
-/// Chance that an instance has cached an object, by its position.
-#[derive(Clone, Copy, Debug)]
-pub struct HitRates {
-    first: f64,
-    second: f64,
-    later: f64,
-}
-
-impl Default for HitRates {
-    fn default() -> Self {
-        Self { first: 1.0, second: 0.0, later: 0.0 }
-    }
-}
-
-impl HitRates {
-    /// Chance that an instance at this position has the object, 0 to 1.
-    pub fn chance(&self, position: Position) -> f64 {
-        match position {
-            Position::Known => 1.0,
-            Position::First => self.first,
-            Position::Second => self.second,
-            Position::Later => self.later,
-        }
-    }
-
-    /// Records whether the object was cached.
-    pub fn record(&mut self, position: Position, was_cached: bool) {
-        let rate = match position {
-            Position::Known => return,
-            Position::First => &mut self.first,
-            Position::Second => &mut self.second,
-            Position::Later => &mut self.later,
-        };
-        *rate += SMOOTHING_FACTOR * (f64::from(u8::from(was_cached)) - *rate);
-    }
-}
--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -2,7 +2,6 @@
 
 mod admission;
 mod choice;
-mod ranking;
 mod upstream;
 
 use std::{
--- a/crates/core/src/steering/fleet/choice.rs
+++ b/crates/core/src/steering/fleet/choice.rs
@@ -11,12 +11,11 @@
 use super::{
     Fleet,
     admission::{has_capacity, is_serving},
-    ranking,
     upstream::Upstream,
 };
 use crate::{
     rendezvous,
-    steering::{cache, cold, instance::Instance, work},
+    steering::{cold, instance::Instance, work},
 };
 
 /// Cost of an instance whose slots are all taken, relative to the work on a cached object. It is
@@ -39,9 +38,6 @@
 /// region can serve if all regions receive the same number of requests.
 const INITIAL_LOCAL_FACTOR: f64 = 1.15;
 
-/// Chance from which an object counts as cached.
-const LIKELY_CHANCE: f64 = 0.5;
-
 /// Properties of a request that decide which instance gets it.
 #[derive(Clone, Debug)]
 pub struct Criteria<'a> {
@@ -81,10 +77,8 @@
     pub object_hash: Option<u64>,
     /// Whether the instance is in another region.
     pub is_remote: bool,
-    /// What the host knows about whether the instance has cached the request's object.
-    pub position: cache::Position,
-    /// Whether the instance probably has the request's object cached. True if the request has no
-    /// object.
+    /// Whether the instance is expected to have the request's object cached. True if the request
+    /// has no object.
     pub is_cached: bool,
     /// Expected response time plus the other costs of the instance, in seconds.
     pub cost_seconds: f64,
@@ -108,24 +102,6 @@
     },
 }
 
-/// Instance that can take the request now.
-struct Candidate<'a> {
-    instance: &'a Instance,
-    position: cache::Position,
-    is_cached: bool,
-    /// Expected response time plus the other costs, in seconds.
-    cost: f64,
-    /// Larger for instances that come first among those with equal costs.
-    weight: u64,
-}
-
-impl Candidate<'_> {
-    fn is_cheaper(&self, other: &Self) -> bool {
-        self.cost < other.cost - f64::EPSILON
-            || (self.cost <= other.cost && self.weight > other.weight)
-    }
-}
-
 impl Fleet {
     /// Chooses an instance for a request.
     ///
@@ -208,20 +184,19 @@
         criteria: &Criteria<'_>,
         key: Option<rendezvous::Key>,
     ) -> Option<Choice> {
+        let first_ranked = key.and_then(|key| {
+            let ready = candidates.iter().filter(|i| !i.is_cold(now) && i.is_available(now));
+            ready.max_by_key(|i| key.weight(&i.endpoint.id)).map(|i| i.endpoint.id.clone())
+        });
         let times = upstream.work.times(criteria.route);
-        let ranking = key.map(|key| ranking::Ranking::new(now, key, candidates));
-        let mut likely: Option<Candidate<'_>> = None;
-        let mut unlikely: Option<Candidate<'_>> = None;
+        let mut best: Option<(f64, u64, &Instance, bool)> = None;
+        let mut first_uncached: Option<(f64, u64, &Instance, bool)> = None;
         for instance in candidates {
-            let position = match (criteria.object_hash, &ranking) {
-                (Some(object), Some(ranking)) if !upstream.has_cached(now, instance, object) => {
-                    ranking.position(instance)
-                }
-                _ => cache::Position::Known,
-            };
-            let cached_chance = upstream.hit_rates.chance(position);
-            let work = times.expected(cached_chance);
-            let expected = expected_seconds(now, upstream, instance, work);
+            let is_first = first_ranked.as_ref() == Some(&instance.endpoint.id);
+            let is_cached = criteria
+                .object_hash
+                .is_none_or(|object| is_first || upstream.has_cached(now, instance, object));
+            let expected = expected_seconds(now, upstream, instance, is_cached, times);
             let is_admitted = instance.is_available(now)
                 && self.is_warm_or_paced(now, upstream, instance)
                 && self.is_within_unreported_share(instance)
@@ -229,38 +204,37 @@
             if !is_admitted {
                 continue;
             }
-            let candidate = Candidate {
-                instance,
-                position,
-                is_cached: cached_chance >= LIKELY_CHANCE,
-                cost: expected + self.other_costs_seconds(now, upstream, instance, times),
-                weight: key.map_or_else(
-                    || u64::MAX - instance.last_request_at().as_nanos() as u64,
-                    |key| key.weight(&instance.endpoint.id),
-                ),
-            };
-            if candidate.is_cached {
-                if likely.as_ref().is_none_or(|best| candidate.is_cheaper(best)) {
-                    likely = Some(candidate);
+            let cost = expected + self.other_costs_seconds(now, upstream, instance, times);
+            let weight = key.map_or_else(
+                || u64::MAX - instance.last_request_at().as_nanos() as u64,
+                |key| key.weight(&instance.endpoint.id),
+            );
+            let candidate = Some((cost, weight, *instance, is_cached));
+            if is_cached {
+                let is_better = best.is_none_or(|(best_cost, best_weight, ..)| {
+                    cost < best_cost - f64::EPSILON || (cost <= best_cost && weight > best_weight)
+                });
+                if is_better {
+                    best = candidate;
                 }
-            } else if unlikely.as_ref().is_none_or(|best| candidate.weight > best.weight) {
-                unlikely = Some(candidate);
+            } else if first_uncached.is_none_or(|(_, best_weight, ..)| weight > best_weight) {
+                first_uncached = candidate;
             }
         }
-        let best = match (likely, unlikely) {
-            (Some(likely), Some(unlikely)) if unlikely.cost < likely.cost => Some(unlikely),
-            (likely, unlikely) => likely.or(unlikely),
+        let best = match (best, first_uncached) {
+            (Some(cached), Some(uncached)) if uncached.0 < cached.0 => Some(uncached),
+            (None, uncached) => uncached,
+            (cached, _) => cached,
         };
-        best.map(|best| Choice {
-            id: best.instance.endpoint.id.clone(),
-            incarnation: best.instance.endpoint.incarnation,
-            address: best.instance.endpoint.address,
+        best.map(|(cost_seconds, _, instance, is_cached)| Choice {
+            id: instance.endpoint.id.clone(),
+            incarnation: instance.endpoint.incarnation,
+            address: instance.endpoint.address,
             route: criteria.route.clone(),
             object_hash: criteria.object_hash,
-            is_remote: !best.instance.is_local,
-            position: best.position,
-            is_cached: best.is_cached,
-            cost_seconds: best.cost,
+            is_remote: !instance.is_local,
+            is_cached,
+            cost_seconds,
         })
     }
 
@@ -319,11 +293,18 @@
     }
 }
 
-/// Expected response time of the instance for a request with this work, in seconds.
-fn expected_seconds(now: Duration, upstream: &Upstream, instance: &Instance, work: f64) -> f64 {
+/// Expected response time of the instance, in seconds.
+fn expected_seconds(
+    now: Duration,
+    upstream: &Upstream,
+    instance: &Instance,
+    is_cached: bool,
+    times: work::Times,
+) -> f64 {
     let slots = f64::from(instance.endpoint.slots.max(1));
-    let waiting_per_slot = (upstream.load(now, instance) + 1.0 - slots).max(0.0) / slots;
-    let wait = waiting_per_slot * upstream.work.mean_seconds();
+    let load = upstream.load(now, instance);
+    let work = if is_cached { times.cached } else { times.uncached };
+    let wait = (load + 1.0 - slots).max(0.0) / slots * upstream.work.mean_seconds();
     (work + wait) * instance.slowdown(now, upstream.usual_slowness)
 }
 
--- a/crates/core/src/steering/fleet/upstream.rs
+++ b/crates/core/src/steering/fleet/upstream.rs
@@ -41,8 +41,6 @@
     pub(super) usual_slowness: f64,
     /// How long the instances keep an object.
     pub(super) residence: cache::Residence,
-    /// Chance that an instance has cached an object.
-    pub(super) hit_rates: cache::HitRates,
     /// Median over the instances of the failure rate.
     pub(super) usual_failure_rate: f64,
     /// How long an instance is cold after its start.
@@ -65,7 +63,6 @@
             work: work::Model::default(),
             usual_slowness: 1.0,
             residence: cache::Residence::new(now),
-            hit_rates: cache::HitRates::default(),
             usual_failure_rate: 0.0,
             warmup: Duration::ZERO,
             cold_rate: f64::INFINITY,
@@ -135,9 +132,6 @@
             let age = instance.objects.age(now, object);
             let is_known = age.is_some_and(|age| age < self.residence.time(now));
             let has_queue = report.is_some_and(|report| report.waiting > 0);
-            if !has_queue {
-                self.hit_rates.record(choice.position, !is_uncached);
-            }
             if let (Some(age), false) = (age, has_queue) {
                 self.residence.record(now, age, !is_uncached);
             }
--- a/crates/core/src/steering/work.rs
+++ b/crates/core/src/steering/work.rs
@@ -46,11 +46,6 @@
 }
 
 impl Times {
-    /// Expected work if the object is cached with this chance, 0 to 1.
-    pub fn expected(&self, cached_chance: f64) -> f64 {
-        self.uncached + (self.cached - self.uncached) * cached_chance
-    }
-
     /// Whether a request that took this time, in seconds, ran on an uncached object.
     pub fn is_uncached(&self, seconds: f64) -> bool {
         seconds > self.cached * UNCACHED_RATIO
