--- a/crates/core/src/steering/fleet/admission.rs
+++ b/crates/core/src/steering/fleet/admission.rs
@@ -94,6 +94,5 @@
     let has_slot = upstream.load(now, instance) + 1.0 <= open_slots.max(1.0);
     let level = f64::from(criteria.priority.min(MAX_PRIORITY));
     has_slot
-        || expected_seconds * upstream.error_factor
-            <= target * (MAX_TARGET_FRACTION - level * TARGET_FRACTION_PER_LEVEL)
+        || expected_seconds <= target * (MAX_TARGET_FRACTION - level * TARGET_FRACTION_PER_LEVEL)
 }
--- a/crates/core/src/steering/fleet/choice.rs
+++ b/crates/core/src/steering/fleet/choice.rs
@@ -80,8 +80,6 @@
     /// Whether the instance is expected to have the request's object cached. True if the request
     /// has no object.
     pub is_cached: bool,
-    /// Expected response time, in seconds.
-    pub expected_seconds: f64,
     /// Expected response time plus the other costs of the instance, in seconds.
     pub cost_seconds: f64,
 }
@@ -191,8 +189,8 @@
             ready.max_by_key(|i| key.weight(&i.endpoint.id)).map(|i| i.endpoint.id.clone())
         });
         let times = upstream.work.times(criteria.route);
-        let mut best: Option<(f64, u64, &Instance, bool, f64)> = None;
-        let mut first_uncached: Option<(f64, u64, &Instance, bool, f64)> = None;
+        let mut best: Option<(f64, u64, &Instance, bool)> = None;
+        let mut first_uncached: Option<(f64, u64, &Instance, bool)> = None;
         for instance in candidates {
             let is_first = first_ranked.as_ref() == Some(&instance.endpoint.id);
             let is_cached = criteria
@@ -211,7 +209,7 @@
                 || u64::MAX - instance.last_request_at().as_nanos() as u64,
                 |key| key.weight(&instance.endpoint.id),
             );
-            let candidate = Some((cost, weight, *instance, is_cached, expected));
+            let candidate = Some((cost, weight, *instance, is_cached));
             if is_cached {
                 let is_better = best.is_none_or(|(best_cost, best_weight, ..)| {
                     cost < best_cost - f64::EPSILON || (cost <= best_cost && weight > best_weight)
@@ -228,8 +226,7 @@
             (None, uncached) => uncached,
             (cached, _) => cached,
         };
-        best.map(|(cost_seconds, _, instance, is_cached, expected_seconds)| Choice {
-            expected_seconds,
+        best.map(|(cost_seconds, _, instance, is_cached)| Choice {
             id: instance.endpoint.id.clone(),
             incarnation: instance.endpoint.incarnation,
             address: instance.endpoint.address,
--- a/crates/core/src/steering/fleet/upstream.rs
+++ b/crates/core/src/steering/fleet/upstream.rs
@@ -7,19 +7,12 @@
     cache,
     instance::{self, Instance, Outcome},
     load::{self, Report},
-    samples::Samples,
     spill, work,
 };
 
 /// Weight of the newest sample in the exponential moving averages of a service.
 const SMOOTHING_FACTOR: f64 = 0.05;
 
-/// Answers from which the error of the expected times is estimated.
-const ERROR_SAMPLES: usize = 32;
-
-/// Fraction of the answers that take at most [`Upstream::error_factor`] times the expected time.
-const ERROR_QUANTILE: f64 = 0.75;
-
 /// Variance of an instance's failure rate, which is a moving average, relative to the variance of
 /// one sample: `a / (2 - a)` for the weight `a` of the newest sample.
 const FAILURE_RATE_VARIANCE: f64 = instance::SMOOTHING_FACTOR / (2.0 - instance::SMOOTHING_FACTOR);
@@ -48,10 +41,6 @@
     pub(super) usual_slowness: f64,
     /// How long the instances keep an object.
     pub(super) residence: cache::Residence,
-    /// Times of the latest answers relative to what was expected when the request was sent.
-    estimate_errors: Samples,
-    /// Upper quantile of [`Self::estimate_errors`], at least 1.
-    pub(super) error_factor: f64,
     /// Median over the instances of the failure rate.
     pub(super) usual_failure_rate: f64,
     /// How long an instance is cold after its start.
@@ -74,8 +63,6 @@
             work: work::Model::default(),
             usual_slowness: 1.0,
             residence: cache::Residence::new(now),
-            estimate_errors: Samples::new(ERROR_SAMPLES),
-            error_factor: 1.0,
             usual_failure_rate: 0.0,
             warmup: Duration::ZERO,
             cold_rate: f64::INFINITY,
@@ -160,8 +147,6 @@
     /// Records the time of an answer.
     pub(super) fn record_answer(&mut self, seconds: f64, choice: &Choice, report: Option<Report>) {
         update_average(&mut self.response_seconds, seconds);
-        self.estimate_errors.record(seconds / choice.expected_seconds);
-        self.error_factor = self.estimate_errors.quantile(ERROR_QUANTILE).unwrap_or(1.0).max(1.0);
         let work_seconds = report.map_or(seconds, |report| report.work_seconds(seconds));
         self.work.record(&choice.route, work_seconds, choice.is_cached);
     }
