fleet: an object goes to the first two instances of its order while its side is busy; late requests only to empty slots

Hypothesis: in an overload the requests for an object go as deep into its order as there is a free slot, and each of them loads it again; a request that was turned away believes the next instance to have the object, as the first one is left out of its order; and 0.6 of the slots are open to requests that will be late however many are busy, by the load of the own region even where the request would run in another. Change: the order counts instances that were tried; beyond the second one only while less than 0.7 of the side's slots are busy; late requests may use (1 - busy) / 0.3 of the slots of an instance, by the busy slots of its side. The constant 0.6 goes. Replays of a few slow and a few rejecting instances and of a restart hold.

--- a/crates/core/src/steering/cache.rs
+++ b/crates/core/src/steering/cache.rs
@@ -81,3 +81,17 @@
         self.updated_at = now;
     }
 }
+
+/// What a host knows about whether an instance has cached a request's object.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Position {
+    /// The instance answered this host about the object a short time ago, or the request has no
+    /// object.
+    Known,
+    /// The instance is the first one for the object in the order of all hosts.
+    First,
+    /// The instance is the second one.
+    Second,
+    /// The instance comes later in the order.
+    Later,
+}
--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -2,6 +2,8 @@
 
 mod admission;
 mod choice;
+mod ranking;
+mod side;
 mod upstream;
 
 use std::{
--- a/crates/core/src/steering/fleet/admission.rs
+++ b/crates/core/src/steering/fleet/admission.rs
@@ -5,7 +5,10 @@
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
-use super::{Criteria, Fleet, upstream::Upstream};
+use super::{
+    Criteria, Fleet,
+    upstream::{BUSY_RATIO, Upstream},
+};
 use crate::steering::instance::Instance;
 
 /// Expected response time at an instance without free slots up to which the most urgent requests
@@ -13,14 +16,6 @@
 /// delay others.
 const MAX_TARGET_FRACTION: f64 = 1.0;
 
-/// Load of the own region relative to its slots from which [`LATE_SLOT_FRACTION`] applies.
-const BUSY_LOAD: f64 = 0.7;
-
-/// Fraction of an instance's slots that are open to requests which are expected to miss their
-/// target. Requests for uncached objects would otherwise displace several times as many requests
-/// for cached ones.
-const LATE_SLOT_FRACTION: f64 = 0.6;
-
 /// Requests that all hosts of a region together may have at an instance that has not reported its
 /// load, relative to its slots.
 const UNREPORTED_LOAD_LIMIT: u32 = 2;
@@ -84,15 +79,26 @@
     upstream: &Upstream,
     instance: &Instance,
     criteria: &Criteria<'_>,
+    work_seconds: f64,
     expected_seconds: f64,
 ) -> bool {
     let target =
         criteria.target_latency.map_or(DEFAULT_TARGET_SECONDS, |target| target.as_secs_f64());
     let slots = f64::from(instance.endpoint.slots.max(1));
-    let is_late_and_busy = expected_seconds > target && upstream.local_load >= BUSY_LOAD;
-    let open_slots = if is_late_and_busy { slots * LATE_SLOT_FRACTION } else { slots };
-    let has_slot = upstream.load(now, instance) + 1.0 <= open_slots.max(1.0);
+    let is_late = expected_seconds > target;
+    let open_slots =
+        if is_late { slots * late_slot_fraction(upstream.busy_ratio(instance)) } else { slots };
+    let has_slot = upstream.load(now, instance) + 1.0 <= open_slots;
     let level = f64::from(criteria.priority.min(MAX_PRIORITY));
-    has_slot
-        || expected_seconds <= target * (MAX_TARGET_FRACTION - level * TARGET_FRACTION_PER_LEVEL)
+    let limit = target * (MAX_TARGET_FRACTION - level * TARGET_FRACTION_PER_LEVEL);
+    let slack = limit - work_seconds;
+    has_slot || expected_seconds - work_seconds <= slack
+}
+
+/// Fraction of an instance's slots that are open to requests which are expected to miss their target.
+///
+/// Most of them are for uncached objects and take several times the work of a request for a cached
+/// one. They may use slots that would stay empty, but none while all are busy.
+fn late_slot_fraction(busy_ratio: f64) -> f64 {
+    ((1.0 - busy_ratio) / (1.0 - BUSY_RATIO)).clamp(0.0, 1.0)
 }
--- a/crates/core/src/steering/fleet/choice.rs
+++ b/crates/core/src/steering/fleet/choice.rs
@@ -11,11 +11,13 @@
 use super::{
     Fleet,
     admission::{has_capacity, is_serving},
+    ranking,
+    side::Side,
     upstream::Upstream,
 };
 use crate::{
     rendezvous,
-    steering::{cold, instance::Instance, work},
+    steering::{cache, cold, instance::Instance, work},
 };
 
 /// Cost of an instance whose slots are all taken, relative to the work on a cached object. It is
@@ -60,6 +62,8 @@
     /// Number from 0 to below 1. The own region is preferred if the number is below the local share
     /// of the service's requests, the other regions otherwise.
     pub locality_draw: f64,
+    /// Random number from 0 to below 1, by which the request is refused early if it would wait.
+    pub admission_draw: f64,
 }
 
 /// Instance that gets a request.
@@ -77,8 +81,10 @@
     pub object_hash: Option<u64>,
     /// Whether the instance is in another region.
     pub is_remote: bool,
-    /// Whether the instance is expected to have the request's object cached. True if the request
-    /// has no object.
+    /// What the host knows about whether the instance has cached the request's object.
+    pub position: cache::Position,
+    /// Whether the instance probably has the request's object cached. True if the request has no
+    /// object.
     pub is_cached: bool,
     /// Expected response time plus the other costs of the instance, in seconds.
     pub cost_seconds: f64,
@@ -102,6 +108,24 @@
     },
 }
 
+/// Instance that can take the request now.
+struct Candidate<'a> {
+    instance: &'a Instance,
+    position: cache::Position,
+    is_cached: bool,
+    /// Expected response time plus the other costs, in seconds.
+    cost: f64,
+    /// Larger for instances that come first among those with equal costs.
+    weight: u64,
+}
+
+impl Candidate<'_> {
+    fn is_cheaper(&self, other: &Self) -> bool {
+        self.cost < other.cost - f64::EPSILON
+            || (self.cost <= other.cost && self.weight > other.weight)
+    }
+}
+
 impl Fleet {
     /// Chooses an instance for a request.
     ///
@@ -116,7 +140,8 @@
         let eligible =
             upstream.instances.iter().filter(|instance| self.is_eligible(instance, criteria));
         let candidates: Vec<&Instance> = eligible.collect();
-        if candidates.is_empty() {
+        let is_tried = |instance: &&Instance| criteria.excluded.contains(&instance.endpoint.id);
+        if candidates.iter().all(is_tried) {
             return Err(Rejection::NoInstance);
         }
         let choice = self.choose_by_draw(now, upstream, &candidates, criteria);
@@ -155,14 +180,16 @@
             candidates.iter().partition(|instance| instance.is_local == stays_local);
         let key =
             criteria.object_hash.map(|object| rendezvous::Key::new([object.to_string().as_str()]));
-        let is_unavailable = preferred.iter().all(|instance| !instance.is_available(now));
+        let is_unavailable = preferred.iter().all(|instance| {
+            !instance.is_available(now) || criteria.excluded.contains(&instance.endpoint.id)
+        });
         let may_fall_back = is_unavailable || !stays_local;
         self.cheapest(now, upstream, &preferred, criteria, key).or_else(|| {
             may_fall_back.then(|| self.cheapest(now, upstream, &others, criteria, key)).flatten()
         })
     }
 
-    /// Whether the request may run at the instance, regardless of load and failures.
+    /// Whether the request may run at the instance, regardless of load, failures and earlier attempts.
     fn is_eligible(&self, instance: &Instance, criteria: &Criteria<'_>) -> bool {
         let allows = |regions: &[Arc<str>]| {
             regions.is_empty()
@@ -170,7 +197,6 @@
         };
         !instance.endpoint.is_draining
             && !self.evacuated_domains.contains(&instance.endpoint.domain)
-            && !criteria.excluded.contains(&instance.endpoint.id)
             && allows(criteria.route_regions)
             && allows(criteria.workspace_regions)
     }
@@ -184,57 +210,61 @@
         criteria: &Criteria<'_>,
         key: Option<rendezvous::Key>,
     ) -> Option<Choice> {
-        let first_ranked = key.and_then(|key| {
-            let ready = candidates.iter().filter(|i| !i.is_cold(now) && i.is_available(now));
-            ready.max_by_key(|i| key.weight(&i.endpoint.id)).map(|i| i.endpoint.id.clone())
-        });
         let times = upstream.work.times(criteria.route);
-        let mut best: Option<(f64, u64, &Instance, bool)> = None;
-        let mut first_uncached: Option<(f64, u64, &Instance, bool)> = None;
+        let ranking = key.map(|key| ranking::Ranking::new(now, key, candidates));
+        let mut likely: Option<Candidate<'_>> = None;
+        let mut unlikely: Option<Candidate<'_>> = None;
         for instance in candidates {
-            let is_first = first_ranked.as_ref() == Some(&instance.endpoint.id);
-            let is_cached = criteria
-                .object_hash
-                .is_none_or(|object| is_first || upstream.has_cached(now, instance, object));
-            let expected = expected_seconds(now, upstream, instance, is_cached, times);
-            let is_admitted = instance.is_available(now)
+            let position = match (criteria.object_hash, &ranking) {
+                (Some(object), Some(ranking)) if !upstream.has_cached(now, instance, object) => {
+                    ranking.position(instance)
+                }
+                _ => cache::Position::Known,
+            };
+            let is_cached = matches!(position, cache::Position::Known | cache::Position::First);
+            let work = if is_cached { times.cached } else { times.uncached };
+            let expected = expected_seconds(now, upstream, instance, work);
+            let is_admitted = !criteria.excluded.contains(&instance.endpoint.id)
+                && instance.is_available(now)
                 && self.is_warm_or_paced(now, upstream, instance)
                 && self.is_within_unreported_share(instance)
-                && has_capacity(now, upstream, instance, criteria, expected);
+                && !(position == cache::Position::Later && upstream.is_busy(instance))
+                && has_capacity(now, upstream, instance, criteria, work, expected);
             if !is_admitted {
                 continue;
             }
-            let cost = expected + self.other_costs_seconds(now, upstream, instance, times);
-            let weight = key.map_or_else(
-                || u64::MAX - instance.last_request_at().as_nanos() as u64,
-                |key| key.weight(&instance.endpoint.id),
-            );
-            let candidate = Some((cost, weight, *instance, is_cached));
-            if is_cached {
-                let is_better = best.is_none_or(|(best_cost, best_weight, ..)| {
-                    cost < best_cost - f64::EPSILON || (cost <= best_cost && weight > best_weight)
-                });
-                if is_better {
-                    best = candidate;
+            let candidate = Candidate {
+                instance,
+                position,
+                is_cached,
+                cost: expected + self.other_costs_seconds(now, upstream, instance, times),
+                weight: key.map_or_else(
+                    || u64::MAX - instance.last_request_at().as_nanos() as u64,
+                    |key| key.weight(&instance.endpoint.id),
+                ),
+            };
+            if candidate.is_cached {
+                if likely.as_ref().is_none_or(|best| candidate.is_cheaper(best)) {
+                    likely = Some(candidate);
                 }
-            } else if first_uncached.is_none_or(|(_, best_weight, ..)| weight > best_weight) {
-                first_uncached = candidate;
+            } else if unlikely.as_ref().is_none_or(|best| candidate.weight > best.weight) {
+                unlikely = Some(candidate);
             }
         }
-        let best = match (best, first_uncached) {
-            (Some(cached), Some(uncached)) if uncached.0 < cached.0 => Some(uncached),
-            (None, uncached) => uncached,
-            (cached, _) => cached,
+        let best = match (likely, unlikely) {
+            (Some(likely), Some(unlikely)) if unlikely.cost < likely.cost => Some(unlikely),
+            (likely, unlikely) => likely.or(unlikely),
         };
-        best.map(|(cost_seconds, _, instance, is_cached)| Choice {
-            id: instance.endpoint.id.clone(),
-            incarnation: instance.endpoint.incarnation,
-            address: instance.endpoint.address,
+        best.map(|best| Choice {
+            id: best.instance.endpoint.id.clone(),
+            incarnation: best.instance.endpoint.incarnation,
+            address: best.instance.endpoint.address,
             route: criteria.route.clone(),
             object_hash: criteria.object_hash,
-            is_remote: !instance.is_local,
-            is_cached,
-            cost_seconds,
+            is_remote: !best.instance.is_local,
+            position: best.position,
+            is_cached: best.is_cached,
+            cost_seconds: best.cost,
         })
     }
 
@@ -267,44 +297,31 @@
 
     /// Updates the load of the own region and the local share of the service's requests.
     fn update_spill(&mut self, now: Duration, service: &str) {
-        let region = self.locality.region.clone();
         let hosts = self.region_hosts.len().max(1) as f64;
         let Some(upstream) = self.upstreams.get_mut(service) else {
             return;
         };
         upstream.others_share = 1.0 - 1.0 / hosts;
-        // Sums of requests and of slots.
-        let (mut local, mut remote) = ((0.0, 0.0), (0.0, 0.0));
-        for instance in &upstream.instances {
-            if !is_serving(now, &self.evacuated_domains, instance) {
-                continue;
-            }
-            let sums =
-                if instance.region.as_ref() == Some(&region) { &mut local } else { &mut remote };
-            sums.0 += upstream.load(now, instance);
-            sums.1 += f64::from(instance.endpoint.slots);
+        let (mut local, mut remote) = (Side::default(), Side::default());
+        let instances = upstream.instances.iter();
+        for instance in instances.filter(|i| is_serving(now, &self.evacuated_domains, i)) {
+            let side = if instance.is_local { &mut local } else { &mut remote };
+            side.add(upstream.load(now, instance), f64::from(instance.endpoint.slots));
         }
         let regions: BTreeSet<&Arc<str>> = self.locality.domain_regions.values().collect();
-        let local_slot_share = local.1 / (local.1 + remote.1).max(1.0);
+        let local_slot_share = local.slots() / (local.slots() + remote.slots()).max(1.0);
         upstream.spill.initialize(local_slot_share * regions.len() as f64 * INITIAL_LOCAL_FACTOR);
-        let load_ratio = |(load, slots): (f64, f64)| if slots > 0.0 { load / slots } else { 1.0 };
-        upstream.local_load = load_ratio(local);
-        upstream.spill.update(now, upstream.local_load, load_ratio(remote));
+        upstream.spill.update(now, local.load_ratio(), remote.load_ratio());
+        upstream.local_side = local;
+        upstream.remote_side = remote;
     }
 }
 
-/// Expected response time of the instance, in seconds.
-fn expected_seconds(
-    now: Duration,
-    upstream: &Upstream,
-    instance: &Instance,
-    is_cached: bool,
-    times: work::Times,
-) -> f64 {
+/// Expected response time of the instance for a request with this work, in seconds.
+fn expected_seconds(now: Duration, upstream: &Upstream, instance: &Instance, work: f64) -> f64 {
     let slots = f64::from(instance.endpoint.slots.max(1));
-    let load = upstream.load(now, instance);
-    let work = if is_cached { times.cached } else { times.uncached };
-    let wait = (load + 1.0 - slots).max(0.0) / slots * upstream.work.mean_seconds();
+    let waiting_per_slot = (upstream.load(now, instance) + 1.0 - slots).max(0.0) / slots;
+    let wait = waiting_per_slot * upstream.work.mean_seconds();
     (work + wait) * instance.slowdown(now, upstream.usual_slowness)
 }
 
--- a/crates/core/src/steering/fleet/upstream.rs
+++ b/crates/core/src/steering/fleet/upstream.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::choice::Choice;
+use super::{choice::Choice, side::Side};
 use crate::steering::{
     cache,
     instance::{self, Instance, Outcome},
@@ -13,6 +13,9 @@
 /// Weight of the newest sample in the exponential moving averages of a service.
 const SMOOTHING_FACTOR: f64 = 0.05;
 
+/// Fraction of busy slots from which a side has few free ones.
+pub(super) const BUSY_RATIO: f64 = 0.7;
+
 /// Variance of an instance's failure rate, which is a moving average, relative to the variance of
 /// one sample: `a / (2 - a)` for the weight `a` of the newest sample.
 const FAILURE_RATE_VARIANCE: f64 = instance::SMOOTHING_FACTOR / (2.0 - instance::SMOOTHING_FACTOR);
@@ -33,8 +36,10 @@
     pub(super) remote_utilization: load::Utilization,
     /// Fraction of the requests that other hosts send.
     pub(super) others_share: f64,
-    /// Requests at the instances of the host's own region, relative to their slots.
-    pub(super) local_load: f64,
+    /// Load of the instances of the host's own region.
+    pub(super) local_side: Side,
+    /// Load of the instances of other regions.
+    pub(super) remote_side: Side,
     /// Learned work on each kind of request.
     pub(super) work: work::Model,
     /// Median over the instances of the slowness.
@@ -59,7 +64,8 @@
             local_utilization: load::Utilization::default(),
             remote_utilization: load::Utilization::default(),
             others_share: 0.0,
-            local_load: 0.0,
+            local_side: Side::default(),
+            remote_side: Side::default(),
             work: work::Model::default(),
             usual_slowness: 1.0,
             residence: cache::Residence::new(now),
@@ -86,6 +92,17 @@
         self.usual_slowness = median(&mut slowness.collect::<Vec<_>>()).unwrap_or(1.0);
     }
 
+    /// Fraction of the slots that are busy on the instance's side.
+    pub(super) fn busy_ratio(&self, instance: &Instance) -> f64 {
+        let side = if instance.is_local { &self.local_side } else { &self.remote_side };
+        side.busy_ratio()
+    }
+
+    /// Whether there are few free slots on the instance's side.
+    pub(super) fn is_busy(&self, instance: &Instance) -> bool {
+        self.busy_ratio(instance) >= BUSY_RATIO
+    }
+
     /// Estimated number of requests of all hosts at the instance.
     pub(super) fn load(&self, now: Duration, instance: &Instance) -> f64 {
         let utilization =
--- a/crates/core/src/steering/tests/replay.rs
+++ b/crates/core/src/steering/tests/replay.rs
@@ -136,3 +136,49 @@
         assert!(worth >= 0.68, "seed {seed}: worth {worth:.2}\n{}", describe(&windows));
     }
 }
+
+/// A sixth of the instances.
+fn is_affected(at_ms: u64, index: usize) -> bool {
+    (8_000..16_000).contains(&at_ms) && index % 6 == 3
+}
+
+/// Instances that are slow while the others are not must be left, and get requests again afterwards.
+#[test]
+fn slow_instances_are_left_and_return() {
+    let slow = |at_ms, index| {
+        let slowness = if is_affected(at_ms, index) { 5.0 } else { 1.0 };
+        Condition { slowness, ..SOUND }
+    };
+    for scenario in [twelve_hosts(), sixty_hosts()] {
+        let scenario = Scenario { condition: slow, ..scenario };
+        let windows = play(&scenario, 1);
+        let (during, after) = (mean_worth(&windows, 11, 16), mean_worth(&windows, 19, 23));
+        // Five sixths of the requests are not affected.
+        assert!(during >= 0.8, "worth {during:.2}\n{}", describe(&windows));
+        assert!(after >= RECOVERED_SHARE, "worth {after:.2}\n{}", describe(&windows));
+    }
+}
+
+/// Instances that reject requests while the others do not must be left, and get requests again.
+#[test]
+fn rejecting_instances_are_left_and_return() {
+    let rejects = |at_ms, index| {
+        let rejected = if is_affected(at_ms, index) { 0.5 } else { 0.0 };
+        Condition { rejected, ..SOUND }
+    };
+    let scenario = Scenario { condition: rejects, ..twelve_hosts() };
+    let windows = play(&scenario, 1);
+    for (from, to) in [(11, 16), (19, 23)] {
+        let worth = mean_worth(&windows, from, to);
+        assert!(worth >= RECOVERED_SHARE, "worth {worth:.2}\n{}", describe(&windows));
+    }
+}
+
+/// Hosts that start anew know nothing of what the instances have cached, and must still find it.
+#[test]
+fn hosts_that_start_anew_find_cached_objects() {
+    let restart = Scenario { hosts_restart_at_ms: Some(12_000), ..twelve_hosts() };
+    let windows = play(&restart, 1);
+    let worth = mean_worth(&windows, 12, 16);
+    assert!(worth >= RECOVERED_SHARE, "worth {worth:.2}\n{}", describe(&windows));
+}
--- a/crates/core/src/steering/tests/replay/world.rs
+++ b/crates/core/src/steering/tests/replay/world.rs
@@ -296,6 +296,7 @@
 
     /// Lets the host choose an instance for the request, and sends it there.
     fn attempt(&mut self, id: usize) {
+        let admission_draw = self.draw();
         let request = &mut self.requests[id];
         let kind = self.scenario.kinds[request.kind];
         let host = &mut self.hosts[request.host];
@@ -314,6 +315,7 @@
             priority: kind.priority,
             target_latency: Some(Duration::from_millis(kind.target_ms)),
             locality_draw: (request.object >> 11) as f64 / (1_u64 << 53) as f64,
+            admission_draw,
         };
         match host.fleet.choose(self.now, &criteria) {
             Ok(choice) => {
--- a/crates/steer/src/callers/forward.rs
+++ b/crates/steer/src/callers/forward.rs
@@ -3,7 +3,10 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use marjorampick_core::steering::fleet::{Choice, Criteria, Rejection};
+use marjorampick_core::{
+    rendezvous::Key,
+    steering::fleet::{Choice, Criteria, Rejection},
+};
 
 use super::{
     attempt::{self, Failure},
@@ -88,6 +91,7 @@
         priority: call.priority(),
         target_latency: call.route.target_latency,
         locality_draw: locality_draw(call),
+        admission_draw: unit_interval(Key::new([call.id_text()]).weight("admission")),
     };
     let chosen = state.fleet.borrow_mut().choose(clock::now(), &criteria);
     chosen.map_err(|rejection| match rejection {
@@ -106,9 +110,12 @@
 /// Value of [`Criteria::locality_draw`]. All requests for one object get the same value, so that
 /// they stay in one region and its instances keep the object cached.
 fn locality_draw(call: &Call) -> f64 {
-    let hash = call
-        .object_hash
-        .unwrap_or_else(|| marjorampick_core::rendezvous::Key::new([call.id_text()]).weight(""));
+    let hash = call.object_hash.unwrap_or_else(|| Key::new([call.id_text()]).weight(""));
+    unit_interval(hash)
+}
+
+/// Maps a hash to a number from 0 to below 1.
+fn unit_interval(hash: u64) -> f64 {
     (hash >> 11) as f64 / (1_u64 << 53) as f64
 }
 
