admission: the chance of a refusal rises with the wait

Hypothesis: hosts hear of a queue late; a fixed limit makes all of them send and then refuse, so that the queues swing and most of what runs is late. Change: between half and the whole of the longest wait the chance of a refusal rises from none to all (random early detection, Floyd and Jacobson 1993), drawn from the request's id.

--- a/crates/core/src/steering/fleet/admission.rs
+++ b/crates/core/src/steering/fleet/admission.rs
@@ -26,6 +26,11 @@
 /// Least urgent priority level; larger numbers are treated as this one.
 const MAX_PRIORITY: u8 = 4;
 
+/// Part of the longest wait over which the chance of a refusal rises from none to all. Hosts hear of
+/// a queue late, so that a fixed limit would make all of them send and refuse in turn. See Floyd and
+/// Jacobson, "Random early detection gateways for congestion avoidance", 1993.
+const EARLY_REFUSAL_RANGE: f64 = 0.5;
+
 /// Target latency of routes without one, in seconds.
 const DEFAULT_TARGET_SECONDS: f64 = 1.0;
 
@@ -91,7 +96,7 @@
     let has_slot = upstream.load(now, instance) + 1.0 <= open_slots;
     let level = f64::from(criteria.priority.min(MAX_PRIORITY));
     let limit = target * (MAX_TARGET_FRACTION - level * TARGET_FRACTION_PER_LEVEL);
-    let slack = limit - work_seconds;
+    let slack = (limit - work_seconds) * (1.0 - EARLY_REFUSAL_RANGE * criteria.admission_draw);
     has_slot || expected_seconds - work_seconds <= slack
 }
 
--- a/crates/core/src/steering/tests/replay.rs
+++ b/crates/core/src/steering/tests/replay.rs
@@ -137,6 +137,22 @@
     }
 }
 
+/// More requests than the instances can run. The hosts learned of queues too late, admitted up to
+/// the whole target in waits and then refused all at once, so that hardly any answer was in time.
+#[test]
+fn an_overload_is_refused_before_the_queues_fill() {
+    // Cached work fits 88% and 87% of the requests into the slots.
+    let overloads =
+        [Scenario { rate: 600.0, ..twelve_hosts() }, Scenario { rate: 1400.0, ..sixty_hosts() }];
+    for scenario in overloads {
+        for seed in SEEDS {
+            let windows = play(&scenario, seed);
+            let worth = mean_worth(&windows, 14, 22);
+            assert!(worth >= 0.44, "seed {seed}: worth {worth:.2}\n{}", describe(&windows));
+        }
+    }
+}
+
 /// A sixth of the instances.
 fn is_affected(at_ms: u64, index: usize) -> bool {
     (8_000..16_000).contains(&at_ms) && index % 6 == 3
