fleet: candidates, sides and the choice apart; loads are estimated once for a choice

Cause: choice.rs held the public types, the selection, the costs and the load of both sides; each estimate of a load was computed up to three times, and medians of all instances after each answer. Change: fleet/candidate.rs selects within a side, fleet/side.rs sums up the load, admission.rs has all limits; an instance keeps its estimate of the latest choice and the median of its samples. No decision is meant to change.

--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -1,6 +1,7 @@
 //! All backend server instances, with the platform's registrations and this host's measurements.
 
 mod admission;
+mod candidate;
 mod choice;
 mod ranking;
 mod side;
--- a/crates/core/src/steering/fleet/admission.rs
+++ b/crates/core/src/steering/fleet/admission.rs
@@ -9,7 +9,7 @@
     Criteria, Fleet,
     upstream::{BUSY_RATIO, Upstream},
 };
-use crate::steering::instance::Instance;
+use crate::steering::{cold, instance::Instance};
 
 /// Expected response time at an instance without free slots up to which the most urgent requests
 /// are admitted, relative to the target latency. Requests beyond it would miss their target and
@@ -50,6 +50,13 @@
         instance.is_local && rate > 0.0 && instance.allows_cold_request(now)
     }
 
+    /// This host's rate for a cold instance, in requests per second. `rate` is what the instance
+    /// tolerates from all hosts together.
+    pub(super) fn cold_host_rate(&self, id: &str, rate: f64) -> f64 {
+        let hosts: Vec<&str> = self.region_hosts.iter().map(AsRef::as_ref).collect();
+        cold::host_rate(rate, id, &self.locality.host, &hosts)
+    }
+
     /// Whether the host may send one more request to an instance that has not reported its load.
     ///
     /// The other hosts of the region don't know the load either, so each host takes an equal share
@@ -80,7 +87,6 @@
 /// open to requests that are expected to miss their target. An instance without a free slot admits
 /// requests that are expected to meet their target, the less urgent ones with a margin.
 pub(super) fn has_capacity(
-    now: Duration,
     upstream: &Upstream,
     instance: &Instance,
     criteria: &Criteria<'_>,
@@ -93,7 +99,7 @@
     let is_late = expected_seconds > target;
     let open_slots =
         if is_late { slots * late_slot_fraction(upstream.busy_ratio(instance)) } else { slots };
-    let has_slot = upstream.load(now, instance) + 1.0 <= open_slots;
+    let has_slot = instance.requests + 1.0 <= open_slots;
     let level = f64::from(criteria.priority.min(MAX_PRIORITY));
     let limit = target * (MAX_TARGET_FRACTION - level * TARGET_FRACTION_PER_LEVEL);
     let slack = (limit - work_seconds) * (1.0 - EARLY_REFUSAL_RANGE * criteria.admission_draw);
--- a/crates/core/src/steering/fleet/choice.rs
+++ b/crates/core/src/steering/fleet/choice.rs
@@ -1,45 +1,20 @@
 //! Choice of the instance that gets a request.
 //!
-//! Chooses the instance with the shortest expected response time, which is the work plus the wait
-//! behind the requests that the instance already has. The work is much less if the instance handled
-//! the request's object recently and has it cached. Among equal instances, the first one by
-//! rendezvous hash of the object wins, so that all hosts send the requests for one object to the
-//! same instance without any coordination. See docs/platform.md.
+//! A draw by the request's object selects the own region or the other ones, so that both sides carry
+//! their part of a load that comes in waves, and each object stays on one side. Among the instances
+//! of that side [`super::candidate`] selects the best one. See docs/platform.md.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
-use super::{
-    Fleet,
-    admission::{has_capacity, is_serving},
-    ranking,
-    side::Side,
-    upstream::Upstream,
-};
+use super::{Fleet, admission::is_serving, upstream::Upstream};
 use crate::{
     rendezvous,
-    steering::{cache, cold, instance::Instance, work},
+    steering::{cache, instance::Instance},
 };
 
-/// Cost of an instance whose slots are all taken, relative to the work on a cached object. It is
-/// added to the wait, so that equal instances share the load even while slots are free.
-const BUSY_COST: f64 = 0.3;
-
-/// Cost of a failure rate of 1, relative to the work on an uncached object.
-const FAILURE_COST: f64 = 4.0;
-
-/// Cost of an instance in another failure domain of the own region, in seconds.
-const OTHER_DOMAIN_COST_SECONDS: f64 = 0.005;
-
-/// Cost of an instance in another region in addition to the network latency, in seconds.
-const OTHER_REGION_COST_SECONDS: f64 = 0.02;
-
 /// Assumed response time until the first answer, in seconds.
 const DEFAULT_RESPONSE_SECONDS: f64 = 0.5;
 
-/// Initial local share of a service's requests, relative to the share that the slots of the own
-/// region can serve if all regions receive the same number of requests.
-const INITIAL_LOCAL_FACTOR: f64 = 1.15;
-
 /// Properties of a request that decide which instance gets it.
 #[derive(Clone, Debug)]
 pub struct Criteria<'a> {
@@ -108,24 +83,6 @@
     },
 }
 
-/// Instance that can take the request now.
-struct Candidate<'a> {
-    instance: &'a Instance,
-    position: cache::Position,
-    is_cached: bool,
-    /// Expected response time plus the other costs, in seconds.
-    cost: f64,
-    /// Larger for instances that come first among those with equal costs.
-    weight: u64,
-}
-
-impl Candidate<'_> {
-    fn is_cheaper(&self, other: &Self) -> bool {
-        self.cost < other.cost - f64::EPSILON
-            || (self.cost <= other.cost && self.weight > other.weight)
-    }
-}
-
 impl Fleet {
     /// Chooses an instance for a request.
     ///
@@ -134,7 +91,7 @@
     /// fallback is the own region. Falling back to another region for lack of capacity would shift
     /// traffic too fast.
     pub fn choose(&mut self, now: Duration, criteria: &Criteria<'_>) -> Result<Choice, Rejection> {
-        self.update_spill(now, criteria.service);
+        self.update_sides(now, criteria.service);
         let upstream = self.upstreams.get(criteria.service).ok_or(Rejection::NoInstance)?;
         let retry_after = retry_after(upstream);
         let eligible =
@@ -200,129 +157,6 @@
             && allows(criteria.route_regions)
             && allows(criteria.workspace_regions)
     }
-
-    /// The candidate with the least cost among those that can take the request now.
-    fn cheapest(
-        &self,
-        now: Duration,
-        upstream: &Upstream,
-        candidates: &[&Instance],
-        criteria: &Criteria<'_>,
-        key: Option<rendezvous::Key>,
-    ) -> Option<Choice> {
-        let times = upstream.work.times(criteria.route);
-        let ranking = key.map(|key| ranking::Ranking::new(now, key, candidates));
-        let mut likely: Option<Candidate<'_>> = None;
-        let mut unlikely: Option<Candidate<'_>> = None;
-        for instance in candidates {
-            let position = match (criteria.object_hash, &ranking) {
-                (Some(object), Some(ranking)) if !upstream.has_cached(now, instance, object) => {
-                    ranking.position(instance)
-                }
-                _ => cache::Position::Known,
-            };
-            let is_cached = matches!(position, cache::Position::Known | cache::Position::First);
-            let work = if is_cached { times.cached } else { times.uncached };
-            let expected = expected_seconds(now, upstream, instance, work);
-            let is_admitted = !criteria.excluded.contains(&instance.endpoint.id)
-                && instance.is_available(now)
-                && self.is_warm_or_paced(now, upstream, instance)
-                && self.is_within_unreported_share(instance)
-                && !(position == cache::Position::Later && upstream.is_busy(instance))
-                && has_capacity(now, upstream, instance, criteria, work, expected);
-            if !is_admitted {
-                continue;
-            }
-            let candidate = Candidate {
-                instance,
-                position,
-                is_cached,
-                cost: expected + self.other_costs_seconds(now, upstream, instance, times),
-                weight: key.map_or_else(
-                    || u64::MAX - instance.last_request_at().as_nanos() as u64,
-                    |key| key.weight(&instance.endpoint.id),
-                ),
-            };
-            if candidate.is_cached {
-                if likely.as_ref().is_none_or(|best| candidate.is_cheaper(best)) {
-                    likely = Some(candidate);
-                }
-            } else if unlikely.as_ref().is_none_or(|best| candidate.weight > best.weight) {
-                unlikely = Some(candidate);
-            }
-        }
-        let best = match (likely, unlikely) {
-            (Some(likely), Some(unlikely)) if unlikely.cost < likely.cost => Some(unlikely),
-            (likely, unlikely) => likely.or(unlikely),
-        };
-        best.map(|best| Choice {
-            id: best.instance.endpoint.id.clone(),
-            incarnation: best.instance.endpoint.incarnation,
-            address: best.instance.endpoint.address,
-            route: criteria.route.clone(),
-            object_hash: criteria.object_hash,
-            is_remote: !best.instance.is_local,
-            position: best.position,
-            is_cached: best.is_cached,
-            cost_seconds: best.cost,
-        })
-    }
-
-    /// Costs of the instance's load, distance and failures, in seconds.
-    fn other_costs_seconds(
-        &self,
-        now: Duration,
-        upstream: &Upstream,
-        instance: &Instance,
-        times: work::Times,
-    ) -> f64 {
-        let slots = f64::from(instance.endpoint.slots.max(1));
-        let busy = BUSY_COST * times.cached * upstream.load(now, instance) / slots;
-        let distance = if !instance.is_local {
-            OTHER_REGION_COST_SECONDS
-        } else if instance.endpoint.domain != self.locality.domain {
-            OTHER_DOMAIN_COST_SECONDS
-        } else {
-            0.0
-        };
-        busy + distance + FAILURE_COST * times.uncached * upstream.excess_failure_rate(instance)
-    }
-
-    /// This host's rate for a cold instance, in requests per second. `rate` is what the instance
-    /// tolerates from all hosts together.
-    pub(super) fn cold_host_rate(&self, id: &str, rate: f64) -> f64 {
-        let hosts: Vec<&str> = self.region_hosts.iter().map(AsRef::as_ref).collect();
-        cold::host_rate(rate, id, &self.locality.host, &hosts)
-    }
-
-    /// Updates the load of the own region and the local share of the service's requests.
-    fn update_spill(&mut self, now: Duration, service: &str) {
-        let hosts = self.region_hosts.len().max(1) as f64;
-        let Some(upstream) = self.upstreams.get_mut(service) else {
-            return;
-        };
-        upstream.others_share = 1.0 - 1.0 / hosts;
-        let (mut local, mut remote) = (Side::default(), Side::default());
-        let instances = upstream.instances.iter();
-        for instance in instances.filter(|i| is_serving(now, &self.evacuated_domains, i)) {
-            let side = if instance.is_local { &mut local } else { &mut remote };
-            side.add(upstream.load(now, instance), f64::from(instance.endpoint.slots));
-        }
-        let regions: BTreeSet<&Arc<str>> = self.locality.domain_regions.values().collect();
-        let local_slot_share = local.slots() / (local.slots() + remote.slots()).max(1.0);
-        upstream.spill.initialize(local_slot_share * regions.len() as f64 * INITIAL_LOCAL_FACTOR);
-        upstream.spill.update(now, local.load_ratio(), remote.load_ratio());
-        upstream.local_side = local;
-        upstream.remote_side = remote;
-    }
-}
-
-/// Expected response time of the instance for a request with this work, in seconds.
-fn expected_seconds(now: Duration, upstream: &Upstream, instance: &Instance, work: f64) -> f64 {
-    let slots = f64::from(instance.endpoint.slots.max(1));
-    let waiting_per_slot = (upstream.load(now, instance) + 1.0 - slots).max(0.0) / slots;
-    let wait = waiting_per_slot * upstream.work.mean_seconds();
-    (work + wait) * instance.slowdown(now, upstream.usual_slowness)
 }
 
 /// Suggested retry delay: an instance without capacity has some again after about one response.
--- a/crates/core/src/steering/fleet/ranking.rs
+++ b/crates/core/src/steering/fleet/ranking.rs
@@ -5,41 +5,41 @@
 //! would scatter the object over all instances, each of which would have to load it and would
 //! displace others.
 
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 
-use crate::{
-    rendezvous,
-    steering::{cache::Position, instance::Instance},
-};
+use crate::steering::{cache::Position, instance::Instance};
 
-/// First and second instance for an object among those that take requests at their usual rate.
+/// First and second instance for an object among those that take requests at their usual rate, by
+/// their index in the list of candidates.
 pub(super) struct Ranking {
-    first: Option<Arc<str>>,
-    second: Option<Arc<str>>,
+    first: Option<usize>,
+    second: Option<usize>,
 }
 
 impl Ranking {
-    pub(super) fn new(now: Duration, key: rendezvous::Key, candidates: &[&Instance]) -> Self {
-        let mut first: Option<(u64, &Instance)> = None;
-        let mut second: Option<(u64, &Instance)> = None;
-        for instance in candidates.iter().filter(|i| !i.is_cold(now) && i.is_available(now)) {
-            let weight = key.weight(&instance.endpoint.id);
-            if first.is_none_or(|(first_weight, _)| weight > first_weight) {
-                second = first.replace((weight, instance));
-            } else if second.is_none_or(|(second_weight, _)| weight > second_weight) {
-                second = Some((weight, instance));
+    /// Ranks the candidates by their rendezvous weights for the object.
+    pub(super) fn new(now: Duration, candidates: &[&Instance], weights: &[u64]) -> Self {
+        let (mut first, mut second) = (None, None);
+        for (index, instance) in candidates.iter().enumerate() {
+            if instance.is_cold(now) || !instance.is_available(now) {
+                continue;
+            }
+            let is_before =
+                |other: Option<usize>| other.is_none_or(|o| weights[index] > weights[o]);
+            if is_before(first) {
+                second = first.replace(index);
+            } else if is_before(second) {
+                second = Some(index);
             }
         }
-        let id = |ranked: Option<(u64, &Instance)>| ranked.map(|(_, i)| i.endpoint.id.clone());
-        Self { first: id(first), second: id(second) }
+        Self { first, second }
     }
 
-    /// Position of the instance in the order.
-    pub(super) fn position(&self, instance: &Instance) -> Position {
-        let id = Some(&instance.endpoint.id);
-        if id == self.first.as_ref() {
+    /// Position of the candidate with this index.
+    pub(super) fn position(&self, index: usize) -> Position {
+        if self.first == Some(index) {
             Position::First
-        } else if id == self.second.as_ref() {
+        } else if self.second == Some(index) {
             Position::Second
         } else {
             Position::Later
--- a/crates/core/src/steering/fleet/side.rs
+++ b/crates/core/src/steering/fleet/side.rs
@@ -3,6 +3,14 @@
 //! Traffic comes in waves that differ by region, and a region may have few of the instances. So one
 //! side may be full while the other one has free slots.
 
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use super::{Fleet, admission::is_serving};
+
+/// Initial local share of a service's requests, relative to the share that the slots of the own
+/// region can serve if all regions receive the same number of requests.
+const INITIAL_LOCAL_FACTOR: f64 = 1.15;
+
 /// Sums over the instances of one side that take requests.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Side {
@@ -34,3 +42,27 @@
         if self.slots > 0.0 { self.busy_slots / self.slots } else { 1.0 }
     }
 }
+
+impl Fleet {
+    /// Updates the load of both sides and the local share of the service's requests.
+    pub(super) fn update_sides(&mut self, now: Duration, service: &str) {
+        let hosts = self.region_hosts.len().max(1) as f64;
+        let Some(upstream) = self.upstreams.get_mut(service) else {
+            return;
+        };
+        upstream.others_share = 1.0 - 1.0 / hosts;
+        upstream.update_loads(now);
+        let (mut local, mut remote) = (Side::default(), Side::default());
+        let instances = upstream.instances.iter();
+        for instance in instances.filter(|i| is_serving(now, &self.evacuated_domains, i)) {
+            let side = if instance.is_local { &mut local } else { &mut remote };
+            side.add(instance.requests, f64::from(instance.endpoint.slots));
+        }
+        let regions: BTreeSet<&Arc<str>> = self.locality.domain_regions.values().collect();
+        let local_slot_share = local.slots() / (local.slots() + remote.slots()).max(1.0);
+        upstream.spill.initialize(local_slot_share * regions.len() as f64 * INITIAL_LOCAL_FACTOR);
+        upstream.spill.update(now, local.load_ratio(), remote.load_ratio());
+        upstream.local_side = local;
+        upstream.remote_side = remote;
+    }
+}
--- a/crates/core/src/steering/fleet/upstream.rs
+++ b/crates/core/src/steering/fleet/upstream.rs
@@ -103,12 +103,15 @@
         self.busy_ratio(instance) >= BUSY_RATIO
     }
 
-    /// Estimated number of requests of all hosts at the instance.
-    pub(super) fn load(&self, now: Duration, instance: &Instance) -> f64 {
-        let utilization =
-            if instance.is_local { &self.local_utilization } else { &self.remote_utilization };
-        let slots_of_others = f64::from(instance.endpoint.slots) * self.others_share;
-        instance.load.total(now, utilization.at(now, slots_of_others))
+    /// Updates the estimated number of requests at each instance.
+    pub(super) fn update_loads(&mut self, now: Duration) {
+        let local_usual = self.local_utilization.per_slot(now);
+        let remote_usual = self.remote_utilization.per_slot(now);
+        for instance in &mut self.instances {
+            let usual = if instance.is_local { local_usual } else { remote_usual };
+            let slots_of_others = f64::from(instance.endpoint.slots) * self.others_share;
+            instance.requests = instance.load.total(now, usual.times(slots_of_others));
+        }
     }
 
     /// Records the load that the instance reported.
--- a/crates/core/src/steering/instance.rs
+++ b/crates/core/src/steering/instance.rs
@@ -87,8 +87,10 @@
     pub is_local: bool,
     /// When the instance is removed unless it registers again; `None` while it is registered.
     pub expires_at: Option<Duration>,
-    /// Estimated requests at the instance.
+    /// What the host knows of the requests at the instance.
     pub load: Estimate,
+    /// Estimated number of requests of all hosts at the instance, as of the latest choice.
+    pub requests: f64,
     cold_until: Duration,
     cold_pacer: cold::Pacer,
     consecutive_failures: u32,
@@ -97,7 +99,9 @@
     failure_rate: f64,
     last_answer_at: Duration,
     /// Times of the latest answers relative to what was expected, without the waits.
-    slowness: Samples,
+    slowness_samples: Samples,
+    /// Median of [`Self::slowness_samples`].
+    slowness: Option<f64>,
     /// Objects that the instance is believed to have cached.
     pub(super) objects: cache::Contents,
     last_request_at: Duration,
@@ -113,6 +117,7 @@
             is_local: false,
             expires_at: None,
             load: Estimate::default(),
+            requests: 0.0,
             cold_until,
             cold_pacer: cold::Pacer::default(),
             consecutive_failures: 0,
@@ -120,7 +125,8 @@
             is_probe_running: false,
             failure_rate: 0.0,
             last_answer_at: Duration::ZERO,
-            slowness: Samples::new(SLOWNESS_SAMPLES),
+            slowness_samples: Samples::new(SLOWNESS_SAMPLES),
+            slowness: None,
             objects: cache::Contents::default(),
             last_request_at: Duration::ZERO,
         }
@@ -236,7 +242,7 @@
     /// Median of the times of the latest answers, each relative to the expected work; `None` until
     /// the first answer.
     pub fn slowness(&self) -> Option<f64> {
-        self.slowness.quantile(0.5)
+        self.slowness
     }
 
     /// Moving average of the fraction of requests that failed.
@@ -248,7 +254,8 @@
         self.consecutive_failures = 0;
         self.last_answer_at = now;
         self.update_failure_rate(0.0);
-        self.slowness.record(slowness);
+        self.slowness_samples.record(slowness);
+        self.slowness = self.slowness_samples.quantile(0.5);
     }
 
     fn record_failure(&mut self, now: Duration) {
--- a/crates/core/src/steering/load.rs
+++ b/crates/core/src/steering/load.rs
@@ -102,6 +102,13 @@
     pub waiting: f64,
 }
 
+impl Usual {
+    /// The numbers at an instance with this number of slots, if `self` is for one slot.
+    pub fn times(self, slots: f64) -> Self {
+        Self { running: self.running * slots, waiting: self.waiting * slots }
+    }
+}
+
 /// Requests at the instances of some regions relative to their slots, as moving averages over the
 /// reports.
 #[derive(Clone, Debug, Default)]
@@ -112,12 +119,12 @@
 }
 
 impl Utilization {
-    /// Requests at an instance with this number of slots. They decay while there are no reports, as
-    /// there are then hardly any requests.
-    pub fn at(&self, now: Duration, slots: f64) -> Usual {
+    /// Requests for each slot of an instance. They decay while there are no reports, as there are
+    /// then hardly any requests.
+    pub fn per_slot(&self, now: Duration) -> Usual {
         let age = now.saturating_sub(self.updated_at).as_secs_f64();
-        let scale = slots * (-age / RUNNING_DECAY_TIME.as_secs_f64()).exp();
-        Usual { running: self.running * scale, waiting: self.waiting * scale }
+        let decay = (-age / RUNNING_DECAY_TIME.as_secs_f64()).exp();
+        Usual { running: self.running, waiting: self.waiting }.times(decay)
     }
 
     /// Records the load report of one instance.
