scenario: the replays of load patterns as a module and a program

Cause: the simulation of hosts, instances and callers stood among the tests of core, where only tests could use it. Change: scenario::steering with patterns and faults as data, the replays as tests/load_patterns.rs with the same checks and bounds, and marjorampick-replay, which plays a pattern by options and prints each second.

--- a/crates/core/src/steering/tests.rs
+++ b/crates/core/src/steering/tests.rs
@@ -8,7 +8,6 @@
 mod load;
 mod plan;
 mod rate;
-mod replay;
 mod retry;
 mod seats;
 mod shift;
--- /dev/null
+++ b/crates/scenario/src/bin/marjorampick-replay.rs
@@ -0,0 +1,102 @@
+//! Command line of `marjorampick-replay`.
+
+use std::{process::ExitCode, time::Duration};
+
+use bpaf::Bpaf;
+use marjorampick_scenario::steering::{
+    pattern::{Fault, Pattern, Window, sixty_hosts, twelve_hosts},
+    play,
+};
+
+/// Replays a load pattern on the decisions of the entry host for the users' platform, in virtual
+/// time, and prints what the callers got in each second. See docs/steering-study.md.
+#[derive(Bpaf, Clone, Debug)]
+#[bpaf(options, version)]
+struct Options {
+    /// Replays 60 hosts and 138 instances in place of 12 and 28.
+    large: bool,
+    /// Requests per second in each of the three regions.
+    #[bpaf(argument("NUMBER"))]
+    rate: Option<f64>,
+    /// Length of the load, in seconds.
+    #[bpaf(argument("SECONDS"), fallback(24))]
+    length: u64,
+    /// Fraction of the requests that the affected instances reject, 0 to 1.
+    #[bpaf(argument("FRACTION"), fallback(0.0))]
+    rejected: f64,
+    /// Factor by which the affected instances are slower.
+    #[bpaf(argument("FACTOR"), fallback(1.0))]
+    slowness: f64,
+    /// One in this many instances is affected.
+    #[bpaf(argument("COUNT"), fallback(1))]
+    one_in: usize,
+    /// Second at which the fault starts.
+    #[bpaf(argument("SECOND"), fallback(8))]
+    from: u64,
+    /// Second at which the fault ends.
+    #[bpaf(argument("SECOND"), fallback(16))]
+    to: u64,
+    /// Second at which all hosts start anew.
+    #[bpaf(argument("SECOND"))]
+    restart: Option<u64>,
+    /// Seed of the random numbers.
+    #[bpaf(argument("NUMBER"), fallback(1))]
+    seed: u64,
+}
+
+fn main() -> ExitCode {
+    let options = options().run();
+    match check(&options) {
+        Ok(()) => {
+            print_windows(&play(&pattern(&options), options.seed));
+            ExitCode::SUCCESS
+        }
+        Err(message) => {
+            eprintln!("replay: {message}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+/// Returns what is wrong with the options.
+fn check(options: &Options) -> Result<(), &'static str> {
+    if !(0.0..=1.0).contains(&options.rejected) {
+        return Err("--rejected must be a fraction from 0 to 1");
+    }
+    if !options.slowness.is_finite() || options.slowness <= 0.0 {
+        return Err("--slowness must be a positive number");
+    }
+    if options.one_in == 0 {
+        return Err("--one-in must be at least 1");
+    }
+    if options.rate.is_some_and(|rate| !rate.is_finite() || rate <= 0.0) {
+        return Err("--rate must be a positive number");
+    }
+    Ok(())
+}
+
+fn pattern(options: &Options) -> Pattern {
+    let base = if options.large { sixty_hosts() } else { twelve_hosts() };
+    let fault = Fault {
+        time: Duration::from_secs(options.from)..Duration::from_secs(options.to),
+        one_in: options.one_in,
+        rejected: options.rejected,
+        slowness: options.slowness,
+    };
+    Pattern {
+        rate: options.rate.unwrap_or(base.rate),
+        length: Duration::from_secs(options.length),
+        fault: Some(fault),
+        hosts_restart_at: options.restart.map(Duration::from_secs),
+        ..base
+    }
+}
+
+fn print_windows(windows: &[Window]) {
+    println!("second  worth  asked  on time   late    run  loaded");
+    for (second, window) in windows.iter().enumerate() {
+        let worth = window.worth();
+        let Window { asked, on_time, late, run, loaded } = window;
+        println!("{second:6}  {worth:5.2}  {asked:5}  {on_time:7}  {late:5}  {run:5}  {loaded:6}");
+    }
+}
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod policies;
 pub mod run;
 pub mod script;
+pub mod steering;
 pub mod store;
 pub mod world;
--- a/crates/core/src/steering/tests/replay/world.rs
+++ b/crates/scenario/src/steering/world.rs
@@ -1,9 +1,7 @@
-//! Replays a load pattern on hosts and instances in virtual time.
+//! Hosts, instances and callers in virtual time.
 //!
-//! Every host has a [`Fleet`] of its own, as in production, so that what the hosts believe and what
-//! the instances have cached can drift apart. An instance runs as many requests as it has slots,
-//! queues a few more and rejects the rest. It keeps the objects that it handled last, and takes less
-//! time for those.
+//! An instance runs as many requests as it has slots, queues a few more and rejects the rest. It
+//! keeps the objects that it handled last, and takes less time for those.
 
 use std::{
     cmp::Reverse,
@@ -12,13 +10,18 @@
     time::Duration,
 };
 
-use super::super::super::{
+use marjorampick_core::steering::{
     fleet::{Choice, Criteria, Fleet, Locality, Rejection},
     instance::{Endpoint, Outcome},
     load::Report,
     retry,
 };
 
+use super::{
+    WINDOW,
+    pattern::{Fault, Kind, Pattern, Window},
+};
+
 const SERVICE: &str = "status";
 const REGIONS: [&str; 3] = ["north", "south", "west"];
 
@@ -31,88 +34,9 @@
 /// Retries of the hosts per request.
 const RETRY_RATIO: f64 = 0.14;
 
-/// Worth of an answer after the target latency, relative to one in time.
-const LATE_WORTH: f64 = 0.2;
-
 /// Virtual time at which the traffic starts, as hosts reserve zero for "never".
 const START: Duration = Duration::from_secs(1000);
 
-/// Length of the windows over which the worth is averaged.
-const WINDOW: Duration = Duration::from_secs(1);
-
-/// One kind of request.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Kind {
-    pub(super) name: &'static str,
-    pub(super) work_ms: u64,
-    pub(super) target_ms: u64,
-    pub(super) deadline_ms: u64,
-    pub(super) priority: u8,
-    /// Number of objects in each region.
-    pub(super) objects: u64,
-    /// Share of the requests.
-    pub(super) share: f64,
-}
-
-/// What is replayed.
-#[derive(Clone, Debug)]
-pub(super) struct Scenario {
-    pub(super) kinds: Vec<Kind>,
-    /// Instances in each of the three regions.
-    pub(super) instances: [u32; 3],
-    pub(super) hosts_per_region: u32,
-    pub(super) slots: u32,
-    /// Objects that an instance keeps.
-    pub(super) cache_objects: usize,
-    /// Requests per second in each region.
-    pub(super) rate: f64,
-    pub(super) seconds: u64,
-    /// What the instances do at a time, in milliseconds since the start of traffic: rejects this
-    /// fraction of the requests, and takes this many times as long.
-    pub(super) condition: fn(u64, usize) -> Condition,
-    /// Time at which all hosts start anew, in milliseconds since the start of traffic.
-    pub(super) hosts_restart_at_ms: Option<u64>,
-}
-
-/// How an instance behaves.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Condition {
-    pub(super) rejected: f64,
-    pub(super) slowness: f64,
-}
-
-pub(super) const SOUND: Condition = Condition { rejected: 0.0, slowness: 1.0 };
-
-/// What the callers got in one window, by the time at which they sent the request.
-#[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Window {
-    pub(super) asked: u32,
-    pub(super) on_time: u32,
-    pub(super) late: u32,
-    /// Requests for objects that the instance had to load.
-    pub(super) loaded: u32,
-    pub(super) run: u32,
-}
-
-impl Window {
-    pub(super) fn worth(&self) -> f64 {
-        (f64::from(self.on_time) + LATE_WORTH * f64::from(self.late)) / f64::from(self.asked.max(1))
-    }
-}
-
-/// Plays the scenario and returns what the callers got in each window.
-pub(super) fn play(scenario: &Scenario, seed: u64) -> Vec<Window> {
-    let mut world = World::new(scenario.clone(), seed);
-    world.run();
-    world.windows.into_values().collect()
-}
-
-/// Mean worth of the windows from `from` to `to`, in seconds since the start of traffic.
-pub(super) fn mean_worth(windows: &[Window], from: usize, to: usize) -> f64 {
-    let part = &windows[from..to];
-    part.iter().map(Window::worth).sum::<f64>() / part.len() as f64
-}
-
 struct Host {
     region: usize,
     fleet: Fleet,
@@ -120,7 +44,7 @@
     retries: f64,
 }
 
-struct Server {
+struct Backend {
     region: usize,
     running: u32,
     waiting: VecDeque<usize>,
@@ -141,7 +65,7 @@
     has_returned: bool,
     tried: Vec<Arc<str>>,
     choice: Option<Choice>,
-    server: usize,
+    backend: usize,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -152,40 +76,40 @@
     Answer(usize, bool, u32, u32),
 }
 
-struct World {
-    scenario: Scenario,
+pub(super) struct World {
+    pattern: Pattern,
     now: Duration,
     random: u64,
     events: BinaryHeap<Reverse<(Duration, u64, Event)>>,
     sequence: u64,
     hosts: Vec<Host>,
-    servers: Vec<Server>,
-    server_by_id: HashMap<Arc<str>, usize>,
+    backends: Vec<Backend>,
+    backend_by_id: HashMap<Arc<str>, usize>,
     requests: Vec<Request>,
     windows: BTreeMap<u64, Window>,
 }
 
 impl World {
-    fn new(scenario: Scenario, seed: u64) -> Self {
+    pub(super) fn new(pattern: Pattern, seed: u64) -> Self {
         let mut world = Self {
             now: START,
             random: seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1,
             events: BinaryHeap::new(),
             sequence: 0,
             hosts: Vec::new(),
-            servers: Vec::new(),
-            server_by_id: HashMap::new(),
+            backends: Vec::new(),
+            backend_by_id: HashMap::new(),
             requests: Vec::new(),
             windows: BTreeMap::new(),
-            scenario,
+            pattern,
         };
-        for (region, count) in world.scenario.instances.into_iter().enumerate() {
+        for (region, count) in world.pattern.instances.into_iter().enumerate() {
             for _ in 0..count {
-                let server =
-                    Server { region, running: 0, waiting: VecDeque::new(), cache: Vec::new() };
-                let id = instance_id(world.servers.len());
-                world.server_by_id.insert(id, world.servers.len());
-                world.servers.push(server);
+                let backend =
+                    Backend { region, running: 0, waiting: VecDeque::new(), cache: Vec::new() };
+                let id = instance_id(world.backends.len());
+                world.backend_by_id.insert(id, world.backends.len());
+                world.backends.push(backend);
             }
         }
         world.start_hosts();
@@ -195,7 +119,7 @@
 
     fn start_hosts(&mut self) {
         let regions = 0..REGIONS.len();
-        let numbers = 0..self.scenario.hosts_per_region;
+        let numbers = 0..self.pattern.hosts_per_region;
         let places: Vec<(usize, u32)> =
             regions.flat_map(|region| numbers.clone().map(move |n| (region, n))).collect();
         self.hosts = places
@@ -219,16 +143,16 @@
             domain_regions: domains.collect(),
         });
         fleet.set_warmup(self.now, &Arc::from(SERVICE), Duration::from_secs(3), 16.0);
-        fleet.set_region_hosts((0..self.scenario.hosts_per_region).map(host_name).collect());
-        for (index, server) in self.servers.iter().enumerate() {
+        fleet.set_region_hosts((0..self.pattern.hosts_per_region).map(host_name).collect());
+        for (index, backend) in self.backends.iter().enumerate() {
             fleet.register(
                 self.now,
                 Endpoint {
                     id: instance_id(index),
                     service: Arc::from(SERVICE),
                     address: "127.0.0.1:9000".parse().unwrap(),
-                    domain: domain(REGIONS[server.region]),
-                    slots: self.scenario.slots,
+                    domain: domain(REGIONS[backend.region]),
+                    slots: self.pattern.slots,
                     incarnation: 1,
                     is_draining: false,
                     warmup_left: Duration::ZERO,
@@ -239,10 +163,10 @@
         fleet
     }
 
-    fn run(&mut self) {
-        let end = START + Duration::from_secs(self.scenario.seconds);
-        let mut restart_at =
-            self.scenario.hosts_restart_at_ms.map(|at| START + Duration::from_millis(at));
+    /// Plays the whole pattern and returns what the callers got in each window.
+    pub(super) fn run(mut self) -> Vec<Window> {
+        let end = START + self.pattern.length;
+        let mut restart_at = self.pattern.hosts_restart_at.map(|at| START + at);
         while let Some(Reverse((at, _, event))) = self.events.pop() {
             self.now = at;
             if restart_at.is_some_and(|restart_at| restart_at <= at) {
@@ -258,15 +182,16 @@
                     self.answer(
                         request,
                         is_shed,
-                        Report { running, waiting, slots: self.scenario.slots },
+                        Report { running, waiting, slots: self.pattern.slots },
                     );
                 }
             }
         }
+        self.windows.into_values().collect()
     }
 
     fn arrive(&mut self) {
-        let total = self.scenario.rate * REGIONS.len() as f64;
+        let total = self.pattern.rate * REGIONS.len() as f64;
         let wait = -(1.0 - self.draw()).ln() / total;
         self.schedule(self.now + Duration::from_secs_f64(wait), Event::Arrival);
         let host = self.below(self.hosts.len() as u64) as usize;
@@ -275,8 +200,8 @@
             draw -= kind.share;
             draw < 0.0
         };
-        let kind = self.scenario.kinds.iter().position(is_kind).unwrap_or(0);
-        let number = self.below(self.scenario.kinds[kind].objects);
+        let kind = self.pattern.kinds.iter().position(is_kind).unwrap_or(0);
+        let number = self.below(self.pattern.kinds[kind].objects);
         let object = hash(number + 1000 * (kind as u64 + 10 * self.hosts[host].region as u64));
         self.requests.push(Request {
             host,
@@ -288,7 +213,7 @@
             has_returned: false,
             tried: Vec::new(),
             choice: None,
-            server: 0,
+            backend: 0,
         });
         self.window(self.now).asked += 1;
         self.attempt(self.requests.len() - 1);
@@ -298,7 +223,7 @@
     fn attempt(&mut self, id: usize) {
         let admission_draw = self.draw();
         let request = &mut self.requests[id];
-        let kind = self.scenario.kinds[request.kind];
+        let kind = self.pattern.kinds[request.kind];
         let host = &mut self.hosts[request.host];
         if request.tried.is_empty() {
             host.requests += 1.0;
@@ -313,7 +238,7 @@
             object_hash: Some(request.object),
             excluded: &request.tried,
             priority: kind.priority,
-            target_latency: Some(Duration::from_millis(kind.target_ms)),
+            target_latency: Some(kind.target),
             locality_draw: (request.object >> 11) as f64 / (1_u64 << 53) as f64,
             admission_draw,
         };
@@ -322,7 +247,7 @@
                 host.fleet.start_request(self.now, &choice);
                 request.sent_at = self.now;
                 request.tried.push(choice.id.clone());
-                request.server = self.server_by_id[&choice.id];
+                request.backend = self.backend_by_id[&choice.id];
                 request.choice = Some(choice);
                 self.reach(id);
             }
@@ -332,62 +257,61 @@
 
     /// Handles a request that has reached its instance.
     fn reach(&mut self, id: usize) {
-        let index = self.requests[id].server;
-        let condition = (self.scenario.condition)(self.since_start_ms(), index);
-        let is_rejected = self.draw() < condition.rejected;
-        let slots = self.scenario.slots;
-        let server = &mut self.servers[index];
-        if is_rejected || server.waiting.len() >= 3 * slots as usize {
+        let index = self.requests[id].backend;
+        let is_rejected = self.draw() < self.rejected_share(index);
+        let slots = self.pattern.slots;
+        let backend = &mut self.backends[index];
+        if is_rejected || backend.waiting.len() >= 3 * slots as usize {
             self.respond(id, true);
-        } else if server.running < slots {
-            server.running += 1;
+        } else if backend.running < slots {
+            backend.running += 1;
             self.start(id);
         } else {
-            server.waiting.push_back(id);
+            backend.waiting.push_back(id);
         }
     }
 
     /// Starts to run a request at its instance.
     fn start(&mut self, id: usize) {
         let request = &self.requests[id];
-        let kind = self.scenario.kinds[request.kind];
-        let condition = (self.scenario.condition)(self.since_start_ms(), request.server);
+        let kind = self.pattern.kinds[request.kind];
+        let slowness = self.slowness(request.backend);
         let (object, asked_at) = (request.object, request.asked_at);
-        let server = &mut self.servers[request.server];
-        let position = server.cache.iter().position(|cached| *cached == object);
+        let backend = &mut self.backends[request.backend];
+        let position = backend.cache.iter().position(|cached| *cached == object);
         let ratio = if position.is_some() { CACHED_WORK_RATIO } else { 1.0 };
         let window = self.window(asked_at);
         window.run += 1;
         window.loaded += u32::from(position.is_none());
         let spread = 0.85 + 0.3 * self.draw();
-        let work = kind.work_ms as f64 / 1000.0 * ratio * condition.slowness * spread;
+        let work = kind.work.as_secs_f64() * ratio * slowness * spread;
         self.schedule(self.now + Duration::from_secs_f64(work), Event::Finish(id));
     }
 
     fn finish(&mut self, id: usize) {
         let object = self.requests[id].object;
-        let limit = self.scenario.cache_objects;
-        let server = &mut self.servers[self.requests[id].server];
-        server.cache.retain(|cached| *cached != object);
-        server.cache.push(object);
-        if server.cache.len() > limit {
-            server.cache.remove(0);
+        let limit = self.pattern.cached_objects;
+        let backend = &mut self.backends[self.requests[id].backend];
+        backend.cache.retain(|cached| *cached != object);
+        backend.cache.push(object);
+        if backend.cache.len() > limit {
+            backend.cache.remove(0);
         }
-        server.running -= 1;
+        backend.running -= 1;
         self.respond(id, false);
-        self.start_next(self.requests[id].server);
+        self.start_next(self.requests[id].backend);
     }
 
     /// Starts the next waiting request whose deadline has not passed.
     fn start_next(&mut self, index: usize) {
-        while let Some(next) = self.servers[index].waiting.pop_front() {
+        while let Some(next) = self.backends[index].waiting.pop_front() {
             let request = &self.requests[next];
-            let deadline = Duration::from_millis(self.scenario.kinds[request.kind].deadline_ms);
+            let deadline = self.pattern.kinds[request.kind].deadline;
             if request.arrived_at + deadline <= self.now {
                 self.respond(next, true);
                 continue;
             }
-            self.servers[index].running += 1;
+            self.backends[index].running += 1;
             self.start(next);
             return;
         }
@@ -395,10 +319,10 @@
 
     fn respond(&mut self, id: usize, is_shed: bool) {
         let request = &self.requests[id];
-        let server = &self.servers[request.server];
-        let is_remote = server.region != self.hosts[request.host].region;
+        let backend = &self.backends[request.backend];
+        let is_remote = backend.region != self.hosts[request.host].region;
         let latency = if is_remote { REMOTE_LATENCY } else { Duration::from_millis(2) };
-        let event = Event::Answer(id, is_shed, server.running, server.waiting.len() as u32);
+        let event = Event::Answer(id, is_shed, backend.running, backend.waiting.len() as u32);
         self.schedule(self.now + latency, event);
     }
 
@@ -421,13 +345,13 @@
             }
             return;
         }
-        let kind = self.scenario.kinds[request.kind];
+        let kind = self.pattern.kinds[request.kind];
         let asked_at = request.asked_at;
         let total = self.now - asked_at;
         let window = self.window(asked_at);
-        if total <= Duration::from_millis(kind.target_ms) {
+        if total <= kind.target {
             window.on_time += 1;
-        } else if total <= Duration::from_millis(kind.deadline_ms) {
+        } else if total <= kind.deadline {
             window.late += 1;
         }
     }
@@ -457,8 +381,19 @@
         self.windows.entry(index).or_default()
     }
 
-    fn since_start_ms(&self) -> u64 {
-        (self.now - START).as_millis() as u64
+    /// Fraction of the requests that the instance rejects now although it has free slots.
+    fn rejected_share(&self, index: usize) -> f64 {
+        self.active_fault(index).map_or(0.0, |fault| fault.rejected)
+    }
+
+    /// Factor by which the instance's work takes longer now.
+    fn slowness(&self, index: usize) -> f64 {
+        self.active_fault(index).map_or(1.0, |fault| fault.slowness)
+    }
+
+    fn active_fault(&self, index: usize) -> Option<&Fault> {
+        let fault = self.pattern.fault.as_ref()?;
+        fault.affects(self.now - START, index).then_some(fault)
     }
 
     fn schedule(&mut self, at: Duration, event: Event) {
--- a/crates/core/src/steering/tests/replay.rs
+++ b/crates/scenario/tests/load_patterns.rs
@@ -1,94 +1,39 @@
 //! Replays of load patterns after which the hosts' decisions kept an overload going, or turned away
-//! what could have been served.
+//! what could have been served. See docs/steering-study.md.
 
-mod world;
+use std::time::Duration;
 
-use world::{Condition, Kind, SOUND, Scenario, Window, mean_worth, play};
+use marjorampick_scenario::steering::{
+    mean_worth,
+    pattern::{Fault, Pattern, Window, sixty_hosts, twelve_hosts},
+    play,
+};
 
 const SEEDS: std::ops::Range<u64> = 1..3;
 
 /// Share of the worth before a fault that must be back soon after its end.
 const RECOVERED_SHARE: f64 = 0.95;
 
-/// Two kinds of request on one service, one of them with more work.
-const KINDS: [Kind; 2] = [
-    Kind {
-        name: "short",
-        work_ms: 480,
-        target_ms: 400,
-        deadline_ms: 1200,
-        priority: 2,
-        objects: 108,
-        share: 0.7,
-    },
-    Kind {
-        name: "long",
-        work_ms: 640,
-        target_ms: 400,
-        deadline_ms: 1500,
-        priority: 1,
-        objects: 47,
-        share: 0.3,
-    },
-];
-
-/// 12 hosts and 28 instances, of which one region has only two. Cached work fills half of the slots.
-fn twelve_hosts() -> Scenario {
-    Scenario {
-        kinds: KINDS.to_vec(),
-        instances: [2, 12, 14],
-        hosts_per_region: 4,
-        slots: 9,
-        cache_objects: 60,
-        rate: 280.0,
-        seconds: 24,
-        condition: |_, _| SOUND,
-        hosts_restart_at_ms: None,
-    }
-}
-
-/// 60 hosts and 138 instances, so that a host hears of an instance seldom.
-fn sixty_hosts() -> Scenario {
-    let mut kinds = KINDS;
-    for (kind, objects) in kinds.iter_mut().zip([241, 105]) {
-        kind.work_ms = kind.work_ms * 13 / 6;
-        kind.target_ms = 800;
-        kind.deadline_ms = 2500;
-        kind.objects = objects;
-    }
-    Scenario {
-        kinds: kinds.to_vec(),
-        instances: [14, 56, 68],
-        hosts_per_region: 20,
-        cache_objects: 31,
-        rate: 600.0,
-        ..twelve_hosts()
-    }
+/// All instances reject more than half of the requests from 8 s to 16 s.
+fn rejecting() -> Option<Fault> {
+    let time = Duration::from_secs(8)..Duration::from_secs(16);
+    Some(Fault { time, one_in: 1, rejected: 0.55, slowness: 1.0 })
 }
 
 fn describe(windows: &[Window]) -> String {
-    let rows = windows.iter().enumerate().map(|(second, window)| {
-        format!(
-            "{second:3} s: worth {:.2}, {} asked, {} run, {} loaded",
-            window.worth(),
-            window.asked,
-            window.run,
-            window.loaded
-        )
-    });
-    rows.collect::<Vec<_>>().join("\n")
-}
-
-/// All instances reject more than half of the requests from 8 s to 16 s.
-fn rejecting(at_ms: u64, _: usize) -> Condition {
-    Condition { rejected: if (8_000..16_000).contains(&at_ms) { 0.55 } else { 0.0 }, ..SOUND }
+    let row = |(second, window): (usize, &Window)| {
+        let worth = window.worth();
+        let Window { asked, run, loaded, .. } = window;
+        format!("{second:3} s: worth {worth:.2}, {asked} asked, {run} run, {loaded} loaded")
+    };
+    windows.iter().enumerate().map(row).collect::<Vec<_>>().join("\n")
 }
 
 /// Asserts that the worth is back 3 s after the instances stop rejecting requests.
-fn assert_recovery(scenario: &Scenario) {
-    let scenario = Scenario { condition: rejecting, ..scenario.clone() };
+fn assert_recovery(pattern: Pattern) {
+    let pattern = Pattern { fault: rejecting(), ..pattern };
     for seed in SEEDS {
-        let windows = play(&scenario, seed);
+        let windows = play(&pattern, seed);
         let (before, after) = (mean_worth(&windows, 6, 8), mean_worth(&windows, 19, 23));
         assert!(
             after >= RECOVERED_SHARE * before,
@@ -103,13 +48,13 @@
 /// overload going after its cause had ended.
 #[test]
 fn an_overload_ends_soon_after_its_cause() {
-    assert_recovery(&twelve_hosts());
+    assert_recovery(twelve_hosts());
 }
 
 /// Hosts that hear of an instance seldom believed in objects that others had displaced there since.
 #[test]
 fn an_overload_ends_soon_with_many_hosts_too() {
-    assert_recovery(&sixty_hosts());
+    assert_recovery(sixty_hosts());
 }
 
 /// Hosts of a large fleet took instances of which they had not heard for idle, and filled the slots
@@ -128,9 +73,9 @@
 /// that their answer missed its target.
 #[test]
 fn callers_rejected_with_free_slots_return_in_time() {
-    let scenario = Scenario { condition: rejecting, ..twelve_hosts() };
+    let pattern = Pattern { fault: rejecting(), ..twelve_hosts() };
     for seed in SEEDS {
-        let windows = play(&scenario, seed);
+        let windows = play(&pattern, seed);
         // Two attempts of each caller leave 0.55 * 0.55 of the requests without an answer.
         let worth = mean_worth(&windows, 10, 16);
         assert!(worth >= 0.68, "seed {seed}: worth {worth:.2}\n{}", describe(&windows));
@@ -143,31 +88,27 @@
 fn an_overload_is_refused_before_the_queues_fill() {
     // Cached work fits 88% and 87% of the requests into the slots.
     let overloads =
-        [Scenario { rate: 600.0, ..twelve_hosts() }, Scenario { rate: 1400.0, ..sixty_hosts() }];
-    for scenario in overloads {
+        [Pattern { rate: 600.0, ..twelve_hosts() }, Pattern { rate: 1400.0, ..sixty_hosts() }];
+    for pattern in overloads {
         for seed in SEEDS {
-            let windows = play(&scenario, seed);
+            let windows = play(&pattern, seed);
             let worth = mean_worth(&windows, 14, 22);
             assert!(worth >= 0.44, "seed {seed}: worth {worth:.2}\n{}", describe(&windows));
         }
     }
 }
 
-/// A sixth of the instances.
-fn is_affected(at_ms: u64, index: usize) -> bool {
-    (8_000..16_000).contains(&at_ms) && index % 6 == 3
+/// A sixth of the instances behaves in another way from 8 s to 16 s.
+fn sixth(rejected: f64, slowness: f64) -> Option<Fault> {
+    let time = Duration::from_secs(8)..Duration::from_secs(16);
+    Some(Fault { time, one_in: 6, rejected, slowness })
 }
 
 /// Instances that are slow while the others are not must be left, and get requests again afterwards.
 #[test]
 fn slow_instances_are_left_and_return() {
-    let slow = |at_ms, index| {
-        let slowness = if is_affected(at_ms, index) { 5.0 } else { 1.0 };
-        Condition { slowness, ..SOUND }
-    };
-    for scenario in [twelve_hosts(), sixty_hosts()] {
-        let scenario = Scenario { condition: slow, ..scenario };
-        let windows = play(&scenario, 1);
+    for pattern in [twelve_hosts(), sixty_hosts()] {
+        let windows = play(&Pattern { fault: sixth(0.0, 5.0), ..pattern }, 1);
         let (during, after) = (mean_worth(&windows, 11, 16), mean_worth(&windows, 19, 23));
         // Five sixths of the requests are not affected.
         assert!(during >= 0.8, "worth {during:.2}\n{}", describe(&windows));
@@ -178,12 +119,7 @@
 /// Instances that reject requests while the others do not must be left, and get requests again.
 #[test]
 fn rejecting_instances_are_left_and_return() {
-    let rejects = |at_ms, index| {
-        let rejected = if is_affected(at_ms, index) { 0.5 } else { 0.0 };
-        Condition { rejected, ..SOUND }
-    };
-    let scenario = Scenario { condition: rejects, ..twelve_hosts() };
-    let windows = play(&scenario, 1);
+    let windows = play(&Pattern { fault: sixth(0.5, 1.0), ..twelve_hosts() }, 1);
     for (from, to) in [(11, 16), (19, 23)] {
         let worth = mean_worth(&windows, from, to);
         assert!(worth >= RECOVERED_SHARE, "worth {worth:.2}\n{}", describe(&windows));
@@ -193,7 +129,7 @@
 /// Hosts that start anew know nothing of what the instances have cached, and must still find it.
 #[test]
 fn hosts_that_start_anew_find_cached_objects() {
-    let restart = Scenario { hosts_restart_at_ms: Some(12_000), ..twelve_hosts() };
+    let restart = Pattern { hosts_restart_at: Some(Duration::from_secs(12)), ..twelve_hosts() };
     let windows = play(&restart, 1);
     let worth = mean_worth(&windows, 12, 16);
     assert!(worth >= RECOVERED_SHARE, "worth {worth:.2}\n{}", describe(&windows));
