cache: test that a belief in a cached object ends

Cause: the test of tracked objects that moved to tests/cache.rs had checked the end of the belief too. Change: that check stands again, against the residence.

--- a/crates/core/src/steering/tests/cache.rs
+++ b/crates/core/src/steering/tests/cache.rs
@@ -28,3 +28,14 @@
     assert!(residence.time(at(100)) < 2 * age);
     assert!(residence.time(at(60_000)) > 10 * age);
 }
+
+/// An object that nobody asked for must not be believed cached for ever.
+#[test]
+fn objects_are_believed_cached_for_a_limited_time() {
+    let residence = Residence::new(at(0));
+    let mut contents = Contents::default();
+    contents.record(at(0), 499);
+    let is_cached = |now| contents.age(now, 499).is_some_and(|age| age < residence.time(now));
+    assert!(is_cached(at(500)));
+    assert!(!is_cached(at(100_000)));
+}
