--- a/crates/core/src/steering.rs
+++ b/crates/core/src/steering.rs
@@ -10,6 +10,7 @@
 pub mod fleet;
 pub mod instance;
 pub mod lenders;
+pub mod limit;
 pub mod load;
 pub mod plan;
 pub mod rate;
--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -18,6 +18,7 @@
 
 use super::{
     instance::{Endpoint, Instance, Outcome},
+    limit,
     load::Report,
     shift,
 };
@@ -47,6 +48,8 @@
     /// Service of each instance, by the instance's id.
     service_by_id: HashMap<Arc<str>, Arc<str>>,
     evacuated_domains: BTreeSet<Arc<str>>,
+    /// Limits that instances have stated.
+    limits: limit::Book,
     /// Limits how fast this host's requests shift to other regions.
     shift_limiter: shift::Limiter,
     /// Names of the hosts of this region, including this one.
@@ -65,6 +68,7 @@
             upstreams: HashMap::new(),
             service_by_id: HashMap::new(),
             evacuated_domains: BTreeSet::new(),
+            limits: limit::Book::default(),
             shift_limiter: shift::Limiter::default(),
             region_hosts,
             is_synced: false,
@@ -238,6 +242,18 @@
         upstream.update_usual();
     }
 
+    /// Records what an answer to a request that was sent at `sent_at` says about the instance's limit.
+    /// Returns whether that is a change.
+    pub fn record_limit(
+        &mut self,
+        now: Duration,
+        choice: &Choice,
+        sent_at: Duration,
+        statement: limit::Statement,
+    ) -> bool {
+        self.limits.record(now, &choice.id, choice.incarnation, sent_at, statement)
+    }
+
     /// Removes an instance whose registration is out of date, because another instance answers at
     /// its address.
     pub fn remove_stale(&mut self, id: &str) {
--- a/crates/steer/src/codec.rs
+++ b/crates/steer/src/codec.rs
@@ -28,6 +28,9 @@
     /// Parses the load that an instance reports in the header [`Headers::load`]. Returns `None` for
     /// a malformed value.
     pub parse_load: fn(&str) -> Option<Report>,
+    /// Parses the limit in the header [`Headers::limit`], in requests per second. Returns `None` for a
+    /// malformed value.
+    pub parse_limit: fn(&str) -> Option<f64>,
     /// URL path of host look-ups.
     pub lookup_path: &'static str,
     /// Parses the URI of a look-up. Returns `None` for a malformed query.
@@ -60,6 +63,9 @@
     pub not_run: HeaderName,
     /// Load that the instance reports.
     pub load: HeaderName,
+    /// Requests per second that the instance takes from all hosts together. An answer of an instance
+    /// without a limit has no such header.
+    pub limit: HeaderName,
 }
 
 /// Decoded item of the store.
--- a/crates/steer/src/events.rs
+++ b/crates/steer/src/events.rs
@@ -126,6 +126,16 @@
         /// Reason of the removal.
         reason: &'a str,
     },
+    /// An instance stated a limit, changed it or ended it.
+    InstanceLimit {
+        /// Id of the instance.
+        id: &'a str,
+        /// Requests per second that the instance takes from all hosts together; absent without a limit.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        rate: Option<f64>,
+        /// Id of the request whose answer says so.
+        request: &'a str,
+    },
     /// The evacuation of a failure domain started or ended.
     Evacuation {
         /// Name of the failure domain.
