steer: hosts share the limit that an instance states

Callers saw nothing; the instance got 74 requests in 4 s where 29 were allowed, while it was in need.

Cause: no host read the limit. Evidence: the rates at the two instances were the same before and after second 8, on both hosts that sent to them, and the header was decoded nowhere. Ruled out: a limit kept by each host for itself (one host alone sent four times the limit) and requests under way (no change in 30 s).

Change: core::steering::limit. At 300 hosts an equal part is less than one request in the window, and a request of each host is ten times too many, so that 3 to 8 hosts of the instance's region share a limit, chosen by rendezvous hash over the seats, at 80% of it and at even intervals. The others send nothing. What a host hears it writes to the store, for the others and for hosts that start later. A seat now says its host's region. A host that shares a limit and had no request for the instance sends it one, so that it hears of the end; requests for objects of the instance go to the next one otherwise. The slots that count for the choice of region shrink to what the limit allows.

Why it works: in any window each of the k hosts sends at most one request beyond its part, k + 3.2 L <= 6 L + 5 for every limit L, and up to two hosts may send besides because they are cut off and do not know that they were replaced.

--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod candidate;
 mod choice;
+mod limits;
 mod ranking;
 mod side;
 mod upstream;
@@ -50,6 +51,8 @@
     evacuated_domains: BTreeSet<Arc<str>>,
     /// Limits that instances have stated.
     limits: limit::Book,
+    /// Hosts that share these limits.
+    sharing: limit::Sharing,
     /// Limits how fast this host's requests shift to other regions.
     shift_limiter: shift::Limiter,
     /// Names of the hosts of this region, including this one.
@@ -63,12 +66,14 @@
     /// A fleet without instances.
     pub fn new(locality: Locality) -> Self {
         let region_hosts = vec![locality.host.clone()];
+        let sharing = limit::Sharing { host: locality.host.clone(), members: Vec::new() };
         Self {
             locality,
             upstreams: HashMap::new(),
             service_by_id: HashMap::new(),
             evacuated_domains: BTreeSet::new(),
             limits: limit::Book::default(),
+            sharing,
             shift_limiter: shift::Limiter::default(),
             region_hosts,
             is_synced: false,
@@ -126,12 +131,14 @@
         let region = self.locality.domain_regions.get(&endpoint.domain).cloned();
         let is_local = region.as_ref() == Some(&self.locality.region);
         let is_evacuated = self.evacuated_domains.contains(&endpoint.domain);
-        self.service_by_id.insert(endpoint.id.clone(), endpoint.service.clone());
+        let id = endpoint.id.clone();
+        self.service_by_id.insert(id.clone(), endpoint.service.clone());
+        self.limits.restart(&id, endpoint.incarnation);
         let upstream = self.upstream(now, &endpoint.service.clone());
         let warmup = upstream.warmup;
         let position =
             upstream.instances.iter().position(|instance| instance.endpoint.id == endpoint.id);
-        match position {
+        let is_changed = match position {
             Some(index)
                 if upstream.instances[index].endpoint.incarnation == endpoint.incarnation =>
             {
@@ -155,7 +162,11 @@
                 }
                 true
             }
+        };
+        if is_changed {
+            self.refresh_limit(now, &id);
         }
+        is_changed
     }
 
     /// Handles the removal of an instance's registration. The instance is kept until `expires_at`,
@@ -210,6 +221,7 @@
             return;
         };
         self.shift_limiter.record_sent(choice.is_remote);
+        self.limits.record_request(now, &choice.id);
         let cold_rate = self.upstreams.get(service).map_or(1.0, |upstream| upstream.cold_rate);
         let host_rate = self.cold_host_rate(&choice.id, cold_rate);
         if let Some(instance) = self.instance(&choice.id) {
@@ -242,18 +254,6 @@
         upstream.update_usual();
     }
 
-    /// Records what an answer to a request that was sent at `sent_at` says about the instance's limit.
-    /// Returns whether that is a change.
-    pub fn record_limit(
-        &mut self,
-        now: Duration,
-        choice: &Choice,
-        sent_at: Duration,
-        statement: limit::Statement,
-    ) -> bool {
-        self.limits.record(now, &choice.id, choice.incarnation, sent_at, statement)
-    }
-
     /// Removes an instance whose registration is out of date, because another instance answers at
     /// its address.
     pub fn remove_stale(&mut self, id: &str) {
--- a/crates/core/src/steering/fleet/candidate.rs
+++ b/crates/core/src/steering/fleet/candidate.rs
@@ -67,9 +67,15 @@
             None => u64::MAX - instance.last_request_at().as_nanos() as u64,
         };
         let weights: Vec<u64> = candidates.iter().map(weight).collect();
-        let ranking = Ranking::new(now, candidates, &weights);
+        let within_limit: Vec<bool> =
+            candidates.iter().map(|instance| self.is_within_limit(now, instance)).collect();
+        let ranking = Ranking::new(candidates.len(), &weights, |index| {
+            let instance = candidates[index];
+            within_limit[index] && !instance.is_cold(now) && instance.is_available(now)
+        });
         let mut likely: Option<Candidate<'_>> = None;
         let mut unlikely: Option<Candidate<'_>> = None;
+        let mut probe: Option<Candidate<'_>> = None;
         for (index, instance) in candidates.iter().enumerate() {
             let position = match criteria.object_hash {
                 Some(object) if !upstream.has_cached(now, instance, object) => {
@@ -83,6 +89,7 @@
             let is_admitted = !criteria.excluded.contains(&instance.endpoint.id)
                 && instance.is_available(now)
                 && self.is_warm_or_paced(now, upstream, instance)
+                && within_limit[index]
                 && self.is_within_unreported_share(instance)
                 && !(position == cache::Position::Later && upstream.is_busy(instance))
                 && has_capacity(upstream, instance, criteria, work, expected);
@@ -96,7 +103,9 @@
                 cost: expected + self.other_costs_seconds(upstream, instance, times),
                 weight: weights[index],
             };
-            if candidate.is_cached {
+            if self.is_limit_probe_due(now, instance) {
+                probe = Some(candidate);
+            } else if candidate.is_cached {
                 if likely.as_ref().is_none_or(|best| candidate.is_cheaper(best)) {
                     likely = Some(candidate);
                 }
@@ -108,7 +117,7 @@
             (Some(likely), Some(unlikely)) if unlikely.cost < likely.cost => Some(unlikely),
             (likely, unlikely) => likely.or(unlikely),
         };
-        best.map(|best| Choice {
+        probe.or(best).map(|best| Choice {
             id: best.instance.endpoint.id.clone(),
             incarnation: best.instance.endpoint.incarnation,
             address: best.instance.endpoint.address,
--- a/crates/core/src/steering/fleet/choice.rs
+++ b/crates/core/src/steering/fleet/choice.rs
@@ -13,7 +13,7 @@
 };
 
 /// Assumed response time until the first answer, in seconds.
-const DEFAULT_RESPONSE_SECONDS: f64 = 0.5;
+pub(super) const DEFAULT_RESPONSE_SECONDS: f64 = 0.5;
 
 /// Properties of a request that decide which instance gets it.
 #[derive(Clone, Debug)]
--- a/crates/core/src/steering/fleet/ranking.rs
+++ b/crates/core/src/steering/fleet/ranking.rs
@@ -5,25 +5,24 @@
 //! would scatter the object over all instances, each of which would have to load it and would
 //! displace others.
 
-use std::time::Duration;
+use crate::steering::cache::Position;
 
-use crate::steering::{cache::Position, instance::Instance};
-
-/// First and second instance for an object among those that take requests at their usual rate, by
-/// their index in the list of candidates.
+/// First and second instance for an object among those that take requests now, by their index in the
+/// list of candidates.
 pub(super) struct Ranking {
     first: Option<usize>,
     second: Option<usize>,
 }
 
 impl Ranking {
-    /// Ranks the candidates by their rendezvous weights for the object.
-    pub(super) fn new(now: Duration, candidates: &[&Instance], weights: &[u64]) -> Self {
+    /// Ranks the candidates that take requests now by their rendezvous weights for the object.
+    pub(super) fn new(
+        candidates: usize,
+        weights: &[u64],
+        takes_requests: impl Fn(usize) -> bool,
+    ) -> Self {
         let (mut first, mut second) = (None, None);
-        for (index, instance) in candidates.iter().enumerate() {
-            if instance.is_cold(now) || !instance.is_available(now) {
-                continue;
-            }
+        for index in (0..candidates).filter(|index| takes_requests(*index)) {
             let is_before =
                 |other: Option<usize>| other.is_none_or(|o| weights[index] > weights[o]);
             if is_before(first) {
--- a/crates/core/src/steering/fleet/side.rs
+++ b/crates/core/src/steering/fleet/side.rs
@@ -5,7 +5,7 @@
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
-use super::{Fleet, admission::is_serving};
+use super::{Fleet, admission::is_serving, choice::DEFAULT_RESPONSE_SECONDS};
 
 /// Initial local share of a service's requests, relative to the share that the slots of the own
 /// region can serve if all regions receive the same number of requests.
@@ -52,11 +52,14 @@
         };
         upstream.others_share = 1.0 - 1.0 / hosts;
         upstream.update_loads(now);
+        let response = upstream.response_seconds.unwrap_or(DEFAULT_RESPONSE_SECONDS);
         let (mut local, mut remote) = (Side::default(), Side::default());
         let instances = upstream.instances.iter();
         for instance in instances.filter(|i| is_serving(now, &self.evacuated_domains, i)) {
             let side = if instance.is_local { &mut local } else { &mut remote };
-            side.add(instance.requests, f64::from(instance.endpoint.slots));
+            let slots = f64::from(instance.endpoint.slots);
+            let limit = self.limits.rate(&instance.endpoint.id);
+            side.add(instance.requests, limit.map_or(slots, |rate| slots.min(rate * response)));
         }
         let regions: BTreeSet<&Arc<str>> = self.locality.domain_regions.values().collect();
         let local_slot_share = local.slots() / (local.slots() + remote.slots()).max(1.0);
--- a/crates/core/src/steering/limit.rs
+++ b/crates/core/src/steering/limit.rs
@@ -1,19 +1,40 @@
 //! Rate limits that instances in need state in their answers.
 //!
-//! An instance that recovers from a fault may take only a fraction of its usual load, from all hosts
-//! together, until it says otherwise. See docs/platform.md.
+//! An instance that recovers from a fault takes only a fraction of its usual load, from all hosts
+//! together, until it says otherwise. With many hosts, the equal part of each would be less than one
+//! request in the time over which the limit is judged, and a host that sends one request in that time
+//! already sends too many. So a few hosts share the limit, chosen by rendezvous hash among those of
+//! the instance's region, and the others send nothing. What one host learns of a limit, it publishes
+//! in the store, for the hosts that send nothing and therefore hear nothing. See docs/platform.md.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+mod book;
+
+pub use book::{Book, Change, Publication};
+
+use std::{sync::Arc, time::Duration};
+
+use crate::rendezvous;
+
+/// Fraction of a limit that the hosts use. The rest is a margin for the time in which they disagree
+/// on who shares it.
+const USABLE_FRACTION: f64 = 0.8;
+
+/// Hosts that share the smallest limits. One host alone could be the one that just stopped.
+const MIN_SENDERS: usize = 3;
+
+/// Most hosts that share a limit. With fewer hosts, each one sends more often and so hears sooner of
+/// a change.
+const MAX_SENDERS: usize = 8;
 
 /// Difference between two rates, relative to the larger one, up to which they count as the same.
 const INSIGNIFICANT_CHANGE: f64 = 0.1;
 
-/// What an answer of an instance says about its limit.
+/// What is known of an instance's limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Statement {
     /// The instance takes this many requests per second from all hosts together.
     Limited(f64),
-    /// The instance states no limit.
+    /// The instance has no limit.
     Unlimited,
 }
 
@@ -25,66 +46,73 @@
             Self::Unlimited => None,
         }
     }
+
+    /// Whether two statements differ by more than [`INSIGNIFICANT_CHANGE`].
+    fn differs(self, other: Self) -> bool {
+        match (self.rate(), other.rate()) {
+            (Some(one), Some(other)) => (one - other).abs() > INSIGNIFICANT_CHANGE * one.max(other),
+            (one, other) => one.is_some() != other.is_some(),
+        }
+    }
 }
 
-/// Limits of all instances that have stated one.
-#[derive(Clone, Debug, Default)]
-pub struct Book {
-    entries: HashMap<Arc<str>, Entry>,
+/// Host that may share limits.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Member {
+    /// Name of the host.
+    pub host: Arc<str>,
+    /// Region of the host; `None` if unknown, so that it counts in every region.
+    pub region: Option<Arc<str>>,
 }
 
-/// Limit of one instance.
+/// Hosts among which limits are shared, as this host sees them.
 #[derive(Clone, Debug)]
-struct Entry {
-    /// Incarnation of the instance that stated the limit.
-    incarnation: u64,
-    /// Latest statement to this host.
-    stated: Statement,
-    stated_at: Duration,
-    /// Statement that was last reported as a change.
-    reported: Statement,
+pub struct Sharing {
+    /// Name of this host.
+    pub host: Arc<str>,
+    /// All hosts that may share limits. This host sends nothing to limited instances unless it is
+    /// among them.
+    pub members: Vec<Member>,
 }
 
-impl Book {
-    /// Records what an answer to a request that was sent at `sent_at` says. Returns whether that is a
-    /// change.
+impl Sharing {
+    /// This host's part of an instance's limit, in requests per second; 0 if others share it.
     ///
-    /// Only an answer to a request that was sent after the instance last stated a limit ends it:
-    /// answers on different connections may overtake each other.
-    pub fn record(
-        &mut self,
-        now: Duration,
-        id: &Arc<str>,
-        incarnation: u64,
-        sent_at: Duration,
-        statement: Statement,
-    ) -> bool {
-        self.entries.retain(|known, entry| known != id || entry.incarnation == incarnation);
-        if statement == Statement::Unlimited
-            && self.entries.get(id).is_none_or(|entry| sent_at < entry.stated_at)
-        {
-            return false;
-        }
-        let entry = self.entries.entry(id.clone()).or_insert(Entry {
-            incarnation,
-            stated: statement,
-            stated_at: now,
-            reported: Statement::Unlimited,
-        });
-        entry.stated = statement;
-        entry.stated_at = now;
-        let is_changed = differs(entry.reported, statement);
-        if is_changed {
-            entry.reported = statement;
-        }
-        is_changed
+    /// Hosts of other regions share it only if the instance's region has no host.
+    pub fn host_rate(&self, rate: f64, instance: &str, region: Option<&Arc<str>>) -> f64 {
+        let is_in_region = |member: &&Member| {
+            member.region.is_none() || region.is_none() || member.region.as_ref() == region
+        };
+        let all = || self.members.iter().map(|member| member.host.as_ref());
+        let local: Vec<&str> =
+            self.members.iter().filter(is_in_region).map(|member| member.host.as_ref()).collect();
+        let hosts = if local.is_empty() { all().collect() } else { local };
+        let senders = sender_count(rate).min(hosts.len());
+        let ranked = rendezvous::rank(instance, hosts.iter().copied());
+        let is_sender = ranked.iter().take(senders).any(|&index| hosts[index] == &*self.host);
+        if is_sender { rate * USABLE_FRACTION / senders as f64 } else { 0.0 }
     }
-}
 
-/// Whether two statements differ by more than [`INSIGNIFICANT_CHANGE`].
-fn differs(one: Statement, other: Statement) -> bool {
-    match (one.rate(), other.rate()) {
-        (Some(one), Some(other)) => (one - other).abs() > INSIGNIFICANT_CHANGE * one.max(other),
-        (one, other) => one.is_some() != other.is_some(),
+    /// Whether this host ranks first among all hosts for an instance.
+    fn is_first(&self, instance: &str) -> bool {
+        let hosts: Vec<&str> = self.members.iter().map(|member| member.host.as_ref()).collect();
+        let ranked = rendezvous::rank(instance, hosts.iter().copied());
+        ranked.first().is_some_and(|&index| hosts[index] == &*self.host)
     }
 }
+
+/// Number of hosts that share a limit.
+///
+/// Each of them may send one request more than its part in any window, as it sends at even intervals
+/// that are not aligned with the window. More hosts may share a larger limit, of which one request
+/// each is a smaller fraction.
+fn sender_count(rate: f64) -> usize {
+    // The upper bound makes the cast lossless.
+    MIN_SENDERS + rate.clamp(0.0, (MAX_SENDERS - MIN_SENDERS) as f64).floor() as usize
+}
+
+/// Shortest time between two requests at `rate` requests per second.
+fn interval(rate: f64) -> Duration {
+    const MAX_SECONDS: f64 = 100.0;
+    Duration::from_secs_f64((1.0 / rate.max(f64::MIN_POSITIVE)).min(MAX_SECONDS))
+}
--- a/crates/core/src/steering/tests.rs
+++ b/crates/core/src/steering/tests.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod instance;
 mod lenders;
+mod limit;
 mod load;
 mod plan;
 mod rate;
--- /dev/null
+++ b/crates/core/src/steering/tests/limit.rs
@@ -0,0 +1,178 @@
+//! Tests that the limit of an instance holds over all hosts together.
+
+mod world;
+
+use std::time::Duration;
+
+use world::{Event, World};
+
+use super::{
+    super::{
+        limit::{Member, Sharing, Statement},
+        seats::{LIMIT_RETENTION, Seats},
+    },
+    support::{answer_after, at, criteria, endpoint, fleet, name, send},
+};
+
+/// Hosts of a small, a larger and a large deployment.
+const HOST_COUNTS: [usize; 3] = [8, 60, 300];
+
+/// The parts of all hosts must not add up to more than the limit, with room for one request of each
+/// that is not aligned with the window, whether or not their number divides the limit.
+#[test]
+fn the_parts_of_all_hosts_stay_within_the_limit() {
+    const WINDOW_SECONDS: f64 = 4.0;
+    for count in [1, 2, 3, 8, 60, 300] {
+        let members: Vec<Member> = (0..count)
+            .map(|index| Member { host: name(&format!("host-{index}")), region: None })
+            .collect();
+        for limit in [0.0, 0.1, 0.9, 1.0, 3.8, 10.0, 200.0] {
+            let rates: Vec<f64> = members
+                .iter()
+                .map(|member| Sharing { host: member.host.clone(), members: members.clone() })
+                .map(|sharing| sharing.host_rate(limit, "i-1", None))
+                .collect();
+            let in_window: f64 = rates
+                .iter()
+                .filter(|r| **r > 0.0)
+                .map(|r| (r * WINDOW_SECONDS).floor() + 1.0)
+                .sum();
+            let allowed = 1.5 * limit * WINDOW_SECONDS + 5.0;
+            assert!(in_window <= allowed, "{count} hosts, {limit}/s: {in_window} of {allowed}");
+            assert!(limit == 0.0 || rates.iter().sum::<f64>() >= limit * 0.7);
+        }
+    }
+}
+
+/// Hosts of other regions share a limit only where the region of the instance has no host.
+#[test]
+fn the_hosts_of_the_region_share_a_limit() {
+    let member = |host: &str, region: &str| Member { host: name(host), region: Some(name(region)) };
+    let members = vec![member("n1", "north"), member("s1", "south"), member("s2", "south")];
+    let rate = |host: &str, region: &str| {
+        let sharing = Sharing { host: name(host), members: members.clone() };
+        sharing.host_rate(2.0, "i-1", Some(&name(region)))
+    };
+    assert!(rate("n1", "north") > 0.0);
+    assert!(rate("s1", "north") == 0.0 && rate("s2", "north") == 0.0);
+    assert!(rate("n1", "west") > 0.0 && rate("s1", "west") > 0.0);
+}
+
+/// A host that is cut off from the store for a moment must not be replaced while it still sends, and
+/// one that is gone must not hold a part for good.
+#[test]
+fn a_host_shares_limits_until_some_time_after_its_registration() {
+    let mut seats = Seats::default();
+    for host in ["a", "b"] {
+        seats.add(at(0), &name(host));
+        seats.mark_registered(host);
+    }
+    seats.mark_unregistered(at(0), "b");
+    let count = |now| seats.limit_members(now).len();
+    assert_eq!(count(at(0) + LIMIT_RETENTION - Duration::from_millis(1)), 2);
+    assert_eq!(count(at(0) + LIMIT_RETENTION), 1);
+}
+
+/// A request that no instance can take within its limit is refused at once, and the first request
+/// after the limit was learned waits for its turn as well.
+#[test]
+fn requests_beyond_the_limit_are_refused() {
+    let mut fleet = fleet();
+    fleet.register(at(0), endpoint("n1", "north-a"));
+    fleet.finish_initial_sync();
+    let member = Member { host: name("host-1"), region: Some(name("north")) };
+    fleet.set_limit_members(at(0), vec![member]);
+    let choice = send(&mut fleet, at(0), &criteria()).unwrap();
+    answer_after(&mut fleet, at(100), &choice, 100);
+    fleet.record_limit(at(100), &choice, at(0), Statement::Limited(1.25));
+    // 80% of the limit are one request in a second.
+    let sent = (1..=60).filter(|step| {
+        let now = at(100 + step * 50);
+        let choice = send(&mut fleet, now, &criteria());
+        if let Ok(choice) = &choice {
+            answer_after(&mut fleet, now + Duration::from_millis(10), choice, 10);
+        }
+        choice.is_ok()
+    });
+    assert_eq!(sent.count(), 3);
+}
+
+/// An answer that was under way when the instance stated its limit must not end the limit; a later
+/// one without a limit does.
+#[test]
+fn only_a_later_answer_ends_a_limit() {
+    let mut fleet = fleet();
+    fleet.register(at(0), endpoint("n1", "north-a"));
+    let choice = send(&mut fleet, at(0), &criteria()).unwrap();
+    let limited = Statement::Limited(2.0);
+    assert_eq!(fleet.record_limit(at(100), &choice, at(0), limited).unwrap().statement, limited);
+    assert!(fleet.record_limit(at(110), &choice, at(50), Statement::Unlimited).is_none());
+    let ended = fleet.record_limit(at(900), &choice, at(500), Statement::Unlimited).unwrap();
+    assert_eq!(ended.statement, Statement::Unlimited);
+}
+
+/// A host that lost an instance's registration for a moment, or that has just started, must know the
+/// limit when the instance is back; a new incarnation has none.
+#[test]
+fn a_limit_outlasts_the_registration_but_not_the_incarnation() {
+    let mut fleet = fleet();
+    let id = name("n1");
+    fleet.apply_limit_record(at(0), &id, 1, Statement::Limited(0.5), 7);
+    fleet.register(at(0), endpoint("n1", "north-a"));
+    fleet.finish_initial_sync();
+    assert!(send(&mut fleet, at(100), &criteria()).is_err());
+    fleet.deregister("n1", None);
+    fleet.register(at(200), endpoint("n1", "north-a"));
+    assert!(send(&mut fleet, at(300), &criteria()).is_err());
+    let restarted =
+        super::super::instance::Endpoint { incarnation: 2, ..endpoint("n1", "north-a") };
+    fleet.register(at(400), restarted);
+    fleet.apply_limit_record(at(500), &id, 1, Statement::Limited(0.5), 7);
+    assert!(send(&mut fleet, at(60_000), &criteria()).is_ok());
+}
+
+/// Replays the incident LIMIT with as many hosts as the deployments have: an instance states a limit
+/// of a third of its load. Hosts start, stop, are killed and cut off from the store all the while.
+#[test]
+fn the_limit_of_an_instance_holds_over_all_hosts() {
+    for hosts in HOST_COUNTS {
+        for seed in 1..=3 {
+            let mut world = World::new(hosts, seed);
+            world.limit_at(5, Some(3.8));
+            for second in [8, 11, 14, 17, 20, 23] {
+                world.event_at(second, Event::Restart);
+                world.event_at(second + 1, Event::Start);
+                world.event_at(second + 1, Event::CutOff);
+                world.event_at(second + 2, Event::Stop);
+            }
+            world.run(40);
+            world.check_limit();
+            world.check_others();
+            assert!(world.arrivals_between(10, 40) >= 15, "{hosts} hosts: the part is not used");
+        }
+    }
+}
+
+/// After the instance raises, lowers and ends its limit, the hosts that send nothing must neither
+/// return too early nor stay away for good.
+#[test]
+fn a_limit_that_changes_holds_over_all_hosts() {
+    for hosts in HOST_COUNTS {
+        for seed in 1..=3 {
+            let mut world = World::new(hosts, seed);
+            world.limit_at(5, Some(6.0));
+            world.limit_at(15, Some(2.0));
+            world.limit_at(25, Some(9.0));
+            world.limit_at(40, Some(1.0));
+            world.limit_at(50, None);
+            world.run(75);
+            world.check_limit();
+            world.check_others();
+            let back = world.arrivals_between(65, 75);
+            assert!(
+                back >= 50,
+                "{hosts} hosts: {back} requests in 10 s after the end of the limit"
+            );
+        }
+    }
+}
--- a/crates/steer/src/callers/attempt.rs
+++ b/crates/steer/src/callers/attempt.rs
@@ -18,7 +18,7 @@
     },
     clock,
     events::{Event, Rank},
-    metrics,
+    limits, metrics,
     state::State,
 };
 
@@ -226,14 +226,8 @@
     statement: Statement,
 ) {
     let mut fleet = state.fleet.borrow_mut();
-    if fleet.record_limit(clock::now(), choice, sent_at, statement) {
-        let event = Event::InstanceLimit {
-            id: &choice.id,
-            rate: statement.rate(),
-            request: call.id_text(),
-        };
-        state.log.write(Rank::Notice, event);
-    }
+    let change = fleet.record_limit(clock::now(), choice, sent_at, statement);
+    limits::log_changes(state, limits::Source::Answer(call.id_text()), change);
 }
 
 /// Records a failed attempt in the metrics and the log.
--- a/crates/steer/src/events.rs
+++ b/crates/steer/src/events.rs
@@ -126,15 +126,21 @@
         /// Reason of the removal.
         reason: &'a str,
     },
-    /// An instance stated a limit, changed it or ended it.
+    /// A limit of an instance applies from now on, has changed or has ended.
     InstanceLimit {
         /// Id of the instance.
         id: &'a str,
         /// Requests per second that the instance takes from all hosts together; absent without a limit.
         #[serde(skip_serializing_if = "Option::is_none")]
         rate: Option<f64>,
+        /// This host's part of the limit, in requests per second; 0 if other hosts share it.
+        host_rate: f64,
         /// Id of the request whose answer says so.
-        request: &'a str,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        request: Option<&'a str>,
+        /// Revision of the change in the store that says so.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        revision: Option<u64>,
     },
     /// The evacuation of a failure domain started or ended.
     Evacuation {
--- a/crates/steer/src/feed.rs
+++ b/crates/steer/src/feed.rs
@@ -18,8 +18,8 @@
         WATCH_WAIT,
     },
     events::{Event, Rank},
-    metrics,
-    registration::{HOSTS_PREFIX, KEY_PREFIX, SEATS_PREFIX},
+    limits, metrics,
+    registration::{HOSTS_PREFIX, KEY_PREFIX, SEATS_PREFIX, SeatRecord},
     state::{Host, Registration, State},
     store::{Call, Change, Client, Fault, Item, Reply},
 };
@@ -194,12 +194,14 @@
     }
 
     fn apply(&self, item: &Item) {
-        let now = clock::now();
         if let Some(name) = item.key.strip_prefix(HOSTS_PREFIX) {
             return self.apply_host(name, item);
         }
         if let Some(name) = item.key.strip_prefix(SEATS_PREFIX) {
-            return self.state.seats.borrow_mut().add(now, &Arc::from(name));
+            return self.apply_seat(name, item);
+        }
+        if let Some(id) = item.key.strip_prefix(limits::PREFIX) {
+            return self.apply_limit(id, item);
         }
         match (self.state.codec.decode_item)(item) {
             Ok(Record::Plan(plan)) => self.apply_plan(*plan, item.revision),
@@ -210,6 +212,22 @@
         }
     }
 
+    /// Adds a seat. One of an earlier version of the program says nothing about its host.
+    fn apply_seat(&self, name: &str, item: &Item) {
+        let mut seats = self.state.seats.borrow_mut();
+        seats.add(clock::now(), &Arc::from(name));
+        if let Ok(record) = serde_json::from_slice::<SeatRecord>(&item.value) {
+            seats.set_region(name, record.region);
+        }
+    }
+
+    fn apply_limit(&self, id: &str, item: &Item) {
+        match serde_json::from_slice::<limits::Record>(&item.value) {
+            Ok(record) => limits::apply_record(&self.state, &Arc::from(id), record, item.revision),
+            Err(error) => self.ignore(item, &error.to_string()),
+        }
+    }
+
     fn apply_host(&self, name: &str, item: &Item) {
         let is_own = *name == *self.state.settings.host.name;
         if is_own && self.state.is_draining.get() {
@@ -290,6 +308,9 @@
         if let Some(name) = key.strip_prefix(SEATS_PREFIX) {
             return Some(Kind::Seat(Arc::from(name)));
         }
+        if let Some(id) = key.strip_prefix(limits::PREFIX) {
+            return Some(Kind::Limit(Arc::from(id)));
+        }
         Some(Kind::Platform((self.state.codec.parse_key)(key)))
     }
 
@@ -306,6 +327,7 @@
                 }
             }
             Kind::Seat(name) => self.state.seats.borrow_mut().remove(name),
+            Kind::Limit(id) => limits::remove_record(&self.state, id, revision),
             Kind::Platform(Subject::Instance(id)) => {
                 self.state.fleet.borrow_mut().deregister(id, expires_at);
                 let reason =
@@ -320,8 +342,8 @@
         }
     }
 
-    /// Returns the instances, evacuations and hosts that this host knows from earlier reads and
-    /// changes, but not the seats.
+    /// Returns the instances, evacuations, hosts and limits that this host knows from earlier reads
+    /// and changes, but not the seats.
     fn known_entries(&self) -> Vec<Entry> {
         let fleet = self.state.fleet.borrow();
         let instances = fleet.instance_ids().into_iter().map(Subject::Instance);
@@ -329,7 +351,8 @@
         let platform_entries = instances.chain(evacuated).map(Kind::Platform);
         let hosts = self.state.hosts.borrow();
         let host_entries = hosts.keys().cloned().map(Kind::Host);
-        let kinds: Vec<Kind> = platform_entries.chain(host_entries).collect();
+        let limit_entries = fleet.recorded_limits().into_iter().map(Kind::Limit);
+        let kinds: Vec<Kind> = platform_entries.chain(host_entries).chain(limit_entries).collect();
         kinds.into_iter().map(|kind| Entry { key: self.entry_key(&kind), kind }).collect()
     }
 
@@ -337,6 +360,7 @@
         match kind {
             Kind::Host(name) => format!("{HOSTS_PREFIX}{name}"),
             Kind::Seat(name) => format!("{SEATS_PREFIX}{name}"),
+            Kind::Limit(id) => format!("{}{id}", limits::PREFIX),
             Kind::Platform(subject) => (self.state.codec.subject_key)(subject),
         }
     }
@@ -351,6 +375,7 @@
 enum Kind {
     Host(Arc<str>),
     Seat(Arc<str>),
+    Limit(Arc<str>),
     Platform(Subject),
 }
 
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod events;
 pub mod feed;
 pub mod lending;
+pub mod limits;
 pub mod listeners;
 mod metrics;
 pub mod registration;
--- a/crates/steer/src/metrics.rs
+++ b/crates/steer/src/metrics.rs
@@ -13,6 +13,7 @@
 const STORE_CALLS_TOTAL: &str = "marjorampick_store_calls_total";
 const TOKENS_LENT_TOTAL: &str = "marjorampick_tokens_lent_total";
 const REQUESTS_IN_FLIGHT: &str = "marjorampick_requests_in_flight";
+const LIMITED_INSTANCES: &str = "marjorampick_limited_instances";
 
 /// Upper bounds of the histogram buckets, in seconds.
 const BUCKET_BOUNDS_SECONDS: [f64; 10] = [0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0, 8.0];
@@ -33,6 +34,7 @@
     describe_counter!(STORE_CALLS_TOTAL, Unit::Count, "Calls to the store, by kind and outcome.");
     describe_counter!(TOKENS_LENT_TOTAL, Unit::Count, "Tokens of workspaces lent to other hosts.");
     describe_gauge!(REQUESTS_IN_FLIGHT, Unit::Count, "Requests that have not ended.");
+    describe_gauge!(LIMITED_INSTANCES, Unit::Count, "Instances with a limit that applies.");
     Ok(handle)
 }
 
@@ -79,6 +81,11 @@
     gauge!(REQUESTS_IN_FLIGHT).set(count);
 }
 
+/// Sets the number of instances with a limit.
+pub(crate) fn set_limited_instances(count: usize) {
+    gauge!(LIMITED_INSTANCES).set(count as f64);
+}
+
 /// Records tokens lent to another host.
 pub(crate) fn record_lent_tokens(tokens: u32) {
     counter!(TOKENS_LENT_TOTAL).increment(tokens.into());
--- a/crates/steer/src/registration.rs
+++ b/crates/steer/src/registration.rs
@@ -3,9 +3,10 @@
 //! The host writes a permanent seat, with which it shares the budgets, and a registration under a
 //! lease, which makes it visible to look-ups and other hosts.
 
-use std::rc::Rc;
+use std::{rc::Rc, sync::Arc};
 
 use marjorampick_core::steering::seats::SEAT_PROPAGATION_TIME;
+use serde::{Deserialize, Serialize};
 use tokio::{sync::watch, time::sleep};
 
 use crate::{
@@ -28,6 +29,14 @@
 /// Prefix of the keys of seats, followed by the name of the host.
 pub const SEATS_PREFIX: &str = "marjorampick/seats/";
 
+/// Value of a seat. A seat outlasts the registration, so that all hosts share the limits of
+/// instances among the same hosts.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct SeatRecord {
+    /// Region of the host.
+    pub region: Arc<str>,
+}
+
 /// Keeps the host registered until `stopping` is true or closed, and then removes its registration.
 pub async fn run(state: Rc<State>, client: Client, mut stopping: watch::Receiver<bool>) {
     let mut lease = None;
@@ -79,9 +88,12 @@
 /// the other hosts already reserve this host's share, so it may use the share at once.
 async fn claim_seat(state: &Rc<State>, client: &Client) -> Result<Seat, Fault> {
     let key = format!("{SEATS_PREFIX}{}", state.settings.host.name);
+    let record = SeatRecord { region: state.settings.host.region.clone() };
+    let value = serde_json::to_vec(&record)
+        .map_err(|error| Fault::Refused(format!("cannot encode the seat: {error}")))?;
     let transaction = Transaction {
         conditions: vec![(key.clone(), 0)],
-        writes: vec![Write { key, value: Vec::new(), lease: 0 }],
+        writes: vec![Write { key, value, lease: 0 }],
         removals: Vec::new(),
     };
     let valid_from = match call(state, client, &Call::Write(transaction)).await {
@@ -134,7 +146,7 @@
 
 /// Makes a call to the store, with metrics and a log line for a failure. A conflict is not logged,
 /// as it only means that the seat exists already.
-async fn call(state: &Rc<State>, client: &Client, call: &Call) -> Result<Reply, Fault> {
+pub(crate) async fn call(state: &Rc<State>, client: &Client, call: &Call) -> Result<Reply, Fault> {
     let kind = match call {
         Call::Grant(_) => "grant",
         Call::Renew(_) => "renew",
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -18,6 +18,7 @@
     events::{Event, Log, Rank},
     feed,
     lending::{self, Lending},
+    limits,
     listeners::{self, Context},
     metrics, registration,
     settings::{self, Settings},
@@ -57,6 +58,7 @@
     let (stopping_sender, stopping) = watch::channel(false);
     let (closing_sender, closing) = watch::channel(false);
     tokio::task::spawn_local(feed::run(state.clone(), client.clone()));
+    tokio::task::spawn_local(limits::run(state.clone(), client.clone()));
     let registration_task =
         tokio::task::spawn_local(registration::run(state.clone(), client.clone(), stopping));
     let lending = Rc::new(Lending::open(state.settings.listeners.peers).await?);
@@ -135,6 +137,7 @@
         feed::remove_expired(&state);
         lending.remove_expired_requests();
         state.pool.borrow_mut().remove_expired(clock::now());
+        limits::update(&state);
         metrics::set_in_flight(state.in_flight.get());
         if tick_count.is_multiple_of(10) {
             metrics_handle.run_upkeep();
--- a/crates/steer/src/state.rs
+++ b/crates/steer/src/state.rs
@@ -184,6 +184,9 @@
         self.snapshot.hosts.store(Arc::new(registrations));
         let valid_from = self.seat_valid_from.get().filter(|from| *from <= clock::now());
         let seats = valid_from.map_or_else(Vec::new, |_| self.seats.borrow().host_names());
+        let mut members = self.seats.borrow().limit_members(clock::now());
+        members.retain(|member| valid_from.is_some() || member.host != own.name);
+        self.fleet.borrow_mut().set_limit_members(clock::now(), members);
         let mut rate_limiter = self.rate_limiter.borrow_mut();
         let seat_count = seats.len();
         if rate_limiter.set_seats(valid_from.unwrap_or_else(clock::now), seats) {
