backend: bytes without end end with the request and keep the host's memory

Callers saw nothing yet; found by looking. Cause: a line with the size of a chunk, trailers, interim answers and answers to other requests had no limit, and a body may have 16 MB, so that 24 requests to an instance that sends bytes without end took 207 MB; a host of 160 MB would be killed. Change: each of them has a limit, and all answers in transit share 16 MB beyond 64 KB each. Test: bytes_without_end_neither_hold_a_request_nor_fill_the_memory fails before (207360 KiB for a body without end, 65536 are allowed) and passes.

--- a/crates/steer/src/backend.rs
+++ b/crates/steer/src/backend.rs
@@ -2,4 +2,5 @@
 
 pub mod answer;
 pub mod connection;
+pub mod memory;
 pub mod pool;
--- a/crates/steer/src/backend/answer.rs
+++ b/crates/steer/src/backend/answer.rs
@@ -7,7 +7,10 @@
 use bytes::{Buf as _, Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 
-use crate::constants::{MAX_ANSWER_BYTES, MAX_ANSWER_HEAD_BYTES, MAX_ANSWER_HEADERS};
+use crate::constants::{
+    MAX_ANSWER_BYTES, MAX_ANSWER_HEAD_BYTES, MAX_ANSWER_HEADERS, MAX_CHUNK_LINE_BYTES,
+    MAX_INTERIM_ANSWERS,
+};
 
 /// Head of an answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -53,6 +56,8 @@
     head: Option<(Head, Framing)>,
     body: BytesMut,
     chunk_position: Position,
+    interim_answers: usize,
+    trailer_bytes: usize,
 }
 
 /// Position in a chunked body.
@@ -85,6 +90,11 @@
             if !head.status.is_informational() {
                 let framing = body_framing(&head, method)?;
                 self.head = Some((head, framing));
+                continue;
+            }
+            self.interim_answers += 1;
+            if self.interim_answers > MAX_INTERIM_ANSWERS {
+                return Err(Malformed("too many interim answers"));
             }
         }
         let framing = self.head.as_ref().map(|(_, framing)| *framing);
@@ -112,11 +122,15 @@
         }
     }
 
+    /// Number of body bytes that the parser holds.
+    pub fn held_bytes(&self) -> usize {
+        self.body.len()
+    }
+
     fn take_answer(&mut self, is_ended_by_close: bool) -> Option<Answer> {
-        let (head, _) = self.head.take()?;
-        self.chunk_position = Position::Size;
-        let body = std::mem::take(&mut self.body).freeze();
-        Some(Answer { head, body, is_ended_by_close })
+        let Self { head, body, .. } = std::mem::take(self);
+        let (head, _) = head?;
+        Some(Answer { head, body: body.freeze(), is_ended_by_close })
     }
 
     /// Moves body bytes from `buffer`. Returns whether the body is complete.
@@ -145,6 +159,11 @@
                         self.chunk_position =
                             if size == 0 { Position::Trailer } else { Position::Data(size) };
                     }
+                    Ok(httparse::Status::Partial) if buffer.len() > MAX_CHUNK_LINE_BYTES => {
+                        return Err(Malformed(
+                            "the line with a chunk's size exceeds the size limit",
+                        ));
+                    }
                     Ok(httparse::Status::Partial) => return Ok(false),
                     Err(_) => return Err(Malformed("invalid chunk size")),
                 },
@@ -168,10 +187,16 @@
                     self.chunk_position = Position::Size;
                 }
                 Position::Trailer => {
-                    let Some(end) = buffer.windows(2).position(|pair| pair == b"\r\n") else {
+                    let end = buffer.windows(2).position(|pair| pair == b"\r\n");
+                    let line_bytes = end.map_or(buffer.len(), |end| end + 2);
+                    if self.trailer_bytes + line_bytes > MAX_ANSWER_HEAD_BYTES {
+                        return Err(Malformed("the trailers exceed the size limit"));
+                    }
+                    let Some(end) = end else {
                         return Ok(false);
                     };
-                    buffer.advance(end + 2);
+                    self.trailer_bytes += line_bytes;
+                    buffer.advance(line_bytes);
                     if end == 0 {
                         return Ok(true);
                     }
--- a/crates/steer/src/backend/connection.rs
+++ b/crates/steer/src/backend/connection.rs
@@ -14,8 +14,11 @@
     time::timeout,
 };
 
-use super::answer::{Answer, Malformed, Parser};
-use crate::constants::{CONNECT_TIMEOUT, KEEP_ALIVE_MARGIN, TCP_USER_TIMEOUT};
+use super::{
+    answer::{Answer, Malformed, Parser},
+    memory::{Exhausted, Memory, Reservation},
+};
+use crate::constants::{CONNECT_TIMEOUT, KEEP_ALIVE_MARGIN, MAX_SKIPPED_ANSWERS, TCP_USER_TIMEOUT};
 
 /// Free space in the buffer before each read, in bytes. Requests with a body up to this size are
 /// sent with a single write.
@@ -45,6 +48,8 @@
     Closed,
     /// The received bytes are not a valid answer, for the stated reason.
     Malformed(&'static str),
+    /// The answers in transit take all of the memory for them.
+    OutOfMemory,
 }
 
 impl Fault {
@@ -54,6 +59,7 @@
             Self::Transport(error) => format!("connection failed: {error}"),
             Self::Closed => "connection ended before the answer".to_owned(),
             Self::Malformed(reason) => format!("malformed answer: {reason}"),
+            Self::OutOfMemory => "the answers in transit take too much memory".to_owned(),
         }
     }
 }
@@ -70,6 +76,12 @@
     }
 }
 
+impl From<Exhausted> for Fault {
+    fn from(_: Exhausted) -> Self {
+        Self::OutOfMemory
+    }
+}
+
 /// Open connection, which is closed when it is dropped.
 #[derive(Debug)]
 pub struct Connection {
@@ -105,9 +117,13 @@
     /// Sends a request and reads its answer. Skips answers to other requests.
     ///
     /// Also returns whether the connection can be reused.
-    pub async fn exchange(&mut self, request: &Request) -> Result<(Answer, bool), Fault> {
+    pub async fn exchange(
+        &mut self,
+        request: &Request,
+        memory: &Memory,
+    ) -> Result<(Answer, bool), Fault> {
         self.may_have_sent = false;
-        let (answer, is_written) = self.send_and_receive(request).await?;
+        let (answer, is_written) = self.send_and_receive(request, memory).await?;
         let is_persistent = answer.head.is_persistent
             && !answer.is_ended_by_close
             && !marjorampick_link::wire::headers::says_close(&answer.head.headers);
@@ -116,12 +132,15 @@
 
     /// Sends and reads concurrently, as the answer may arrive before the whole body has been sent.
     /// Also returns whether sending has ended.
-    async fn send_and_receive(&mut self, request: &Request) -> Result<(Answer, bool), Fault> {
+    async fn send_and_receive(
+        &mut self,
+        request: &Request,
+        memory: &Memory,
+    ) -> Result<(Answer, bool), Fault> {
         let Self { stream, buffer, may_have_sent } = self;
         let (mut read_half, mut write_half) = stream.split();
-        let mut parser = Parser::default();
         let sending = send(&mut write_half, request, may_have_sent);
-        let receiving = receive(&mut read_half, buffer, &mut parser, request);
+        let receiving = receive(&mut read_half, buffer, memory.reserve(), request);
         tokio::pin!(sending, receiving);
         let mut is_written = false;
         loop {
@@ -159,22 +178,27 @@
 async fn receive(
     read_half: &mut ReadHalf<'_>,
     buffer: &mut BytesMut,
-    parser: &mut Parser,
+    mut reservation: Reservation<'_>,
     request: &Request,
 ) -> Result<Answer, Fault> {
+    let mut parser = Parser::default();
+    let mut skipped = 0;
     loop {
         while let Some(answer) = parser.next(buffer, &request.method)? {
             if is_answer_to(&answer, request) {
                 return Ok(answer);
             }
             log::debug!("backend: skipped an answer to another request");
+            skipped += 1;
+            if skipped > MAX_SKIPPED_ANSWERS {
+                return Err(Fault::Malformed("too many answers to other requests"));
+            }
         }
+        reservation.resize(buffer.len() + parser.held_bytes())?;
         buffer.reserve(READ_BUFFER_BYTES);
         if read_half.read_buf(buffer).await? == 0 {
-            return parser
-                .end_of_stream()
-                .filter(|answer| is_answer_to(answer, request))
-                .ok_or(Fault::Closed);
+            let answer = parser.end_of_stream().ok_or(Fault::Closed)?;
+            return if is_answer_to(&answer, request) { Ok(answer) } else { Err(Fault::Closed) };
         }
     }
 }
--- a/crates/steer/src/callers/attempt.rs
+++ b/crates/steer/src/callers/attempt.rs
@@ -120,7 +120,7 @@
     };
     let request = encode_request(state, call, body, choice);
     let remaining = limit.saturating_sub(clock::now().saturating_sub(started_at));
-    let result = timeout(remaining, connection.exchange(&request)).await;
+    let result = timeout(remaining, connection.exchange(&request, &state.answer_memory)).await;
     let elapsed = clock::now().saturating_sub(started_at);
     match result {
         Ok(Ok((answer, is_reusable))) => {
--- a/crates/steer/src/constants.rs
+++ b/crates/steer/src/constants.rs
@@ -64,6 +64,21 @@
 /// Largest head of an answer of a backend server, in bytes.
 pub(crate) const MAX_ANSWER_HEAD_BYTES: usize = 32 * 1024;
 
+/// Memory of all answers that are being received together, in bytes.
+pub(crate) const ANSWER_MEMORY_BYTES: usize = 16 * 1024 * 1024;
+
+/// Bytes of an answer that need no share of [`ANSWER_MEMORY_BYTES`].
+pub(crate) const UNRESERVED_ANSWER_BYTES: usize = 64 * 1024;
+
+/// Largest line with the size of a chunk of an answer, in bytes.
+pub(crate) const MAX_CHUNK_LINE_BYTES: usize = 4 * 1024;
+
+/// Most interim answers (1xx) before an answer.
+pub(crate) const MAX_INTERIM_ANSWERS: usize = 16;
+
+/// Most answers to other requests that are skipped before an answer.
+pub(crate) const MAX_SKIPPED_ANSWERS: usize = 8;
+
 /// Most headers in an answer of a backend server.
 pub(crate) const MAX_ANSWER_HEADERS: usize = 64;
 
--- a/crates/steer/src/state.rs
+++ b/crates/steer/src/state.rs
@@ -24,7 +24,7 @@
 use tokio::{sync::Notify, time::timeout};
 
 use crate::{
-    backend::pool::Pool,
+    backend::{memory::Memory, pool::Pool},
     clock,
     codec::Codec,
     constants::STARTUP_WAIT,
@@ -84,6 +84,8 @@
     pub hosts: RefCell<BTreeMap<Arc<str>, Host>>,
     /// Idle connections to backend servers.
     pub pool: RefCell<Pool>,
+    /// Memory for answers of backend servers.
+    pub answer_memory: Memory,
     /// Data for the look-up and readiness listeners.
     pub snapshot: Arc<Snapshot>,
     /// When the store last responded.
@@ -124,6 +126,7 @@
             seats: RefCell::default(),
             hosts: RefCell::default(),
             pool: RefCell::default(),
+            answer_memory: Memory::default(),
             snapshot: Arc::new(snapshot),
             store_last_response_at: Cell::new(Duration::ZERO),
             seat_valid_from: Cell::new(None),
