backend: a failure without an id on a used connection is no answer

A late copy of a rejection that names no request counted as the rejection of the next request on the connection: that one had been sent, ran, and was sent to a second instance. A late 421 removed the instance as well. Cause: answers that are no success needed no id. Now they need one on a connection that has carried another request; without it the request may have run.

--- a/crates/steer/src/backend/connection.rs
+++ b/crates/steer/src/backend/connection.rs
@@ -89,6 +89,8 @@
     buffer: BytesMut,
     /// Whether bytes of the current request may have been sent.
     may_have_sent: bool,
+    /// Whether the connection has carried a request before the current one.
+    is_used: bool,
 }
 
 impl Connection {
@@ -97,7 +99,7 @@
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
-        Ok(Self { stream, buffer: BytesMut::new(), may_have_sent: false })
+        Ok(Self { stream, buffer: BytesMut::new(), may_have_sent: false, is_used: false })
     }
 
     /// Whether bytes of the last request may have been sent.
@@ -124,6 +126,7 @@
     ) -> Result<(Answer, bool), Fault> {
         self.may_have_sent = false;
         let (answer, is_written) = self.send_and_receive(request, memory).await?;
+        self.is_used = true;
         let is_persistent = answer.head.is_persistent
             && !answer.is_ended_by_close
             && !marjorampick_link::wire::headers::says_close(&answer.head.headers);
@@ -137,10 +140,10 @@
         request: &Request,
         memory: &Memory,
     ) -> Result<(Answer, bool), Fault> {
-        let Self { stream, buffer, may_have_sent } = self;
+        let Self { stream, buffer, may_have_sent, is_used } = self;
         let (mut read_half, mut write_half) = stream.split();
         let sending = send(&mut write_half, request, may_have_sent);
-        let receiving = receive(&mut read_half, buffer, memory.reserve(), request);
+        let receiving = receive(&mut read_half, buffer, memory.reserve(), request, *is_used);
         tokio::pin!(sending, receiving);
         let mut is_written = false;
         loop {
@@ -175,17 +178,20 @@
     write_half.write_all(&request.body).await
 }
 
+/// Receives the answer to a request. `is_used` says whether the connection has carried another request
+/// before.
 async fn receive(
     read_half: &mut ReadHalf<'_>,
     buffer: &mut BytesMut,
     mut reservation: Reservation<'_>,
     request: &Request,
+    is_used: bool,
 ) -> Result<Answer, Fault> {
     let mut parser = Parser::default();
     let mut skipped = 0;
     loop {
         while let Some(answer) = parser.next(buffer, &request.method)? {
-            if is_answer_to(&answer, request) {
+            if is_answer_to(&answer, request, is_used)? {
                 return Ok(answer);
             }
             log::debug!("backend: skipped an answer to another request");
@@ -198,16 +204,27 @@
         buffer.reserve(READ_BUFFER_BYTES);
         if read_half.read_buf(buffer).await? == 0 {
             let answer = parser.end_of_stream().ok_or(Fault::Closed)?;
-            return if is_answer_to(&answer, request) { Ok(answer) } else { Err(Fault::Closed) };
+            return if is_answer_to(&answer, request, is_used)? {
+                Ok(answer)
+            } else {
+                Err(Fault::Closed)
+            };
         }
     }
 }
 
-/// Whether the answer repeats the request's id. Answers that are not a success need not have one.
-fn is_answer_to(answer: &Answer, request: &Request) -> bool {
+/// Whether the answer repeats the request's id.
+///
+/// An answer that is not a success need not have one, but then it may be a late answer to an earlier
+/// request on a used connection. As a rejection it would promise that this request has not run.
+fn is_answer_to(answer: &Answer, request: &Request, is_used: bool) -> Result<bool, Fault> {
     match answer.head.headers.get(&request.id_header) {
-        Some(id) => id.as_bytes() == request.id,
-        None => !answer.head.status.is_success(),
+        Some(id) => Ok(id.as_bytes() == request.id),
+        None if answer.head.status.is_success() => Ok(false),
+        None if is_used && !request.id.is_empty() => {
+            Err(Fault::Malformed("failure without an id on a used connection"))
+        }
+        None => Ok(true),
     }
 }
 
