run: a planned stop waits until the last answers are sent

Cause: the host counted a request as done when the instance had answered, and ended 25 ms later, however much of the answer was still to be sent. Change: it waits until the connections of its callers have ended, at the latest 250 ms before the kill as before. Test: a_planned_stop_sends_answers_to_the_end failed before and passes.

--- a/crates/steer/src/callers/accept.rs
+++ b/crates/steer/src/callers/accept.rs
@@ -63,12 +63,12 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                tokio::task::spawn_local(serve(
-                    state.clone(),
-                    lending.clone(),
-                    stream,
-                    closing.clone(),
-                ));
+                let open = OpenConnection::start(&state);
+                let serving = serve(state.clone(), lending.clone(), stream, closing.clone());
+                tokio::task::spawn_local(async move {
+                    serving.await;
+                    drop(open);
+                });
             }
             Err(error) => {
                 log::warn!("callers: accept failed: {error}");
@@ -78,6 +78,22 @@
     }
 }
 
+/// Counts a connection as open until it is dropped.
+struct OpenConnection(Rc<State>);
+
+impl OpenConnection {
+    fn start(state: &Rc<State>) -> Self {
+        state.open_connections.set(state.open_connections.get() + 1);
+        Self(state.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.open_connections.set(self.0.open_connections.get().saturating_sub(1));
+    }
+}
+
 /// Serves one connection, which is closed after the current request once `closing` is true.
 async fn serve(
     state: Rc<State>,
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -109,17 +109,17 @@
     sleep(grace_period.mul_f64(CLOSE_DELAY_RATIO)).await;
     closing_sender.send_replace(true);
     let end = started_at + grace_period.saturating_sub(GRACE_MARGIN);
-    // Requests may still arrive on connections that are being closed.
+    // Lets the listener and the connections see that they are to close.
     sleep(DRAIN_CHECK_INTERVAL * 4).await;
-    while state.in_flight.get() > 0 && clock::now() < end {
+    // A connection ends when its last answer is sent, which takes a slow caller longer than the request.
+    let is_open = || state.in_flight.get() > 0 || state.open_connections.get() > 0;
+    while is_open() && clock::now() < end {
         sleep(DRAIN_CHECK_INTERVAL).await;
     }
     let in_flight = state.in_flight.get();
     let after_ms = clock::now().saturating_sub(started_at).as_millis();
     state.log.write(Rank::Notice, Event::Stopped { in_flight, after_ms });
     state.log.close();
-    // Lets the connection tasks send the responses that were written last.
-    sleep(DRAIN_CHECK_INTERVAL).await;
 }
 
 /// Periodically removes expired state and updates metrics.
--- a/crates/steer/src/state.rs
+++ b/crates/steer/src/state.rs
@@ -98,6 +98,8 @@
     pub became_ready: Notify,
     /// Number of requests that have not ended.
     pub in_flight: Cell<u32>,
+    /// Number of open connections of callers.
+    pub open_connections: Cell<u32>,
     /// Whether the process was asked to stop.
     pub is_draining: Cell<bool>,
     /// Retry budget of each service.
@@ -133,6 +135,7 @@
             started_at: clock::now(),
             became_ready: Notify::new(),
             in_flight: Cell::new(0),
+            open_connections: Cell::new(0),
             is_draining: Cell::new(false),
             retry_budgets: RefCell::default(),
             balancers: RefCell::default(),
