callers: a planned stop serves the connections that were just accepted

Callers whose connections the kernel had accepted, but not yet the host, were reset when the host closed its listener, and a connection whose first request was on its way was closed. Cause: the listener was dropped with its queue, and the HTTP library closes a connection without a request at once. Change: after the host has stopped accepting, it takes what the kernel has queued, and a new connection has one second for its first request. Test: a_planned_stop_serves_connections_that_were_just_accepted failed before (connection reset) and passes.

--- a/crates/steer/src/callers/accept.rs
+++ b/crates/steer/src/callers/accept.rs
@@ -1,7 +1,9 @@
 //! Listener for callers, which serves HTTP/1.1 connections until the host drains.
 
 use std::{
+    cell::Cell,
     convert::Infallible,
+    io,
     rc::Rc,
     sync::{
         Arc,
@@ -17,13 +19,13 @@
 use marjorampick_link::wire::stream::Stream;
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::watch,
-    time::sleep,
+    sync::{Notify, watch},
+    time::{sleep, timeout},
 };
 
 use super::handle;
 use crate::{
-    constants::{ACCEPT_RETRY_DELAY, WRITE_TIMEOUT},
+    constants::{ACCEPT_RETRY_DELAY, FIRST_REQUEST_TIME, WRITE_TIMEOUT},
     lending::Lending,
     state::State,
 };
@@ -54,28 +56,58 @@
     state: Rc<State>,
     lending: Rc<Lending>,
     listener: TcpListener,
-    mut closing: watch::Receiver<bool>,
+    closing: watch::Receiver<bool>,
 ) {
+    let accept_one = |stream| spawn_connection(&state, &lending, stream, &closing);
+    let mut closed = closing.clone();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            _ = closing.wait_for(|closing| *closing) => return,
+            _ = closed.wait_for(|closing| *closing) => break,
         };
         match accepted {
-            Ok((stream, _)) => {
-                let open = OpenConnection::start(&state);
-                let serving = serve(state.clone(), lending.clone(), stream, closing.clone());
-                tokio::task::spawn_local(async move {
-                    serving.await;
-                    drop(open);
-                });
-            }
+            Ok((stream, _)) => accept_one(stream),
             Err(error) => {
                 log::warn!("callers: accept failed: {error}");
                 sleep(ACCEPT_RETRY_DELAY).await;
             }
         }
     }
+    if let Err(error) = accept_queued(listener, accept_one) {
+        log::warn!("callers: cannot accept the queued connections: {error}");
+    }
+}
+
+/// Accepts the connections that the kernel has queued, which closing the listener would reset. The
+/// runtime may not know of them yet, so it is not asked.
+fn accept_queued(listener: TcpListener, accept_one: impl Fn(TcpStream)) -> io::Result<()> {
+    let listener = listener.into_std()?;
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(true)?;
+                accept_one(TcpStream::from_std(stream)?);
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+            Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+            Err(error) => return Err(error),
+        }
+    }
+}
+
+/// Serves a connection on a task of its own.
+fn spawn_connection(
+    state: &Rc<State>,
+    lending: &Rc<Lending>,
+    stream: TcpStream,
+    closing: &watch::Receiver<bool>,
+) {
+    let open = OpenConnection::start(state);
+    let serving = serve(state.clone(), lending.clone(), stream, closing.clone());
+    tokio::task::spawn_local(async move {
+        serving.await;
+        drop(open);
+    });
 }
 
 /// Counts a connection as open until it is dropped.
@@ -94,7 +126,8 @@
     }
 }
 
-/// Serves one connection, which is closed after the current request once `closing` is true.
+/// Serves one connection, which is closed after the current request once `closing` is true. A new
+/// connection may still bring its first request.
 async fn serve(
     state: Rc<State>,
     lending: Rc<Lending>,
@@ -111,7 +144,10 @@
     let has_ambiguous_framing = Arc::new(AtomicBool::new(false));
     let stream =
         Stream::new(stream, max_header_bytes, WRITE_TIMEOUT, has_ambiguous_framing.clone());
+    let first_request = Rc::new(FirstRequest::default());
+    let started = first_request.clone();
     let service = service_fn(move |request: Request<Incoming>| {
+        started.record();
         let state = state.clone();
         let lending = lending.clone();
         let is_ambiguous = has_ambiguous_framing.load(Ordering::Acquire);
@@ -126,9 +162,15 @@
         .max_buf_size(max_header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
+    let stopping = async {
+        // A closed channel means that the host stops, too.
+        closing.wait_for(|closing| *closing).await.ok();
+        first_request.wait().await;
+    };
     let result = tokio::select! {
+        biased;
         result = connection.as_mut() => result,
-        _ = closing.wait_for(|closing| *closing) => {
+        () = stopping => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
@@ -137,3 +179,26 @@
         log::debug!("callers: connection failed: {error}");
     }
 }
+
+/// Whether a connection has brought a request yet. The HTTP library closes a connection without one
+/// as soon as it is told to stop, although the request may be on its way.
+#[derive(Default)]
+struct FirstRequest {
+    has_started: Cell<bool>,
+    started: Notify,
+}
+
+impl FirstRequest {
+    fn record(&self) {
+        self.has_started.set(true);
+        self.started.notify_one();
+    }
+
+    /// Waits for the first request, up to [`FIRST_REQUEST_TIME`].
+    async fn wait(&self) {
+        if !self.has_started.get() {
+            // After the timeout the connection is closed.
+            timeout(FIRST_REQUEST_TIME, self.started.notified()).await.ok();
+        }
+    }
+}
--- a/crates/steer/src/constants.rs
+++ b/crates/steer/src/constants.rs
@@ -108,6 +108,10 @@
 /// Time without progress after which writing a response to a caller fails.
 pub(crate) const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time for which a new connection may still bring its first request when the host closes its
+/// connections.
+pub(crate) const FIRST_REQUEST_TIME: Duration = Duration::from_secs(1);
+
 /// Delay after a failed accept, for example when no file descriptors are left.
 pub(crate) const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
