registration: a removed seat is taken again, that of a registered host is not removed

A host that was cut off from the store for more than ten minutes lost its seat to the others' clean-up and never took one again: it had no share of any limit and refused all requests of workspaces with a limit until it was restarted. Besides, the removal had no condition, so that a host that registered at that moment went on with a share that the others had divided among themselves: both spent it. Change: a removal requires that the host is not registered, and a host that sees its seat removed claims one as a new host does.

--- a/crates/steer/src/feed.rs
+++ b/crates/steer/src/feed.rs
@@ -221,6 +221,15 @@
         }
     }
 
+    /// Removes a seat. Without its own one, this host has no share of the limits until it has a new one.
+    fn remove_seat(&self, name: &str) {
+        self.state.seats.borrow_mut().remove(name);
+        if *name == *self.state.settings.host.name {
+            self.state.seat_valid_from.set(None);
+            self.state.has_lost_seat.set(true);
+        }
+    }
+
     fn apply_limit(&self, id: &str, item: &Item) {
         match serde_json::from_slice::<limits::Record>(&item.value) {
             Ok(record) => limits::apply_record(&self.state, &Arc::from(id), record, item.revision),
@@ -326,7 +335,7 @@
                     _ => drop(hosts.remove(name)),
                 }
             }
-            Kind::Seat(name) => self.state.seats.borrow_mut().remove(name),
+            Kind::Seat(name) => self.remove_seat(name),
             Kind::Limit(id) => limits::remove_record(&self.state, id, revision),
             Kind::Platform(Subject::Instance(id)) => {
                 self.state.fleet.borrow_mut().deregister(id, expires_at);
--- a/crates/steer/src/registration.rs
+++ b/crates/steer/src/registration.rs
@@ -54,6 +54,9 @@
     let mut retry_delay = MIN_STORE_RETRY_DELAY;
     let mut seat = Seat::Missing;
     loop {
+        if state.has_lost_seat.take() {
+            seat = Seat::Missing;
+        }
         let result = match (seat, *lease) {
             (Seat::Missing, _) => claim_seat(state, client).await.map(|claimed| seat = claimed),
             (Seat::Held, None) => {
@@ -135,13 +138,20 @@
 /// Removes the seats of hosts whose registrations ended long ago.
 pub async fn remove_expired_seats(state: &Rc<State>, client: &Client) {
     let expired_hosts = state.seats.borrow().expired(clock::now());
-    if expired_hosts.is_empty() {
-        return;
+    for host in expired_hosts {
+        // A failure is logged by `call`, and the next maintenance run tries again.
+        call(state, client, &Call::Write(seat_removal(&host))).await.ok();
+    }
+}
+
+/// Transaction that removes the seat of a host, unless the host has registered again meanwhile: then
+/// it uses its share again.
+pub fn seat_removal(host: &str) -> Transaction {
+    Transaction {
+        conditions: vec![(format!("{HOSTS_PREFIX}{host}"), 0)],
+        writes: Vec::new(),
+        removals: vec![format!("{SEATS_PREFIX}{host}")],
     }
-    let removals = expired_hosts.iter().map(|host| format!("{SEATS_PREFIX}{host}")).collect();
-    let transaction = Transaction { removals, ..Transaction::default() };
-    // A failure is logged by `call`, and the next maintenance run tries again.
-    call(state, client, &Call::Write(transaction)).await.ok();
 }
 
 /// Makes a call to the store, with metrics and a log line for a failure. A conflict is not logged,
--- a/crates/steer/src/state.rs
+++ b/crates/steer/src/state.rs
@@ -92,6 +92,8 @@
     pub store_last_response_at: Cell<Duration>,
     /// Time from which this host's share of the rate limits counts; `None` until it has a seat.
     pub seat_valid_from: Cell<Option<Duration>>,
+    /// Whether another host has removed this host's seat, so that it needs one again.
+    pub has_lost_seat: Cell<bool>,
     /// When the process started.
     pub started_at: Duration,
     /// Wakes the requests that wait until the host is ready.
@@ -132,6 +134,7 @@
             snapshot: Arc::new(snapshot),
             store_last_response_at: Cell::new(Duration::ZERO),
             seat_valid_from: Cell::new(None),
+            has_lost_seat: Cell::new(false),
             started_at: clock::now(),
             became_ready: Notify::new(),
             in_flight: Cell::new(0),
