--- a/crates/core/src/steering/limit/book.rs
+++ b/crates/core/src/steering/limit/book.rs
@@ -71,8 +71,9 @@
     /// Limit that applies, and this host's part of it in requests per second.
     current: Statement,
     host_rate: f64,
-    /// Statement that was last reported as a [`Change`].
+    /// Statement that was last reported as a [`Change`], and whether this host had a part of it.
     reported: Statement,
+    was_sender: bool,
     /// When this host last sent a request, or began to apply the limit.
     last_sent_at: Duration,
     published_at: Option<Duration>,
@@ -90,6 +91,7 @@
             current: Statement::Unlimited,
             host_rate: 0.0,
             reported: Statement::Unlimited,
+            was_sender: false,
             last_sent_at: Duration::ZERO,
             published_at: None,
             absent_since: None,
@@ -118,7 +120,8 @@
         known.map(|known| known.at).max().unwrap_or_default()
     }
 
-    /// Applies the current limit. Returns whether it differs from the one last reported.
+    /// Applies the current limit. Returns whether it differs from the one last reported, or this host has
+    /// a part of it now and had none, or the other way round.
     fn refresh(&mut self, now: Duration, host_rate: impl Fn(f64) -> f64) -> bool {
         let before = self.current;
         self.current = self.applicable(now);
@@ -127,9 +130,11 @@
             // The first request follows after a whole interval: what this host sent before counts too.
             self.last_sent_at = now;
         }
-        let is_changed = self.current.differs(self.reported);
+        let is_sender = self.host_rate > 0.0;
+        let is_changed = self.current.differs(self.reported) || is_sender != self.was_sender;
         if is_changed {
             self.reported = self.current;
+            self.was_sender = is_sender;
         }
         is_changed
     }
