--- a/crates/core/src/steering/tests/limit.rs
+++ b/crates/core/src/steering/tests/limit.rs
@@ -8,10 +8,12 @@
 
 use super::{
     super::{
+        fleet::{Fleet, Locality},
+        instance::Endpoint,
         limit::{Member, Sharing, Statement},
         seats::{LIMIT_RETENTION, Seats},
     },
-    support::{answer_after, at, criteria, endpoint, fleet, name, send},
+    support::{answer_after, at, criteria, endpoint, fleet, locality, name, send},
 };
 
 /// Hosts of a small, a larger and a large deployment.
@@ -47,7 +49,6 @@
 /// Hosts of other regions share a limit only where the region of the instance has no host.
 #[test]
 fn the_hosts_of_the_region_share_a_limit() {
-    let member = |host: &str, region: &str| Member { host: name(host), region: Some(name(region)) };
     let members = vec![member("n1", "north"), member("s1", "south"), member("s2", "south")];
     let rate = |host: &str, region: &str| {
         let sharing = Sharing { host: name(host), members: members.clone() };
@@ -77,14 +78,8 @@
 /// after the limit was learned waits for its turn as well.
 #[test]
 fn requests_beyond_the_limit_are_refused() {
-    let mut fleet = fleet();
-    fleet.register(at(0), endpoint("n1", "north-a"));
-    fleet.finish_initial_sync();
-    let member = Member { host: name("host-1"), region: Some(name("north")) };
-    fleet.set_limit_members(at(0), vec![member]);
-    let choice = send(&mut fleet, at(0), &criteria()).unwrap();
-    answer_after(&mut fleet, at(100), &choice, 100);
-    fleet.record_limit(at(100), &choice, at(0), Statement::Limited(1.25));
+    let mut fleet = fleet_with(vec![member("host-1", "north")]);
+    hear(&mut fleet, at(100), Statement::Limited(1.25));
     // 80% of the limit are one request in a second.
     let sent = (1..=60).filter(|step| {
         let now = at(100 + step * 50);
@@ -124,13 +119,87 @@
     fleet.deregister("n1", None);
     fleet.register(at(200), endpoint("n1", "north-a"));
     assert!(send(&mut fleet, at(300), &criteria()).is_err());
-    let restarted =
-        super::super::instance::Endpoint { incarnation: 2, ..endpoint("n1", "north-a") };
+    let restarted = Endpoint { incarnation: 2, ..endpoint("n1", "north-a") };
     fleet.register(at(400), restarted);
     fleet.apply_limit_record(at(500), &id, 1, Statement::Limited(0.5), 7);
     assert!(send(&mut fleet, at(60_000), &criteria()).is_ok());
 }
 
+fn member(host: &str, region: &str) -> Member {
+    Member { host: name(host), region: Some(name(region)) }
+}
+
+/// A fleet of `host-1` in the north with one instance, that shares limits with the given hosts.
+fn fleet_with(members: Vec<Member>) -> Fleet {
+    let mut fleet = fleet();
+    fleet.register(at(0), endpoint("n1", "north-a"));
+    fleet.finish_initial_sync();
+    fleet.set_limit_members(at(0), members);
+    fleet
+}
+
+/// Records an answer that states a limit, to a request at `now`.
+fn hear(fleet: &mut Fleet, now: Duration, statement: Statement) {
+    let choice = send(fleet, now, &criteria()).unwrap();
+    answer_after(fleet, now, &choice, 1);
+    fleet.record_limit(now, &choice, now, statement);
+}
+
+/// The hosts that share a limit publish it at once and once; another host only if none of them does,
+/// as at 300 hosts all writes at the same time would be as many calls.
+#[test]
+fn a_limit_is_published_by_the_hosts_that_share_it() {
+    let limited = Statement::Limited(1.0);
+    let mut sender = fleet_with(vec![member("host-1", "north")]);
+    hear(&mut sender, at(0), limited);
+    let published = sender.limit_publications(at(0));
+    assert_eq!(published.len(), 1);
+    assert_eq!((published[0].statement, published[0].replaces_revision), (limited, 0));
+    assert!(sender.limit_publications(at(500)).is_empty(), "written again at once");
+    sender.apply_limit_record(at(600), &name("n1"), 1, limited, 5);
+    assert!(sender.limit_publications(at(10_000)).is_empty(), "written although it is recorded");
+    let mut other = fleet_with(vec![member("host-2", "north")]);
+    hear(&mut other, at(0), limited);
+    assert!(other.limit_publications(at(2900)).is_empty());
+    assert_eq!(other.limit_publications(at(3000)).len(), 1);
+}
+
+/// A record that was written before an answer must not undo what the answer said, and a host that
+/// hears nothing any more must follow the record.
+#[test]
+fn an_answer_counts_more_than_a_record_for_a_while() {
+    let mut fleet = fleet_with(vec![member("host-1", "north")]);
+    hear(&mut fleet, at(0), Statement::Limited(1.0));
+    let id = name("n1");
+    assert!(fleet.apply_limit_record(at(1000), &id, 1, Statement::Limited(5.0), 3).is_none());
+    let published = fleet.limit_publications(at(1000));
+    assert_eq!(published[0].replaces_revision, 3);
+    let changes = fleet.update_limits(at(4000));
+    assert_eq!(changes[0].statement, Statement::Limited(5.0));
+}
+
+/// The record of an instance that is gone must not stay in the store for good, and not every host
+/// should remove it.
+#[test]
+fn one_host_removes_the_record_of_an_instance_that_is_gone() {
+    let members: Vec<Member> = ["host-1", "host-2", "host-3"].map(|h| member(h, "north")).into();
+    let mut removals = 0;
+    for host in &members {
+        let locality = Locality { host: host.host.clone(), ..locality() };
+        let mut fleet = Fleet::new(locality);
+        fleet.set_limit_members(at(0), members.clone());
+        fleet.apply_limit_record(at(0), &name("gone"), 1, Statement::Limited(1.0), 9);
+        assert!(fleet.limit_publications(at(0)).is_empty());
+        let published = fleet.limit_publications(at(60_000));
+        assert!(published.iter().all(|p| p.statement == Statement::Unlimited));
+        removals += published.len();
+        fleet.remove_limit_record(at(61_000), &name("gone"));
+        fleet.limit_publications(at(61_000));
+        assert!(fleet.recorded_limits().is_empty());
+    }
+    assert_eq!(removals, 1);
+}
+
 /// Replays the incident LIMIT with as many hosts as the deployments have: an instance states a limit
 /// of a third of its load. Hosts start, stop, are killed and cut off from the store all the while.
 #[test]
--- a/crates/core/src/steering/tests/support.rs
+++ b/crates/core/src/steering/tests/support.rs
@@ -24,19 +24,23 @@
     Duration::from_millis(1_000_000 + milliseconds)
 }
 
-/// An empty fleet of the host `host-1` in the failure domain `north-a` of the region north. The
-/// only other region is south.
-pub(super) fn fleet() -> Fleet {
+/// The host `host-1` in the failure domain `north-a` of the region north. The only other region is
+/// south.
+pub(super) fn locality() -> Locality {
     let domains = [("north-a", "north"), ("north-b", "north"), ("south-a", "south")];
     let domains: HashMap<Arc<str>, Arc<str>> =
         domains.iter().map(|(domain, region)| (name(domain), name(region))).collect();
-    let locality = Locality {
+    Locality {
         host: name("host-1"),
         region: name("north"),
         domain: name("north-a"),
         domain_regions: domains,
-    };
-    let mut fleet = Fleet::new(locality);
+    }
+}
+
+/// An empty fleet of [`locality`].
+pub(super) fn fleet() -> Fleet {
+    let mut fleet = Fleet::new(locality());
     fleet.set_warmup(at(0), &name(SERVICE), Duration::from_secs(3), 10.0);
     fleet
 }
