--- a/crates/steer/src/feed.rs
+++ b/crates/steer/src/feed.rs
@@ -4,23 +4,23 @@
 //! repeated from the same revision. If the store has compacted that history, everything is read
 //! again. See docs/platform.md.
 
-use std::{collections::BTreeSet, rc::Rc, sync::Arc, time::Duration};
+mod entries;
+
+use std::{collections::BTreeSet, rc::Rc, time::Duration};
 
 use futures_util::future::try_join_all;
-use marjorampick_core::steering::{fleet::REREGISTRATION_GRACE, instance::Endpoint, plan::Plan};
 use tokio::time::sleep;
 
 use crate::{
     clock,
-    codec::{Record, Subject},
     constants::{
         MAX_STORE_RETRY_DELAY, MIN_STORE_RETRY_DELAY, OUTAGE_THRESHOLD, WATCH_INTERVAL_RATIO,
         WATCH_WAIT,
     },
     events::{Event, Rank},
-    limits, metrics,
-    registration::{HOSTS_PREFIX, KEY_PREFIX, SEATS_PREFIX, SeatRecord},
-    state::{Host, Registration, State},
+    metrics,
+    registration::KEY_PREFIX,
+    state::{Host, State},
     store::{Call, Change, Client, Fault, Item, Reply},
 };
 
@@ -185,215 +185,12 @@
         self.is_reachable = false;
     }
 
-    /// Returns the time until which a missing entry is kept, or `None` if it is removed at once.
-    /// Soon after an outage of the store, entries whose leases expired may still be registered
-    /// again.
-    fn reregistration_deadline(&self) -> Option<Duration> {
-        let expires_at = self.recovered_at? + REREGISTRATION_GRACE;
-        (clock::now() < expires_at).then_some(expires_at)
-    }
-
-    fn apply(&self, item: &Item) {
-        if let Some(name) = item.key.strip_prefix(HOSTS_PREFIX) {
-            return self.apply_host(name, item);
-        }
-        if let Some(name) = item.key.strip_prefix(SEATS_PREFIX) {
-            return self.apply_seat(name, item);
-        }
-        if let Some(id) = item.key.strip_prefix(limits::PREFIX) {
-            return self.apply_limit(id, item);
-        }
-        match (self.state.codec.decode_item)(item) {
-            Ok(Record::Plan(plan)) => self.apply_plan(*plan, item.revision),
-            Ok(Record::Evacuation(domain)) => self.set_evacuated(&domain, true, item.revision),
-            Ok(Record::Instance(endpoint)) => self.apply_instance(&endpoint, item.revision),
-            Ok(Record::Other) => {}
-            Err(reason) => self.ignore(item, &reason.to_string()),
-        }
-    }
-
-    /// Adds a seat. One of an earlier version of the program says nothing about its host.
-    fn apply_seat(&self, name: &str, item: &Item) {
-        let mut seats = self.state.seats.borrow_mut();
-        seats.add(clock::now(), &Arc::from(name));
-        if let Ok(record) = serde_json::from_slice::<SeatRecord>(&item.value) {
-            seats.set_region(name, record.region);
-        }
-    }
-
-    /// Removes a seat. Without its own one, this host has no share of the limits until it has a new one.
-    fn remove_seat(&self, name: &str) {
-        self.state.seats.borrow_mut().remove(name);
-        if *name == *self.state.settings.host.name {
-            self.state.seat_valid_from.set(None);
-            self.state.has_lost_seat.set(true);
-        }
-    }
-
-    fn apply_limit(&self, id: &str, item: &Item) {
-        match serde_json::from_slice::<limits::Record>(&item.value) {
-            Ok(record) => limits::apply_record(&self.state, &Arc::from(id), record, item.revision),
-            Err(error) => self.ignore(item, &error.to_string()),
-        }
-    }
-
-    fn apply_host(&self, name: &str, item: &Item) {
-        let is_own = *name == *self.state.settings.host.name;
-        if is_own && self.state.is_draining.get() {
-            return;
-        }
-        match serde_json::from_slice::<Registration>(&item.value) {
-            Ok(registration) => {
-                let name: Arc<str> = Arc::from(name);
-                self.state.seats.borrow_mut().mark_registered(&name);
-                self.state.hosts.borrow_mut().insert(name, Host { registration, expires_at: None });
-            }
-            Err(error) => self.ignore(item, &error.to_string()),
-        }
-    }
-
-    fn apply_plan(&self, plan: Plan, revision: u64) {
-        let now = clock::now();
-        let current_version = self.state.plan.borrow().as_ref().map(|plan| plan.version);
-        if current_version.is_some_and(|current| current >= plan.version) {
-            return;
-        }
-        let mut fleet = self.state.fleet.borrow_mut();
-        for (name, service) in &plan.services {
-            fleet.set_warmup(now, name, service.warmup, service.cold_rate);
-        }
-        let event = Event::Plan {
-            version: plan.version,
-            routes: plan.route_count(),
-            workspaces: plan.workspaces.len(),
-            revision,
-        };
-        self.state.log.write(Rank::Notice, event);
-        *self.state.plan.borrow_mut() = Some(Rc::new(plan));
-    }
-
-    fn set_evacuated(&self, domain: &Arc<str>, active: bool, revision: u64) {
-        if self.state.fleet.borrow_mut().set_evacuated(clock::now(), domain, active) {
-            let event = Event::Evacuation { domain, active, revision };
-            self.state.log.write(Rank::Notice, event);
-        }
-    }
-
-    fn apply_instance(&self, endpoint: &Endpoint, revision: u64) {
-        let is_changed = self.state.fleet.borrow_mut().register(clock::now(), endpoint.clone());
-        if is_changed {
-            let event = Event::Instance {
-                id: &endpoint.id,
-                service: &endpoint.service,
-                domain: &endpoint.domain,
-                draining: endpoint.is_draining,
-                cold_ms: endpoint.warmup_left.as_millis(),
-                revision,
-            };
-            self.state.log.write(Rank::Notice, event);
-        }
-    }
-
-    /// Logs an invalid item. An instance with an invalid item is removed, even if an earlier
-    /// version of the item was valid.
-    fn ignore(&self, item: &Item, reason: &str) {
-        let event = Event::Ignored { key: &item.key, reason, revision: item.revision };
-        self.state.log.write(Rank::Notice, event);
-        if let subject @ Subject::Instance(_) = (self.state.codec.parse_key)(&item.key) {
-            self.remove_entry(&Kind::Platform(subject), item.revision);
-        }
-    }
-
-    fn remove_key(&self, key: &str, revision: u64) {
-        if let Some(kind) = self.entry_kind(key) {
-            self.remove_entry(&kind, revision);
-        }
-    }
-
-    fn entry_kind(&self, key: &str) -> Option<Kind> {
-        if let Some(name) = key.strip_prefix(HOSTS_PREFIX) {
-            return Some(Kind::Host(Arc::from(name)));
-        }
-        if let Some(name) = key.strip_prefix(SEATS_PREFIX) {
-            return Some(Kind::Seat(Arc::from(name)));
-        }
-        if let Some(id) = key.strip_prefix(limits::PREFIX) {
-            return Some(Kind::Limit(Arc::from(id)));
-        }
-        Some(Kind::Platform((self.state.codec.parse_key)(key)))
-    }
-
-    fn remove_entry(&self, kind: &Kind, revision: u64) {
-        let now = clock::now();
-        let expires_at = self.reregistration_deadline();
-        match kind {
-            Kind::Host(name) => {
-                self.state.seats.borrow_mut().mark_unregistered(now, name);
-                let mut hosts = self.state.hosts.borrow_mut();
-                match (expires_at, hosts.get_mut(name)) {
-                    (Some(expires_at), Some(host)) => host.expires_at = Some(expires_at),
-                    _ => drop(hosts.remove(name)),
-                }
-            }
-            Kind::Seat(name) => self.remove_seat(name),
-            Kind::Limit(id) => limits::remove_record(&self.state, id, revision),
-            Kind::Platform(Subject::Instance(id)) => {
-                self.state.fleet.borrow_mut().deregister(id, expires_at);
-                let reason =
-                    if expires_at.is_some() { "missing after an outage" } else { "removed" };
-                self.state.log.write(Rank::Notice, Event::InstanceGone { id, reason });
-            }
-            Kind::Platform(Subject::Evacuation(domain)) => {
-                self.set_evacuated(domain, false, revision);
-            }
-            // The last configuration stays in force if it is removed from the store.
-            Kind::Platform(Subject::Plan | Subject::Other) => {}
-        }
-    }
-
-    /// Returns the instances, evacuations, hosts and limits that this host knows from earlier reads
-    /// and changes, but not the seats.
-    fn known_entries(&self) -> Vec<Entry> {
-        let fleet = self.state.fleet.borrow();
-        let instances = fleet.instance_ids().into_iter().map(Subject::Instance);
-        let evacuated = fleet.evacuated_domains().cloned().map(Subject::Evacuation);
-        let platform_entries = instances.chain(evacuated).map(Kind::Platform);
-        let hosts = self.state.hosts.borrow();
-        let host_entries = hosts.keys().cloned().map(Kind::Host);
-        let limit_entries = fleet.recorded_limits().into_iter().map(Kind::Limit);
-        let kinds: Vec<Kind> = platform_entries.chain(host_entries).chain(limit_entries).collect();
-        kinds.into_iter().map(|kind| Entry { key: self.entry_key(&kind), kind }).collect()
-    }
-
-    fn entry_key(&self, kind: &Kind) -> String {
-        match kind {
-            Kind::Host(name) => format!("{HOSTS_PREFIX}{name}"),
-            Kind::Seat(name) => format!("{SEATS_PREFIX}{name}"),
-            Kind::Limit(id) => format!("{}{id}", limits::PREFIX),
-            Kind::Platform(subject) => (self.state.codec.subject_key)(subject),
-        }
-    }
-
     fn publish(&self) {
         self.state.publish_hosts();
         self.state.publish_readiness();
     }
 }
 
-/// Kind of a store entry, with the name that its key contains.
-enum Kind {
-    Host(Arc<str>),
-    Seat(Arc<str>),
-    Limit(Arc<str>),
-    Platform(Subject),
-}
-
-/// Entry of the store with its key.
-struct Entry {
-    key: String,
-    kind: Kind,
-}
-
 /// Removes the instances and hosts that have not been registered again in time after an outage of
 /// the store.
 pub fn remove_expired(state: &Rc<State>) {
