limit: a record follows only an answer that it knew

A host that heard nothing for 4 s took the record in the store for newer than its own answer. While the store is away or refuses its writes, the record is the old one: a limit that was removed before the instance stated a lower one, so that the host sent without a limit.

--- a/crates/core/src/steering/limit.rs
+++ b/crates/core/src/steering/limit.rs
@@ -47,6 +47,15 @@
         }
     }
 
+    /// The statement that allows fewer requests.
+    fn lower(self, other: Self) -> Self {
+        match (self.rate(), other.rate()) {
+            (Some(one), Some(another)) => Self::Limited(one.min(another)),
+            (None, _) => other,
+            (_, None) => self,
+        }
+    }
+
     /// Whether two statements differ by more than [`INSIGNIFICANT_CHANGE`].
     fn differs(self, other: Self) -> bool {
         match (self.rate(), other.rate()) {
--- a/crates/core/src/steering/limit/book.rs
+++ b/crates/core/src/steering/limit/book.rs
@@ -4,9 +4,9 @@
 
 use super::{Sharing, Statement, interval};
 
-/// Time for which an answer to this host counts more than a record in the store, which may have been
-/// written before it.
-const STATEMENT_PREFERENCE: Duration = Duration::from_secs(4);
+/// Time for which an answer counts as fresh, longer than a record takes to reach all hosts. A record
+/// that a host reads while its latest answer is fresh may have been written before that answer.
+const FRESHNESS_TIME: Duration = Duration::from_secs(4);
 
 /// Shortest time between two writes of this host about one instance.
 const MIN_PUBLICATION_INTERVAL: Duration = Duration::from_secs(2);
@@ -64,6 +64,8 @@
     incarnation: u64,
     /// Latest statement in an answer to this host.
     answer: Option<Known>,
+    /// Whether the record has said the same as the answer since then.
+    is_recorded: bool,
     /// Record in the store.
     record: Option<Known>,
     /// Revision of the record; 0 if there is none.
@@ -86,6 +88,7 @@
         Self {
             incarnation,
             answer: None,
+            is_recorded: false,
             record: None,
             revision: 0,
             current: Statement::Unlimited,
@@ -98,16 +101,28 @@
         }
     }
 
-    /// The answer, if it counts more than the record.
-    fn leading_answer(&self, now: Duration) -> Option<Known> {
-        let answer = self.answer?;
-        let is_newer = self.record.is_none_or(|record| record.at <= answer.at);
-        (is_newer || now < answer.at + STATEMENT_PREFERENCE).then_some(answer)
+    fn is_fresh(&self, now: Duration) -> bool {
+        self.answer.is_some_and(|answer| now < answer.at + FRESHNESS_TIME)
     }
 
+    /// The limit that applies.
+    ///
+    /// A record follows an answer only if the record has said the same before, as its writer then knew
+    /// of that. Otherwise the lower limit applies until there is another answer.
     fn applicable(&self, now: Duration) -> Statement {
-        let known = self.leading_answer(now).or(self.record);
-        known.map_or(Statement::Unlimited, |known| known.statement)
+        match self.answer {
+            Some(answer) if self.is_fresh(now) => answer.statement,
+            Some(answer) if !self.is_recorded => answer.statement.lower(self.recorded()),
+            _ => self.recorded(),
+        }
+    }
+
+    /// Applies what the record says now.
+    fn set_record(&mut self, now: Duration, statement: Statement, revision: u64) {
+        self.record = Some(Known { statement, at: now });
+        self.revision = revision;
+        let is_same = self.answer.is_some_and(|answer| !answer.statement.differs(statement));
+        self.is_recorded = is_same || (self.is_recorded && !self.is_fresh(now));
     }
 
     fn recorded(&self) -> Statement {
@@ -142,10 +157,11 @@
     /// What this host knows first-hand and the record doesn't say. The hosts that share the limit hear
     /// of it first and write it; another host does so only if they have not.
     fn publishable(&self, now: Duration) -> Option<Statement> {
-        let answer = self.leading_answer(now)?;
+        let answer = self.answer.filter(|_| !self.is_recorded)?;
+        let applies = answer.statement == self.applicable(now);
         let is_sender = self.host_rate > 0.0 || answer.statement == Statement::Unlimited;
         let is_due = is_sender || now >= answer.at + PUBLICATION_DELAY;
-        (is_due && answer.statement.differs(self.recorded())).then_some(answer.statement)
+        (applies && is_due && answer.statement.differs(self.recorded())).then_some(answer.statement)
     }
 }
 
@@ -169,6 +185,7 @@
         }
         if let Some(entry) = self.entry(id, incarnation) {
             entry.answer = Some(Known { statement, at: now });
+            entry.is_recorded = !statement.differs(entry.recorded());
         }
     }
 
@@ -182,9 +199,9 @@
         revision: u64,
     ) {
         if let Some(entry) = self.entry(id, incarnation) {
-            entry.record = Some(Known { statement, at: now });
-        }
-        if let Some(entry) = self.entries.get_mut(id) {
+            entry.set_record(now, statement, revision);
+        } else if let Some(entry) = self.entries.get_mut(id) {
+            // The record of an earlier incarnation says nothing, and its revision is needed to replace it.
             entry.revision = revision;
         }
     }
@@ -199,8 +216,7 @@
     /// Applies the removal of a record from the store.
     pub fn remove_record(&mut self, now: Duration, id: &str) {
         if let Some(entry) = self.entries.get_mut(id) {
-            entry.record = Some(Known { statement: Statement::Unlimited, at: now });
-            entry.revision = 0;
+            entry.set_record(now, Statement::Unlimited, 0);
         }
     }
 
