limit: the entry of one instance apart from the book of all

book.rs held both what is known of one instance and the collection; limit::Sharing is now limit::Group, a noun for the hosts that it holds.

--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -52,7 +52,7 @@
     /// Limits that instances have stated.
     limits: limit::Book,
     /// Hosts that share these limits.
-    sharing: limit::Sharing,
+    limit_group: limit::Group,
     /// Limits how fast this host's requests shift to other regions.
     shift_limiter: shift::Limiter,
     /// Names of the hosts of this region, including this one.
@@ -66,15 +66,15 @@
     /// A fleet without instances.
     pub fn new(locality: Locality) -> Self {
         let region_hosts = vec![locality.host.clone()];
-        let sharing =
-            limit::Sharing { host: locality.host.clone(), members: Vec::new(), is_cut_off: false };
+        let group =
+            limit::Group { host: locality.host.clone(), members: Vec::new(), is_cut_off: false };
         Self {
             locality,
             upstreams: HashMap::new(),
             service_by_id: HashMap::new(),
             evacuated_domains: BTreeSet::new(),
             limits: limit::Book::default(),
-            sharing,
+            limit_group: group,
             shift_limiter: shift::Limiter::default(),
             region_hosts,
             is_synced: false,
--- a/crates/core/src/steering/fleet/limits.rs
+++ b/crates/core/src/steering/fleet/limits.rs
@@ -13,9 +13,9 @@
     /// nothing to limited instances. `is_cut_off` says whether this host is cut off from the store, so
     /// that the others may see other hosts.
     pub fn set_limit_members(&mut self, now: Duration, members: Vec<Member>, is_cut_off: bool) {
-        if self.sharing.members != members || self.sharing.is_cut_off != is_cut_off {
-            self.sharing.members = members;
-            self.sharing.is_cut_off = is_cut_off;
+        if self.limit_group.members != members || self.limit_group.is_cut_off != is_cut_off {
+            self.limit_group.members = members;
+            self.limit_group.is_cut_off = is_cut_off;
             self.update_limits(now);
         }
     }
@@ -78,7 +78,7 @@
             let instance = instances.iter().find(|instance| *instance.endpoint.id == *id)?;
             Some(instance.endpoint.incarnation)
         };
-        self.limits.publications(now, &self.sharing, incarnation)
+        self.limits.publications(now, &self.limit_group, incarnation)
     }
 
     /// Whether the instance has no limit, or one that allows a request of this host now.
@@ -97,8 +97,8 @@
             return None;
         }
         let region = self.instance(id).and_then(|instance| instance.region.clone());
-        let sharing = &self.sharing;
-        self.limits.refresh(now, id, |rate| sharing.host_rate(rate, id, region.as_ref()))
+        let group = &self.limit_group;
+        self.limits.refresh(now, id, |rate| group.host_rate(rate, id, region.as_ref()))
     }
 
     fn incarnation(&mut self, id: &str) -> Option<u64> {
--- a/crates/core/src/steering/limit.rs
+++ b/crates/core/src/steering/limit.rs
@@ -8,6 +8,7 @@
 //! in the store, for the hosts that send nothing and therefore hear nothing. See docs/platform.md.
 
 mod book;
+mod entry;
 
 pub use book::{Book, Change, Publication};
 
@@ -79,7 +80,7 @@
 
 /// Hosts among which limits are shared, as this host sees them.
 #[derive(Clone, Debug)]
-pub struct Sharing {
+pub struct Group {
     /// Name of this host.
     pub host: Arc<str>,
     /// All hosts that may share limits. This host sends nothing to limited instances unless it is
@@ -89,7 +90,7 @@
     pub is_cut_off: bool,
 }
 
-impl Sharing {
+impl Group {
     /// This host's part of an instance's limit, in requests per second; 0 if others share it.
     ///
     /// Hosts of other regions share it only if the instance's region has no host.
--- a/crates/core/src/steering/limit/book.rs
+++ b/crates/core/src/steering/limit/book.rs
@@ -2,24 +2,7 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use super::{Sharing, Statement, interval};
-
-/// Time for which an answer counts as fresh, longer than a record takes to reach all hosts. A record
-/// that a host reads while its latest answer is fresh may have been written before that answer.
-const FRESHNESS_TIME: Duration = Duration::from_secs(4);
-
-/// Shortest time between two writes of this host about one instance.
-const MIN_PUBLICATION_INTERVAL: Duration = Duration::from_secs(2);
-
-/// Time after which a host that doesn't share a limit publishes it, because none of those that share
-/// it has.
-const PUBLICATION_DELAY: Duration = Duration::from_secs(3);
-
-/// Time for which a host that shares a limit may leave its part unused.
-const MAX_IDLE_TIME: Duration = Duration::from_secs(2);
-
-/// Time after which an instance that is no longer registered is forgotten.
-const ABSENCE_TIME: Duration = Duration::from_secs(60);
+use super::{Group, Statement, entry::Entry};
 
 /// Limits of all instances that have stated one.
 #[derive(Clone, Debug, Default)]
@@ -51,120 +34,6 @@
     pub replaces_revision: u64,
 }
 
-/// A statement and when this host learned of it.
-#[derive(Clone, Copy, Debug)]
-struct Known {
-    statement: Statement,
-    at: Duration,
-}
-
-/// Limit of one instance.
-#[derive(Clone, Debug)]
-struct Entry {
-    incarnation: u64,
-    /// Latest statement in an answer to this host.
-    answer: Option<Known>,
-    /// Whether the record has said the same as the answer since then.
-    is_recorded: bool,
-    /// Record in the store.
-    record: Option<Known>,
-    /// Revision of the record; 0 if there is none.
-    revision: u64,
-    /// Limit that applies, and this host's part of it in requests per second.
-    current: Statement,
-    host_rate: f64,
-    /// Statement that was last reported as a [`Change`], and whether this host had a part of it.
-    reported: Statement,
-    was_sender: bool,
-    /// When this host last sent a request, or began to apply the limit.
-    last_sent_at: Duration,
-    published_at: Option<Duration>,
-    /// Since when the instance has not been registered.
-    absent_since: Option<Duration>,
-}
-
-impl Entry {
-    fn new(incarnation: u64) -> Self {
-        Self {
-            incarnation,
-            answer: None,
-            is_recorded: false,
-            record: None,
-            revision: 0,
-            current: Statement::Unlimited,
-            host_rate: 0.0,
-            reported: Statement::Unlimited,
-            was_sender: false,
-            last_sent_at: Duration::ZERO,
-            published_at: None,
-            absent_since: None,
-        }
-    }
-
-    fn is_fresh(&self, now: Duration) -> bool {
-        self.answer.is_some_and(|answer| now < answer.at + FRESHNESS_TIME)
-    }
-
-    /// The limit that applies.
-    ///
-    /// A record follows an answer only if the record has said the same before, as its writer then knew
-    /// of that. Otherwise the lower limit applies until there is another answer.
-    fn applicable(&self, now: Duration) -> Statement {
-        match self.answer {
-            Some(answer) if self.is_fresh(now) => answer.statement,
-            Some(answer) if !self.is_recorded => answer.statement.lower(self.recorded()),
-            _ => self.recorded(),
-        }
-    }
-
-    /// Applies what the record says now.
-    fn set_record(&mut self, now: Duration, statement: Statement, revision: u64) {
-        self.record = Some(Known { statement, at: now });
-        self.revision = revision;
-        let is_same = self.answer.is_some_and(|answer| !answer.statement.differs(statement));
-        self.is_recorded = is_same || (self.is_recorded && !self.is_fresh(now));
-    }
-
-    fn recorded(&self) -> Statement {
-        self.record.map_or(Statement::Unlimited, |record| record.statement)
-    }
-
-    /// When this host last learned anything about the limit.
-    fn learned_at(&self) -> Duration {
-        let known = self.answer.into_iter().chain(self.record);
-        known.map(|known| known.at).max().unwrap_or_default()
-    }
-
-    /// Applies the current limit. Returns whether it differs from the one last reported, or this host has
-    /// a part of it now and had none, or the other way round.
-    fn refresh(&mut self, now: Duration, host_rate: impl Fn(f64) -> f64) -> bool {
-        let before = self.current;
-        self.current = self.applicable(now);
-        self.host_rate = self.current.rate().map_or(0.0, host_rate);
-        if before == Statement::Unlimited && self.current != before {
-            // The first request follows after a whole interval: what this host sent before counts too.
-            self.last_sent_at = now;
-        }
-        let is_sender = self.host_rate > 0.0;
-        let is_changed = self.current.differs(self.reported) || is_sender != self.was_sender;
-        if is_changed {
-            self.reported = self.current;
-            self.was_sender = is_sender;
-        }
-        is_changed
-    }
-
-    /// What this host knows first-hand and the record doesn't say. The hosts that share the limit hear
-    /// of it first and write it; another host does so only if they have not.
-    fn publishable(&self, now: Duration) -> Option<Statement> {
-        let answer = self.answer.filter(|_| !self.is_recorded)?;
-        let applies = answer.statement == self.applicable(now);
-        let is_sender = self.host_rate > 0.0 || answer.statement == Statement::Unlimited;
-        let is_due = is_sender || now >= answer.at + PUBLICATION_DELAY;
-        (applies && is_due && answer.statement.differs(self.recorded())).then_some(answer.statement)
-    }
-}
-
 impl Book {
     /// Records what an answer to a request that was sent at `sent_at` says.
     ///
@@ -184,8 +53,7 @@
             return;
         }
         if let Some(entry) = self.entry(id, incarnation) {
-            entry.answer = Some(Known { statement, at: now });
-            entry.is_recorded = !statement.differs(entry.recorded());
+            entry.set_answer(now, statement);
         }
     }
 
@@ -263,10 +131,7 @@
 
     /// Whether this host may send the instance a request now.
     pub fn allows(&self, now: Duration, id: &str) -> bool {
-        self.entries.get(id).is_none_or(|entry| {
-            entry.current == Statement::Unlimited
-                || (entry.host_rate > 0.0 && now >= entry.last_sent_at + interval(entry.host_rate))
-        })
+        self.entries.get(id).is_none_or(|entry| entry.allows(now))
     }
 
     /// Whether this host shares the limit of an instance and has left its part unused for a while.
@@ -274,10 +139,7 @@
     /// With many hosts, the few that share a limit have few requests that belong at the instance, and
     /// would hear late that its limit has ended.
     pub fn is_probe_due(&self, now: Duration, id: &str) -> bool {
-        self.entries.get(id).is_some_and(|entry| {
-            let due_at = entry.last_sent_at + interval(entry.host_rate) + MAX_IDLE_TIME;
-            entry.current != Statement::Unlimited && entry.host_rate > 0.0 && now >= due_at
-        })
+        self.entries.get(id).is_some_and(|entry| entry.is_probe_due(now))
     }
 
     /// Records a request to an instance.
@@ -287,39 +149,20 @@
         }
     }
 
-    /// Returns the records that this host should write, at most one in [`MIN_PUBLICATION_INTERVAL`]
-    /// for each instance, and forgets instances that are gone. `incarnation` gives the incarnation of
-    /// a registered instance.
+    /// Returns the records that this host should write, and forgets instances that are gone.
+    /// `incarnation` gives the incarnation of a registered instance.
     pub fn publications(
         &mut self,
         now: Duration,
-        sharing: &Sharing,
+        group: &Group,
         incarnation: impl Fn(&str) -> Option<u64>,
     ) -> Vec<Publication> {
-        let mut publications = Vec::new();
-        self.entries.retain(|id, entry| {
-            let is_registered = incarnation(id) == Some(entry.incarnation);
-            entry.absent_since = (!is_registered).then(|| entry.absent_since.unwrap_or(now));
-            let is_gone = entry.absent_since.is_some_and(|since| since + ABSENCE_TIME <= now);
-            let is_due = entry.published_at.is_none_or(|at| at + MIN_PUBLICATION_INTERVAL <= now);
-            let is_outdated = entry.revision > 0 && (is_gone || entry.record.is_none());
-            let statement = if is_outdated {
-                sharing.is_first(id).then_some(Statement::Unlimited)
-            } else {
-                entry.publishable(now)
-            };
-            if let Some(statement) = statement.filter(|_| is_due) {
-                entry.published_at = Some(now);
-                publications.push(Publication {
-                    id: id.clone(),
-                    incarnation: entry.incarnation,
-                    statement,
-                    replaces_revision: entry.revision,
-                });
-            }
-            !is_gone || entry.revision > 0
-        });
-        publications
+        for (id, entry) in &mut self.entries {
+            entry.set_registered(now, incarnation(id) == Some(entry.incarnation));
+        }
+        self.entries.retain(|_, entry| !entry.is_gone(now) || entry.revision > 0);
+        let entries = self.entries.iter_mut();
+        entries.filter_map(|(id, entry)| entry.publication(now, id, group)).collect()
     }
 
     /// The entry of an instance; `None` for an earlier incarnation. An instance that has started again
@@ -328,7 +171,9 @@
         let entry = self.entries.entry(id.clone()).or_insert_with(|| Entry::new(incarnation));
         if entry.incarnation < incarnation {
             // The store may still hold the record of the earlier incarnation.
-            *entry = Entry { revision: entry.revision, ..Entry::new(incarnation) };
+            let revision = entry.revision;
+            *entry = Entry::new(incarnation);
+            entry.revision = revision;
         }
         (entry.incarnation == incarnation).then_some(entry)
     }
--- a/crates/core/src/steering/tests/limit.rs
+++ b/crates/core/src/steering/tests/limit.rs
@@ -10,7 +10,7 @@
     super::{
         fleet::{Fleet, Locality},
         instance::Endpoint,
-        limit::{Member, Sharing, Statement},
+        limit::{Group, Member, Statement},
         seats::{LIMIT_RETENTION, Seats},
     },
     support::{answer_after, at, criteria, endpoint, fleet, locality, name, send},
@@ -32,8 +32,8 @@
             let in_window = |is_cut_off| {
                 let rates = members.iter().map(|member| {
                     let host = member.host.clone();
-                    let sharing = Sharing { host, members: members.clone(), is_cut_off };
-                    sharing.host_rate(limit, "i-1", None)
+                    let group = Group { host, members: members.clone(), is_cut_off };
+                    group.host_rate(limit, "i-1", None)
                 });
                 let senders: Vec<f64> = rates.filter(|rate| *rate > 0.0).collect();
                 assert!(limit == 0.0 || senders.iter().sum::<f64>() >= limit * 0.39);
@@ -51,8 +51,8 @@
 fn the_hosts_of_the_region_share_a_limit() {
     let members = vec![member("n1", "north"), member("s1", "south"), member("s2", "south")];
     let rate = |host: &str, region: &str| {
-        let sharing = Sharing { host: name(host), members: members.clone(), is_cut_off: false };
-        sharing.host_rate(2.0, "i-1", Some(&name(region)))
+        let group = Group { host: name(host), members: members.clone(), is_cut_off: false };
+        group.host_rate(2.0, "i-1", Some(&name(region)))
     };
     assert!(rate("n1", "north") > 0.0);
     assert!(rate("s1", "north") == 0.0 && rate("s2", "north") == 0.0);
