--- a/crates/steer/src/constants.rs
+++ b/crates/steer/src/constants.rs
@@ -128,5 +128,8 @@
 /// Capacity of the queue of log lines that are waiting to be written.
 pub(crate) const LOG_QUEUE_LINES: usize = 2048;
 
+/// Longest wait for the queued log lines at the end of the process.
+pub(crate) const LOG_CLOSE_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Longest time for which a request waits for tokens from other hosts.
 pub(crate) const MAX_LOAN_WAIT: Duration = Duration::from_millis(130);
--- a/crates/steer/src/events.rs
+++ b/crates/steer/src/events.rs
@@ -17,7 +17,10 @@
 
 use serde::Serialize;
 
-use crate::{clock, constants::LOG_QUEUE_LINES};
+use crate::{
+    clock,
+    constants::{LOG_CLOSE_TIMEOUT, LOG_QUEUE_LINES},
+};
 
 /// Priority of an event, which decides whether it is written when there are too many.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -230,6 +233,8 @@
 pub struct Log {
     host: Arc<str>,
     queue: RefCell<Option<SyncSender<Vec<u8>>>>,
+    /// Closed by the writer thread when it ends.
+    writer_ended: Receiver<()>,
     dropped: Cell<u64>,
     max_lines_per_second: u32,
     /// Start of the current one-second window.
@@ -243,12 +248,15 @@
     /// requests and failures.
     pub fn start(host: Arc<str>, max_lines_per_second: u32) -> std::io::Result<Self> {
         let (queue, queued_lines) = sync_channel(LOG_QUEUE_LINES);
-        std::thread::Builder::new()
-            .name("log".to_owned())
-            .spawn(move || write_lines(&queued_lines))?;
+        let (ending, writer_ended) = sync_channel(0);
+        std::thread::Builder::new().name("log".to_owned()).spawn(move || {
+            write_lines(&queued_lines);
+            drop(ending);
+        })?;
         Ok(Self {
             host,
             queue: RefCell::new(Some(queue)),
+            writer_ended,
             dropped: Cell::new(0),
             max_lines_per_second,
             window_start: Cell::new(Duration::ZERO),
@@ -277,9 +285,12 @@
         }
     }
 
-    /// Closes the queue. The writer thread ends after it has written the queued lines.
+    /// Closes the queue and waits until the queued lines are written, up to `LOG_CLOSE_TIMEOUT` in case
+    /// nobody reads them.
     pub fn close(&self) {
         self.queue.borrow_mut().take();
+        // Both outcomes end the log: the thread has ended, or it is stuck.
+        let _ = self.writer_ended.recv_timeout(LOG_CLOSE_TIMEOUT);
     }
 
     /// Counts a line, and returns whether the rate limit allows it.
