socket: both entry hosts accept what the kernel has queued in one way

The first entry host asked the runtime for queued connections without waiting, which knows of them only after its next turn: the fault that a_planned_stop_serves_connections_that_were_just_accepted showed on the platform's host. Both use link::socket::accept_queued now, which asks the kernel. The fault has not been shown on the first host; its tests pass.

--- a/crates/entry/src/callers/accept.rs
+++ b/crates/entry/src/callers/accept.rs
@@ -12,7 +12,6 @@
     time::{Duration, Instant},
 };
 
-use futures_util::FutureExt as _;
 use gotham::{helpers::http::Body, service::call_handler, state::State};
 use http::{HeaderValue, Request, Response, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
@@ -20,7 +19,7 @@
     rt::{TokioIo, TokioTimer},
     server::graceful::{GracefulShutdown, Watcher},
 };
-use marjorampick_link::wire::stream::Stream;
+use marjorampick_link::{socket::accept_queued, wire::stream::Stream};
 use tokio::{
     io::{AsyncRead, AsyncWrite},
     net::{TcpListener, TcpStream},
@@ -66,8 +65,7 @@
         callers,
     };
     let drain_started = server.accept_until_drained(&listener).await;
-    server.accept_backlog(&listener);
-    drop(listener);
+    server.accept_queued(listener)?;
     // hyper's graceful shutdown closes connections that have not sent a byte yet, although the
     // request of a connection that was accepted last may still be in transit.
     tokio::time::sleep(LAST_REQUESTS_WAIT).await;
@@ -131,11 +129,17 @@
         }
     }
 
-    /// Accepts the connections in the backlog of the listener without waiting for others.
-    fn accept_backlog(&self, listener: &TcpListener) {
-        while let Some(Ok(accepted)) = self.accept(listener).now_or_never() {
-            self.spawn(accepted);
+    /// Closes the listener and serves the connections that were queued, up to the limit on open ones.
+    fn accept_queued(&self, listener: TcpListener) -> io::Result<()> {
+        for stream in accept_queued(listener)? {
+            let (Ok(peer), Ok(permit)) =
+                (stream.peer_addr(), self.permits.clone().try_acquire_owned())
+            else {
+                continue;
+            };
+            self.spawn(Accepted { stream, peer, permit });
         }
+        Ok(())
     }
 
     /// Serves a connection in its own task, after the TLS handshake if the listener uses TLS.
--- a/crates/link/src/socket.rs
+++ b/crates/link/src/socket.rs
@@ -1,4 +1,5 @@
-//! Reads and writes a TCP stream through a shared reference.
+//! Reads and writes a TCP stream through a shared reference, and ends a listener without losing
+//! connections.
 //!
 //! Tokio implements `AsyncRead` and `AsyncWrite` only for exclusive access, and the halves of a
 //! split stream cannot be cloned. The pool of backend connections and the fault injection of the
@@ -9,7 +10,10 @@
     task::{Context, Poll, ready},
 };
 
-use tokio::{io::ReadBuf, net::TcpStream};
+use tokio::{
+    io::ReadBuf,
+    net::{TcpListener, TcpStream},
+};
 
 /// Works as [`tokio::io::AsyncRead::poll_read`].
 pub fn poll_read(
@@ -44,3 +48,23 @@
         }
     }
 }
+
+/// Closes a listener and returns the connections that the kernel had queued, which it would reset.
+///
+/// The runtime may not know of them yet, so that an `accept` that does not wait could miss them. A
+/// connection that its peer has closed is left out.
+pub fn accept_queued(listener: TcpListener) -> io::Result<Vec<TcpStream>> {
+    let listener = listener.into_std()?;
+    let mut streams = Vec::new();
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(true)?;
+                streams.push(TcpStream::from_std(stream)?);
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(streams),
+            Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
+            Err(error) => return Err(error),
+        }
+    }
+}
--- a/crates/steer/src/callers/accept.rs
+++ b/crates/steer/src/callers/accept.rs
@@ -3,7 +3,6 @@
 use std::{
     cell::Cell,
     convert::Infallible,
-    io,
     rc::Rc,
     sync::{
         Arc,
@@ -16,7 +15,7 @@
 use http::Request;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use marjorampick_link::wire::stream::Stream;
+use marjorampick_link::{socket::accept_queued, wire::stream::Stream};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Notify, watch},
@@ -73,25 +72,9 @@
             }
         }
     }
-    if let Err(error) = accept_queued(listener, accept_one) {
-        log::warn!("callers: cannot accept the queued connections: {error}");
-    }
-}
-
-/// Accepts the connections that the kernel has queued, which closing the listener would reset. The
-/// runtime may not know of them yet, so it is not asked.
-fn accept_queued(listener: TcpListener, accept_one: impl Fn(TcpStream)) -> io::Result<()> {
-    let listener = listener.into_std()?;
-    loop {
-        match listener.accept() {
-            Ok((stream, _)) => {
-                stream.set_nonblocking(true)?;
-                accept_one(TcpStream::from_std(stream)?);
-            }
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
-            Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
-            Err(error) => return Err(error),
-        }
+    match accept_queued(listener) {
+        Ok(streams) => streams.into_iter().for_each(accept_one),
+        Err(error) => log::warn!("callers: cannot accept the queued connections: {error}"),
     }
 }
 
