registration: a host whose registration was removed registers again

A call without an answer may be executed seconds later. If a process writes its registration, is killed, and the store executes the write after the next process has registered, the entry belongs to the first lease and goes with it. The next process renewed its own lease without a fault and stayed out of all look-ups until it was restarted. Change: a host that sees its own entry removed registers anew.

--- a/crates/steer/src/feed/entries.rs
+++ b/crates/steer/src/feed/entries.rs
@@ -72,7 +72,7 @@
         self.state.seats.borrow_mut().remove(name);
         if *name == *self.state.settings.host.name {
             self.state.seat_valid_from.set(None);
-            self.state.has_lost_seat.set(true);
+            self.state.lost_entries.record_seat();
         }
     }
 
@@ -151,7 +151,12 @@
 
     /// Applies the removal of a key.
     pub(super) fn remove_key(&self, key: &str, revision: u64) {
-        self.remove_entry(&self.entry_kind(key), revision);
+        let kind = self.entry_kind(key);
+        // A late write of an earlier process may have bound the registration to its own lease.
+        if matches!(&kind, Kind::Host(name) if *name == self.state.settings.host.name) {
+            self.state.lost_entries.record_registration();
+        }
+        self.remove_entry(&kind, revision);
     }
 
     fn entry_kind(&self, key: &str) -> Kind {
--- a/crates/steer/src/registration.rs
+++ b/crates/steer/src/registration.rs
@@ -7,7 +7,10 @@
 
 use marjorampick_core::steering::seats::SEAT_PROPAGATION_TIME;
 use serde::{Deserialize, Serialize};
-use tokio::{sync::watch, time::sleep};
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
 
 use crate::{
     clock,
@@ -54,9 +57,12 @@
     let mut retry_delay = MIN_STORE_RETRY_DELAY;
     let mut seat = Seat::Missing;
     loop {
-        if state.has_lost_seat.take() {
+        if state.lost_entries.take_seat() {
             seat = Seat::Missing;
         }
+        if state.lost_entries.take_registration() {
+            *lease = None;
+        }
         let result = match (seat, *lease) {
             (Seat::Missing, _) => claim_seat(state, client).await.map(|claimed| seat = claimed),
             (Seat::Held, None) => {
@@ -68,7 +74,8 @@
             Ok(()) => {
                 retry_delay = MIN_STORE_RETRY_DELAY;
                 if lease.is_some() {
-                    sleep(RENEWAL_INTERVAL).await;
+                    // A timeout means that it is time to renew the lease.
+                    timeout(RENEWAL_INTERVAL, state.lost_entries.changed()).await.ok();
                 }
             }
             Err(Fault::LeaseNotFound) => *lease = None,
--- a/crates/steer/src/state.rs
+++ b/crates/steer/src/state.rs
@@ -64,6 +64,43 @@
     pub hosts: ArcSwap<Vec<Registration>>,
 }
 
+/// Entries of this host that were removed from the store and that it has to write again.
+#[derive(Debug, Default)]
+pub struct LostEntries {
+    seat: Cell<bool>,
+    registration: Cell<bool>,
+    changed: Notify,
+}
+
+impl LostEntries {
+    /// Records that the seat was removed.
+    pub fn record_seat(&self) {
+        self.seat.set(true);
+        self.changed.notify_one();
+    }
+
+    /// Records that the registration was removed.
+    pub fn record_registration(&self) {
+        self.registration.set(true);
+        self.changed.notify_one();
+    }
+
+    /// Whether the seat was removed since the last call.
+    pub fn take_seat(&self) -> bool {
+        self.seat.take()
+    }
+
+    /// Whether the registration was removed since the last call.
+    pub fn take_registration(&self) -> bool {
+        self.registration.take()
+    }
+
+    /// Waits until an entry is removed.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+}
+
 /// State of the process.
 pub struct State {
     /// Settings of the process.
@@ -92,8 +129,8 @@
     pub store_last_response_at: Cell<Duration>,
     /// Time from which this host's share of the rate limits counts; `None` until it has a seat.
     pub seat_valid_from: Cell<Option<Duration>>,
-    /// Whether another host has removed this host's seat, so that it needs one again.
-    pub has_lost_seat: Cell<bool>,
+    /// Entries of this host that were removed from the store.
+    pub lost_entries: LostEntries,
     /// When the process started.
     pub started_at: Duration,
     /// Wakes the requests that wait until the host is ready.
@@ -134,7 +171,7 @@
             snapshot: Arc::new(snapshot),
             store_last_response_at: Cell::new(Duration::ZERO),
             seat_valid_from: Cell::new(None),
-            has_lost_seat: Cell::new(false),
+            lost_entries: LostEntries::default(),
             started_at: clock::now(),
             became_ready: Notify::new(),
             in_flight: Cell::new(0),
