steer: a host keeps to what instances say in their answers: that they leave, and that they want a pause

Cause: Server-Leaving in answers and Retry-After in rejections with 503 were decoded nowhere. A host went on sending to an instance that said it left until the store said so, and again when its entry returned after an outage. Change: core::steering::notice keeps both by the start of an instance, apart from its registration. A leaving instance counts as draining, a pausing one as unavailable; before a request is written on a new connection the choice is checked again. While all instances pause, the refusal says when the first one ends.

--- a/crates/core/src/steering.rs
+++ b/crates/core/src/steering.rs
@@ -12,6 +12,7 @@
 pub mod lenders;
 pub mod limit;
 pub mod load;
+pub mod notice;
 pub mod plan;
 pub mod rate;
 pub mod retry;
--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -4,6 +4,7 @@
 mod candidate;
 mod choice;
 mod limits;
+mod notices;
 mod ranking;
 mod side;
 mod upstream;
@@ -21,7 +22,7 @@
     instance::{Endpoint, Instance, Outcome},
     limit,
     load::Report,
-    shift,
+    notice, shift,
 };
 
 /// How long registrations that expired during an outage of the store may take to reappear.
@@ -53,6 +54,8 @@
     limits: limit::Book,
     /// Hosts that share these limits.
     limit_group: limit::Group,
+    /// What instances have asked for in their answers.
+    notices: notice::Book,
     /// Limits how fast this host's requests shift to other regions.
     shift_limiter: shift::Limiter,
     /// Names of the hosts of this region, including this one.
@@ -75,6 +78,7 @@
             evacuated_domains: BTreeSet::new(),
             limits: limit::Book::default(),
             limit_group: group,
+            notices: notice::Book::default(),
             shift_limiter: shift::Limiter::default(),
             region_hosts,
             is_synced: false,
@@ -135,6 +139,7 @@
         let id = endpoint.id.clone();
         self.service_by_id.insert(id.clone(), endpoint.service.clone());
         self.limits.restart(&id, endpoint.incarnation);
+        let notice = self.notices.get(&id, endpoint.incarnation);
         let upstream = self.upstream(now, &endpoint.service.clone());
         let warmup = upstream.warmup;
         let position =
@@ -154,6 +159,9 @@
             position => {
                 let mut instance = Instance::new(now, endpoint, region);
                 instance.is_local = is_local;
+                if let Some(notice) = notice {
+                    instance.apply_notice(notice);
+                }
                 if is_synced || is_evacuated {
                     instance.mark_cold(now, warmup);
                 }
@@ -183,6 +191,7 @@
 
     /// Removes the instances that have not registered again in time. Returns their ids.
     pub fn remove_expired(&mut self, now: Duration) -> Vec<Arc<str>> {
+        self.notices.remove_expired(now);
         let is_expired =
             |instance: &&Instance| instance.expires_at.is_some_and(|expires_at| expires_at <= now);
         let instances = self.upstreams.values().flat_map(|upstream| &upstream.instances);
--- a/crates/core/src/steering/fleet/choice.rs
+++ b/crates/core/src/steering/fleet/choice.rs
@@ -93,7 +93,6 @@
     pub fn choose(&mut self, now: Duration, criteria: &Criteria<'_>) -> Result<Choice, Rejection> {
         self.update_sides(now, criteria.service);
         let upstream = self.upstreams.get(criteria.service).ok_or(Rejection::NoInstance)?;
-        let retry_after = retry_after(upstream);
         let eligible =
             upstream.instances.iter().filter(|instance| self.is_eligible(instance, criteria));
         let candidates: Vec<&Instance> = eligible.collect();
@@ -101,6 +100,7 @@
         if candidates.iter().all(is_tried) {
             return Err(Rejection::NoInstance);
         }
+        let retry_after = retry_after(upstream).max(Self::pause_left(now, &candidates));
         let choice = self.choose_by_draw(now, upstream, &candidates, criteria);
         let choice = choice.ok_or(Rejection::NoCapacity { retry_after })?;
         let is_limited = self.is_shift_limited(now, upstream, &candidates);
--- a/crates/core/src/steering/instance.rs
+++ b/crates/core/src/steering/instance.rs
@@ -5,6 +5,7 @@
 use super::{
     cache, cold,
     load::{self, Estimate, Report},
+    notice::Notice,
     samples::Samples,
 };
 
@@ -91,6 +92,8 @@
     pub load: Estimate,
     /// Estimated number of requests of all hosts at the instance, as of the latest choice.
     pub requests: f64,
+    /// End of the pause that the instance asked for; zero without one.
+    paused_until: Duration,
     cold_until: Duration,
     cold_pacer: cold::Pacer,
     consecutive_failures: u32,
@@ -118,6 +121,7 @@
             expires_at: None,
             load: Estimate::default(),
             requests: 0.0,
+            paused_until: Duration::ZERO,
             cold_until,
             cold_pacer: cold::Pacer::default(),
             consecutive_failures: 0,
@@ -143,6 +147,22 @@
         self.expires_at = None;
     }
 
+    /// Applies what the instance asked for in its answers. An instance that leaves counts as draining.
+    pub fn apply_notice(&mut self, notice: Notice) {
+        self.endpoint.is_draining |= notice.is_leaving;
+        self.paused_until = self.paused_until.max(notice.paused_until);
+    }
+
+    /// Whether the instance wants no requests now.
+    pub fn is_paused(&self, now: Duration) -> bool {
+        now < self.paused_until
+    }
+
+    /// Time until the end of the pause that the instance asked for.
+    pub fn pause_left(&self, now: Duration) -> Duration {
+        self.paused_until.saturating_sub(now)
+    }
+
     /// Treats the instance as cold for at least `time` from now.
     pub fn mark_cold(&mut self, now: Duration, time: Duration) {
         self.cold_until = self.cold_until.max(now + time);
@@ -159,10 +179,11 @@
         self.cold_pacer.allows(now)
     }
 
-    /// Whether the instance may get a request: it is not ejected, or a probe request is due.
+    /// Whether the instance may get a request: it has not asked for a pause, and it is not ejected, or
+    /// a probe request is due.
     pub fn is_available(&self, now: Duration) -> bool {
-        self.consecutive_failures < FAILURES_BEFORE_EJECTION
-            || (now >= self.ejected_until && !self.is_probe_running)
+        let is_probe_due = now >= self.ejected_until && !self.is_probe_running;
+        !self.is_paused(now) && (!self.is_ejected() || is_probe_due)
     }
 
     /// Whether the instance is ejected, so that it may get probe requests only.
--- a/crates/core/src/steering/tests.rs
+++ b/crates/core/src/steering/tests.rs
@@ -7,6 +7,7 @@
 mod lenders;
 mod limit;
 mod load;
+mod notice;
 mod plan;
 mod rate;
 mod retry;
--- /dev/null
+++ b/crates/core/src/steering/tests/notice.rs
@@ -0,0 +1,85 @@
+//! Tests where instances leave or want a pause while requests go on.
+
+use std::time::Duration;
+
+use super::{
+    super::{fleet::Rejection, instance::Endpoint, notice::MAX_PAUSE},
+    support::{at, criteria, endpoint, four_instances, name, send},
+};
+use crate::steering::fleet::{Choice, Criteria, Fleet};
+
+/// A request whose choice is the instance `n1` and that may run only in the region north.
+fn choose_n1(fleet: &mut Fleet, now: Duration) -> Option<Choice> {
+    let criteria =
+        Criteria { excluded: &[name("n2")], route_regions: &[name("north")], ..criteria() };
+    fleet.choose(now, &criteria).ok().filter(|choice| *choice.id == *"n1")
+}
+
+/// The registration of an instance that leaves says that it is ready, and may end and return in an
+/// outage of the store. It must not get requests again by that.
+#[test]
+fn a_leaving_instance_stays_away_when_its_registration_returns() {
+    let mut fleet = four_instances();
+    let choice = choose_n1(&mut fleet, at(0)).unwrap();
+    assert!(fleet.record_leaving(at(0), &choice));
+    assert!(!fleet.record_leaving(at(1), &choice), "told twice");
+    assert!(!fleet.may_send(at(1), &choice), "a connection was being opened");
+    fleet.register(at(1), endpoint("n1", "north-a"));
+    assert_eq!(choose_n1(&mut fleet, at(1)), None);
+    fleet.deregister("n1", None);
+    fleet.register(at(5_000), endpoint("n1", "north-a"));
+    assert_eq!(choose_n1(&mut fleet, at(60_000)), None);
+    let earlier = Endpoint { incarnation: 0, ..endpoint("n1", "north-a") };
+    fleet.register(at(6_000), earlier);
+    assert_eq!(choose_n1(&mut fleet, at(60_000)), None, "an entry of an earlier start");
+}
+
+/// A later start under the same id has asked for nothing.
+#[test]
+fn a_later_start_is_a_new_instance() {
+    let mut fleet = four_instances();
+    let choice = choose_n1(&mut fleet, at(0)).unwrap();
+    fleet.record_leaving(at(0), &choice);
+    fleet.record_pause(at(0), &choice, Duration::from_secs(60));
+    let later = Endpoint { incarnation: 2, ..endpoint("n1", "north-a") };
+    fleet.register(at(10), later);
+    let again = choose_n1(&mut fleet, at(20_000)).unwrap();
+    assert_eq!(again.incarnation, 2);
+    // A late answer of the earlier start says nothing about the later one.
+    fleet.record_leaving(at(20_000), &choice);
+    assert!(choose_n1(&mut fleet, at(20_001)).is_some());
+}
+
+/// A pause ends, a shorter one doesn't end it sooner, and it outlasts a registration that returns.
+#[test]
+fn a_pause_lasts_as_long_as_it_was_asked_for() {
+    let mut fleet = four_instances();
+    let choice = choose_n1(&mut fleet, at(0)).unwrap();
+    let long = Duration::from_secs(5);
+    assert_eq!(fleet.record_pause(at(0), &choice, long), Some(long));
+    assert_eq!(fleet.record_pause(at(10), &choice, Duration::from_secs(1)), None);
+    fleet.deregister("n1", None);
+    fleet.register(at(500), endpoint("n1", "north-a"));
+    assert_eq!(choose_n1(&mut fleet, at(4_999)), None);
+    assert!(!fleet.may_send(at(4_999), &choice));
+    assert!(choose_n1(&mut fleet, at(5_000)).is_some());
+    let applied = fleet.record_pause(at(5_000), &choice, Duration::MAX);
+    assert_eq!(applied, Some(MAX_PAUSE));
+}
+
+/// While the only instances pause, requests are refused with the time after which one takes them again;
+/// the pause of one instance changes nothing for the others.
+#[test]
+fn a_pause_concerns_only_its_instance() {
+    let mut fleet = four_instances();
+    let north = [name("north")];
+    let criteria = Criteria { route_regions: &north, ..criteria() };
+    let first = send(&mut fleet, at(0), &criteria).unwrap();
+    fleet.record_pause(at(0), &first, Duration::from_secs(9));
+    let second = send(&mut fleet, at(1), &criteria).unwrap();
+    assert_ne!(first.id, second.id);
+    fleet.record_pause(at(1), &second, Duration::from_secs(7));
+    let refused = fleet.choose(at(1_001), &criteria);
+    let retry_after = Duration::from_secs(6);
+    assert_eq!(refused, Err(Rejection::NoCapacity { retry_after }));
+}
--- a/crates/steer/src/callers.rs
+++ b/crates/steer/src/callers.rs
@@ -6,3 +6,4 @@
 mod handle;
 mod refusal;
 mod routing;
+mod statement;
--- a/crates/steer/src/callers/attempt.rs
+++ b/crates/steer/src/callers/attempt.rs
@@ -3,13 +3,16 @@
 use std::{rc::Rc, time::Duration};
 
 use bytes::{BufMut as _, Bytes, BytesMut};
-use http::{HeaderMap, HeaderValue, StatusCode, header};
+use http::{HeaderValue, StatusCode, header};
 use marjorampick_core::steering::{
-    fleet::Choice, instance::Outcome, limit::Statement, load::Report, plan::Idempotency, retry,
+    fleet::Choice, instance::Outcome, load::Report, plan::Idempotency, retry,
 };
 use tokio::time::timeout;
 
-use super::routing::{Call, milliseconds};
+use super::{
+    routing::{Call, milliseconds},
+    statement,
+};
 use crate::{
     backend::{
         answer::Answer,
@@ -18,7 +21,7 @@
     },
     clock,
     events::{Event, Rank},
-    limits, metrics,
+    metrics,
     state::State,
 };
 
@@ -118,13 +121,20 @@
             return Err(record_failure(state, call, choice, failure));
         }
     };
+    if !state.fleet.borrow().may_send(clock::now(), choice) {
+        guard.end(Outcome::Cancelled, None);
+        let reason = "the instance stopped taking requests while the connection was opened";
+        let failure = Failure::not_run(reason.to_owned(), false);
+        return Err(record_failure(state, call, choice, failure));
+    }
     let request = encode_request(state, call, body, choice);
     let remaining = limit.saturating_sub(clock::now().saturating_sub(started_at));
     let result = timeout(remaining, connection.exchange(&request, &state.answer_memory)).await;
     let elapsed = clock::now().saturating_sub(started_at);
     match result {
         Ok(Ok((answer, is_reusable))) => {
-            if is_reusable {
+            let is_leaving = statement::record(state, call, choice, started_at, &answer);
+            if is_reusable && !is_leaving {
                 let keep_alive = keep_alive_time(&answer);
                 state.pool.borrow_mut().put(clock::now(), key, connection, keep_alive);
             }
@@ -170,9 +180,6 @@
     let text = |name| headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
     let report = text(&names.load).and_then(state.codec.parse_load);
     let status = answer.head.status;
-    if let Some(statement) = limit_statement(state, headers) {
-        record_limit(state, call, choice, clock::now().saturating_sub(elapsed), statement);
-    }
     let failure = if status == StatusCode::MISDIRECTED_REQUEST {
         guard.end(Outcome::Cancelled, None);
         state.fleet.borrow_mut().remove_stale(&choice.id);
@@ -202,34 +209,6 @@
     Err(record_failure(state, call, choice, failure))
 }
 
-/// What an answer says about the limit of its instance. `None` if it says nothing: another instance
-/// made it, the value is malformed, or it is a rejection without a limit.
-fn limit_statement(state: &State, headers: &HeaderMap) -> Option<Statement> {
-    let names = &state.codec.headers;
-    let is_executed = headers.contains_key(&names.response_stamp);
-    let is_rejected = headers.contains_key(&names.not_run);
-    match headers.get(&names.limit) {
-        Some(value) if is_executed || is_rejected => {
-            value.to_str().ok().and_then(state.codec.parse_limit).map(Statement::Limited)
-        }
-        None if is_executed => Some(Statement::Unlimited),
-        _ => None,
-    }
-}
-
-/// Records what an answer says about the limit of its instance, and logs a change.
-fn record_limit(
-    state: &State,
-    call: &Call,
-    choice: &Choice,
-    sent_at: Duration,
-    statement: Statement,
-) {
-    let mut fleet = state.fleet.borrow_mut();
-    let change = fleet.record_limit(clock::now(), choice, sent_at, statement);
-    limits::log_changes(state, limits::Source::Answer(call.id_text()), change);
-}
-
 /// Records a failed attempt in the metrics and the log.
 fn record_failure(state: &Rc<State>, call: &Call, choice: &Choice, failure: Failure) -> Failure {
     let outcome = if failure.may_have_run { "failed" } else { "not_run" };
--- a/crates/steer/src/codec.rs
+++ b/crates/steer/src/codec.rs
@@ -31,6 +31,12 @@
     /// Parses the limit in the header [`Headers::limit`], in requests per second. Returns `None` for a
     /// malformed value.
     pub parse_limit: fn(&str) -> Option<f64>,
+    /// Parses whether an instance leaves, from the header [`Headers::leaving`]. Returns `None` for a
+    /// malformed value.
+    pub parse_leaving: fn(&str) -> Option<bool>,
+    /// Parses the pause that an instance asks for in the header [`Headers::pause`]. Returns `None` for a
+    /// malformed value.
+    pub parse_pause: fn(&str) -> Option<Duration>,
     /// URL path of host look-ups.
     pub lookup_path: &'static str,
     /// Parses the URI of a look-up. Returns `None` for a malformed query.
@@ -66,6 +72,10 @@
     /// Requests per second that the instance takes from all hosts together. An answer of an instance
     /// without a limit has no such header.
     pub limit: HeaderName,
+    /// Says that the instance leaves and takes no more requests.
+    pub leaving: HeaderName,
+    /// Time for which an instance that rejects a request with 503 wants no more of them.
+    pub pause: HeaderName,
 }
 
 /// Decoded item of the store.
--- a/crates/steer/src/events.rs
+++ b/crates/steer/src/events.rs
@@ -145,6 +145,33 @@
         #[serde(skip_serializing_if = "Option::is_none")]
         revision: Option<u64>,
     },
+    /// An instance said in an answer that it leaves, so that it gets no more requests.
+    InstanceLeaving {
+        /// Id of the instance.
+        id: &'a str,
+        /// Id of the request whose answer says so.
+        request: &'a str,
+    },
+    /// An instance rejected a request and asked for a pause.
+    InstancePaused {
+        /// Id of the instance.
+        id: &'a str,
+        /// Id of the request whose answer says so.
+        request: &'a str,
+        /// Milliseconds from now in which it gets no requests.
+        pause_ms: u128,
+    },
+    /// A header of an instance's answer was ignored because its value is invalid.
+    InvalidStatement {
+        /// Id of the instance.
+        id: &'a str,
+        /// Id of the request whose answer has the header.
+        request: &'a str,
+        /// Name of the header.
+        header: &'a str,
+        /// Value of the header.
+        value: &'a str,
+    },
     /// The evacuation of a failure domain started or ended.
     Evacuation {
         /// Name of the failure domain.
