rate: hosts that share a workspace's limit are ranked once, not for every host and request

Cause: a short workspace looks for lenders with every request, and each of the other hosts was checked by ranking all of them: the square of the hosts, with a sort. Change: the hosts that share a limit are computed once for each change of the seats or of the limit and kept with the bucket. A cold instance is ranked only if its pace allows a request, and without a sort; requests to warm instances rank nothing. Result: looking_for_lenders_costs_little_with_many_hosts; the order of senders to cold instances is the same (the_first_hosts_of_the_order_send).

--- a/crates/core/src/rendezvous.rs
+++ b/crates/core/src/rendezvous.rs
@@ -39,6 +39,24 @@
     order.into_iter().map(|(_, _, index)| index).collect()
 }
 
+/// Whether `candidate` is among the first `count` of `candidates` in the order of [`rank`], without
+/// sorting them.
+pub fn is_among_first<'a>(
+    key: &str,
+    candidate: &str,
+    candidates: impl Iterator<Item = &'a str> + Clone,
+    count: usize,
+) -> bool {
+    let key = Key::new([key]);
+    let own = (key.weight(candidate), candidate);
+    let mut is_candidate = false;
+    let before = candidates
+        .inspect(|other| is_candidate |= *other == candidate)
+        .filter(|other| (key.weight(other), *other) > own)
+        .count();
+    is_candidate && before < count
+}
+
 /// Continues an FNV-1a hash.
 fn fnv1a(hash: u64, bytes: impl Iterator<Item = u8>) -> u64 {
     bytes.fold(hash, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME))
--- a/crates/core/src/steering/cold.rs
+++ b/crates/core/src/steering/cold.rs
@@ -14,7 +14,7 @@
 
 /// Requests per second that `host`, one of `hosts`, may send to a cold instance that tolerates
 /// `rate` requests per second in total; 0 if the host doesn't send to this instance.
-pub fn host_rate(rate: f64, instance: &str, host: &str, hosts: &[&str]) -> f64 {
+pub fn host_rate(rate: f64, instance: &str, host: &str, hosts: &[impl AsRef<str>]) -> f64 {
     let count = hosts.len().max(1) as f64;
     let usable = rate * USABLE_FRACTION;
     let equal_share = usable / count;
@@ -22,8 +22,8 @@
         return equal_share.max(usable.min(1.0));
     }
     let senders = (usable.floor() as usize).max(1);
-    let ranked = rendezvous::rank(instance, hosts.iter().copied());
-    let is_sender = ranked.iter().take(senders).any(|&index| hosts[index] == host);
+    let names = hosts.iter().map(AsRef::as_ref);
+    let is_sender = rendezvous::is_among_first(instance, host, names, senders);
     if is_sender { usable / senders as f64 } else { 0.0 }
 }
 
--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -233,7 +233,8 @@
         self.shift_limiter.record_sent(choice.is_remote);
         self.limits.record_request(now, &choice.id);
         let cold_rate = self.upstreams.get(service).map_or(1.0, |upstream| upstream.cold_rate);
-        let host_rate = self.cold_host_rate(&choice.id, cold_rate);
+        let is_cold = self.instance(&choice.id).is_some_and(|instance| instance.is_cold(now));
+        let host_rate = if is_cold { self.cold_host_rate(&choice.id, cold_rate) } else { 0.0 };
         if let Some(instance) = self.instance(&choice.id) {
             instance.start_request(now, host_rate);
         }
--- a/crates/core/src/steering/fleet/admission.rs
+++ b/crates/core/src/steering/fleet/admission.rs
@@ -46,15 +46,14 @@
         if !instance.is_cold(now) {
             return true;
         }
-        let rate = self.cold_host_rate(&instance.endpoint.id, upstream.cold_rate);
-        instance.is_local && rate > 0.0 && instance.allows_cold_request(now)
+        let is_sender = || self.cold_host_rate(&instance.endpoint.id, upstream.cold_rate) > 0.0;
+        instance.is_local && instance.allows_cold_request(now) && is_sender()
     }
 
     /// This host's rate for a cold instance, in requests per second. `rate` is what the instance
     /// tolerates from all hosts together.
     pub(super) fn cold_host_rate(&self, id: &str, rate: f64) -> f64 {
-        let hosts: Vec<&str> = self.region_hosts.iter().map(AsRef::as_ref).collect();
-        cold::host_rate(rate, id, &self.locality.host, &hosts)
+        cold::host_rate(rate, id, &self.locality.host, &self.region_hosts)
     }
 
     /// Whether the host may send one more request to an instance that has not reported its load.
--- a/crates/core/src/steering/limit.rs
+++ b/crates/core/src/steering/limit.rs
@@ -103,17 +103,16 @@
             self.members.iter().filter(is_in_region).map(|member| member.host.as_ref()).collect();
         let hosts = if local.is_empty() { all().collect() } else { local };
         let senders = sender_count(rate).min(hosts.len());
-        let ranked = rendezvous::rank(instance, hosts.iter().copied());
-        let is_sender = ranked.iter().take(senders).any(|&index| hosts[index] == &*self.host);
+        let names = hosts.iter().copied();
+        let is_sender = rendezvous::is_among_first(instance, &self.host, names, senders);
         let used = USABLE_FRACTION * if self.is_cut_off { CUT_OFF_FRACTION } else { 1.0 };
         if is_sender { rate * used / senders as f64 } else { 0.0 }
     }
 
     /// Whether this host ranks first among all hosts for an instance.
     fn is_first(&self, instance: &str) -> bool {
-        let hosts: Vec<&str> = self.members.iter().map(|member| member.host.as_ref()).collect();
-        let ranked = rendezvous::rank(instance, hosts.iter().copied());
-        ranked.first().is_some_and(|&index| hosts[index] == &*self.host)
+        let names = self.members.iter().map(|member| member.host.as_ref());
+        rendezvous::is_among_first(instance, &self.host, names, 1)
     }
 }
 
--- a/crates/core/src/steering/rate.rs
+++ b/crates/core/src/steering/rate.rs
@@ -68,6 +68,8 @@
     configured_limit: (f64, f64),
     /// Version of the seats from which this bucket's limit was computed.
     seats_version: u64,
+    /// Hosts that share the limit, sorted by name.
+    sharing_hosts: Arc<[Arc<str>]>,
 }
 
 /// Rate limiter for all workspaces at this host.
@@ -75,8 +77,8 @@
 pub struct Limiter {
     tolerance: Tolerance,
     host: Arc<str>,
-    /// Hosts that share the limits; empty until this host may use its share.
-    seats: Vec<Arc<str>>,
+    /// Hosts that share the limits, sorted by name; empty until this host may use its share.
+    seats: Arc<[Arc<str>]>,
     /// Number of changes of `seats`.
     seats_version: u64,
     /// Time from which this host's share counts, so that its buckets earn tokens.
@@ -97,7 +99,7 @@
         Self {
             tolerance,
             host,
-            seats: Vec::new(),
+            seats: Arc::default(),
             seats_version: 0,
             share_valid_from: Duration::ZERO,
             buckets: HashMap::new(),
@@ -106,13 +108,14 @@
 
     /// Sets the hosts that share the limits. This host has no share unless it is one of them. If it
     /// had none before, its share counts from `valid_from`. Returns whether the hosts changed.
-    pub fn set_seats(&mut self, valid_from: Duration, seats: Vec<Arc<str>>) -> bool {
-        let has_changed = self.seats != seats;
+    pub fn set_seats(&mut self, valid_from: Duration, mut seats: Vec<Arc<str>>) -> bool {
+        seats.sort();
+        let has_changed = *self.seats != *seats;
         if has_changed {
             if !self.seats.contains(&self.host) {
                 self.share_valid_from = valid_from;
             }
-            self.seats = seats;
+            self.seats = seats.into();
             self.seats_version += 1;
         }
         has_changed
@@ -210,11 +213,15 @@
                 && bucket.seats_version == self.seats_version
         });
         if !is_current {
-            let (rate, burst) = self.host_limit(name, workspace);
+            let (rate, burst) = self.total_limit(workspace);
+            let sharing_hosts = self.sharing_hosts(name, burst);
+            let is_sharing = sharing_hosts.binary_search(&self.host).is_ok();
+            let share = if is_sharing { 1.0 / sharing_hosts.len() as f64 } else { 0.0 };
             let bucket =
                 self.buckets.entry(name.clone()).or_insert_with(|| Bucket::new(valid_from));
             bucket.refill(now);
-            (bucket.rate, bucket.burst) = (rate, burst);
+            (bucket.rate, bucket.burst) = (rate * share, burst * share);
+            bucket.sharing_hosts = sharing_hosts;
             (bucket.configured_limit, bucket.seats_version) =
                 (configured_limit, self.seats_version);
         }
@@ -223,17 +230,6 @@
         bucket
     }
 
-    /// Rate in tokens per second and burst in tokens of this host.
-    fn host_limit(&self, name: &str, workspace: &Workspace) -> (f64, f64) {
-        let (rate, burst) = self.total_limit(workspace);
-        let sharing_hosts = self.sharing_hosts(name, burst);
-        if !sharing_hosts.contains(&&self.host) {
-            return (0.0, 0.0);
-        }
-        let share = 1.0 / sharing_hosts.len() as f64;
-        (rate * share, burst * share)
-    }
-
     /// Rate in tokens per second and burst in tokens of all hosts together, with the part of the
     /// tolerance that is used.
     fn total_limit(&self, workspace: &Workspace) -> (f64, f64) {
@@ -242,20 +238,29 @@
         (workspace.rate * factor, burst)
     }
 
-    /// Hosts that share a workspace's limit, chosen by rendezvous hashing if there are too many.
-    fn sharing_hosts(&self, name: &str, burst: f64) -> Vec<&Arc<str>> {
+    /// Hosts that share a workspace's limit, sorted by name; chosen by rendezvous hashing if there are
+    /// too many.
+    fn sharing_hosts(&self, name: &str, burst: f64) -> Arc<[Arc<str>]> {
         let max_hosts = (burst / MIN_HOST_BURST_TOKENS).floor().max(1.0) as usize;
         if max_hosts >= self.seats.len() {
-            return self.seats.iter().collect();
+            return self.seats.clone();
         }
         let ranked = rendezvous::rank(name, self.seats.iter().map(AsRef::as_ref));
-        ranked.into_iter().take(max_hosts).map(|index| &self.seats[index]).collect()
+        let mut chosen: Vec<Arc<str>> =
+            ranked.into_iter().take(max_hosts).map(|index| self.seats[index].clone()).collect();
+        chosen.sort();
+        chosen.into()
     }
 
-    /// Whether `host` holds a share of a workspace's limit and so can lend tokens.
-    pub fn has_share(&self, host: &str, name: &str, workspace: &Workspace) -> bool {
-        let (_, burst) = self.total_limit(workspace);
-        self.sharing_hosts(name, burst).iter().any(|sharing| sharing.as_ref() == host)
+    /// Hosts that hold a share of a workspace's limit and so can lend tokens, sorted by name. They are
+    /// computed once for each change of the seats or of the limit.
+    pub fn lenders(
+        &mut self,
+        now: Duration,
+        name: &Arc<str>,
+        workspace: &Workspace,
+    ) -> Arc<[Arc<str>]> {
+        self.bucket(now, name, workspace).sharing_hosts.clone()
     }
 }
 
@@ -271,6 +276,7 @@
             updated_at: valid_from,
             configured_limit: (-1.0, -1.0),
             seats_version: 0,
+            sharing_hosts: Arc::default(),
         }
     }
 
--- a/crates/core/src/steering/tests/cold.rs
+++ b/crates/core/src/steering/tests/cold.rs
@@ -4,6 +4,7 @@
     super::cold::{Pacer, host_rate},
     support::at,
 };
+use crate::rendezvous;
 
 /// The rates of all hosts must not add up to more than a cold instance tolerates, nor be so low
 /// that no host sends.
@@ -21,6 +22,20 @@
     }
 }
 
+/// The hosts that send to a cold instance must be the first ones of the common order.
+#[test]
+fn the_first_hosts_of_the_order_send() {
+    let names: Vec<String> = (0..60).map(|index| format!("host-{index}")).collect();
+    for instance in 0..50 {
+        let instance = format!("i-{instance}");
+        let ranked = rendezvous::rank(&instance, names.iter().map(String::as_str));
+        for (position, index) in ranked.into_iter().enumerate() {
+            let rate = host_rate(7.5, &instance, &names[index], &names);
+            assert_eq!(rate > 0.0, position < 6, "position {position}");
+        }
+    }
+}
+
 /// Requests must not come in a burst after a pause.
 #[test]
 fn requests_are_evenly_spaced() {
--- a/crates/core/src/steering/tests/rate.rs
+++ b/crates/core/src/steering/tests/rate.rs
@@ -1,6 +1,6 @@
 //! Tests of the rate limits of workspaces over all hosts.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use arbtest::arbtest;
 
@@ -108,15 +108,30 @@
         .iter_mut()
         .filter_map(|limiter| limiter.acquire(at(0), &name("anchor"), &workspace).ok());
     assert!((1..=8).contains(&admitted.count()));
-    let sharing: Vec<usize> = (0..87)
-        .filter(|host| limiters[0].has_share(&format!("host-{host}"), "anchor", &workspace))
-        .collect();
+    let lenders = limiters[0].lenders(at(0), &name("anchor"), &workspace);
+    let sharing: Vec<usize> =
+        (0..87).filter(|host| lenders.contains(&name(&format!("host-{host}")))).collect();
     let other = (0..87).find(|host| !sharing.contains(host)).unwrap();
     assert!(limiters[other].acquire(at(3000), &name("anchor"), &workspace).is_err());
     lend(&mut limiters, other, sharing[0], at(3000), &workspace);
     assert!(limiters[other].acquire(at(3000), &name("anchor"), &workspace).is_ok());
 }
 
+/// A short workspace looks for lenders with every request. Ranking all hosts anew for each of them costs
+/// more than the request itself.
+#[test]
+fn looking_for_lenders_costs_little_with_many_hosts() {
+    let workspace = workspace(4.0, 4.0);
+    let mut limiter = at_host(0, 300, Duration::ZERO);
+    let started = Instant::now();
+    for step in 0..2_000 {
+        let lenders = limiter.lenders(at(step), &name("anchor"), &workspace);
+        assert!((1..=8).contains(&lenders.len()));
+    }
+    let elapsed = started.elapsed();
+    assert!(elapsed < Duration::from_secs(2), "2,000 requests took {elapsed:?}");
+}
+
 /// Guards against borrowed tokens that accumulate and are spent at once later.
 #[test]
 fn unused_borrowed_tokens_expire() {
--- a/crates/steer/src/lending.rs
+++ b/crates/steer/src/lending.rs
@@ -201,14 +201,13 @@
 /// Returns the other hosts that hold a share of the limit of the workspace called `name`.
 fn lenders(state: &State, name: &Arc<str>, workspace: &Workspace) -> Vec<Lender> {
     let own = &state.settings.host;
-    let rate_limiter = state.rate_limiter.borrow();
+    let sharing = state.rate_limiter.borrow_mut().lenders(clock::now(), name, workspace);
     let hosts = state.hosts.borrow();
-    let others = hosts.iter().filter(|(host_name, _)| **host_name != own.name);
+    let others = sharing.iter().filter(|host_name| **host_name != own.name);
     others
-        .filter(|(host_name, _)| rate_limiter.has_share(host_name, name, workspace))
-        .map(|(host_name, host)| {
-            let is_local = host.registration.region == own.region;
-            Lender { host: host_name.clone(), is_local }
+        .filter_map(|host_name| {
+            let is_local = hosts.get(host_name)?.registration.region == own.region;
+            Some(Lender { host: host_name.clone(), is_local })
         })
         .collect()
 }
