feed: the hosts of a region share their calls of the store

Change: core::steering::relay decides who asks whom and when. Hosts of a region of five or more send their questions to the first of them in a common order; it asks the store once for all and answers each with what it is missing. An answer counts from the moment at which the question was sent, on the clock of its sender, so neither a frozen relay nor a late message passes for a fresh state; a host without an answer asks the store when it would have asked without a relay. A relay keeps no state. Messages of hosts go through one socket module.

--- a/crates/core/src/steering.rs
+++ b/crates/core/src/steering.rs
@@ -15,6 +15,7 @@
 pub mod notice;
 pub mod plan;
 pub mod rate;
+pub mod relay;
 pub mod retry;
 pub mod samples;
 pub mod seats;
--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -90,6 +90,11 @@
         self.region_hosts = hosts;
     }
 
+    /// Names of the hosts of this region, including this one.
+    pub fn region_hosts(&self) -> &[Arc<str>] {
+        &self.region_hosts
+    }
+
     /// Sets how long a service's instances are cold after their start, and how many requests per
     /// second a cold instance tolerates from all hosts together.
     pub fn set_warmup(
--- /dev/null
+++ b/crates/core/src/steering/relay.rs
@@ -0,0 +1,142 @@
+//! Decides whether a host asks the store for changes, or another host of its region.
+//!
+//! The load pattern is hundreds of hosts that follow the same changes, each with calls that cost as
+//! much as the first one. So the hosts of a region send their questions to one of them, which asks the
+//! store once for all questions that have arrived, and answers each with the changes that its sender is
+//! missing. An answer shows what the store held after the question was sent, by the clock of the host
+//! that sent it: neither a delayed message nor a frozen relay can pass off an old state as a new one. A
+//! host that has no answer in time asks the store itself, as soon as it would without a relay. See
+//! docs/platform.md.
+
+use std::{sync::Arc, time::Duration};
+
+use crate::rendezvous;
+
+/// Hosts of a region from which on they ask one of them. With fewer, the relay's more frequent calls
+/// cost more than those that it saves.
+const MIN_HOSTS: usize = 5;
+
+/// Hosts that are asked in turn while they do not answer.
+const MAX_RELAYS: usize = 3;
+
+/// Interval between two calls of a relay, relative to the longest time without a fresh state.
+const RELAY_INTERVAL_RATIO: f64 = 0.4;
+
+/// Longest wait for an answer, relative to the longest time without a fresh state.
+const ANSWER_TIME_RATIO: f64 = 0.6;
+
+/// Time since the last question for which a host counts as a relay.
+const RELAY_TIME: Duration = Duration::from_secs(3);
+
+/// Next thing to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Ask the store.
+    CallStore,
+    /// Ask the host with this name.
+    Ask(Arc<str>),
+    /// Wait until this time, or until a message arrives.
+    Wait(Duration),
+}
+
+/// Times at which a host learned, and has to learn, what the store holds.
+#[derive(Clone, Debug)]
+pub struct Schedule {
+    host: Arc<str>,
+    /// Longest time without a fresh state.
+    interval: Duration,
+    /// Time of a state that the host knows completely; `None` if it knows none.
+    fresh_at: Option<Duration>,
+    /// When the last call of the store ended.
+    called_at: Duration,
+    /// Time before which the store is not called again, after a failure.
+    retry_at: Duration,
+    /// When the last question to a relay was sent; `None` if it was answered.
+    asked_at: Option<Duration>,
+    /// Number of questions that were not answered.
+    unanswered: usize,
+    /// When another host last asked this one.
+    was_asked_at: Option<Duration>,
+}
+
+impl Schedule {
+    /// A host that knows nothing yet. `interval` is the longest time without a fresh state.
+    pub fn new(host: Arc<str>, interval: Duration) -> Self {
+        Self {
+            host,
+            interval,
+            fresh_at: None,
+            called_at: Duration::ZERO,
+            retry_at: Duration::ZERO,
+            asked_at: None,
+            unanswered: 0,
+            was_asked_at: None,
+        }
+    }
+
+    /// Returns what to do now. `region_hosts` are the hosts of the region, including this one, and
+    /// `has_questions` says whether other hosts wait for an answer.
+    pub fn next(&mut self, now: Duration, region_hosts: &[Arc<str>], has_questions: bool) -> Step {
+        let relay_due = self.called_at + self.interval.mul_f64(RELAY_INTERVAL_RATIO);
+        let own_due = self.fresh_at.map_or(Duration::ZERO, |fresh_at| fresh_at + self.interval);
+        let due = if has_questions { relay_due.min(own_due) } else { own_due };
+        let call_at = due.max(self.retry_at);
+        if now >= call_at {
+            return Step::CallStore;
+        }
+        let is_relay = self.was_asked_at.is_some_and(|at| now < at + RELAY_TIME);
+        if has_questions || is_relay || region_hosts.len() < MIN_HOSTS {
+            return Step::Wait(call_at);
+        }
+        let answer_time = self.interval.mul_f64(ANSWER_TIME_RATIO);
+        match self.asked_at {
+            Some(asked_at) if now < asked_at + answer_time => {
+                return Step::Wait(call_at.min(asked_at + answer_time));
+            }
+            Some(_) => self.unanswered += 1,
+            None => {}
+        }
+        self.asked_at = Some(now);
+        match relays(region_hosts).nth(self.unanswered % MAX_RELAYS) {
+            Some(relay) if relay != self.host => Step::Ask(relay),
+            _ => Step::Wait(call_at.min(now + answer_time)),
+        }
+    }
+
+    /// Records a response of the store.
+    pub fn record_response(&mut self, now: Duration) {
+        self.fresh_at = self.fresh_at.max(Some(now));
+        self.called_at = now;
+        self.retry_at = Duration::ZERO;
+    }
+
+    /// Records a failed call of the store, which is repeated after `delay` at the earliest.
+    pub fn record_failure(&mut self, now: Duration, delay: Duration) {
+        self.called_at = now;
+        self.retry_at = now + delay;
+    }
+
+    /// Records that the host has missed changes, so that it knows no complete state.
+    pub fn record_gap(&mut self) {
+        self.fresh_at = None;
+    }
+
+    /// Records the answer to the question that was sent at `asked_at`.
+    pub fn record_answer(&mut self, asked_at: Duration) {
+        self.fresh_at = self.fresh_at.max(Some(asked_at));
+        if self.asked_at == Some(asked_at) {
+            self.asked_at = None;
+        }
+    }
+
+    /// Records a question of another host.
+    pub fn record_question(&mut self, now: Duration) {
+        self.was_asked_at = Some(now);
+    }
+}
+
+/// Hosts of a region that are asked, the first one first, in an order that all hosts know.
+pub fn relays(region_hosts: &[Arc<str>]) -> impl Iterator<Item = Arc<str>> {
+    let ranked = rendezvous::rank("relay", region_hosts.iter().map(AsRef::as_ref));
+    ranked.into_iter().take(MAX_RELAYS).map(|index| region_hosts[index].clone())
+}
--- a/crates/core/src/steering/tests.rs
+++ b/crates/core/src/steering/tests.rs
@@ -10,6 +10,7 @@
 mod notice;
 mod plan;
 mod rate;
+mod relay;
 mod retry;
 mod seats;
 mod shift;
--- a/crates/steer/src/constants.rs
+++ b/crates/steer/src/constants.rs
@@ -6,9 +6,12 @@
 /// connection fails soon after it.
 pub(crate) const WATCH_WAIT: Duration = Duration::from_millis(1000);
 
-/// Delay between two watch calls, relative to the configured propagation time of changes. The delay
-/// collects several changes in one call, because every call costs money and entries change many
-/// times a second.
+/// Longest time for which the store may hold the watch call of a host that others have asked for changes.
+pub(crate) const RELAY_WATCH_WAIT: Duration = Duration::from_millis(1);
+
+/// Longest time for which a host does not learn what the store holds, relative to the configured
+/// propagation time of changes. The delay collects several changes in one call, because every call costs
+/// money and entries change many times a second.
 pub(crate) const WATCH_INTERVAL_RATIO: f64 = 0.6;
 
 /// Timeout of a store call, in addition to the time for which the store may hold it.
--- a/crates/steer/src/feed.rs
+++ b/crates/steer/src/feed.rs
@@ -5,20 +5,24 @@
 //! again. See docs/platform.md.
 
 mod entries;
+pub mod relay;
 
-use std::{collections::BTreeSet, rc::Rc, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
 
 use futures_util::future::try_join_all;
-use tokio::time::sleep;
+use marjorampick_core::steering::relay::{Schedule, Step};
+use relay::{Answer, Inbox, Question};
+use tokio::time::timeout;
 
 use crate::{
     clock,
     constants::{
-        MAX_STORE_RETRY_DELAY, MIN_STORE_RETRY_DELAY, OUTAGE_THRESHOLD, WATCH_INTERVAL_RATIO,
-        WATCH_WAIT,
+        MAX_STORE_RETRY_DELAY, MIN_STORE_RETRY_DELAY, OUTAGE_THRESHOLD, RELAY_WATCH_WAIT,
+        WATCH_INTERVAL_RATIO, WATCH_WAIT,
     },
     events::{Event, Rank},
     metrics,
+    peers::{Message, Socket},
     registration::KEY_PREFIX,
     state::{Host, State},
     store::{Call, Change, Client, Fault, Item, Reply},
@@ -28,32 +32,24 @@
 /// money.
 const ALL_KEYS_PREFIX: &str = "";
 
-/// Watches the store until the process ends.
-pub async fn run(state: Rc<State>, client: Client) {
+/// Follows the store until the process ends, itself or through other hosts.
+pub async fn run(state: Rc<State>, client: Client, socket: Rc<Socket>, inbox: Rc<Inbox>) {
+    let interval = state.settings.store.propagation.mul_f64(WATCH_INTERVAL_RATIO);
     let mut feed = Feed {
+        schedule: Schedule::new(state.settings.host.name.clone(), interval),
         state,
         client,
+        socket,
+        inbox,
         revision: 0,
         is_synced: false,
         is_reachable: false,
         last_response_at: clock::now(),
         recovered_at: None,
+        retry_delay: MIN_STORE_RETRY_DELAY,
     };
-    let watch_interval = feed.state.settings.store.propagation.mul_f64(WATCH_INTERVAL_RATIO);
-    let mut retry_delay = MIN_STORE_RETRY_DELAY;
     loop {
-        let result = if feed.is_synced { feed.watch().await } else { feed.read_all().await };
-        match result {
-            Ok(()) => {
-                retry_delay = MIN_STORE_RETRY_DELAY;
-                sleep(watch_interval).await;
-            }
-            Err(fault) => {
-                feed.record_failure(&fault);
-                sleep(retry_delay).await;
-                retry_delay = (retry_delay * 2).min(MAX_STORE_RETRY_DELAY);
-            }
-        }
+        feed.step().await;
     }
 }
 
@@ -61,6 +57,9 @@
 struct Feed {
     state: Rc<State>,
     client: Client,
+    socket: Rc<Socket>,
+    inbox: Rc<Inbox>,
+    schedule: Schedule,
     /// Revision up to which changes have been applied.
     revision: u64,
     /// Whether all items were read, so that only later changes are needed.
@@ -70,20 +69,82 @@
     last_response_at: Duration,
     /// When the store last recovered from an outage that was long enough for leases to expire.
     recovered_at: Option<Duration>,
+    /// Delay before the next call of the store if this one fails.
+    retry_delay: Duration,
 }
 
 impl Feed {
-    /// Waits for changes and applies them.
+    /// Does the next thing that is due.
+    async fn step(&mut self) {
+        for answer in self.inbox.take_answers() {
+            self.apply_answer(answer);
+        }
+        if let Some(asked_at) = self.inbox.take_asked_at() {
+            self.schedule.record_question(asked_at);
+        }
+        let has_questions = self.inbox.has_questions();
+        let region_hosts = self.state.fleet.borrow().region_hosts().to_vec();
+        let now = clock::now();
+        match self.schedule.next(now, &region_hosts, has_questions) {
+            Step::CallStore => self.call_store().await,
+            Step::Ask(relay) => self.ask(&relay, now),
+            Step::Wait(until) => {
+                let wait = until.saturating_sub(clock::now());
+                // A timeout means that it is time for the next step.
+                timeout(wait, self.inbox.arrived()).await.ok();
+            }
+        }
+    }
+
+    /// Reads all items, or the changes since the last call.
+    async fn call_store(&mut self) {
+        let result = if self.is_synced { self.watch().await } else { self.read_all().await };
+        match result {
+            Ok(()) => {
+                self.retry_delay = MIN_STORE_RETRY_DELAY;
+                self.schedule.record_response(clock::now());
+            }
+            Err(fault) => {
+                self.record_failure(&fault);
+                self.schedule.record_failure(clock::now(), self.retry_delay);
+                self.retry_delay = (self.retry_delay * 2).min(MAX_STORE_RETRY_DELAY);
+            }
+        }
+    }
+
+    /// Waits for changes, applies them and passes them on to the hosts that have asked for them.
     async fn watch(&mut self) -> Result<(), Fault> {
+        let questions = self.inbox.take_questions(self.revision);
+        let asked = questions.iter().map(|(_, question)| question.revision);
+        let after = asked.fold(self.revision, u64::min);
+        let wait = if questions.is_empty() { WATCH_WAIT } else { RELAY_WATCH_WAIT };
+        let (changes, revision) = match self.read_changes(after, wait).await {
+            // The changes that only other hosts are missing are gone. They have to ask the store.
+            Err(Fault::Compacted) if after < self.revision => {
+                self.read_changes(self.revision, wait).await?
+            }
+            result => result?,
+        };
+        self.record_response(clock::now());
+        self.answer(&questions, after, &changes, revision);
+        self.apply_changes(changes, revision);
+        Ok(())
+    }
+
+    /// Returns the changes after a revision, and the revision up to which they are complete.
+    async fn read_changes(&self, after: u64, wait: Duration) -> Result<(Vec<Change>, u64), Fault> {
         let prefix = ALL_KEYS_PREFIX.to_owned();
-        let call = Call::Watch { prefix, after: self.revision, wait: WATCH_WAIT };
-        let reply = self.client.call(&call).await;
+        let reply = self.client.call(&Call::Watch { prefix, after, wait }).await;
         metrics::record_store_call("watch", reply.is_ok());
-        let Reply::Changes { changes, revision } = reply? else {
-            return Err(Fault::Malformed("the response has no changes".to_owned()));
-        };
-        self.record_response();
-        for change in changes {
+        match reply? {
+            Reply::Changes { changes, revision } => Ok((changes, revision)),
+            _ => Err(Fault::Malformed("the response has no changes".to_owned())),
+        }
+    }
+
+    /// Applies the changes that are new, in the order of their revisions.
+    fn apply_changes(&mut self, changes: Vec<Change>, revision: u64) {
+        for change in changes.into_iter().filter(|change| change.revision() > self.revision) {
             match change {
                 Change::Written(item) => self.apply(&item),
                 Change::Removed { key, revision } => self.remove_key(&key, revision),
@@ -91,7 +152,50 @@
         }
         self.revision = self.revision.max(revision);
         self.publish();
-        Ok(())
+    }
+
+    /// Asks another host for the changes.
+    fn ask(&self, relay: &str, now: Duration) {
+        let Some(address) =
+            self.state.hosts.borrow().get(relay).map(|host| host.registration.peers)
+        else {
+            return;
+        };
+        let asked_at = u64::try_from(now.as_nanos()).unwrap_or_default();
+        let question = Question { asked_at, revision: self.revision };
+        self.socket.send(&Message::Follow(question), address);
+    }
+
+    /// Answers the questions of other hosts from the changes after the revision `after`. A host without
+    /// an answer asks the store.
+    fn answer(
+        &self,
+        questions: &[(SocketAddr, Question)],
+        after: u64,
+        changes: &[Change],
+        revision: u64,
+    ) {
+        for (host, question) in questions.iter().filter(|(_, asked)| asked.revision >= after) {
+            let answer = Answer::new(question, changes, revision);
+            let is_sent = self.socket.send(&Message::Changes(answer), *host);
+            metrics::record_relay(if is_sent { "answered" } else { "unanswered" });
+        }
+    }
+
+    /// Applies the answer of another host to a question of this process.
+    fn apply_answer(&mut self, answer: Answer) {
+        let asked_at = Duration::from_nanos(answer.asked_at);
+        let is_own = self.state.started_at <= asked_at && asked_at <= clock::now();
+        let changes: Result<Vec<Change>, _> =
+            answer.changes.into_iter().map(Change::try_from).collect();
+        let is_complete = self.is_synced && answer.after <= self.revision;
+        let (true, Ok(changes)) = (is_own && is_complete, changes) else {
+            return;
+        };
+        metrics::record_relay("followed");
+        self.schedule.record_answer(asked_at);
+        self.record_response(asked_at);
+        self.apply_changes(changes, answer.until);
     }
 
     /// Reads all items, and removes the entries of [`Self::known_entries`] that are no longer in
@@ -106,7 +210,7 @@
             items.extend(page);
             min_revision = min_revision.min(revision);
         }
-        self.record_response();
+        self.record_response(clock::now());
         let keys: BTreeSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
         let entries = self.known_entries().into_iter();
         for entry in entries.filter(|entry| !keys.contains(entry.key.as_str())) {
@@ -129,7 +233,9 @@
         let mut after = None;
         let mut min_revision = u64::MAX;
         loop {
-            let call = Call::Range { prefix: prefix.to_owned(), after };
+            // The replies state their revision, and the next watch begins at the lowest one.
+            let may_be_stale = true;
+            let call = Call::Range { prefix: prefix.to_owned(), after, may_be_stale };
             let reply = self.client.call(&call).await;
             metrics::record_store_call("range", reply.is_ok());
             let Reply::Items { items, has_more, revision } = reply? else {
@@ -144,7 +250,8 @@
         }
     }
 
-    fn record_response(&mut self) {
+    /// Records that the host knows what the store held at `at`, or later.
+    fn record_response(&mut self, at: Duration) {
         let now = clock::now();
         if !self.is_reachable {
             let outage_time = now.saturating_sub(self.last_response_at);
@@ -156,13 +263,14 @@
             self.state.log.write(Rank::Notice, event);
         }
         self.is_reachable = true;
-        self.last_response_at = now;
-        self.state.store_last_response_at.set(now);
+        self.last_response_at = self.last_response_at.max(at);
+        self.state.store_last_response_at.set(self.last_response_at);
     }
 
     fn record_failure(&mut self, fault: &Fault) {
         if *fault == Fault::Compacted {
             self.is_synced = false;
+            self.schedule.record_gap();
             // Changes were missed for an unknown time, in which entries may have expired and
             // reappeared, so everything has to be read again.
             self.state.log.write(
--- a/crates/steer/src/lending.rs
+++ b/crates/steer/src/lending.rs
@@ -7,45 +7,23 @@
     cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
 };
 
-use eyre::WrapErr as _;
 use marjorampick_core::steering::{
     lenders::{Lender, Selector},
     plan::Workspace,
     rate::LOAN_LIFETIME,
 };
-use serde::{Deserialize, Serialize};
 use tokio::{
-    net::UdpSocket,
     sync::Notify,
     time::{Instant, sleep_until},
 };
 
-use crate::{clock, constants::MAX_LOAN_WAIT, metrics, state::State};
-
-/// Largest datagram that is received, in bytes.
-const MAX_DATAGRAM_BYTES: usize = 1024;
-
-/// Message between two hosts, encoded as JSON.
-#[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Message {
-    /// Requests a loan.
-    Ask {
-        /// Id of the request, unique at the borrower.
-        id: u64,
-        /// Name of the workspace.
-        workspace: Arc<str>,
-        /// Number of tokens that the borrower wants.
-        tokens: u32,
-    },
-    /// Replies to a request for a loan.
-    Lend {
-        /// Id of the request.
-        id: u64,
-        /// Number of tokens lent, possibly 0.
-        tokens: u32,
-    },
-}
+use crate::{
+    clock,
+    constants::MAX_LOAN_WAIT,
+    metrics,
+    peers::{Message, Socket},
+    state::State,
+};
 
 /// Request for a loan that has no reply yet.
 struct Request {
@@ -56,7 +34,7 @@
 
 /// Lender and borrower of tokens at this host.
 pub struct Lending {
-    socket: UdpSocket,
+    socket: Rc<Socket>,
     /// Requests without a reply, by their ids.
     pending_requests: RefCell<HashMap<u64, Request>>,
     last_request_id: RefCell<u64>,
@@ -66,11 +44,9 @@
 }
 
 impl Lending {
-    /// Binds the UDP socket to `address`.
-    pub async fn open(address: SocketAddr) -> eyre::Result<Self> {
-        let socket = UdpSocket::bind(address).await;
-        let socket = socket.wrap_err_with(|| format!("cannot bind the UDP socket to {address}"))?;
-        Ok(Self {
+    /// A lender and borrower without loans, which sends its messages through `socket`.
+    pub fn new(socket: Rc<Socket>) -> Self {
+        Self {
             socket,
             pending_requests: RefCell::default(),
             // Starts at the current time, so that late replies to requests of an earlier process do
@@ -80,7 +56,7 @@
             ),
             selectors: RefCell::default(),
             reply_received: Notify::new(),
-        })
+        }
     }
 
     /// Requests tokens of the workspace called `name` from other hosts if this host is short of
@@ -103,7 +79,7 @@
             let request = Request { workspace_name: name.clone(), host, sent_at: now };
             self.pending_requests.borrow_mut().insert(id, request);
             let message = Message::Ask { id, workspace: name.clone(), tokens: wanted };
-            self.send(&message, address);
+            self.socket.send(&message, address);
         }
     }
 
@@ -143,50 +119,36 @@
         *last_id
     }
 
-    fn send(&self, message: &Message, address: SocketAddr) {
-        match serde_json::to_vec(message) {
-            // A datagram that cannot be sent is handled like a lost one.
-            Ok(bytes) => {
-                if let Err(error) = self.socket.try_send_to(&bytes, address) {
-                    log::debug!("lending: cannot send a datagram to {address}: {error}");
-                }
-            }
-            Err(error) => log::error!("lending: cannot encode a message: {error}"),
-        }
+    /// Lends tokens of the workspace called `name`, as many as this host can spare.
+    pub(crate) fn lend(
+        &self,
+        state: &State,
+        id: u64,
+        name: &Arc<str>,
+        tokens: u32,
+        sender: SocketAddr,
+    ) {
+        let plan = state.plan.borrow().clone();
+        let workspace = plan.as_ref().and_then(|plan| plan.workspaces.get(name));
+        let lent = workspace.map_or(0, |workspace| {
+            state.rate_limiter.borrow_mut().lend(clock::now(), name, workspace, tokens)
+        });
+        metrics::record_lent_tokens(lent);
+        self.socket.send(&Message::Lend { id, tokens: lent }, sender);
     }
 
-    fn handle_message(&self, state: &State, message: Message, sender: SocketAddr) {
-        match message {
-            Message::Ask { id, workspace: name, tokens } => {
-                let plan = state.plan.borrow().clone();
-                let workspace = plan.as_ref().and_then(|plan| plan.workspaces.get(&name));
-                let lent = workspace.map_or(0, |workspace| {
-                    state.rate_limiter.borrow_mut().lend(clock::now(), &name, workspace, tokens)
-                });
-                metrics::record_lent_tokens(lent);
-                self.send(&Message::Lend { id, tokens: lent }, sender);
-            }
-            Message::Lend { id, tokens } => {
-                let Some(request) = self.pending_requests.borrow_mut().remove(&id) else {
-                    return;
-                };
-                let now = clock::now();
-                let expires_at = request.sent_at + LOAN_LIFETIME;
-                state.rate_limiter.borrow_mut().add_loan(
-                    now,
-                    &request.workspace_name,
-                    tokens,
-                    expires_at,
-                );
-                let mut selectors = self.selectors.borrow_mut();
-                selectors.entry(request.workspace_name).or_default().record_reply(
-                    now,
-                    &request.host,
-                    tokens,
-                );
-                self.reply_received.notify_waiters();
-            }
-        }
+    /// Adds the tokens of a loan that this host asked for.
+    pub(crate) fn accept_loan(&self, state: &State, id: u64, tokens: u32) {
+        let Some(request) = self.pending_requests.borrow_mut().remove(&id) else {
+            return;
+        };
+        let now = clock::now();
+        let expires_at = request.sent_at + LOAN_LIFETIME;
+        let name = request.workspace_name;
+        state.rate_limiter.borrow_mut().add_loan(now, &name, tokens, expires_at);
+        let mut selectors = self.selectors.borrow_mut();
+        selectors.entry(name).or_default().record_reply(now, &request.host, tokens);
+        self.reply_received.notify_waiters();
     }
 
     /// Removes pending requests that are so old that a reply would be ignored.
@@ -211,17 +173,3 @@
         })
         .collect()
 }
-
-/// Handles messages of other hosts until the process ends.
-pub async fn run(state: Rc<State>, lending: Rc<Lending>) {
-    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-    loop {
-        match lending.socket.recv_from(&mut buffer).await {
-            Ok((length, sender)) => match serde_json::from_slice(&buffer[..length]) {
-                Ok(message) => lending.handle_message(&state, message, sender),
-                Err(error) => log::debug!("lending: malformed datagram from {sender}: {error}"),
-            },
-            Err(error) => log::debug!("lending: cannot receive a datagram: {error}"),
-        }
-    }
-}
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod limits;
 pub mod listeners;
 mod metrics;
+pub mod peers;
 pub mod registration;
 pub mod run;
 pub mod settings;
--- a/crates/steer/src/metrics.rs
+++ b/crates/steer/src/metrics.rs
@@ -13,6 +13,7 @@
 const STORE_CALLS_TOTAL: &str = "marjorampick_store_calls_total";
 const TOKENS_LENT_TOTAL: &str = "marjorampick_tokens_lent_total";
 const REQUESTS_IN_FLIGHT: &str = "marjorampick_requests_in_flight";
+const RELAY_MESSAGES_TOTAL: &str = "marjorampick_relay_messages_total";
 const LIMITED_INSTANCES: &str = "marjorampick_limited_instances";
 
 /// Upper bounds of the histogram buckets, in seconds.
@@ -33,6 +34,11 @@
     describe_counter!(ATTEMPTS_TOTAL, Unit::Count, "Requests sent to backend servers, by outcome.");
     describe_counter!(STORE_CALLS_TOTAL, Unit::Count, "Calls to the store, by kind and outcome.");
     describe_counter!(TOKENS_LENT_TOTAL, Unit::Count, "Tokens of workspaces lent to other hosts.");
+    describe_counter!(
+        RELAY_MESSAGES_TOTAL,
+        Unit::Count,
+        "Changes of the store passed on to other hosts or learned from them, by outcome."
+    );
     describe_gauge!(REQUESTS_IN_FLIGHT, Unit::Count, "Requests that have not ended.");
     describe_gauge!(LIMITED_INSTANCES, Unit::Count, "Instances with a limit that applies.");
     Ok(handle)
@@ -76,6 +82,11 @@
     counter!(STORE_CALLS_TOTAL, "kind" => kind, "outcome" => outcome).increment(1);
 }
 
+/// Records a message with changes of the store.
+pub(crate) fn record_relay(outcome: &'static str) {
+    counter!(RELAY_MESSAGES_TOTAL, "outcome" => outcome).increment(1);
+}
+
 /// Sets the number of requests in flight.
 pub(crate) fn set_in_flight(count: u32) {
     gauge!(REQUESTS_IN_FLIGHT).set(count);
--- /dev/null
+++ b/crates/steer/src/peers.rs
@@ -0,0 +1,102 @@
+//! Messages between entry hosts, over UDP.
+//!
+//! Two exchanges use them: loans of rate limit tokens ([`crate::lending`]) and changes of the store that
+//! one host passes on to others ([`crate::feed`]). Both work without any message: a lost, late or
+//! duplicated one costs a retry or a call of the store and never leads to a wrong state.
+
+use std::{net::SocketAddr, rc::Rc, sync::Arc};
+
+use eyre::WrapErr as _;
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+
+use crate::{
+    feed::relay::{Answer, Inbox, Question},
+    lending::Lending,
+    state::State,
+};
+
+/// Largest datagram, in bytes.
+pub(crate) const MAX_DATAGRAM_BYTES: usize = 60_000;
+
+/// Message between two hosts, encoded as JSON.
+#[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Message {
+    /// Requests a loan.
+    Ask {
+        /// Id of the request, unique at the borrower.
+        id: u64,
+        /// Name of the workspace.
+        workspace: Arc<str>,
+        /// Number of tokens that the borrower wants.
+        tokens: u32,
+    },
+    /// Replies to a request for a loan.
+    Lend {
+        /// Id of the request.
+        id: u64,
+        /// Number of tokens lent, possibly 0.
+        tokens: u32,
+    },
+    /// Asks for the changes of the store.
+    Follow(Question),
+    /// Answers [`Self::Follow`].
+    Changes(Answer),
+}
+
+/// Socket for messages of other hosts.
+#[derive(Debug)]
+pub struct Socket(UdpSocket);
+
+impl Socket {
+    /// Binds the UDP socket to `address`.
+    pub async fn open(address: SocketAddr) -> eyre::Result<Self> {
+        let socket = UdpSocket::bind(address).await;
+        let socket = socket.wrap_err_with(|| format!("cannot bind the UDP socket to {address}"))?;
+        Ok(Self(socket))
+    }
+
+    /// Sends a message. One that cannot be sent is handled like a lost one. Returns whether it was sent.
+    pub(crate) fn send(&self, message: &Message, address: SocketAddr) -> bool {
+        let bytes = match serde_json::to_vec(message) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                log::error!("peers: cannot encode a message: {error}");
+                return false;
+            }
+        };
+        if bytes.len() > MAX_DATAGRAM_BYTES {
+            log::debug!("peers: a message of {} bytes is too large", bytes.len());
+            return false;
+        }
+        let sent = self.0.try_send_to(&bytes, address);
+        if let Err(error) = &sent {
+            log::debug!("peers: cannot send a datagram to {address}: {error}");
+        }
+        sent.is_ok()
+    }
+}
+
+/// Handles messages of other hosts until the process ends.
+pub async fn run(state: Rc<State>, socket: Rc<Socket>, lending: Rc<Lending>, inbox: Rc<Inbox>) {
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        let (length, sender) = match socket.0.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                log::debug!("peers: cannot receive a datagram: {error}");
+                continue;
+            }
+        };
+        match serde_json::from_slice(&buffer[..length]) {
+            Ok(Message::Ask { id, workspace, tokens }) => {
+                lending.lend(&state, id, &workspace, tokens, sender);
+            }
+            Ok(Message::Lend { id, tokens }) => lending.accept_loan(&state, id, tokens),
+            Ok(Message::Follow(question)) => inbox.add_question(question, sender),
+            Ok(Message::Changes(answer)) => inbox.add_answer(answer),
+            Err(error) => log::debug!("peers: malformed datagram from {sender}: {error}"),
+        }
+    }
+}
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -16,11 +16,13 @@
     codec::Codec,
     constants::{CLOSE_DELAY_RATIO, GRACE_MARGIN, MAINTENANCE_INTERVAL},
     events::{Event, Log, Rank},
-    feed,
-    lending::{self, Lending},
+    feed::{self, relay::Inbox},
+    lending::Lending,
     limits,
     listeners::{self, Context},
-    metrics, registration,
+    metrics,
+    peers::{self, Socket},
+    registration,
     settings::{self, Settings},
     state::State,
     store::Client,
@@ -57,12 +59,15 @@
     let client = Client::new(state.settings.store.address, state.codec.store.clone());
     let (stopping_sender, stopping) = watch::channel(false);
     let (closing_sender, closing) = watch::channel(false);
-    tokio::task::spawn_local(feed::run(state.clone(), client.clone()));
+    let socket = Rc::new(Socket::open(state.settings.listeners.peers).await?);
+    let lending = Rc::new(Lending::new(socket.clone()));
+    let inbox = Rc::new(Inbox::default());
+    let feed = feed::run(state.clone(), client.clone(), socket.clone(), inbox.clone());
+    tokio::task::spawn_local(feed);
     tokio::task::spawn_local(limits::run(state.clone(), client.clone()));
     let registration_task =
         tokio::task::spawn_local(registration::run(state.clone(), client.clone(), stopping));
-    let lending = Rc::new(Lending::open(state.settings.listeners.peers).await?);
-    tokio::task::spawn_local(lending::run(state.clone(), lending.clone()));
+    tokio::task::spawn_local(peers::run(state.clone(), socket.clone(), lending.clone(), inbox));
     tokio::task::spawn_local(run_maintenance(
         state.clone(),
         client,
--- a/crates/steer/src/store.rs
+++ b/crates/steer/src/store.rs
@@ -20,6 +20,8 @@
         prefix: String,
         /// Last key of the previous page.
         after: Option<String>,
+        /// Whether the items may be those of an earlier revision, which the reply states.
+        may_be_stale: bool,
     },
     /// Returns the changes after a revision, and waits for one if there is none (long polling).
     Watch {
@@ -87,6 +89,16 @@
     },
 }
 
+impl Change {
+    /// Revision of the change.
+    pub fn revision(&self) -> u64 {
+        match self {
+            Self::Written(item) => item.revision,
+            Self::Removed { revision, .. } => *revision,
+        }
+    }
+}
+
 /// Response to a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reply {
