feed: a host that missed changes reads the current state, not a stale copy

Seen in the log of edge-ee-north-b-14: three times 'history compacted' from 2.3 to 8.3 s at revision 934. Change: only the first read of a process may be stale, and it counts only together with the watch that follows at once.

--- a/crates/steer/src/feed.rs
+++ b/crates/steer/src/feed.rs
@@ -42,7 +42,7 @@
         socket,
         inbox,
         revision: 0,
-        is_synced: false,
+        progress: Progress::Unread,
         is_reachable: false,
         last_response_at: clock::now(),
         recovered_at: None,
@@ -53,6 +53,17 @@
     }
 }
 
+/// What was read of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Progress {
+    /// Nothing yet.
+    Unread,
+    /// All items, but changes after them were missed.
+    Incomplete,
+    /// All items and all changes up to a revision.
+    Complete,
+}
+
 /// Watch on the store, with the position up to which changes have been applied.
 struct Feed {
     state: Rc<State>,
@@ -62,8 +73,7 @@
     schedule: Schedule,
     /// Revision up to which changes have been applied.
     revision: u64,
-    /// Whether all items were read, so that only later changes are needed.
-    is_synced: bool,
+    progress: Progress,
     is_reachable: bool,
     /// When the store last responded; at first, when the watch started.
     last_response_at: Duration,
@@ -98,8 +108,7 @@
 
     /// Reads all items, or the changes since the last call.
     async fn call_store(&mut self) {
-        let result = if self.is_synced { self.watch().await } else { self.read_all().await };
-        match result {
+        match self.read().await {
             Ok(()) => {
                 self.retry_delay = MIN_STORE_RETRY_DELAY;
                 self.schedule.record_response(clock::now());
@@ -112,17 +121,37 @@
         }
     }
 
+    /// Reads what is missing.
+    ///
+    /// The first read costs less as it may be of an earlier state, from which the watch goes on. After a
+    /// compaction such a state could be older than the history again.
+    async fn read(&mut self) -> Result<(), Fault> {
+        match self.progress {
+            Progress::Unread => {
+                self.read_all(true).await?;
+                self.watch(RELAY_WATCH_WAIT).await
+            }
+            Progress::Incomplete => self.read_all(false).await,
+            Progress::Complete => self.watch(WATCH_WAIT).await,
+        }?;
+        self.publish();
+        Ok(())
+    }
+
     /// Waits for changes, applies them and passes them on to the hosts that have asked for them.
-    async fn watch(&mut self) -> Result<(), Fault> {
+    async fn watch(&mut self, wait: Duration) -> Result<(), Fault> {
         let questions = self.inbox.take_questions(self.revision);
         let asked = questions.iter().map(|(_, question)| question.revision);
         let after = asked.fold(self.revision, u64::min);
-        let wait = if questions.is_empty() { WATCH_WAIT } else { RELAY_WATCH_WAIT };
+        let wait = if questions.is_empty() { wait } else { RELAY_WATCH_WAIT };
         let (changes, revision) = match self.read_changes(after, wait).await {
             // The changes that only other hosts are missing are gone. They have to ask the store.
             Err(Fault::Compacted) if after < self.revision => {
                 self.read_changes(self.revision, wait).await?
             }
+            Ok((_, revision)) if revision < self.revision => {
+                self.read_changes(self.revision, wait).await?
+            }
             result => result?,
         };
         self.record_response(clock::now());
@@ -151,7 +180,6 @@
             }
         }
         self.revision = self.revision.max(revision);
-        self.publish();
     }
 
     /// Asks another host for the changes.
@@ -188,7 +216,7 @@
         let is_own = self.state.started_at <= asked_at && asked_at <= clock::now();
         let changes: Result<Vec<Change>, _> =
             answer.changes.into_iter().map(Change::try_from).collect();
-        let is_complete = self.is_synced && answer.after <= self.revision;
+        let is_complete = self.progress == Progress::Complete && answer.after <= self.revision;
         let (true, Ok(changes)) = (is_own && is_complete, changes) else {
             return;
         };
@@ -196,16 +224,17 @@
         self.schedule.record_answer(asked_at);
         self.record_response(asked_at);
         self.apply_changes(changes, answer.until);
+        self.publish();
     }
 
     /// Reads all items, and removes the entries of [`Self::known_entries`] that are no longer in
-    /// the store.
-    async fn read_all(&mut self) -> Result<(), Fault> {
+    /// the store. `may_be_stale` allows items of an earlier revision.
+    async fn read_all(&mut self, may_be_stale: bool) -> Result<(), Fault> {
         let mut items = Vec::new();
         let mut min_revision = u64::MAX;
         let prefixes: Vec<&str> =
             self.state.codec.key_prefixes.iter().copied().chain([KEY_PREFIX]).collect();
-        let reads = prefixes.into_iter().map(|prefix| self.read_prefix(prefix));
+        let reads = prefixes.into_iter().map(|prefix| self.read_prefix(prefix, may_be_stale));
         for (page, revision) in try_join_all(reads).await? {
             items.extend(page);
             min_revision = min_revision.min(revision);
@@ -221,20 +250,21 @@
         }
         self.state.fleet.borrow_mut().finish_initial_sync();
         self.revision = min_revision;
-        self.is_synced = true;
-        self.publish();
+        self.progress = Progress::Complete;
         Ok(())
     }
 
     /// Reads all pages of the items under a prefix. Returns the lowest revision of the pages, as
     /// items may change between two pages.
-    async fn read_prefix(&self, prefix: &str) -> Result<(Vec<Item>, u64), Fault> {
+    async fn read_prefix(
+        &self,
+        prefix: &str,
+        may_be_stale: bool,
+    ) -> Result<(Vec<Item>, u64), Fault> {
         let mut all_items = Vec::new();
         let mut after = None;
         let mut min_revision = u64::MAX;
         loop {
-            // The replies state their revision, and the next watch begins at the lowest one.
-            let may_be_stale = true;
             let call = Call::Range { prefix: prefix.to_owned(), after, may_be_stale };
             let reply = self.client.call(&call).await;
             metrics::record_store_call("range", reply.is_ok());
@@ -255,7 +285,7 @@
         let now = clock::now();
         if !self.is_reachable {
             let outage_time = now.saturating_sub(self.last_response_at);
-            if self.is_synced && outage_time >= OUTAGE_THRESHOLD {
+            if self.progress != Progress::Unread && outage_time >= OUTAGE_THRESHOLD {
                 self.recovered_at = Some(now);
             }
             let event =
@@ -269,7 +299,7 @@
 
     fn record_failure(&mut self, fault: &Fault) {
         if *fault == Fault::Compacted {
-            self.is_synced = false;
+            self.progress = Progress::Incomplete;
             self.schedule.record_gap();
             // Changes were missed for an unknown time, in which entries may have expired and
             // reappeared, so everything has to be read again.
