feed: changes that hosts pass on are compressed

Change: the changes of an answer are the compressed payload of its message, encoded once for all hosts at the same revision.

--- a/crates/steer/src/feed.rs
+++ b/crates/steer/src/feed.rs
@@ -7,7 +7,12 @@
 mod entries;
 pub mod relay;
 
-use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use futures_util::future::try_join_all;
 use marjorampick_core::steering::relay::{Schedule, Step};
@@ -86,8 +91,8 @@
 impl Feed {
     /// Does the next thing that is due.
     async fn step(&mut self) {
-        for answer in self.inbox.take_answers() {
-            self.apply_answer(answer);
+        for (answer, changes) in self.inbox.take_answers() {
+            self.apply_answer(&answer, changes);
         }
         if let Some(asked_at) = self.inbox.take_asked_at() {
             self.schedule.record_question(asked_at);
@@ -203,23 +208,26 @@
         changes: &[Change],
         revision: u64,
     ) {
+        let mut payloads: BTreeMap<u64, Vec<u8>> = BTreeMap::new();
         for (host, question) in questions.iter().filter(|(_, asked)| asked.revision >= after) {
-            let answer = Answer::new(question, changes, revision);
-            let is_sent = self.socket.send(&Message::Changes(answer), *host);
+            let Question { asked_at, revision: after } = *question;
+            let payload = payloads
+                .entry(after)
+                .or_insert_with(|| relay::encode(changes, after).unwrap_or_default());
+            let answer = Answer { asked_at, after, until: revision.max(after) };
+            let message = Message::Changes(answer);
+            let is_sent = self.socket.send_with_payload(&message, payload, *host);
             metrics::record_relay(if is_sent { "answered" } else { "unanswered" });
         }
     }
 
     /// Applies the answer of another host to a question of this process.
-    fn apply_answer(&mut self, answer: Answer) {
+    fn apply_answer(&mut self, answer: &Answer, changes: Vec<Change>) {
         let asked_at = Duration::from_nanos(answer.asked_at);
         let is_own = self.state.started_at <= asked_at && asked_at <= clock::now();
-        let changes: Result<Vec<Change>, _> =
-            answer.changes.into_iter().map(Change::try_from).collect();
-        let is_complete = self.progress == Progress::Complete && answer.after <= self.revision;
-        let (true, Ok(changes)) = (is_own && is_complete, changes) else {
+        if !is_own || self.progress != Progress::Complete || answer.after > self.revision {
             return;
-        };
+        }
         metrics::record_relay("followed");
         self.schedule.record_answer(asked_at);
         self.record_response(asked_at);
--- a/crates/steer/src/feed/relay.rs
+++ b/crates/steer/src/feed/relay.rs
@@ -6,11 +6,13 @@
 
 use std::{
     cell::{Cell, RefCell},
+    io::{self, Read as _},
     net::SocketAddr,
     time::Duration,
 };
 
 use base64::{Engine as _, engine::general_purpose::STANDARD};
+use flate2::{Compression, read::ZlibDecoder, write::ZlibEncoder};
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
@@ -28,6 +30,9 @@
 /// Revisions by which the sender of a question may be behind. One that is further behind asks the store.
 const MAX_LAG: u64 = 2000;
 
+/// Largest decompressed payload, in bytes.
+const MAX_PAYLOAD_BYTES: u64 = 4 * 1024 * 1024;
+
 /// Asks for the changes of the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Question {
@@ -37,76 +42,78 @@
     pub revision: u64,
 }
 
-/// All changes of the store after a revision.
+/// Answers a question. The changes follow as the payload of the message, see [`encode`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Answer {
     /// [`Question::asked_at`] of the question.
     pub asked_at: u64,
     /// [`Question::revision`] of the question.
     pub after: u64,
-    /// Revision up to which [`Self::changes`] is complete.
+    /// Revision up to which the changes are complete.
     pub until: u64,
-    /// Changes in the order of their revisions.
-    pub changes: Vec<WireChange>,
 }
 
-/// Change of one key.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WireChange {
+/// Change of one key in a payload.
+#[derive(Serialize, Deserialize)]
+struct WireChange {
     key: String,
     revision: u64,
-    /// Base64-encoded value; absent if the key was removed.
+    /// Value that is valid UTF-8, which compresses better than with Base64; absent if there is none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    text: Option<String>,
+    /// Any other value, Base64-encoded.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    value: Option<String>,
+    bytes: Option<String>,
 }
 
 impl From<&Change> for WireChange {
     fn from(change: &Change) -> Self {
-        match change {
-            Change::Written(Item { key, value, revision }) => {
-                let value = Some(STANDARD.encode(value));
-                Self { key: key.clone(), revision: *revision, value }
-            }
-            Change::Removed { key, revision } => {
-                Self { key: key.clone(), revision: *revision, value: None }
-            }
-        }
+        let (key, revision) = (change.key().to_owned(), change.revision());
+        let (text, bytes) = match change {
+            Change::Written(item) => match String::from_utf8(item.value.clone()) {
+                Ok(text) => (Some(text), None),
+                Err(error) => (None, Some(STANDARD.encode(error.as_bytes()))),
+            },
+            Change::Removed { .. } => (None, None),
+        };
+        Self { key, revision, text, bytes }
     }
 }
 
-impl TryFrom<WireChange> for Change {
-    type Error = base64::DecodeError;
-
-    fn try_from(change: WireChange) -> Result<Self, Self::Error> {
-        let WireChange { key, revision, value } = change;
-        match value {
-            Some(value) => {
-                let value = STANDARD.decode(value)?;
-                Ok(Self::Written(Item { key, value, revision }))
-            }
-            None => Ok(Self::Removed { key, revision }),
-        }
+impl WireChange {
+    fn into_change(self) -> Option<Change> {
+        let Self { key, revision, text, bytes } = self;
+        let value = match (text, bytes) {
+            (Some(text), _) => text.into_bytes(),
+            (None, Some(bytes)) => STANDARD.decode(bytes).ok()?,
+            (None, None) => return Some(Change::Removed { key, revision }),
+        };
+        Some(Change::Written(Item { key, value, revision }))
     }
 }
 
-impl Answer {
-    /// Answers a question from changes that begin at its revision or before.
-    pub fn new(question: &Question, changes: &[Change], until: u64) -> Self {
-        let later = changes.iter().filter(|change| change.revision() > question.revision);
-        Self {
-            asked_at: question.asked_at,
-            after: question.revision,
-            until: until.max(question.revision),
-            changes: later.map(WireChange::from).collect(),
-        }
-    }
+/// Encodes the changes after a revision as compressed JSON. A large configuration would take a slow link
+/// of the relay for a second otherwise.
+pub fn encode(changes: &[Change], after: u64) -> io::Result<Vec<u8>> {
+    let later = changes.iter().filter(|change| change.revision() > after);
+    let wire: Vec<WireChange> = later.map(WireChange::from).collect();
+    let mut encoder = ZlibEncoder::new(Vec::new(), Compression::fast());
+    serde_json::to_writer(&mut encoder, &wire)?;
+    encoder.finish()
+}
+
+/// Decodes what [`encode`] returned; `None` if it is malformed or too long.
+pub fn decode(payload: &[u8]) -> Option<Vec<Change>> {
+    let reader = ZlibDecoder::new(payload).take(MAX_PAYLOAD_BYTES);
+    let wire: Vec<WireChange> = serde_json::from_reader(io::BufReader::new(reader)).ok()?;
+    wire.into_iter().map(WireChange::into_change).collect()
 }
 
 /// Messages of other hosts about changes of the store, until the feed takes them.
 #[derive(Debug, Default)]
 pub struct Inbox {
     questions: RefCell<Vec<(SocketAddr, Question)>>,
-    answers: RefCell<Vec<Answer>>,
+    answers: RefCell<Vec<(Answer, Vec<Change>)>>,
     /// When the last question arrived.
     asked_at: Cell<Option<Duration>>,
     arrived: Notify,
@@ -125,10 +132,10 @@
     }
 
     /// Adds an answer.
-    pub(crate) fn add_answer(&self, answer: Answer) {
+    pub(crate) fn add_answer(&self, answer: Answer, changes: Vec<Change>) {
         let mut answers = self.answers.borrow_mut();
         if answers.len() < MAX_ANSWERS {
-            answers.push(answer);
+            answers.push((answer, changes));
         }
         self.arrived.notify_one();
     }
@@ -151,7 +158,7 @@
     }
 
     /// Takes the answers.
-    pub(super) fn take_answers(&self) -> Vec<Answer> {
+    pub(super) fn take_answers(&self) -> Vec<(Answer, Vec<Change>)> {
         self.answers.take()
     }
 
--- a/crates/steer/src/peers.rs
+++ b/crates/steer/src/peers.rs
@@ -11,7 +11,7 @@
 use tokio::net::UdpSocket;
 
 use crate::{
-    feed::relay::{Answer, Inbox, Question},
+    feed::relay::{self, Answer, Inbox, Question},
     lending::Lending,
     state::State,
 };
@@ -19,7 +19,7 @@
 /// Largest datagram, in bytes.
 pub(crate) const MAX_DATAGRAM_BYTES: usize = 60_000;
 
-/// Message between two hosts, encoded as JSON.
+/// Message between two hosts, encoded as JSON. A payload follows after a line break.
 #[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Message {
@@ -41,7 +41,7 @@
     },
     /// Asks for the changes of the store.
     Follow(Question),
-    /// Answers [`Self::Follow`].
+    /// Answers [`Self::Follow`]. The payload holds the changes.
     Changes(Answer),
 }
 
@@ -57,15 +57,29 @@
         Ok(Self(socket))
     }
 
-    /// Sends a message. One that cannot be sent is handled like a lost one. Returns whether it was sent.
-    pub(crate) fn send(&self, message: &Message, address: SocketAddr) -> bool {
-        let bytes = match serde_json::to_vec(message) {
+    /// Sends a message without a payload. One that cannot be sent is handled like a lost one.
+    pub(crate) fn send(&self, message: &Message, address: SocketAddr) {
+        self.send_with_payload(message, &[], address);
+    }
+
+    /// Sends a message. Returns whether it was sent.
+    pub(crate) fn send_with_payload(
+        &self,
+        message: &Message,
+        payload: &[u8],
+        address: SocketAddr,
+    ) -> bool {
+        let mut bytes = match serde_json::to_vec(message) {
             Ok(bytes) => bytes,
             Err(error) => {
                 log::error!("peers: cannot encode a message: {error}");
                 return false;
             }
         };
+        if !payload.is_empty() {
+            bytes.push(b'\n');
+            bytes.extend_from_slice(payload);
+        }
         if bytes.len() > MAX_DATAGRAM_BYTES {
             log::debug!("peers: a message of {} bytes is too large", bytes.len());
             return false;
@@ -89,13 +103,18 @@
                 continue;
             }
         };
-        match serde_json::from_slice(&buffer[..length]) {
+        let mut parts = buffer[..length].splitn(2, |byte| *byte == b'\n');
+        let (head, payload) = (parts.next().unwrap_or_default(), parts.next().unwrap_or_default());
+        match serde_json::from_slice(head) {
             Ok(Message::Ask { id, workspace, tokens }) => {
                 lending.lend(&state, id, &workspace, tokens, sender);
             }
             Ok(Message::Lend { id, tokens }) => lending.accept_loan(&state, id, tokens),
             Ok(Message::Follow(question)) => inbox.add_question(question, sender),
-            Ok(Message::Changes(answer)) => inbox.add_answer(answer),
+            Ok(Message::Changes(answer)) => match relay::decode(payload) {
+                Some(changes) => inbox.add_answer(answer, changes),
+                None => log::debug!("peers: malformed changes from {sender}"),
+            },
             Err(error) => log::debug!("peers: malformed datagram from {sender}: {error}"),
         }
     }
--- a/crates/steer/src/store.rs
+++ b/crates/steer/src/store.rs
@@ -90,6 +90,14 @@
 }
 
 impl Change {
+    /// Changed key.
+    pub fn key(&self) -> &str {
+        match self {
+            Self::Written(item) => &item.key,
+            Self::Removed { key, .. } => key,
+        }
+    }
+
     /// Revision of the change.
     pub fn revision(&self) -> u64 {
         match self {
