feed: a relay answers only with the changes that it read

Replayed with the logs of a region: a host cut off from the store asked a relay, whose read from the host's revision met a compacted history; the relay read again from its own revision and answered as if the changes began at the host's one. The host passed over what lay between, among it that an instance drains. Change: the changes carry the revision from which they were read, and only questions from there on are answered. Test: a_host_that_missed_dropped_changes_reads_them_itself failed before; a_host_without_the_store_follows_through_the_relay.

--- a/crates/steer/src/feed.rs
+++ b/crates/steer/src/feed.rs
@@ -88,6 +88,15 @@
     retry_delay: Duration,
 }
 
+/// All changes from one revision to another.
+struct Batch {
+    /// Revision after which the changes begin.
+    after: u64,
+    changes: Vec<Change>,
+    /// Revision up to which they are complete.
+    until: u64,
+}
+
 impl Feed {
     /// Does the next thing that is due.
     async fn step(&mut self) {
@@ -147,31 +156,31 @@
     async fn watch(&mut self, wait: Duration) -> Result<(), Fault> {
         let questions = self.inbox.take_questions(self.revision);
         let asked = questions.iter().map(|(_, question)| question.revision);
-        let after = asked.fold(self.revision, u64::min);
+        let oldest = asked.fold(self.revision, u64::min);
         let wait = if questions.is_empty() { wait } else { RELAY_WATCH_WAIT };
-        let (changes, revision) = match self.read_changes(after, wait).await {
+        let batch = match self.read_changes(oldest, wait).await {
             // The changes that only other hosts are missing are gone. They have to ask the store.
-            Err(Fault::Compacted) if after < self.revision => {
+            Err(Fault::Compacted) if oldest < self.revision => {
                 self.read_changes(self.revision, wait).await?
             }
-            Ok((_, revision)) if revision < self.revision => {
+            Ok(batch) if batch.until < self.revision => {
                 self.read_changes(self.revision, wait).await?
             }
             result => result?,
         };
         self.record_response(clock::now());
-        self.answer(&questions, after, &changes, revision);
-        self.apply_changes(changes, revision);
+        self.answer(&questions, &batch);
+        self.apply_changes(batch.changes, batch.until);
         Ok(())
     }
 
-    /// Returns the changes after a revision, and the revision up to which they are complete.
-    async fn read_changes(&self, after: u64, wait: Duration) -> Result<(Vec<Change>, u64), Fault> {
+    /// Returns the changes after a revision.
+    async fn read_changes(&self, after: u64, wait: Duration) -> Result<Batch, Fault> {
         let prefix = ALL_KEYS_PREFIX.to_owned();
         let reply = self.client.call(&Call::Watch { prefix, after, wait }).await;
         metrics::record_store_call("watch", reply.is_ok());
         match reply? {
-            Reply::Changes { changes, revision } => Ok((changes, revision)),
+            Reply::Changes { changes, revision: until } => Ok(Batch { after, changes, until }),
             _ => Err(Fault::Malformed("the response has no changes".to_owned())),
         }
     }
@@ -199,22 +208,17 @@
         self.socket.send(&Message::Follow(question), address);
     }
 
-    /// Answers the questions of other hosts from the changes after the revision `after`. A host without
-    /// an answer asks the store.
-    fn answer(
-        &self,
-        questions: &[(SocketAddr, Question)],
-        after: u64,
-        changes: &[Change],
-        revision: u64,
-    ) {
+    /// Answers the questions of other hosts from a batch. A host that has missed changes from before it
+    /// gets no answer, and asks the store.
+    fn answer(&self, questions: &[(SocketAddr, Question)], batch: &Batch) {
         let mut payloads: BTreeMap<u64, Vec<u8>> = BTreeMap::new();
-        for (host, question) in questions.iter().filter(|(_, asked)| asked.revision >= after) {
+        for (host, question) in questions.iter().filter(|(_, asked)| asked.revision >= batch.after)
+        {
             let Question { asked_at, revision: after } = *question;
             let payload = payloads
                 .entry(after)
-                .or_insert_with(|| relay::encode(changes, after).unwrap_or_default());
-            let answer = Answer { asked_at, after, until: revision.max(after) };
+                .or_insert_with(|| relay::encode(&batch.changes, after).unwrap_or_default());
+            let answer = Answer { asked_at, after, until: batch.until.max(after) };
             let message = Message::Changes(answer);
             let is_sent = self.socket.send_with_payload(&message, payload, *host);
             metrics::record_relay(if is_sent { "answered" } else { "unanswered" });
