feed: a batch of many changes is read to its end

The store reports many changes in parts; host and relay took a part for all, and a relay that was asked from an old revision again and again read the same part for all its hosts. Change: a response with 250 changes or 256 KB of values is followed by another read at once; questions from more than 500 revisions behind are left to the store.

--- a/crates/steer/src/constants.rs
+++ b/crates/steer/src/constants.rs
@@ -6,6 +6,12 @@
 /// connection fails soon after it.
 pub(crate) const WATCH_WAIT: Duration = Duration::from_millis(1000);
 
+/// Changes in a response of the store from which on it may lack later ones.
+pub(crate) const MAX_COMPLETE_CHANGES: usize = 250;
+
+/// Bytes of the values in a response of the store from which on it may lack later changes.
+pub(crate) const MAX_COMPLETE_BYTES: usize = 256 * 1024;
+
 /// Longest time for which the store may hold the watch call of a host that others have asked for changes.
 pub(crate) const RELAY_WATCH_WAIT: Duration = Duration::from_millis(1);
 
--- a/crates/steer/src/feed.rs
+++ b/crates/steer/src/feed.rs
@@ -22,8 +22,8 @@
 use crate::{
     clock,
     constants::{
-        MAX_STORE_RETRY_DELAY, MIN_STORE_RETRY_DELAY, OUTAGE_THRESHOLD, RELAY_WATCH_WAIT,
-        WATCH_INTERVAL_RATIO, WATCH_WAIT,
+        MAX_COMPLETE_BYTES, MAX_COMPLETE_CHANGES, MAX_STORE_RETRY_DELAY, MIN_STORE_RETRY_DELAY,
+        OUTAGE_THRESHOLD, RELAY_WATCH_WAIT, WATCH_INTERVAL_RATIO, WATCH_WAIT,
     },
     events::{Event, Rank},
     metrics,
@@ -97,6 +97,15 @@
     until: u64,
 }
 
+impl Batch {
+    /// Whether the response surely holds all changes. The store reports many of them in parts, and does
+    /// not say so.
+    fn is_complete(&self) -> bool {
+        let bytes: usize = self.changes.iter().map(Change::value_bytes).sum();
+        self.changes.len() < MAX_COMPLETE_CHANGES && bytes < MAX_COMPLETE_BYTES
+    }
+}
+
 impl Feed {
     /// Does the next thing that is due.
     async fn step(&mut self) {
@@ -158,16 +167,20 @@
         let asked = questions.iter().map(|(_, question)| question.revision);
         let oldest = asked.fold(self.revision, u64::min);
         let wait = if questions.is_empty() { wait } else { RELAY_WATCH_WAIT };
-        let batch = match self.read_changes(oldest, wait).await {
+        let mut batch = match self.read_changes(oldest, wait).await {
             // The changes that only other hosts are missing are gone. They have to ask the store.
             Err(Fault::Compacted) if oldest < self.revision => {
                 self.read_changes(self.revision, wait).await?
             }
-            Ok(batch) if batch.until < self.revision => {
-                self.read_changes(self.revision, wait).await?
-            }
             result => result?,
         };
+        let mut is_complete = batch.is_complete();
+        while !is_complete {
+            let next = self.read_changes(batch.until, RELAY_WATCH_WAIT).await?;
+            is_complete = next.is_complete();
+            batch.until = batch.until.max(next.until);
+            batch.changes.extend(next.changes);
+        }
         self.record_response(clock::now());
         self.answer(&questions, &batch);
         self.apply_changes(batch.changes, batch.until);
--- a/crates/steer/src/feed/relay.rs
+++ b/crates/steer/src/feed/relay.rs
@@ -28,7 +28,7 @@
 const MAX_ANSWERS: usize = 16;
 
 /// Revisions by which the sender of a question may be behind. One that is further behind asks the store.
-const MAX_LAG: u64 = 2000;
+const MAX_LAG: u64 = 500;
 
 /// Largest decompressed payload, in bytes.
 const MAX_PAYLOAD_BYTES: u64 = 4 * 1024 * 1024;
--- a/crates/steer/src/store.rs
+++ b/crates/steer/src/store.rs
@@ -98,6 +98,14 @@
         }
     }
 
+    /// Size of the value in bytes; 0 for a removal.
+    pub fn value_bytes(&self) -> usize {
+        match self {
+            Self::Written(item) => item.value.len(),
+            Self::Removed { .. } => 0,
+        }
+    }
+
     /// Revision of the change.
     pub fn revision(&self) -> u64 {
         match self {
