feed: entries that are gone after a full read are not kept

Its log: 'missing after an outage' where the earlier code removed the instance. Change: as before, entries are kept only if the host has followed every change. Test: an_instance_that_left_during_a_cut_is_not_kept failed on the code before this commit.

--- a/crates/steer/src/feed.rs
+++ b/crates/steer/src/feed.rs
@@ -310,7 +310,7 @@
         let now = clock::now();
         if !self.is_reachable {
             let outage_time = now.saturating_sub(self.last_response_at);
-            if self.progress != Progress::Unread && outage_time >= OUTAGE_THRESHOLD {
+            if self.progress == Progress::Complete && outage_time >= OUTAGE_THRESHOLD {
                 self.recovered_at = Some(now);
             }
             let event =
