--- a/crates/steer/src/feed.rs
+++ b/crates/steer/src/feed.rs
@@ -1,8 +1,8 @@
-//! Watches the store for changes of the configuration, evacuations, instances and entry hosts.
+//! Follows the changes of the configuration, evacuations, instances and entry hosts in the store.
 //!
-//! Starts with a full read, and then applies each change after its revision. A failed watch call is
-//! repeated from the same revision. If the store has compacted that history, everything is read
-//! again. See docs/platform.md.
+//! Starts with a full read, and then applies each change after its revision, from watch calls of its own
+//! or from the answers of another host. A failed watch call is repeated from the same revision. If the
+//! store has compacted that history, everything is read again. See docs/platform.md.
 
 mod entries;
 pub mod relay;
