test: a limit that an instance states again must hold over all hosts (fails)

Cause: hosts that were told of a limit forget it when it ends, and send as usual when the instance states one again.

--- a/crates/core/src/steering/tests/limit.rs
+++ b/crates/core/src/steering/tests/limit.rs
@@ -254,3 +254,21 @@
         }
     }
 }
+
+/// An instance that ends its limit and states one again must not get the usual load of the hosts that
+/// knew the first limit until each of them has an answer of its own.
+#[test]
+fn a_limit_that_is_stated_again_holds_over_all_hosts() {
+    for hosts in HOST_COUNTS {
+        for seed in 1..=3 {
+            let mut world = World::new(hosts, seed);
+            for second in [5, 20, 35, 50] {
+                world.limit_at(second, Some(1.5));
+                world.limit_at(second + 8, None);
+            }
+            world.run(75);
+            world.check_restated_limit();
+            world.check_others();
+        }
+    }
+}
--- a/crates/core/src/steering/tests/limit/world.rs
+++ b/crates/core/src/steering/tests/limit/world.rs
@@ -171,6 +171,32 @@
         }
     }
 
+    /// Checks the limit over the hosts that had ever been told of one, in every window, counting the
+    /// requests that arrived while the instance stated a limit.
+    pub(super) fn check_restated_limit(&self) {
+        let counted: Vec<u64> = self
+            .arrivals
+            .iter()
+            .filter(|(at, is_told)| *is_told && self.limit(*at).is_some())
+            .map(|(at, _)| *at)
+            .collect();
+        for (index, from) in counted.iter().enumerate() {
+            let until = from + WINDOW_MS;
+            let count = counted[index..].iter().take_while(|arrived| **arrived < until).count();
+            let stated = self.limits.range(..until).filter_map(|(at, limit)| {
+                let is_in_window =
+                    self.limits.range(at + 1..).next().is_none_or(|(end, _)| end > from);
+                limit.filter(|_| is_in_window)
+            });
+            let allowed = stated.fold(0.0, f64::max) * WINDOW_MS as f64 / 1000.0 * 1.5 + 5.0;
+            assert!(
+                count as f64 <= allowed,
+                "{} hosts: {count} requests from {from} to {until} ms, {allowed} are allowed",
+                self.hosts.len()
+            );
+        }
+    }
+
     /// Checks that no instance had a longer queue than can be answered within the target, and that
     /// nearly all requests were served.
     pub(super) fn check_others(&self) {
