limit: the first host that hears of a limit announces it to all others

Callers saw nothing; an instance that stated a limit again got the usual load of hosts that had known its first limit. Cause: a host forgets a limit that ends. When the instance states one again, the others learn of it from their own next answer or from the record, which takes up to 0.5 s to be written and 1.5 s to be read. At 60 hosts most of them know the first limit and send so rarely that they hear late; 8 hosts hear at once, and at 300 few have ever been told. Change: the host whose answer states a new or lower limit sends it to all registered hosts in one datagram each, at most one a second for an instance. A message only lowers the limit, for 4 s or until the receiver's own next answer, so that a late or wrong one neither ends a limit nor leaves one; it counts only from the address of a registered host. instance_limit says who told.

--- a/crates/core/src/steering/fleet/limits.rs
+++ b/crates/core/src/steering/fleet/limits.rs
@@ -32,6 +32,27 @@
         self.refresh_limit(now, &choice.id)
     }
 
+    /// Records what another host heard about an instance's limit.
+    pub fn record_limit_message(
+        &mut self,
+        now: Duration,
+        id: &Arc<str>,
+        incarnation: u64,
+        statement: Statement,
+    ) -> Option<Change> {
+        self.limits.record_message(now, id, incarnation, statement);
+        if let Some(registered) = self.incarnation(id) {
+            self.limits.restart(id, registered);
+        }
+        self.refresh_limit(now, id)
+    }
+
+    /// The limit of an instance that this host should announce to the others now, in requests per
+    /// second. Records that it does.
+    pub fn take_limit_announcement(&mut self, now: Duration, id: &str) -> Option<f64> {
+        self.limits.take_announcement(now, id)
+    }
+
     /// Applies a record of the store about an instance's limit, which has this revision.
     pub fn apply_limit_record(
         &mut self,
--- a/crates/core/src/steering/limit.rs
+++ b/crates/core/src/steering/limit.rs
@@ -5,7 +5,9 @@
 //! request in the time over which the limit is judged, and a host that sends one request in that time
 //! already sends too many. So a few hosts share the limit, chosen by rendezvous hash among those of
 //! the instance's region, and the others send nothing. What one host learns of a limit, it publishes
-//! in the store, for the hosts that send nothing and therefore hear nothing. See docs/platform.md.
+//! in the store, for the hosts that send nothing and therefore hear nothing. Hosts that do send must know
+//! sooner than a record takes to reach them, so the first one to hear of a limit also announces it to all
+//! others. See docs/platform.md.
 
 mod book;
 mod entry;
--- a/crates/core/src/steering/limit/book.rs
+++ b/crates/core/src/steering/limit/book.rs
@@ -57,6 +57,29 @@
         }
     }
 
+    /// Applies what another host heard in an answer. A message that there is no limit says nothing, as it
+    /// may be late.
+    pub fn record_message(
+        &mut self,
+        now: Duration,
+        id: &Arc<str>,
+        incarnation: u64,
+        statement: Statement,
+    ) {
+        if statement != Statement::Unlimited
+            && let Some(entry) = self.entry(id, incarnation)
+        {
+            entry.set_message(now, statement);
+        }
+    }
+
+    /// The limit that this host should announce to the others now, in requests per second. Records that
+    /// it does.
+    pub fn take_announcement(&mut self, now: Duration, id: &str) -> Option<f64> {
+        let entry = self.entries.get_mut(id)?;
+        entry.take_announcement(now).then(|| entry.answered_rate()).flatten()
+    }
+
     /// Applies a record of the store, which has this revision.
     pub fn apply_record(
         &mut self,
--- a/crates/core/src/steering/limit/entry.rs
+++ b/crates/core/src/steering/limit/entry.rs
@@ -4,8 +4,9 @@
 
 use super::{Group, Statement, book::Publication, interval};
 
-/// Time for which an answer counts as fresh, longer than a record takes to reach all hosts. A record
-/// that a host reads while its latest answer is fresh may have been written before that answer.
+/// Time for which an answer, or a message of another host, counts as fresh, longer than a record takes to
+/// reach all hosts. A record that a host reads while its latest answer is fresh may have been written
+/// before that answer.
 const FRESHNESS_TIME: Duration = Duration::from_secs(4);
 
 /// Shortest time between two writes of this host about one instance.
@@ -18,6 +19,9 @@
 /// Time for which a host that shares a limit may leave its part unused.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(2);
 
+/// Shortest time between two announcements of this host about one instance.
+const MIN_ANNOUNCEMENT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Time after which an instance that is no longer registered is forgotten.
 const ABSENCE_TIME: Duration = Duration::from_secs(60);
 
@@ -36,6 +40,10 @@
     answer: Option<Known>,
     /// Whether the record has said the same as the answer since then.
     is_recorded: bool,
+    /// Latest message of another host that had such an answer.
+    message: Option<Known>,
+    /// What this host last announced to the others; `None` if the limit has ended since.
+    announced: Option<Known>,
     /// Record in the store.
     record: Option<Known>,
     /// Revision of the record; 0 if there is none.
@@ -59,6 +67,8 @@
             incarnation,
             answer: None,
             is_recorded: false,
+            message: None,
+            announced: None,
             record: None,
             revision: 0,
             current: Statement::Unlimited,
@@ -77,9 +87,26 @@
 
     /// The limit that applies.
     ///
+    /// A message only lowers it, until this host has an answer of its own or the record has arrived: a
+    /// late or wrong message must neither end a limit nor leave one for good.
+    fn applicable(&self, now: Duration) -> Statement {
+        let first_hand = self.applicable_without_messages(now);
+        match self.message {
+            Some(message) if self.counts(now, message) => first_hand.lower(message.statement),
+            _ => first_hand,
+        }
+    }
+
+    fn counts(&self, now: Duration, message: Known) -> bool {
+        let is_answered = self.answer.is_some_and(|answer| answer.at > message.at);
+        now < message.at + FRESHNESS_TIME && !is_answered
+    }
+
+    /// The limit that follows from answers and the record.
+    ///
     /// A record follows an answer only if the record has said the same before, as its writer then knew
     /// of that. Otherwise the lower limit applies until there is another answer.
-    fn applicable(&self, now: Duration) -> Statement {
+    fn applicable_without_messages(&self, now: Duration) -> Statement {
         match self.answer {
             Some(answer) if self.is_fresh(now) => answer.statement,
             Some(answer) if !self.is_recorded => answer.statement.lower(self.recorded()),
@@ -93,6 +120,33 @@
         self.is_recorded = !statement.differs(self.recorded());
     }
 
+    /// Applies what another host heard in an answer.
+    pub(super) fn set_message(&mut self, now: Duration, statement: Statement) {
+        self.message = Some(Known { statement, at: now });
+    }
+
+    /// Limit in the latest answer, in requests per second.
+    pub(super) fn answered_rate(&self) -> Option<f64> {
+        self.answer?.statement.rate()
+    }
+
+    /// Whether this host should announce its latest answer to the others now. Records that it does.
+    pub(super) fn take_announcement(&mut self, now: Duration) -> bool {
+        let Some(answer) = self.answer.filter(|answer| answer.statement != Statement::Unlimited)
+        else {
+            return false;
+        };
+        let is_due = self.announced.is_none_or(|announced| {
+            let is_lower = announced.statement.lower(answer.statement) == answer.statement;
+            let is_other = is_lower && announced.statement.differs(answer.statement);
+            is_other && now >= announced.at + MIN_ANNOUNCEMENT_INTERVAL
+        });
+        if is_due {
+            self.announced = Some(Known { statement: answer.statement, at: now });
+        }
+        is_due
+    }
+
     /// Applies what the record says now.
     pub(super) fn set_record(&mut self, now: Duration, statement: Statement, revision: u64) {
         self.record = Some(Known { statement, at: now });
@@ -107,7 +161,7 @@
 
     /// When this host last learned anything about the limit.
     pub(super) fn learned_at(&self) -> Duration {
-        let known = self.answer.into_iter().chain(self.record);
+        let known = self.answer.into_iter().chain(self.record).chain(self.message);
         known.map(|known| known.at).max().unwrap_or_default()
     }
 
@@ -117,6 +171,9 @@
         let before = self.current;
         self.current = self.applicable(now);
         self.host_rate = self.current.rate().map_or(0.0, host_rate);
+        if self.current == Statement::Unlimited {
+            self.announced = None;
+        }
         if before == Statement::Unlimited && self.current != before {
             // The first request follows after a whole interval: what this host sent before counts too.
             self.last_sent_at = now;
--- a/crates/core/src/steering/tests/limit.rs
+++ b/crates/core/src/steering/tests/limit.rs
@@ -106,6 +106,46 @@
     assert_eq!(ended.statement, Statement::Unlimited);
 }
 
+/// A message of another host lowers the limit for a while: a late one must not keep an instance limited
+/// for good, and none may end a limit or overrule a later answer.
+#[test]
+fn a_message_about_a_limit_counts_for_a_while() {
+    let id = name("n1");
+    let mut fleet = fleet_with(vec![member("host-1", "north")]);
+    let low = Statement::Limited(1.0);
+    let change = fleet.record_limit_message(at(0), &id, 1, low).unwrap();
+    assert_eq!(change.statement, low);
+    assert!(fleet.record_limit_message(at(100), &id, 1, Statement::Unlimited).is_none());
+    assert!(fleet.update_limits(at(3900)).is_empty());
+    assert_eq!(fleet.update_limits(at(4000))[0].statement, Statement::Unlimited);
+    assert!(fleet.limit_publications(at(10_000)).is_empty(), "written without an answer");
+    fleet.record_limit_message(at(20_000), &id, 1, low);
+    let choice = send(&mut fleet, at(22_000), &criteria()).unwrap();
+    let answered = fleet.record_limit(at(22_100), &choice, at(22_000), Statement::Unlimited);
+    assert_eq!(answered.unwrap().statement, Statement::Unlimited);
+}
+
+/// The first hosts to hear of a limit announce it, once: at 300 hosts an announcement for each answer
+/// would be thousands of messages a second.
+#[test]
+fn a_limit_is_announced_once() {
+    let mut fleet = fleet_with(vec![member("host-1", "north")]);
+    hear(&mut fleet, at(0), Statement::Limited(2.0));
+    assert_eq!(fleet.take_limit_announcement(at(0), "n1"), Some(2.0));
+    let mut hear_and_announce = |milliseconds, statement| {
+        let now = at(milliseconds);
+        let choice = send(&mut fleet, now, &criteria()).unwrap();
+        answer_after(&mut fleet, now, &choice, 1);
+        fleet.record_limit(now, &choice, now, statement);
+        fleet.take_limit_announcement(now, "n1")
+    };
+    assert_eq!(hear_and_announce(5000, Statement::Limited(2.0)), None);
+    assert_eq!(hear_and_announce(10_000, Statement::Limited(4.0)), None);
+    assert_eq!(hear_and_announce(15_000, Statement::Limited(1.0)), Some(1.0));
+    assert_eq!(hear_and_announce(20_000, Statement::Unlimited), None);
+    assert_eq!(hear_and_announce(25_000, Statement::Limited(1.0)), Some(1.0));
+}
+
 /// A host that lost an instance's registration for a moment, or that has just started, must know the
 /// limit when the instance is back; a new incarnation has none.
 #[test]
--- a/crates/core/src/steering/tests/limit/world.rs
+++ b/crates/core/src/steering/tests/limit/world.rs
@@ -46,6 +46,12 @@
 /// Time after an answer from which a host counts as told.
 const TOLD_MS: u64 = 500;
 
+/// Time that a message takes to another host.
+const MESSAGE_MS: u64 = 25;
+
+/// Fraction of the messages that are lost.
+const MESSAGE_LOSS: f64 = 0.02;
+
 /// What happens to a random host.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Event {
@@ -86,6 +92,13 @@
     sent_at_ms: u64,
 }
 
+/// Announcement of a limit on its way to a host.
+struct Message {
+    to: Arc<str>,
+    arrives_at_ms: u64,
+    rate: f64,
+}
+
 /// The whole deployment.
 pub(super) struct World {
     random: StdRng,
@@ -98,6 +111,7 @@
     /// Limit from each time on, in milliseconds.
     limits: BTreeMap<u64, Option<f64>>,
     in_flight: Vec<InFlight>,
+    messages: Vec<Message>,
     /// Arrivals at the first instance: when, and whether the host had been told.
     arrivals: Vec<(u64, bool)>,
     refused: usize,
@@ -116,6 +130,7 @@
             events: Vec::new(),
             limits: BTreeMap::from([(0, None)]),
             in_flight: Vec::new(),
+            messages: Vec::new(),
             arrivals: Vec::new(),
             refused: 0,
             sent: 0,
@@ -139,6 +154,7 @@
         for now_ms in (0..seconds * 1000).step_by(STEP_MS as usize) {
             self.handle_events(now_ms);
             self.answer_requests(now_ms);
+            self.deliver_messages(now_ms);
             for index in 0..self.hosts.len() {
                 self.run_timers(now_ms, index);
             }
@@ -317,6 +333,7 @@
         self.most_waiting = self.most_waiting.max(waiting.unwrap_or_default());
         let limit = self.limit(now_ms);
         let hosts = &mut self.hosts;
+        let mut announced = Vec::new();
         self.in_flight.retain(|request| {
             if request.sent_at_ms + PROCESSING_MS > now_ms {
                 return true;
@@ -336,11 +353,37 @@
             let limit = limit.filter(|_| *choice.id == *"i-0");
             let statement = limit.map_or(Statement::Unlimited, Statement::Limited);
             host.fleet.record_limit(at(now_ms), choice, at(request.sent_at_ms), statement);
+            announced.extend(host.fleet.take_limit_announcement(at(now_ms), &choice.id));
             if limit.is_some() {
                 host.told_at_ms.get_or_insert(now_ms);
             }
             false
         });
+        for rate in announced {
+            self.announce(now_ms, rate);
+        }
+    }
+
+    fn announce(&mut self, now_ms: u64, rate: f64) {
+        for host in &self.hosts {
+            if !self.random.random_bool(MESSAGE_LOSS) {
+                let (to, arrives_at_ms) = (host.name.clone(), now_ms + MESSAGE_MS);
+                self.messages.push(Message { to, arrives_at_ms, rate });
+            }
+        }
+    }
+
+    fn deliver_messages(&mut self, now_ms: u64) {
+        let hosts = &mut self.hosts;
+        self.messages.retain(|message| {
+            let is_due = message.arrives_at_ms <= now_ms;
+            let host = hosts.iter_mut().find(|host| host.name == message.to);
+            if let Some(host) = host.filter(|_| is_due) {
+                let statement = Statement::Limited(message.rate);
+                host.fleet.record_limit_message(at(now_ms), &name("i-0"), 1, statement);
+            }
+            !is_due
+        });
     }
 }
 
--- a/crates/steer/src/callers/statement.rs
+++ b/crates/steer/src/callers/statement.rs
@@ -65,9 +65,10 @@
     let Some(statement) = statement else {
         return;
     };
-    let mut fleet = state.fleet.borrow_mut();
-    let change = fleet.record_limit(clock::now(), choice, sent_at, statement);
+    let now = clock::now();
+    let change = state.fleet.borrow_mut().record_limit(now, choice, sent_at, statement);
     limits::log_changes(state, limits::Source::Answer(call.id_text()), change);
+    limits::announce(state, &choice.id, choice.incarnation);
 }
 
 fn record_pause(source: Source<'_>) {
--- a/crates/steer/src/constants.rs
+++ b/crates/steer/src/constants.rs
@@ -142,3 +142,6 @@
 
 /// Longest time for which a request waits for tokens from other hosts.
 pub(crate) const MAX_LOAN_WAIT: Duration = Duration::from_millis(130);
+
+/// Most announcements that wait until they are sent.
+pub(crate) const MAX_WAITING_ANNOUNCEMENTS: usize = 256;
--- a/crates/steer/src/events.rs
+++ b/crates/steer/src/events.rs
@@ -141,6 +141,9 @@
         /// Id of the request whose answer says so.
         #[serde(skip_serializing_if = "Option::is_none")]
         request: Option<&'a str>,
+        /// Name of the host that announced it.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        told_by: Option<&'a str>,
         /// Revision of the change in the store that says so.
         #[serde(skip_serializing_if = "Option::is_none")]
         revision: Option<u64>,
--- a/crates/steer/src/limits.rs
+++ b/crates/steer/src/limits.rs
@@ -1,7 +1,8 @@
 //! Records of the limits of instances in the store.
 //!
 //! Only the hosts that share a limit send to its instance and hear when it changes. They publish it
-//! for the others, and for hosts that start later. See docs/platform.md.
+//! for the others, and for hosts that start later. The first host to hear of a limit announces it besides,
+//! as a record takes seconds to reach the others. See docs/platform.md.
 
 use std::{rc::Rc, sync::Arc};
 
@@ -13,7 +14,9 @@
     clock,
     constants::MAINTENANCE_INTERVAL,
     events::{Event, Rank},
-    metrics, registration,
+    metrics,
+    peers::{self, Message},
+    registration,
     state::State,
     store::{Call, Client, Transaction, Write},
 };
@@ -35,12 +38,34 @@
 pub(crate) enum Source<'a> {
     /// The answer to the request with this id.
     Answer(&'a str),
+    /// A message of this host.
+    Message(&'a str),
     /// A record with this revision, or its removal at this revision.
     Record(u64),
     /// A record that was read earlier and counts from now on.
     Time,
 }
 
+/// Tells the other hosts of the limit that an instance has stated to this host, if they should know at
+/// once.
+pub(crate) fn announce(state: &State, id: &Arc<str>, incarnation: u64) {
+    let rate = state.fleet.borrow_mut().take_limit_announcement(clock::now(), id);
+    if let Some(rate) = rate {
+        state.announce(Message::Limit(peers::Limit { id: id.clone(), incarnation, rate }));
+    }
+}
+
+/// Applies the announcement of another host.
+pub(crate) fn apply_message(state: &State, limit: &peers::Limit, host: &str) {
+    let peers::Limit { id, incarnation, rate } = limit;
+    if !(rate.is_finite() && *rate >= 0.0) {
+        return;
+    }
+    let (now, statement) = (clock::now(), Statement::Limited(*rate));
+    let change = state.fleet.borrow_mut().record_limit_message(now, id, *incarnation, statement);
+    log_changes(state, Source::Message(host), change);
+}
+
 /// Applies a record that was read from the store.
 pub(crate) fn apply_record(state: &State, id: &Arc<str>, record: Record, revision: u64) {
     let Record { incarnation, rate } = record;
@@ -91,11 +116,15 @@
             host_rate: change.host_rate,
             request: match source {
                 Source::Answer(id) => Some(id),
-                Source::Record(_) | Source::Time => None,
+                _ => None,
+            },
+            told_by: match source {
+                Source::Message(host) => Some(host),
+                _ => None,
             },
             revision: match source {
                 Source::Record(revision) => Some(revision),
-                Source::Answer(_) | Source::Time => None,
+                _ => None,
             },
         };
         state.log.write(Rank::Notice, event);
--- a/crates/steer/src/peers.rs
+++ b/crates/steer/src/peers.rs
@@ -1,18 +1,20 @@
 //! Messages between entry hosts, over UDP.
 //!
 //! Two exchanges use them: loans of rate limit tokens ([`crate::lending`]) and changes of the store that
-//! one host passes on to others ([`crate::feed`]). Both work without any message: a lost, late or
-//! duplicated one costs a retry or a call of the store and never leads to a wrong state.
+//! one host passes on to others ([`crate::feed`]). Announcements tell all other hosts at once what one of
+//! them has just learned; they count only from a registered host. All of it works without any message: a
+//! lost, late or duplicated one costs a retry or a call of the store and never leads to a wrong state.
 
 use std::{net::SocketAddr, rc::Rc, sync::Arc};
 
 use eyre::WrapErr as _;
 use serde::{Deserialize, Serialize};
-use tokio::net::UdpSocket;
+use tokio::{net::UdpSocket, sync::mpsc};
 
 use crate::{
     feed::relay::{self, Answer, Inbox, Question},
     lending::Lending,
+    limits,
     state::State,
 };
 
@@ -20,7 +22,7 @@
 pub(crate) const MAX_DATAGRAM_BYTES: usize = 60_000;
 
 /// Message between two hosts, encoded as JSON. A payload follows after a line break.
-#[derive(Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Message {
     /// Requests a loan.
@@ -43,6 +45,19 @@
     Follow(Question),
     /// Answers [`Self::Follow`]. The payload holds the changes.
     Changes(Answer),
+    /// Announces the limit that an instance has just stated.
+    Limit(Limit),
+}
+
+/// Limit that an instance has stated in an answer to the sender.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+pub struct Limit {
+    /// Id of the instance.
+    pub id: Arc<str>,
+    /// Incarnation of the instance.
+    pub incarnation: u64,
+    /// Requests per second from all hosts together.
+    pub rate: f64,
 }
 
 /// Socket for messages of other hosts.
@@ -115,7 +130,33 @@
                 Some(changes) => inbox.add_answer(answer, changes),
                 None => log::debug!("peers: malformed changes from {sender}"),
             },
+            Ok(Message::Limit(limit)) => match registered_host(&state, sender) {
+                Some(host) => limits::apply_message(&state, &limit, &host),
+                None => log::debug!("peers: an announcement from {sender}, which is no host"),
+            },
             Err(error) => log::debug!("peers: malformed datagram from {sender}: {error}"),
         }
     }
 }
+
+/// Sends announcements to all other registered hosts until the channel is closed.
+pub async fn announce(
+    state: Rc<State>,
+    socket: Rc<Socket>,
+    mut announcements: mpsc::Receiver<Message>,
+) {
+    while let Some(message) = announcements.recv().await {
+        let hosts = state.hosts.borrow();
+        let others = hosts.iter().filter(|(name, _)| **name != state.settings.host.name);
+        for (_, host) in others {
+            socket.send(&message, host.registration.peers);
+        }
+    }
+}
+
+/// Name of the registered host that sends from this address.
+fn registered_host(state: &State, sender: SocketAddr) -> Option<Arc<str>> {
+    let hosts = state.hosts.borrow();
+    let found = hosts.iter().find(|(_, host)| host.registration.peers == sender);
+    found.map(|(name, _)| name.clone())
+}
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -6,7 +6,7 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::{
     signal::unix::{Signal, SignalKind, signal},
-    sync::watch,
+    sync::{mpsc, watch},
     task::LocalSet,
     time::{interval, sleep, timeout},
 };
@@ -21,7 +21,7 @@
     limits,
     listeners::{self, Context},
     metrics,
-    peers::{self, Socket},
+    peers::{self, Message, Socket},
     registration,
     settings::{self, Settings},
     state::State,
@@ -39,11 +39,15 @@
 pub fn run(file: &Path, settings: Settings, codec: Codec) -> eyre::Result<Exit> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let log = Log::start(settings.host.name.clone(), settings.log_lines_per_second)?;
-    let state = State::new(settings, codec, log);
-    LocalSet::new().block_on(&runtime, serve(file, state))
+    let (state, announcements) = State::new(settings, codec, log);
+    LocalSet::new().block_on(&runtime, serve(file, state, announcements))
 }
 
-async fn serve(file: &Path, state: Rc<State>) -> eyre::Result<Exit> {
+async fn serve(
+    file: &Path,
+    state: Rc<State>,
+    announcements: mpsc::Receiver<Message>,
+) -> eyre::Result<Exit> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     let hang_up = signal(SignalKind::hangup())?;
@@ -64,6 +68,7 @@
     let inbox = Rc::new(Inbox::default());
     let feed = feed::run(state.clone(), client.clone(), socket.clone(), inbox.clone());
     tokio::task::spawn_local(feed);
+    tokio::task::spawn_local(peers::announce(state.clone(), socket.clone(), announcements));
     tokio::task::spawn_local(limits::run(state.clone(), client.clone()));
     let registration_task =
         tokio::task::spawn_local(registration::run(state.clone(), client.clone(), stopping));
--- a/crates/steer/src/state.rs
+++ b/crates/steer/src/state.rs
@@ -21,14 +21,18 @@
     split,
 };
 use serde::{Deserialize, Serialize};
-use tokio::{sync::Notify, time::timeout};
+use tokio::{
+    sync::{Notify, mpsc},
+    time::timeout,
+};
 
 use crate::{
     backend::{memory::Memory, pool::Pool},
     clock,
     codec::Codec,
-    constants::STARTUP_WAIT,
+    constants::{MAX_WAITING_ANNOUNCEMENTS, STARTUP_WAIT},
     events::{Event, Log, Rank},
+    peers::Message,
     settings::Settings,
 };
 
@@ -141,6 +145,8 @@
     pub open_connections: Cell<u32>,
     /// Whether the process was asked to stop.
     pub is_draining: Cell<bool>,
+    /// Announcements that wait until they are sent to the other hosts.
+    announcements: mpsc::Sender<Message>,
     /// Retry budget of each service.
     retry_budgets: RefCell<HashMap<Arc<str>, retry::Budget>>,
     /// Balancer of each route, by the route's name.
@@ -148,8 +154,10 @@
 }
 
 impl State {
-    /// State of a process that has read nothing from the store yet.
-    pub fn new(settings: Settings, codec: Codec, log: Log) -> Rc<Self> {
+    /// State of a process that has read nothing from the store yet, and the announcements that are to be
+    /// sent to the other hosts.
+    pub fn new(settings: Settings, codec: Codec, log: Log) -> (Rc<Self>, mpsc::Receiver<Message>) {
+        let (announcements, waiting) = mpsc::channel(MAX_WAITING_ANNOUNCEMENTS);
         let locality = Locality {
             host: settings.host.name.clone(),
             region: settings.host.region.clone(),
@@ -157,7 +165,7 @@
             domain_regions: settings.failure_domains.clone(),
         };
         let snapshot = Snapshot { is_ready: AtomicBool::new(false), hosts: ArcSwap::default() };
-        Rc::new(Self {
+        let state = Rc::new(Self {
             plan: RefCell::new(None),
             fleet: RefCell::new(Fleet::new(locality)),
             rate_limiter: RefCell::new(rate::Limiter::new(
@@ -179,10 +187,19 @@
             is_draining: Cell::new(false),
             retry_budgets: RefCell::default(),
             balancers: RefCell::default(),
+            announcements,
             settings,
             codec,
             log,
-        })
+        });
+        (state, waiting)
+    }
+
+    /// Sends a message to all other hosts. One too many is dropped, as if it were lost on the way.
+    pub fn announce(&self, message: Message) {
+        if self.announcements.try_send(message).is_err() {
+            log::debug!("peers: dropped an announcement");
+        }
     }
 
     /// Milliseconds since the store last responded.
