crash: the log tells an instance that crashed from a connection that was lost

Change: after a broken connection the host connects once more, beside the retry; an address that refuses has crashed, and a line instance_crashed names the instance, the request's id and its fingerprint (method, host name, path, workspace, body), which is the same at all hosts. A connection that opens is kept for the next request. No decision depends on it yet.

--- a/crates/core/src/steering.rs
+++ b/crates/core/src/steering.rs
@@ -14,6 +14,7 @@
 pub mod load;
 pub mod notice;
 pub mod plan;
+pub mod quarantine;
 pub mod rate;
 pub mod relay;
 pub mod retry;
--- a/crates/steer/src/callers.rs
+++ b/crates/steer/src/callers.rs
@@ -2,6 +2,7 @@
 
 pub mod accept;
 mod attempt;
+mod crash;
 mod forward;
 mod handle;
 mod refusal;
--- a/crates/steer/src/callers/attempt.rs
+++ b/crates/steer/src/callers/attempt.rs
@@ -10,6 +10,7 @@
 use tokio::time::timeout;
 
 use super::{
+    crash,
     routing::{Call, milliseconds},
     statement,
 };
@@ -149,6 +150,9 @@
                 None,
             );
             let failure = if connection.may_have_sent() {
+                if matches!(fault, Fault::Transport(_) | Fault::Closed) {
+                    crash::investigate(state, call, body, choice, started_at);
+                }
                 Failure::may_have_run(fault.reason())
             } else {
                 Failure::not_run(fault.reason(), false)
--- /dev/null
+++ b/crates/steer/src/callers/crash.rs
@@ -0,0 +1,65 @@
+//! Tells an instance that crashed from a connection that was lost.
+//!
+//! A broken connection may have been idle, reset on the way, or ended by an instance that is well. Only an
+//! instance whose address refuses connections right afterwards has crashed.
+
+use std::{io::ErrorKind, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use marjorampick_core::steering::{fleet::Choice, quarantine::Fingerprint};
+
+use super::routing::Call;
+use crate::{
+    backend::connection::Connection,
+    clock,
+    events::{Event, Rank},
+    state::State,
+};
+
+/// Run of a request that ended with the connection to its instance.
+struct Run {
+    id: String,
+    request: Fingerprint,
+    choice: Choice,
+    started_at: Duration,
+    ended_at: Duration,
+}
+
+/// Finds out, on a task of its own, whether the instance of a broken connection has crashed.
+pub(super) fn investigate(
+    state: &Rc<State>,
+    call: &Call,
+    body: &Bytes,
+    choice: &Choice,
+    started_at: Duration,
+) {
+    let run = Run {
+        id: call.id_text().to_owned(),
+        request: call.fingerprint(body),
+        choice: choice.clone(),
+        started_at,
+        ended_at: clock::now(),
+    };
+    tokio::task::spawn_local(report_crash(state.clone(), run));
+}
+
+async fn report_crash(state: Rc<State>, run: Run) {
+    let Run { id, request, choice, started_at, ended_at } = run;
+    match Connection::open(choice.address).await {
+        Ok(connection) => {
+            let key = (choice.id, choice.incarnation);
+            state.pool.borrow_mut().put(clock::now(), key, connection, None);
+        }
+        Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
+            let event = Event::InstanceCrashed {
+                id: &choice.id,
+                request: &id,
+                fingerprint: &request.to_string(),
+                ran_ms: ended_at.saturating_sub(started_at).as_millis(),
+            };
+            state.log.write(Rank::Failure, event);
+        }
+        // An instance that does not answer may be cut off.
+        Err(error) => log::debug!("crash: cannot tell whether {} runs: {error}", choice.id),
+    }
+}
--- a/crates/steer/src/callers/routing.rs
+++ b/crates/steer/src/callers/routing.rs
@@ -1,12 +1,15 @@
 //! Finds the route, workspace and deadline of a request from its head.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{cell::OnceCell, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri, header, request::Parts};
 use marjorampick_core::{
     rendezvous,
-    steering::plan::{Idempotency, Plan, Route, Workspace},
+    steering::{
+        plan::{Idempotency, Plan, Route, Workspace},
+        quarantine::Fingerprint,
+    },
 };
 use marjorampick_link::wire::headers::strip_hop_by_hop;
 
@@ -40,6 +43,8 @@
     pub(crate) arrived_at: Duration,
     /// Time by which the caller must have its answer.
     pub(crate) deadline: Duration,
+    /// Set by [`Self::fingerprint`].
+    fingerprint: OnceCell<Fingerprint>,
 }
 
 impl Call {
@@ -57,6 +62,17 @@
         self.workspace().and_then(|workspace| workspace.priority).unwrap_or(self.route.priority)
     }
 
+    /// What identifies the request at all hosts and attempts; `body` is its body.
+    pub(crate) fn fingerprint(&self, body: &Bytes) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let target = self.uri.path_and_query().map_or("/", |target| target.as_str());
+            let host = host_name(&self.headers).unwrap_or_default();
+            let workspace = self.workspace_name.as_deref().unwrap_or_default();
+            let words = [self.method.as_str(), &host, target, workspace];
+            Fingerprint::new(words.map(str::as_bytes).into_iter().chain([body.as_ref()]))
+        })
+    }
+
     /// Request id for the log; empty if it is not valid UTF-8.
     pub(crate) fn id_text(&self) -> &str {
         std::str::from_utf8(&self.id).unwrap_or_default()
@@ -93,6 +109,7 @@
         headers: forwarded_headers(parts.headers, names),
         arrived_at,
         deadline: arrived_at + timeout,
+        fingerprint: OnceCell::new(),
         plan,
         route,
         workspace_name,
--- a/crates/steer/src/events.rs
+++ b/crates/steer/src/events.rs
@@ -148,6 +148,17 @@
         #[serde(skip_serializing_if = "Option::is_none")]
         revision: Option<u64>,
     },
+    /// An instance crashed while it ran a request of this host.
+    InstanceCrashed {
+        /// Id of the instance.
+        id: &'a str,
+        /// Id of the request.
+        request: &'a str,
+        /// What identifies the request at all hosts and attempts.
+        fingerprint: &'a str,
+        /// Milliseconds from sending the request to the crash.
+        ran_ms: u128,
+    },
     /// An instance said in an answer that it leaves, so that it gets no more requests.
     InstanceLeaving {
         /// Id of the instance.
