quarantine: a request that crashes the instances that run it is found over all hosts and refused

Cause: no host counted over attempts and hosts. Each one repeats the requests of a crashed instance elsewhere and knows only its own. Class of fault: an effect that adds up over hosts, of which each sees a part that is harmless alone. Change: a host tells all others which of its requests was on an instance that crashed (fingerprint of method, host name, path, workspace and body). A request that was on three, one after the other, and was not answered since, runs on trial: once at a time over all hosts, half a second after its last crash. An answer acquits it everywhere; a crash without another suspect on the instance condemns it. It is then refused at once (503 quarantined) for 10 minutes; the record in the store reaches hosts that missed the messages or start later, an operator who removes it ends the sentence, and so does an answer. Suspects, crashes and sentences are bounded; without any, requests are not identified at all. Measured: a_request_that_crashes_instances_is_refused_by_all_hosts failed before (38 of 54 crashes later than 3 s after the third), passes.

--- /dev/null
+++ b/crates/core/src/steering/quarantine/book.rs
@@ -0,0 +1,253 @@
+//! What a host knows of requests that crash instances, and which ones it refuses.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use super::{Crash, Fingerprint, SENTENCE_TIME, evidence::Evidence};
+
+/// Most condemned requests. If there are more, the oldest sentence ends.
+const MAX_SENTENCES: usize = 1024;
+
+/// Time after which a host on which no condemned run was publishes the sentence, because none of the
+/// others has.
+const PUBLICATION_DELAY: Duration = Duration::from_secs(3);
+
+/// Shortest time between two writes of this host about one request.
+const MIN_PUBLICATION_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Suspects and condemned requests.
+#[derive(Clone, Debug, Default)]
+pub struct Book {
+    evidence: Evidence,
+    sentences: BTreeMap<Fingerprint, Entry>,
+}
+
+/// Sentence of one request.
+#[derive(Clone, Debug)]
+struct Entry {
+    ends_at: Duration,
+    /// Revision of its record in the store; 0 if there is none.
+    revision: u64,
+    /// Whether one of the runs that condemned it was of this host.
+    is_own: bool,
+    learned_at: Duration,
+    published_at: Option<Duration>,
+    /// Whether the end of the sentence has been handled. Such an entry only waits until its record is
+    /// removed.
+    is_released: bool,
+}
+
+/// Whether a request may run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It may run.
+    Free,
+    /// It may run on trial, and the other hosts should know.
+    Trial,
+    /// It is refused.
+    Refused {
+        /// Time until it may run, or be tried, again.
+        retry_after: Duration,
+    },
+}
+
+/// Record of a condemned request that this host should write to the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Publication {
+    /// The request.
+    pub request: Fingerprint,
+    /// Whether the request is condemned; its record is removed otherwise.
+    pub is_condemned: bool,
+    /// Revision of the record that it replaces; 0 if there is none.
+    pub replaces_revision: u64,
+}
+
+impl Book {
+    /// Whether the host knows neither suspects nor condemned requests, so that it need not identify
+    /// requests.
+    pub fn is_empty(&self) -> bool {
+        self.evidence.is_empty() && self.sentences.is_empty()
+    }
+
+    /// Number of requests that were on an instance that crashed and may be to blame.
+    pub fn suspect_count(&self) -> usize {
+        self.evidence.len()
+    }
+
+    /// Number of condemned requests.
+    pub fn sentence_count(&self) -> usize {
+        self.sentences.values().filter(|entry| !entry.is_released).count()
+    }
+
+    /// Decides whether a request may run now. A suspect that may be to blame runs on trial, once at a time.
+    pub fn admit(&mut self, now: Duration, request: Fingerprint) -> Admission {
+        if let Some(retry_after) = self.sentence_left(now, request) {
+            return Admission::Refused { retry_after };
+        }
+        match self.evidence.trial_wait(now, request) {
+            None => Admission::Free,
+            Some(Duration::ZERO) => {
+                self.evidence.start_trial(now, request);
+                Admission::Trial
+            }
+            Some(retry_after) => Admission::Refused { retry_after },
+        }
+    }
+
+    /// Records that another host runs a request on trial.
+    pub fn record_trial(&mut self, now: Duration, request: Fingerprint) {
+        if self.sentence_left(now, request).is_none() {
+            self.evidence.add_trial(now, request);
+        }
+    }
+
+    /// Records that another host has condemned a request. Returns whether that is new to this host.
+    pub fn record_verdict(&mut self, now: Duration, request: Fingerprint) -> bool {
+        let is_new = self.sentence_left(now, request).is_none();
+        if is_new {
+            self.condemn(now, request, false, 0);
+        }
+        is_new
+    }
+
+    /// Time until the sentence of a request ends; `None` if it is not condemned.
+    pub fn sentence_left(&self, now: Duration, request: Fingerprint) -> Option<Duration> {
+        let left = self.sentences.get(&request)?.ends_at.saturating_sub(now);
+        (!left.is_zero()).then_some(left)
+    }
+
+    /// Records that a request was on an instance when it crashed. `is_own` says whether this host sent it.
+    pub fn record_crash(&mut self, now: Duration, crash: &Crash, is_own: bool) {
+        let is_condemned = self.sentence_left(now, crash.request).is_some();
+        self.evidence.add_scene(now, crash);
+        if !is_condemned {
+            self.evidence.add_run(now, crash, is_own);
+        }
+    }
+
+    /// Records that an instance ran a request to its end. Returns whether the request was a suspect or
+    /// condemned, so that the other hosts should know.
+    pub fn record_answer(&mut self, now: Duration, request: Fingerprint) -> bool {
+        let was_suspect = self.evidence.remove(request);
+        let was_condemned = self.sentence_left(now, request).is_some();
+        if let Some(entry) = self.sentences.get_mut(&request).filter(|_| was_condemned) {
+            entry.ends_at = now;
+            entry.is_own = true;
+            entry.is_released = true;
+        }
+        self.forget_released();
+        was_suspect || was_condemned
+    }
+
+    /// Condemns the requests that the evidence blames, and returns them, with whether the other hosts should
+    /// know: one that this host sent, as they may have missed the reports of the crashes.
+    pub fn judge(&mut self, now: Duration) -> Vec<(Fingerprint, bool)> {
+        let is_condemned = |request| self.sentence_left(now, request).is_some();
+        let guilty = self.evidence.guilty(now, is_condemned);
+        let judged = guilty.into_iter().map(|request| {
+            let is_own = self.evidence.is_own(request);
+            self.condemn(now, request, is_own, 0);
+            (request, is_own)
+        });
+        judged.collect()
+    }
+
+    /// Applies a record of the store, which has this revision. Returns whether it is new to the host.
+    pub fn apply_record(&mut self, now: Duration, request: Fingerprint, revision: u64) -> bool {
+        match self.sentences.get_mut(&request) {
+            Some(entry) if now < entry.ends_at || revision <= entry.revision => {
+                entry.revision = revision;
+                false
+            }
+            _ => {
+                self.condemn(now, request, false, revision);
+                true
+            }
+        }
+    }
+
+    /// Applies the removal of a record from the store: the sentence has ended, or an operator has ended it.
+    /// Returns whether the request was condemned.
+    pub fn remove_record(&mut self, request: Fingerprint) -> bool {
+        let is_recorded = self.sentences.get(&request).is_some_and(|entry| entry.revision > 0);
+        is_recorded && self.sentences.remove(&request).is_some()
+    }
+
+    /// Requests with a record in the store.
+    pub fn recorded(&self) -> impl Iterator<Item = Fingerprint> {
+        self.sentences.iter().filter(|(_, entry)| entry.revision > 0).map(|(request, _)| *request)
+    }
+
+    /// Records that this host should write now. `is_first` says whether this host is the first one in the
+    /// order in which hosts remove the record of a request.
+    pub fn publications(
+        &mut self,
+        now: Duration,
+        is_first: impl Fn(Fingerprint) -> bool,
+    ) -> Vec<Publication> {
+        let entries = self.sentences.iter_mut();
+        entries.filter_map(|(request, entry)| entry.publication(now, *request, &is_first)).collect()
+    }
+
+    /// Forgets what is too old. Returns the requests whose sentences have ended.
+    pub fn remove_expired(&mut self, now: Duration) -> Vec<Fingerprint> {
+        self.evidence.remove_expired(now);
+        let entries = self.sentences.iter_mut();
+        let ended = entries.filter(|(_, entry)| entry.ends_at <= now && !entry.is_released);
+        let ended = ended.map(|(request, entry)| {
+            entry.is_released = true;
+            *request
+        });
+        let ended: Vec<Fingerprint> = ended.collect();
+        for request in &ended {
+            self.evidence.add_released(now, *request);
+        }
+        self.forget_released();
+        ended
+    }
+
+    /// Forgets the sentences that have ended and have no record.
+    fn forget_released(&mut self) {
+        self.sentences.retain(|_, entry| !entry.is_released || entry.revision > 0);
+    }
+
+    fn condemn(&mut self, now: Duration, request: Fingerprint, is_own: bool, revision: u64) {
+        self.evidence.remove(request);
+        let earlier = self.sentences.get(&request).map_or(0, |entry| entry.revision);
+        let entry = Entry {
+            ends_at: now + SENTENCE_TIME,
+            revision: revision.max(earlier),
+            is_own,
+            learned_at: now,
+            published_at: None,
+            is_released: false,
+        };
+        self.sentences.insert(request, entry);
+        if self.sentences.len() > MAX_SENTENCES {
+            let oldest = self.sentences.iter().min_by_key(|(_, entry)| entry.ends_at);
+            let oldest = oldest.map(|(request, _)| *request);
+            oldest.map(|request| self.sentences.remove(&request));
+        }
+    }
+}
+
+impl Entry {
+    fn publication(
+        &mut self,
+        now: Duration,
+        request: Fingerprint,
+        is_first: impl Fn(Fingerprint) -> bool,
+    ) -> Option<Publication> {
+        let is_condemned = now < self.ends_at;
+        let is_due = if is_condemned {
+            self.revision == 0 && (self.is_own || now >= self.learned_at + PUBLICATION_DELAY)
+        } else {
+            self.revision > 0 && (self.is_own || is_first(request))
+        };
+        let is_too_soon = self.published_at.is_some_and(|at| now < at + MIN_PUBLICATION_INTERVAL);
+        if !is_due || is_too_soon {
+            return None;
+        }
+        self.published_at = Some(now);
+        Some(Publication { request, is_condemned, replaces_revision: self.revision })
+    }
+}
--- a/crates/core/src/steering/tests.rs
+++ b/crates/core/src/steering/tests.rs
@@ -9,6 +9,7 @@
 mod load;
 mod notice;
 mod plan;
+mod quarantine;
 mod rate;
 mod relay;
 mod retry;
--- a/crates/steer/src/callers.rs
+++ b/crates/steer/src/callers.rs
@@ -6,5 +6,5 @@
 mod forward;
 mod handle;
 mod refusal;
-mod routing;
+pub(crate) mod routing;
 mod statement;
--- a/crates/steer/src/callers/attempt.rs
+++ b/crates/steer/src/callers/attempt.rs
@@ -22,7 +22,7 @@
     },
     clock,
     events::{Event, Rank},
-    metrics,
+    metrics, quarantine,
     state::State,
 };
 
@@ -135,6 +135,9 @@
     match result {
         Ok(Ok((answer, is_reusable))) => {
             let is_leaving = statement::record(state, call, choice, started_at, &answer);
+            if answer.head.headers.contains_key(&state.codec.headers.response_stamp) {
+                quarantine::record_answer(state, call, body);
+            }
             if is_reusable && !is_leaving {
                 let keep_alive = keep_alive_time(&answer);
                 state.pool.borrow_mut().put(clock::now(), key, connection, keep_alive);
--- a/crates/steer/src/callers/crash.rs
+++ b/crates/steer/src/callers/crash.rs
@@ -6,13 +6,17 @@
 use std::{io::ErrorKind, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use marjorampick_core::steering::{fleet::Choice, quarantine::Fingerprint};
+use marjorampick_core::steering::{
+    fleet::Choice,
+    quarantine::{Crash, Fingerprint},
+};
 
 use super::routing::Call;
 use crate::{
     backend::connection::Connection,
     clock,
     events::{Event, Rank},
+    quarantine,
     state::State,
 };
 
@@ -58,6 +62,14 @@
                 ran_ms: ended_at.saturating_sub(started_at).as_millis(),
             };
             state.log.write(Rank::Failure, event);
+            let crash = Crash {
+                instance: choice.id.clone(),
+                incarnation: choice.incarnation,
+                request,
+                ran_for: ended_at.saturating_sub(started_at),
+                ended_ago: clock::now().saturating_sub(ended_at),
+            };
+            quarantine::record_crash(&state, crash);
         }
         // An instance that does not answer may be cut off.
         Err(error) => log::debug!("crash: cannot tell whether {} runs: {error}", choice.id),
--- a/crates/steer/src/callers/forward.rs
+++ b/crates/steer/src/callers/forward.rs
@@ -17,6 +17,7 @@
     backend::answer::Answer,
     clock,
     constants::{MAX_RETRIES, MIN_ATTEMPT_TIME, NO_INSTANCE_RETRY_AFTER},
+    quarantine,
     state::State,
 };
 
@@ -40,7 +41,9 @@
     let mut last_choice: Option<Choice> = None;
     loop {
         let remaining = call.deadline.saturating_sub(clock::now());
-        let choice = match choose(state, call, &tried_ids, remaining) {
+        let chosen = choose(state, call, &tried_ids, remaining);
+        let admitted = chosen.and_then(|choice| admit(state, call, body).map(|()| choice));
+        let choice = match admitted {
             Ok(choice) => choice,
             Err(refusal) => {
                 let result = final_result(last_failure, may_have_run, refusal);
@@ -107,6 +110,12 @@
     })
 }
 
+/// Refuses a request that crashes instances.
+fn admit(state: &Rc<State>, call: &Call, body: &Bytes) -> Result<(), Refusal> {
+    let admitted = quarantine::admit(state, call, body);
+    admitted.map_err(|left| Refusal::with_retry_after(Reason::Quarantined, left))
+}
+
 /// Value of [`Criteria::locality_draw`]. All requests for one object get the same value, so that
 /// they stay in one region and its instances keep the object cached.
 fn locality_draw(call: &Call) -> f64 {
--- a/crates/steer/src/callers/handle.rs
+++ b/crates/steer/src/callers/handle.rs
@@ -194,6 +194,7 @@
                 limit_ms: 0,
                 plan: state.plan.borrow().as_ref().map_or(0, |plan| plan.version),
                 store_age_ms: state.store_age_ms(),
+                fingerprint: None,
             };
             state.log.write(Rank::Failure, event);
         }
@@ -231,6 +232,7 @@
         limit_ms: call.deadline.saturating_sub(call.arrived_at).as_millis(),
         plan: call.plan.version,
         store_age_ms: state.store_age_ms(),
+        fingerprint: call.known_fingerprint().filter(|_| !status.is_success()),
     };
     let rank = if status.is_success() { Rank::Success } else { Rank::Failure };
     state.log.write(rank, event);
--- a/crates/steer/src/callers/refusal.rs
+++ b/crates/steer/src/callers/refusal.rs
@@ -28,6 +28,8 @@
     /// The request can run only in other regions, and the share of requests that run there may rise
     /// only slowly.
     Shift,
+    /// The request crashes the instances that run it, or may do so.
+    Quarantined,
     /// All attempts ended without running the request, and no retry is allowed.
     Shed,
     /// The deadline passed, or was too close, before the request was sent.
@@ -51,6 +53,7 @@
             Self::NoInstance => "no_instance",
             Self::Full => "full",
             Self::Shift => "shift",
+            Self::Quarantined => "quarantined",
             Self::Shed => "shed",
             Self::LateUnsent => "late_unsent",
             Self::Lost => "lost",
@@ -74,6 +77,7 @@
             | Self::NoInstance
             | Self::Full
             | Self::Shift
+            | Self::Quarantined
             | Self::Shed
             | Self::LateUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Self::Lost => StatusCode::BAD_GATEWAY,
--- a/crates/steer/src/callers/routing.rs
+++ b/crates/steer/src/callers/routing.rs
@@ -73,6 +73,11 @@
         })
     }
 
+    /// The fingerprint for the log, if it was needed.
+    pub(crate) fn known_fingerprint(&self) -> Option<String> {
+        self.fingerprint.get().map(ToString::to_string)
+    }
+
     /// Request id for the log; empty if it is not valid UTF-8.
     pub(crate) fn id_text(&self) -> &str {
         std::str::from_utf8(&self.id).unwrap_or_default()
--- a/crates/steer/src/events.rs
+++ b/crates/steer/src/events.rs
@@ -159,6 +159,17 @@
         /// Milliseconds from sending the request to the crash.
         ran_ms: u128,
     },
+    /// What this host knows of a request that crashes instances has changed.
+    Quarantine {
+        /// What identifies the request at all hosts and attempts.
+        fingerprint: &'a str,
+        /// `trial` (it runs once, to find out whether it is to blame), `condemned`, `answered` (an instance
+        /// ran it to its end), `ended` (after its time) or `removed` (its record was removed).
+        change: &'a str,
+        /// Name of the host that told it, or wrote the record.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        told_by: Option<&'a str>,
+    },
     /// An instance said in an answer that it leaves, so that it gets no more requests.
     InstanceLeaving {
         /// Id of the instance.
@@ -251,6 +262,10 @@
         plan: u64,
         /// Milliseconds since the last response of the store.
         store_age_ms: u128,
+        /// What identifies the request at all hosts and attempts, if it failed and was compared with those
+        /// that crash instances.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        fingerprint: Option<String>,
     },
 }
 
--- a/crates/steer/src/feed/entries.rs
+++ b/crates/steer/src/feed/entries.rs
@@ -2,14 +2,16 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use marjorampick_core::steering::{fleet::REREGISTRATION_GRACE, instance::Endpoint, plan::Plan};
+use marjorampick_core::steering::{
+    fleet::REREGISTRATION_GRACE, instance::Endpoint, plan::Plan, quarantine::Fingerprint,
+};
 
 use super::Feed;
 use crate::{
     clock,
     codec::{Record, Subject},
     events::{Event, Rank},
-    limits,
+    limits, quarantine,
     registration::{HOSTS_PREFIX, SEATS_PREFIX, SeatRecord},
     state::{Host, Registration},
     store::Item,
@@ -20,9 +22,15 @@
     Host(Arc<str>),
     Seat(Arc<str>),
     Limit(Arc<str>),
+    Sentence(Fingerprint),
     Platform(Subject),
 }
 
+/// Parses the fingerprint in a key.
+fn parse(text: &str) -> Option<Fingerprint> {
+    text.parse().ok()
+}
+
 /// Entry of the store with its key.
 pub(super) struct Entry {
     pub(super) key: String,
@@ -44,6 +52,7 @@
             Kind::Host(name) => self.apply_host(name, item),
             Kind::Seat(name) => self.apply_seat(&name, item),
             Kind::Limit(id) => self.apply_limit(&id, item),
+            Kind::Sentence(request) => self.apply_sentence(request, item),
             Kind::Platform(_) => self.apply_platform_item(item),
         }
     }
@@ -83,6 +92,15 @@
         }
     }
 
+    fn apply_sentence(&self, request: Fingerprint, item: &Item) {
+        match serde_json::from_slice::<quarantine::Record>(&item.value) {
+            Ok(record) => {
+                quarantine::apply_record(&self.state, request, &record, item.revision);
+            }
+            Err(error) => self.ignore(item, &error.to_string()),
+        }
+    }
+
     fn apply_host(&self, name: Arc<str>, item: &Item) {
         let is_own = name == self.state.settings.host.name;
         if is_own && self.state.is_draining.get() {
@@ -166,6 +184,8 @@
             Kind::Seat(Arc::from(name))
         } else if let Some(id) = key.strip_prefix(limits::PREFIX) {
             Kind::Limit(Arc::from(id))
+        } else if let Some(request) = key.strip_prefix(quarantine::PREFIX).and_then(parse) {
+            Kind::Sentence(request)
         } else {
             Kind::Platform((self.state.codec.parse_key)(key))
         }
@@ -186,6 +206,7 @@
             }
             Kind::Seat(name) => self.remove_seat(name),
             Kind::Limit(id) => limits::remove_record(&self.state, id, revision),
+            Kind::Sentence(request) => quarantine::remove_record(&self.state, *request),
             Kind::Platform(Subject::Instance(id)) => {
                 self.state.fleet.borrow_mut().deregister(id, expires_at);
                 let reason =
@@ -200,8 +221,8 @@
         }
     }
 
-    /// Returns the instances, evacuations, hosts and limits that this host knows from earlier reads
-    /// and changes, but not the seats.
+    /// Returns the instances, evacuations, hosts, limits and condemned requests that this host knows from
+    /// earlier reads and changes, but not the seats.
     pub(super) fn known_entries(&self) -> Vec<Entry> {
         let fleet = self.state.fleet.borrow();
         let instances = fleet.instance_ids().into_iter().map(Subject::Instance);
@@ -210,7 +231,10 @@
         let hosts = self.state.hosts.borrow();
         let host_entries = hosts.keys().cloned().map(Kind::Host);
         let limit_entries = fleet.recorded_limits().into_iter().map(Kind::Limit);
-        let kinds: Vec<Kind> = platform_entries.chain(host_entries).chain(limit_entries).collect();
+        let book = self.state.quarantine.borrow();
+        let sentences = book.recorded().map(Kind::Sentence);
+        let own_entries = host_entries.chain(limit_entries).chain(sentences);
+        let kinds: Vec<Kind> = platform_entries.chain(own_entries).collect();
         kinds.into_iter().map(|kind| Entry { key: self.entry_key(&kind), kind }).collect()
     }
 
@@ -219,6 +243,7 @@
             Kind::Host(name) => format!("{HOSTS_PREFIX}{name}"),
             Kind::Seat(name) => format!("{SEATS_PREFIX}{name}"),
             Kind::Limit(id) => format!("{}{id}", limits::PREFIX),
+            Kind::Sentence(request) => format!("{}{request}", quarantine::PREFIX),
             Kind::Platform(subject) => (self.state.codec.subject_key)(subject),
         }
     }
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod listeners;
 mod metrics;
 pub mod peers;
+pub mod quarantine;
 pub mod registration;
 pub mod run;
 pub mod settings;
--- a/crates/steer/src/metrics.rs
+++ b/crates/steer/src/metrics.rs
@@ -15,6 +15,7 @@
 const REQUESTS_IN_FLIGHT: &str = "marjorampick_requests_in_flight";
 const RELAY_MESSAGES_TOTAL: &str = "marjorampick_relay_messages_total";
 const LIMITED_INSTANCES: &str = "marjorampick_limited_instances";
+const QUARANTINED_REQUESTS: &str = "marjorampick_quarantined_requests";
 
 /// Upper bounds of the histogram buckets, in seconds.
 const BUCKET_BOUNDS_SECONDS: [f64; 10] = [0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0, 8.0];
@@ -41,6 +42,11 @@
     );
     describe_gauge!(REQUESTS_IN_FLIGHT, Unit::Count, "Requests that have not ended.");
     describe_gauge!(LIMITED_INSTANCES, Unit::Count, "Instances with a limit that applies.");
+    describe_gauge!(
+        QUARANTINED_REQUESTS,
+        Unit::Count,
+        "Requests that are refused as they crash instances."
+    );
     Ok(handle)
 }
 
@@ -97,6 +103,11 @@
     gauge!(LIMITED_INSTANCES).set(count as f64);
 }
 
+/// Sets the number of requests that are refused as they crash instances.
+pub(crate) fn set_quarantined_requests(count: usize) {
+    gauge!(QUARANTINED_REQUESTS).set(count as f64);
+}
+
 /// Records tokens lent to another host.
 pub(crate) fn record_lent_tokens(tokens: u32) {
     counter!(TOKENS_LENT_TOTAL).increment(tokens.into());
--- a/crates/steer/src/peers.rs
+++ b/crates/steer/src/peers.rs
@@ -15,6 +15,7 @@
     feed::relay::{self, Answer, Inbox, Question},
     lending::Lending,
     limits,
+    quarantine::{self, Notice},
     state::State,
 };
 
@@ -47,6 +48,8 @@
     Changes(Answer),
     /// Announces the limit that an instance has just stated.
     Limit(Limit),
+    /// Tells of a request that crashes instances.
+    Quarantine(Notice),
 }
 
 /// Limit that an instance has stated in an answer to the sender.
@@ -130,10 +133,16 @@
                 Some(changes) => inbox.add_answer(answer, changes),
                 None => log::debug!("peers: malformed changes from {sender}"),
             },
-            Ok(Message::Limit(limit)) => match registered_host(&state, sender) {
-                Some(host) => limits::apply_message(&state, &limit, &host),
-                None => log::debug!("peers: an announcement from {sender}, which is no host"),
-            },
+            Ok(Message::Limit(limit)) => {
+                if let Some(host) = registered_host(&state, sender) {
+                    limits::apply_message(&state, &limit, &host);
+                }
+            }
+            Ok(Message::Quarantine(notice)) => {
+                if let Some(host) = registered_host(&state, sender) {
+                    quarantine::apply_notice(&state, &notice, &host);
+                }
+            }
             Err(error) => log::debug!("peers: malformed datagram from {sender}: {error}"),
         }
     }
@@ -154,9 +163,12 @@
     }
 }
 
-/// Name of the registered host that sends from this address.
+/// Name of the registered host that sends from this address; `None` for a stranger.
 fn registered_host(state: &State, sender: SocketAddr) -> Option<Arc<str>> {
     let hosts = state.hosts.borrow();
     let found = hosts.iter().find(|(_, host)| host.registration.peers == sender);
+    if found.is_none() {
+        log::debug!("peers: an announcement from {sender}, which is no host");
+    }
     found.map(|(name, _)| name.clone())
 }
--- /dev/null
+++ b/crates/steer/src/quarantine.rs
@@ -0,0 +1,183 @@
+//! Requests that crash instances: what the hosts tell each other of them, and their records in the store.
+//!
+//! Messages spread what one host has seen within milliseconds, so that few instances crash; records reach
+//! the hosts that missed them, and those that start later. See docs/platform.md.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use marjorampick_core::{
+    rendezvous,
+    steering::quarantine::{Admission, Crash, Fingerprint, Publication, SETTLING_TIME},
+};
+use serde::{Deserialize, Serialize};
+use tokio::time::{interval, sleep};
+
+use crate::{
+    callers::routing::Call as Request,
+    clock,
+    constants::MAINTENANCE_INTERVAL,
+    events::{Event, Rank},
+    metrics,
+    peers::Message,
+    registration,
+    state::State,
+    store::{Call, Client, Transaction, Write},
+};
+
+/// Prefix of the keys of records, followed by the fingerprint of the request.
+pub const PREFIX: &str = "marjorampick/quarantine/";
+
+/// Record of a condemned request. An operator who removes it ends the sentence at all hosts.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Record {
+    /// Name of the host that wrote it.
+    pub host: String,
+}
+
+/// What hosts tell each other of requests that crash instances.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Notice {
+    /// A request of the sender was on an instance that crashed.
+    Crash(Crash),
+    /// An instance ran the request to its end.
+    Answered(Fingerprint),
+    /// The sender runs the request on trial.
+    Trial(Fingerprint),
+    /// The sender has condemned the request.
+    Verdict(Fingerprint),
+}
+
+/// Decides whether a request may run now, or how long it is refused.
+pub(crate) fn admit(state: &State, request: &Request, body: &Bytes) -> Result<(), Duration> {
+    if state.quarantine.borrow().is_empty() {
+        return Ok(());
+    }
+    let fingerprint = request.fingerprint(body);
+    match state.quarantine.borrow_mut().admit(clock::now(), fingerprint) {
+        Admission::Free => Ok(()),
+        Admission::Trial => {
+            log(state, fingerprint, "trial", None);
+            state.announce(Message::Quarantine(Notice::Trial(fingerprint)));
+            Ok(())
+        }
+        Admission::Refused { retry_after } => Err(retry_after),
+    }
+}
+
+/// Records that a request of this host was on an instance when it crashed.
+pub(crate) fn record_crash(state: &State, crash: Crash) {
+    state.quarantine.borrow_mut().record_crash(clock::now(), &crash, true);
+    state.crash_reported.notify_one();
+    state.announce(Message::Quarantine(Notice::Crash(crash)));
+}
+
+/// Records that an instance ran a request to its end.
+pub(crate) fn record_answer(state: &State, request: &Request, body: &Bytes) {
+    if state.quarantine.borrow().is_empty() {
+        return;
+    }
+    let fingerprint = request.fingerprint(body);
+    if state.quarantine.borrow_mut().record_answer(clock::now(), fingerprint) {
+        log(state, fingerprint, "answered", None);
+        state.announce(Message::Quarantine(Notice::Answered(fingerprint)));
+    }
+}
+
+/// Applies what another host has told.
+pub(crate) fn apply_notice(state: &State, notice: &Notice, host: &str) {
+    let now = clock::now();
+    let mut book = state.quarantine.borrow_mut();
+    match notice {
+        Notice::Crash(crash) => {
+            book.record_crash(now, crash, false);
+            state.crash_reported.notify_one();
+        }
+        Notice::Trial(request) => book.record_trial(now, *request),
+        Notice::Answered(request) => {
+            if book.record_answer(now, *request) {
+                log(state, *request, "answered", Some(host));
+            }
+        }
+        Notice::Verdict(request) => {
+            if book.record_verdict(now, *request) {
+                log(state, *request, "condemned", Some(host));
+            }
+        }
+    }
+}
+
+/// Applies a record that was read from the store.
+pub(crate) fn apply_record(state: &State, request: Fingerprint, record: &Record, revision: u64) {
+    if state.quarantine.borrow_mut().apply_record(clock::now(), request, revision) {
+        log(state, request, "condemned", Some(&record.host));
+    }
+}
+
+/// Applies the removal of a record from the store.
+pub(crate) fn remove_record(state: &State, request: Fingerprint) {
+    if state.quarantine.borrow_mut().remove_record(request) {
+        log(state, request, "removed", None);
+    }
+}
+
+/// Judges after each crash, as soon as all hosts have told what was on the instance, until the process
+/// ends.
+pub async fn judge(state: Rc<State>) {
+    loop {
+        state.crash_reported.notified().await;
+        // A report that arrives meanwhile makes the next round.
+        sleep(SETTLING_TIME).await;
+        let judged = state.quarantine.borrow_mut().judge(clock::now());
+        for (request, is_own) in judged {
+            log(&state, request, "condemned", None);
+            if is_own {
+                state.announce(Message::Quarantine(Notice::Verdict(request)));
+            }
+        }
+    }
+}
+
+/// Writes the records that this host should write, and forgets what is too old, until the process ends.
+pub async fn publish(state: Rc<State>, client: Client) {
+    let mut ticks = interval(MAINTENANCE_INTERVAL);
+    loop {
+        ticks.tick().await;
+        let now = clock::now();
+        let ended = state.quarantine.borrow_mut().remove_expired(now);
+        ended.into_iter().for_each(|request| log(&state, request, "ended", None));
+        metrics::set_quarantined_requests(state.quarantine.borrow().sentence_count());
+        let is_first = |request| is_first(&state, request);
+        let publications = state.quarantine.borrow_mut().publications(now, is_first);
+        for publication in publications {
+            // As for limits, a conflict means that another host was faster.
+            registration::call(&state, &client, &encode(&state, publication)).await.ok();
+        }
+    }
+}
+
+/// Whether this host is the first registered one in the order for a request.
+fn is_first(state: &State, request: Fingerprint) -> bool {
+    let hosts = state.hosts.borrow();
+    let names = hosts.keys().map(AsRef::as_ref);
+    rendezvous::is_among_first(&request.to_string(), &state.settings.host.name, names, 1)
+}
+
+fn encode(state: &State, publication: Publication) -> Call {
+    let Publication { request, is_condemned, replaces_revision } = publication;
+    let key = format!("{PREFIX}{request}");
+    let record = Record { host: state.settings.host.name.to_string() };
+    let value = serde_json::to_vec(&record).ok().filter(|_| is_condemned);
+    let conditions = vec![(key.clone(), replaces_revision)];
+    let (writes, removals) = match value {
+        Some(value) => (vec![Write { key, value, lease: 0 }], Vec::new()),
+        None => (Vec::new(), vec![key]),
+    };
+    Call::Write(Transaction { conditions, writes, removals })
+}
+
+fn log(state: &State, request: Fingerprint, change: &str, told_by: Option<&str>) {
+    let event = Event::Quarantine { fingerprint: &request.to_string(), change, told_by };
+    state.log.write(Rank::Notice, event);
+}
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -22,7 +22,7 @@
     listeners::{self, Context},
     metrics,
     peers::{self, Message, Socket},
-    registration,
+    quarantine, registration,
     settings::{self, Settings},
     state::State,
     store::Client,
@@ -70,6 +70,8 @@
     tokio::task::spawn_local(feed);
     tokio::task::spawn_local(peers::announce(state.clone(), socket.clone(), announcements));
     tokio::task::spawn_local(limits::run(state.clone(), client.clone()));
+    tokio::task::spawn_local(quarantine::judge(state.clone()));
+    tokio::task::spawn_local(quarantine::publish(state.clone(), client.clone()));
     let registration_task =
         tokio::task::spawn_local(registration::run(state.clone(), client.clone(), stopping));
     tokio::task::spawn_local(peers::run(state.clone(), socket.clone(), lending.clone(), inbox));
--- a/crates/steer/src/state.rs
+++ b/crates/steer/src/state.rs
@@ -16,7 +16,7 @@
 use marjorampick_core::steering::{
     fleet::{Fleet, Locality},
     plan::Plan,
-    rate, retry,
+    quarantine, rate, retry,
     seats::{CUT_OFF_TIME, Seats},
     split,
 };
@@ -123,6 +123,10 @@
     pub seats: RefCell<Seats>,
     /// Registered hosts by name.
     pub hosts: RefCell<BTreeMap<Arc<str>, Host>>,
+    /// Requests that crash instances.
+    pub quarantine: RefCell<quarantine::Book>,
+    /// Wakes the task that judges them.
+    pub crash_reported: Notify,
     /// Idle connections to backend servers.
     pub pool: RefCell<Pool>,
     /// Memory for answers of backend servers.
@@ -174,6 +178,8 @@
             )),
             seats: RefCell::default(),
             hosts: RefCell::default(),
+            quarantine: RefCell::default(),
+            crash_reported: Notify::new(),
             pool: RefCell::default(),
             answer_memory: Memory::default(),
             snapshot: Arc::new(snapshot),
