quarantine: an instance crashes once for all copies of a request

A copy that was sent to an instance just after its crash, on a kept connection, counted as another crash. Change: a run on an instance that the request has crashed already is passed over.

--- a/crates/core/src/steering/quarantine/book.rs
+++ b/crates/core/src/steering/quarantine/book.rs
@@ -117,11 +117,8 @@
 
     /// Records that a request was on an instance when it crashed. `is_own` says whether this host sent it.
     pub fn record_crash(&mut self, now: Duration, crash: &Crash, is_own: bool) {
-        let is_condemned = self.sentence_left(now, crash.request).is_some();
-        self.evidence.add_scene(now, crash);
-        if !is_condemned {
-            self.evidence.add_run(now, crash, is_own);
-        }
+        let may_be_suspect = self.sentence_left(now, crash.request).is_none();
+        self.evidence.add(now, crash, is_own, may_be_suspect);
     }
 
     /// Records that an instance ran a request to its end. Returns whether the request was a suspect or
--- a/crates/core/src/steering/quarantine/evidence.rs
+++ b/crates/core/src/steering/quarantine/evidence.rs
@@ -71,6 +71,21 @@
         self.earlier + self.unheard + self.runs.len()
     }
 
+    /// Adds a run, unless another one is known of the same instance or at the same time.
+    fn add_run(&mut self, instance: Instance, started_at: Duration, ended_at: Duration) {
+        let last_ended_at = self.runs.last().map(|last| last.ended_at);
+        let is_after =
+            |time: Duration| last_ended_at.is_none_or(|ended| ended + time <= started_at);
+        let is_known = self.runs.iter().any(|run| run.instance == instance);
+        if is_known || !is_after(Duration::ZERO) {
+            return;
+        }
+        let is_trial = self.needs_trial() && is_after(MIN_QUIET_TIME);
+        self.runs.push(Run { instance, ended_at, is_trial });
+        let excess = self.runs.len().saturating_sub(MAX_RUNS);
+        self.runs.drain(..excess);
+    }
+
     /// Whether the request may run only alone, to find out whether it is to blame.
     fn needs_trial(&self) -> bool {
         self.crashes() >= TRIAL_CRASHES
@@ -104,32 +119,22 @@
         self.suspects.len()
     }
 
-    /// Adds a request to those that were on an instance when it crashed.
-    pub(super) fn add_scene(&mut self, now: Duration, crash: &Crash) {
-        let instance = (crash.instance.clone(), crash.incarnation);
-        let scene = self.scenes.entry(instance).or_default();
-        scene.reported_at = now;
-        scene.requests.insert(crash.request);
-        self.limit_size();
-    }
-
-    /// Adds a crash to those of a request. Runs at the same time count once: the instances may all have
-    /// crashed for another reason.
-    pub(super) fn add_run(&mut self, now: Duration, crash: &Crash, is_own: bool) {
+    /// Adds the report of a crash. `may_be_suspect` says whether the request is not condemned already.
+    ///
+    /// Runs at the same time count once: the instances may all have crashed for another reason.
+    pub(super) fn add(&mut self, now: Duration, crash: &Crash, is_own: bool, may_be_suspect: bool) {
         let instance = (crash.instance.clone(), crash.incarnation);
-        let suspect = self.suspects.entry(crash.request).or_default();
-        suspect.reported_at = now;
-        suspect.is_own |= is_own;
-        suspect.next_trial_at = now + TRIAL_DELAY;
         let ended_at = now.saturating_sub(crash.ended_ago);
         let started_at = ended_at.saturating_sub(crash.ran_for);
-        let last_ended_at = suspect.runs.last().map(|last| last.ended_at);
-        let is_quiet = last_ended_at.is_none_or(|ended| ended + MIN_QUIET_TIME <= started_at);
-        let is_trial = suspect.needs_trial() && is_quiet;
-        if last_ended_at.is_none_or(|ended| ended <= started_at) {
-            suspect.runs.push(Run { instance, ended_at, is_trial });
-            let excess = suspect.runs.len().saturating_sub(MAX_RUNS);
-            suspect.runs.drain(..excess);
+        let scene = self.scenes.entry(instance.clone()).or_default();
+        scene.reported_at = now;
+        scene.requests.insert(crash.request);
+        if may_be_suspect {
+            let suspect = self.suspects.entry(crash.request).or_default();
+            suspect.reported_at = now;
+            suspect.is_own |= is_own;
+            suspect.next_trial_at = now + TRIAL_DELAY;
+            suspect.add_run(instance, started_at, ended_at);
         }
         self.limit_size();
     }
--- a/crates/core/src/steering/tests/quarantine.rs
+++ b/crates/core/src/steering/tests/quarantine.rs
@@ -74,6 +74,17 @@
     assert!(book.judge(at(4000)).is_empty());
 }
 
+/// A copy of a request that is sent to an instance after its crash must not count as another crash: on a
+/// day of Lothian two crashes counted as three.
+#[test]
+fn an_instance_crashes_once() {
+    let deadly = request(1);
+    let runs =
+        [crash("a", deadly, 0, 50), crash("b", deadly, 100, 150), crash("a", deadly, 160, 200)];
+    let mut book = book_with(runs);
+    assert_eq!(book.admit(at(1000), deadly), Admission::Free);
+}
+
 /// A request that was answered since a crash is not to blame for it.
 #[test]
 fn an_answer_acquits_a_request() {
