quarantine: of hosts that want to try a request at the same moment, one does

Change: a host says that it wants to try a request and waits 150 ms; the one with the highest rank (rendezvous hash) runs it. A trial that has not reached an instance goes on at the next one. Lines about acquitted requests only where they had been refused.

--- a/crates/core/src/steering/quarantine.rs
+++ b/crates/core/src/steering/quarantine.rs
@@ -15,7 +15,7 @@
 mod evidence;
 mod fingerprint;
 
-pub use book::{Admission, Book, Publication};
+pub use book::{Acquittal, Admission, Book, Publication};
 pub use fingerprint::Fingerprint;
 
 use std::{sync::Arc, time::Duration};
@@ -25,6 +25,10 @@
 /// Crashes in a row after which a request runs on trial only.
 pub const TRIAL_CRASHES: usize = 3;
 
+/// Time in which hosts that want to try a request at the same moment hear of each other. The one with the
+/// highest rank runs it.
+pub const CLAIM_TIME: Duration = Duration::from_millis(150);
+
 /// Time for which a condemned request is refused. A later crash condemns it again at once.
 pub const SENTENCE_TIME: Duration = Duration::from_secs(600);
 
--- a/crates/core/src/steering/quarantine/book.rs
+++ b/crates/core/src/steering/quarantine/book.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeMap, time::Duration};
 
-use super::{Crash, Fingerprint, SENTENCE_TIME, evidence::Evidence};
+use super::{CLAIM_TIME, Crash, Fingerprint, SENTENCE_TIME, evidence::Evidence};
 
 /// Most condemned requests. If there are more, the oldest sentence ends.
 const MAX_SENTENCES: usize = 1024;
@@ -41,7 +41,8 @@
 pub enum Admission {
     /// It may run.
     Free,
-    /// It may run on trial, and the other hosts should know.
+    /// It may run on trial, if [`Book::admit_trial`] agrees after [`CLAIM_TIME`]. The other hosts should
+    /// know at once.
     Trial,
     /// It is refused.
     Refused {
@@ -50,6 +51,17 @@
     },
 }
 
+/// What a request was until an instance ran it to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Acquittal {
+    /// It was not known.
+    Unknown,
+    /// It had been on an instance that crashed, and could run.
+    Suspect,
+    /// It ran on trial only, or was condemned.
+    Refused,
+}
+
 /// Record of a condemned request that this host should write to the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Publication {
@@ -79,24 +91,36 @@
     }
 
     /// Decides whether a request may run now. A suspect that may be to blame runs on trial, once at a time.
-    pub fn admit(&mut self, now: Duration, request: Fingerprint) -> Admission {
+    /// `rank` is this host's rank for trials of the request, which differs between hosts.
+    pub fn admit(&mut self, now: Duration, request: Fingerprint, rank: u64) -> Admission {
         if let Some(retry_after) = self.sentence_left(now, request) {
             return Admission::Refused { retry_after };
         }
         match self.evidence.trial_wait(now, request) {
             None => Admission::Free,
             Some(Duration::ZERO) => {
-                self.evidence.start_trial(now, request);
+                self.evidence.claim_trial(now, request, rank);
                 Admission::Trial
             }
+            Some(wait) => Admission::Refused { retry_after: wait + CLAIM_TIME },
+        }
+    }
+
+    /// Decides whether the host may run a request on trial, after the others had time to say that they want
+    /// to do so as well.
+    pub fn admit_trial(&self, now: Duration, request: Fingerprint, rank: u64) -> Admission {
+        let left = self.sentence_left(now, request);
+        let other = !self.evidence.holds_trial(request, rank);
+        match left.or_else(|| other.then(|| self.evidence.trial_wait(now, request)).flatten()) {
             Some(retry_after) => Admission::Refused { retry_after },
+            None => Admission::Trial,
         }
     }
 
-    /// Records that another host runs a request on trial.
-    pub fn record_trial(&mut self, now: Duration, request: Fingerprint) {
+    /// Records that another host, which has this rank for it, wants to run a request on trial.
+    pub fn record_trial(&mut self, now: Duration, request: Fingerprint, rank: u64) {
         if self.sentence_left(now, request).is_none() {
-            self.evidence.add_trial(now, request);
+            self.evidence.add_trial(now, request, rank);
         }
     }
 
@@ -121,9 +145,10 @@
         self.evidence.add(now, crash, is_own, may_be_suspect);
     }
 
-    /// Records that an instance ran a request to its end. Returns whether the request was a suspect or
-    /// condemned, so that the other hosts should know.
-    pub fn record_answer(&mut self, now: Duration, request: Fingerprint) -> bool {
+    /// Records that an instance ran a request to its end. Returns what the request was before; the other
+    /// hosts should know if it was anything.
+    pub fn record_answer(&mut self, now: Duration, request: Fingerprint) -> Acquittal {
+        let was_on_trial = self.evidence.trial_wait(now, request).is_some();
         let was_suspect = self.evidence.remove(request);
         let was_condemned = self.sentence_left(now, request).is_some();
         if let Some(entry) = self.sentences.get_mut(&request).filter(|_| was_condemned) {
@@ -132,7 +157,11 @@
             entry.is_released = true;
         }
         self.forget_released();
-        was_suspect || was_condemned
+        match (was_suspect, was_condemned || was_on_trial) {
+            (_, true) => Acquittal::Refused,
+            (true, false) => Acquittal::Suspect,
+            (false, false) => Acquittal::Unknown,
+        }
     }
 
     /// Condemns the requests that the evidence blames, and returns them, with whether the other hosts should
--- a/crates/core/src/steering/quarantine/evidence.rs
+++ b/crates/core/src/steering/quarantine/evidence.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use super::{Crash, Fingerprint, SETTLING_TIME, TRIAL_CRASHES};
+use super::{CLAIM_TIME, Crash, Fingerprint, SETTLING_TIME, TRIAL_CRASHES};
 
 /// Time after which a crash no longer counts.
 const RETENTION_TIME: Duration = Duration::from_secs(600);
@@ -64,6 +64,9 @@
     is_own: bool,
     /// Time from which on the request may be tried again.
     next_trial_at: Duration,
+    /// Highest rank of the hosts that want to try it, and until when they may say so.
+    best_rank: u64,
+    claims_end_at: Duration,
 }
 
 impl Suspect {
@@ -152,23 +155,33 @@
         Some(suspect.next_trial_at.max(self.next_trial_at).saturating_sub(now))
     }
 
-    /// Records that a trial of a request begins at some host.
-    pub(super) fn start_trial(&mut self, now: Duration, request: Fingerprint) {
+    /// Records that a host with this rank wants to try a request.
+    pub(super) fn claim_trial(&mut self, now: Duration, request: Fingerprint, rank: u64) {
         if let Some(suspect) = self.suspects.get_mut(&request) {
+            if now >= suspect.claims_end_at {
+                suspect.best_rank = rank;
+                suspect.claims_end_at = now + CLAIM_TIME;
+            }
+            suspect.best_rank = suspect.best_rank.max(rank);
             suspect.next_trial_at = now + TRIAL_TIME;
             self.next_trial_at = now + TRIAL_INTERVAL;
         }
     }
 
-    /// Records that another host runs a request on trial, so that it has enough crashes also if this host
-    /// has not heard of them.
-    pub(super) fn add_trial(&mut self, now: Duration, request: Fingerprint) {
+    /// Whether no host with a higher rank wants to try a request.
+    pub(super) fn holds_trial(&self, request: Fingerprint, rank: u64) -> bool {
+        self.suspects.get(&request).is_none_or(|suspect| suspect.best_rank <= rank)
+    }
+
+    /// Records that another host wants to try a request, so that it has enough crashes also if this host has
+    /// not heard of them.
+    pub(super) fn add_trial(&mut self, now: Duration, request: Fingerprint, rank: u64) {
         let suspect = self.suspects.entry(request).or_default();
         suspect.reported_at = now;
         if !suspect.needs_trial() {
             suspect.unheard = TRIAL_CRASHES - suspect.crashes();
         }
-        self.start_trial(now, request);
+        self.claim_trial(now, request, rank);
         self.limit_size();
     }
 
--- a/crates/core/src/steering/tests/quarantine.rs
+++ b/crates/core/src/steering/tests/quarantine.rs
@@ -7,7 +7,9 @@
 use world::World;
 
 use super::{
-    super::quarantine::{Admission, Book, Crash, Fingerprint, SENTENCE_TIME, SETTLING_TIME},
+    super::quarantine::{
+        Acquittal, Admission, Book, Crash, Fingerprint, SENTENCE_TIME, SETTLING_TIME,
+    },
     support::{at, name},
 };
 
@@ -50,9 +52,9 @@
 fn crashes_in_a_row_condemn_a_request() {
     let deadly = request(1);
     let mut book = book_with(series(deadly)[..3].to_vec());
-    assert!(matches!(book.admit(at(200), deadly), Admission::Refused { .. }));
+    assert!(matches!(book.admit(at(200), deadly, 1), Admission::Refused { .. }));
     assert!(book.judge(at(1000)).is_empty());
-    assert_eq!(book.admit(at(1000), deadly), Admission::Trial);
+    assert_eq!(book.admit(at(1000), deadly, 1), Admission::Trial);
     let (now, last) = crash("d", deadly, 1000, 1100);
     book.record_crash(now, &last, true);
     assert!(book.judge(at(1100)).is_empty());
@@ -82,7 +84,7 @@
     let runs =
         [crash("a", deadly, 0, 50), crash("b", deadly, 100, 150), crash("a", deadly, 160, 200)];
     let mut book = book_with(runs);
-    assert_eq!(book.admit(at(1000), deadly), Admission::Free);
+    assert_eq!(book.admit(at(1000), deadly, 1), Admission::Free);
 }
 
 /// A request that was answered since a crash is not to blame for it.
@@ -90,8 +92,8 @@
 fn an_answer_acquits_a_request() {
     let innocent = request(1);
     let mut book = book_with([crash("a", innocent, 0, 50), crash("b", innocent, 60, 100)]);
-    assert!(book.record_answer(at(150), innocent));
-    assert!(!book.record_answer(at(160), innocent));
+    assert_eq!(book.record_answer(at(150), innocent), Acquittal::Suspect);
+    assert_eq!(book.record_answer(at(160), innocent), Acquittal::Unknown);
     assert!(book.is_empty());
     let (now, third) = crash("c", innocent, 160, 200);
     book.record_crash(now, &third, true);
@@ -120,16 +122,35 @@
     let (deadly, innocent) = (request(1), request(2));
     let mut book = book_with(series(deadly).into_iter().chain(series(innocent)));
     let is_refused = |admission| matches!(admission, Admission::Refused { .. });
-    assert!(is_refused(book.admit(at(1600), deadly)), "in the wave");
-    assert_eq!(book.admit(at(1700), innocent), Admission::Trial);
-    assert!(is_refused(book.admit(at(1710), innocent)));
-    assert!(is_refused(book.admit(at(2100), deadly)), "beside the trial of the other one");
-    book.record_trial(at(2200), deadly);
-    assert!(is_refused(book.admit(at(2210), deadly)));
+    assert!(is_refused(book.admit(at(1600), deadly, 1)), "in the wave");
+    assert_eq!(book.admit(at(1700), innocent, 1), Admission::Trial);
+    assert!(is_refused(book.admit(at(1710), innocent, 1)));
+    assert!(is_refused(book.admit(at(2100), deadly, 1)), "beside the trial of the other one");
+    book.record_trial(at(2200), deadly, 2);
+    assert!(is_refused(book.admit(at(2210), deadly, 1)));
     book.record_answer(at(2300), innocent);
-    assert_eq!(book.admit(at(2310), innocent), Admission::Free);
+    assert_eq!(book.admit(at(2310), innocent, 1), Admission::Free);
     assert_eq!(judged(&mut book, at(2320)), [deadly]);
-    assert!(is_refused(book.admit(at(5000), deadly)));
+    assert!(is_refused(book.admit(at(5000), deadly, 1)));
+}
+
+/// Of hosts that want to try a request at the same moment, one runs it: on a day of the large deployment four
+/// hosts tried it within 40 ms.
+#[test]
+fn one_host_runs_a_trial() {
+    let suspect = request(1);
+    let mut books = [1, 2, 3].map(|rank| (rank, book_with(series(suspect)[..3].to_vec())));
+    for (rank, book) in &mut books {
+        assert_eq!(book.admit(at(1000), suspect, *rank), Admission::Trial);
+    }
+    for (rank, book) in &mut books {
+        (1..=3).filter(|other| other != rank).for_each(|other| {
+            book.record_trial(at(1050), suspect, other);
+        });
+    }
+    let admits = |rank, book: &Book| book.admit_trial(at(1150), suspect, rank) == Admission::Trial;
+    let admitted = books.iter().filter(|(rank, book)| admits(*rank, book)).count();
+    assert_eq!(admitted, 1);
 }
 
 /// A host that has just started knows no crashes. It must learn from the trials and verdicts of the others
@@ -138,11 +159,11 @@
 fn a_host_that_starts_learns_of_suspects() {
     let (suspect, deadly) = (request(1), request(2));
     let mut book = Book::default();
-    book.record_trial(at(0), suspect);
-    assert!(matches!(book.admit(at(100), suspect), Admission::Refused { .. }));
-    assert_eq!(book.admit(at(3000), suspect), Admission::Trial);
+    book.record_trial(at(0), suspect, 2);
+    assert!(matches!(book.admit(at(100), suspect, 1), Admission::Refused { .. }));
+    assert_eq!(book.admit(at(3000), suspect, 1), Admission::Trial);
     assert!(book.record_verdict(at(0), deadly) && !book.record_verdict(at(0), deadly));
-    assert!(matches!(book.admit(at(3000), deadly), Admission::Refused { .. }));
+    assert!(matches!(book.admit(at(3000), deadly, 1), Admission::Refused { .. }));
 }
 
 /// A request that was on four of many instances that crashed one after the other is not to blame yet.
@@ -156,7 +177,7 @@
     crashes.sort_by_key(|(at, _)| *at);
     let mut book = book_with(crashes);
     assert!(book.judge(at(1000)).is_empty());
-    assert_eq!(book.admit(at(1000), innocent), Admission::Trial);
+    assert_eq!(book.admit(at(1000), innocent, 1), Admission::Trial);
 }
 
 /// A request is run again after its sentence, and one more crash condemns it again; an answer ends a sentence.
@@ -172,7 +193,7 @@
     let again = Crash { instance: name("d"), ..crash("d", deadly, 0, 50).1 };
     book.record_crash(end, &again, true);
     assert_eq!(judged(&mut book, end + SETTLING_TIME), [deadly]);
-    assert!(book.record_answer(end + SETTLING_TIME, deadly));
+    assert_eq!(book.record_answer(end + SETTLING_TIME, deadly), Acquittal::Refused);
     assert!(book.sentence_left(end + SETTLING_TIME, deadly).is_none());
     assert!(book.is_empty());
 }
--- a/crates/core/src/steering/tests/quarantine/world.rs
+++ b/crates/core/src/steering/tests/quarantine/world.rs
@@ -9,7 +9,7 @@
 
 use super::{
     super::{
-        super::quarantine::{Admission, Book, Crash, Fingerprint},
+        super::quarantine::{Acquittal, Admission, Book, CLAIM_TIME, Crash, Fingerprint},
         support::{at, name},
     },
     request,
@@ -80,11 +80,19 @@
     is_first_try: bool,
 }
 
+/// Request that a host wants to try.
+struct Trial {
+    number: u64,
+    host: usize,
+    attempts: u32,
+    is_first_try: bool,
+}
+
 #[derive(Clone)]
 enum Message {
     Crash(Crash),
     Answered(Fingerprint),
-    Trial(Fingerprint),
+    Trial(Fingerprint, u64),
     Verdict(Fingerprint),
 }
 
@@ -94,6 +102,8 @@
     hosts: Vec<Host>,
     instances: Vec<Instance>,
     runs: Vec<Run>,
+    /// Trials that wait until other hosts have said that they want to try the same request.
+    trials: Vec<(u64, Trial)>,
     /// Messages on their way: when they arrive, and where.
     messages: Vec<(u64, usize, Message)>,
     /// Records in the store, the latest ones last, and the revision of each request's record.
@@ -124,6 +134,7 @@
                 .collect(),
             instances: vec![Instance { incarnation: 1, up_at_ms: 0 }; hosts * 3 / 2],
             runs: Vec::new(),
+            trials: Vec::new(),
             messages: Vec::new(),
             store: Vec::new(),
             revisions: BTreeMap::new(),
@@ -143,6 +154,7 @@
         for now_ms in (0..time.as_millis() as u64).step_by(STEP_MS as usize) {
             self.deliver(now_ms);
             self.end_runs(now_ms);
+            self.start_trials(now_ms);
             if now_ms.is_multiple_of(1000) && self.batches.contains(&(now_ms / 1000)) {
                 self.plan_batch(now_ms);
             }
@@ -194,11 +206,37 @@
     }
 
     fn attempt(&mut self, now_ms: u64, host: usize, number: u64, attempts: u32, is_first: bool) {
-        match self.hosts[host].book.admit(at(now_ms), request(number)) {
+        match self.hosts[host].book.admit(at(now_ms), request(number), host as u64) {
             Admission::Free => {}
-            Admission::Trial => self.tell_all(now_ms, host, &Message::Trial(request(number))),
+            Admission::Trial => {
+                self.tell_all(now_ms, host, &Message::Trial(request(number), host as u64));
+                let trial = Trial { number, host, attempts, is_first_try: is_first };
+                self.trials.push((now_ms + CLAIM_TIME.as_millis() as u64, trial));
+                return;
+            }
             Admission::Refused { .. } => return,
         }
+        self.run_at_instance(now_ms, host, number, attempts, is_first);
+    }
+
+    fn start_trials(&mut self, now_ms: u64) {
+        let due: Vec<_> = self.trials.extract_if(.., |(at, _)| *at <= now_ms).collect();
+        for (_, Trial { number, host, attempts, is_first_try }) in due {
+            let book = &self.hosts[host].book;
+            if book.admit_trial(at(now_ms), request(number), host as u64) == Admission::Trial {
+                self.run_at_instance(now_ms, host, number, attempts, is_first_try);
+            }
+        }
+    }
+
+    fn run_at_instance(
+        &mut self,
+        now_ms: u64,
+        host: usize,
+        number: u64,
+        attempts: u32,
+        is_first: bool,
+    ) {
         let up = |instance: &usize| self.instances[*instance].up_at_ms <= now_ms;
         let candidates: Vec<usize> = (0..self.instances.len()).filter(up).collect();
         if candidates.is_empty() {
@@ -234,7 +272,8 @@
             }
             self.runs.swap_remove(index);
             let book = &mut self.hosts[run.host].book;
-            if !book.is_empty() && book.record_answer(at(now_ms), request(run.number)) {
+            let answered = book.record_answer(at(now_ms), request(run.number));
+            if answered != Acquittal::Unknown {
                 self.tell_all(now_ms, run.host, &Message::Answered(request(run.number)));
             }
         }
@@ -300,7 +339,7 @@
                 Message::Answered(request) => {
                     book.record_answer(at(now_ms), request);
                 }
-                Message::Trial(request) => book.record_trial(at(now_ms), request),
+                Message::Trial(request, rank) => book.record_trial(at(now_ms), request, rank),
                 Message::Verdict(request) => {
                     book.record_verdict(at(now_ms), request);
                 }
--- a/crates/steer/src/callers/forward.rs
+++ b/crates/steer/src/callers/forward.rs
@@ -17,7 +17,7 @@
     backend::answer::Answer,
     clock,
     constants::{MAX_RETRIES, MIN_ATTEMPT_TIME, NO_INSTANCE_RETRY_AFTER},
-    quarantine,
+    quarantine::{self, Admitted},
     state::State,
 };
 
@@ -37,13 +37,19 @@
     let mut tried_ids: Vec<Arc<str>> = Vec::new();
     let mut attempts = 0;
     let mut may_have_run = false;
+    let mut is_on_trial = false;
     let mut last_failure: Option<Failure> = None;
     let mut last_choice: Option<Choice> = None;
     loop {
+        // A trial that has not reached an instance goes on at the next one.
+        let admitted = match is_on_trial && attempts == 0 {
+            true => Ok(Admitted::OnTrial),
+            false => admit(state, call, body).await,
+        };
+        is_on_trial = admitted == Ok(Admitted::OnTrial);
         let remaining = call.deadline.saturating_sub(clock::now());
-        let chosen = choose(state, call, &tried_ids, remaining);
-        let admitted = chosen.and_then(|choice| admit(state, call, body).map(|()| choice));
-        let choice = match admitted {
+        let chosen = admitted.and_then(|_| choose(state, call, &tried_ids, remaining));
+        let choice = match chosen {
             Ok(choice) => choice,
             Err(refusal) => {
                 let result = final_result(last_failure, may_have_run, refusal);
@@ -111,8 +117,8 @@
 }
 
 /// Refuses a request that crashes instances.
-fn admit(state: &Rc<State>, call: &Call, body: &Bytes) -> Result<(), Refusal> {
-    let admitted = quarantine::admit(state, call, body);
+async fn admit(state: &Rc<State>, call: &Call, body: &Bytes) -> Result<Admitted, Refusal> {
+    let admitted = quarantine::admit(state, call, body).await;
     admitted.map_err(|left| Refusal::with_retry_after(Reason::Quarantined, left))
 }
 
--- a/crates/steer/src/quarantine.rs
+++ b/crates/steer/src/quarantine.rs
@@ -8,7 +8,9 @@
 use bytes::Bytes;
 use marjorampick_core::{
     rendezvous,
-    steering::quarantine::{Admission, Crash, Fingerprint, Publication, SETTLING_TIME},
+    steering::quarantine::{
+        Acquittal, Admission, CLAIM_TIME, Crash, Fingerprint, Publication, SETTLING_TIME,
+    },
 };
 use serde::{Deserialize, Serialize};
 use tokio::time::{interval, sleep};
@@ -35,6 +37,15 @@
     pub host: String,
 }
 
+/// How a request may run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Admitted {
+    /// As any other one.
+    Freely,
+    /// At one instance, while no other host runs it.
+    OnTrial,
+}
+
 /// What hosts tell each other of requests that crash instances.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -43,24 +54,37 @@
     Crash(Crash),
     /// An instance ran the request to its end.
     Answered(Fingerprint),
-    /// The sender runs the request on trial.
-    Trial(Fingerprint),
+    /// The sender, which has this rank for it, wants to run the request on trial.
+    Trial(Fingerprint, u64),
     /// The sender has condemned the request.
     Verdict(Fingerprint),
 }
 
-/// Decides whether a request may run now, or how long it is refused.
-pub(crate) fn admit(state: &State, request: &Request, body: &Bytes) -> Result<(), Duration> {
+/// Decides whether a request may run now, or how long it is refused. Waits if it runs on trial.
+pub(crate) async fn admit(
+    state: &State,
+    request: &Request,
+    body: &Bytes,
+) -> Result<Admitted, Duration> {
     if state.quarantine.borrow().is_empty() {
-        return Ok(());
+        return Ok(Admitted::Freely);
     }
     let fingerprint = request.fingerprint(body);
-    match state.quarantine.borrow_mut().admit(clock::now(), fingerprint) {
-        Admission::Free => Ok(()),
+    let rank = rendezvous::weight(&fingerprint.to_string(), &state.settings.host.name);
+    let admission = state.quarantine.borrow_mut().admit(clock::now(), fingerprint, rank);
+    let admission = match admission {
+        Admission::Trial => {
+            state.announce(Message::Quarantine(Notice::Trial(fingerprint, rank)));
+            sleep(CLAIM_TIME).await;
+            state.quarantine.borrow().admit_trial(clock::now(), fingerprint, rank)
+        }
+        admission => admission,
+    };
+    match admission {
+        Admission::Free => Ok(Admitted::Freely),
         Admission::Trial => {
             log(state, fingerprint, "trial", None);
-            state.announce(Message::Quarantine(Notice::Trial(fingerprint)));
-            Ok(())
+            Ok(Admitted::OnTrial)
         }
         Admission::Refused { retry_after } => Err(retry_after),
     }
@@ -79,8 +103,9 @@
         return;
     }
     let fingerprint = request.fingerprint(body);
-    if state.quarantine.borrow_mut().record_answer(clock::now(), fingerprint) {
-        log(state, fingerprint, "answered", None);
+    let acquittal = state.quarantine.borrow_mut().record_answer(clock::now(), fingerprint);
+    log_acquittal(state, fingerprint, acquittal, None);
+    if acquittal != Acquittal::Unknown {
         state.announce(Message::Quarantine(Notice::Answered(fingerprint)));
     }
 }
@@ -94,11 +119,9 @@
             book.record_crash(now, crash, false);
             state.crash_reported.notify_one();
         }
-        Notice::Trial(request) => book.record_trial(now, *request),
+        Notice::Trial(request, rank) => book.record_trial(now, *request, *rank),
         Notice::Answered(request) => {
-            if book.record_answer(now, *request) {
-                log(state, *request, "answered", Some(host));
-            }
+            log_acquittal(state, *request, book.record_answer(now, *request), Some(host));
         }
         Notice::Verdict(request) => {
             if book.record_verdict(now, *request) {
@@ -177,6 +200,13 @@
     Call::Write(Transaction { conditions, writes, removals })
 }
 
+/// Logs that a request runs again. Most suspects could run all the while, and get no line.
+fn log_acquittal(state: &State, request: Fingerprint, acquittal: Acquittal, told_by: Option<&str>) {
+    if acquittal == Acquittal::Refused {
+        log(state, request, "answered", told_by);
+    }
+}
+
 fn log(state: &State, request: Fingerprint, change: &str, told_by: Option<&str>) {
     let event = Event::Quarantine { fingerprint: &request.to_string(), change, told_by };
     state.log.write(Rank::Notice, event);
