peers: messages count only from registered hosts

Callers with a withdrawn key went on being served: one datagram of a stranger, an answer to a question that nobody had asked, hid every later change of the store from a host. Cause: a host acted upon each datagram, whoever sent it. Change: a message counts only from the address of a registered host; others are dropped, counted by marjorampick_dropped_messages_total and logged within the limit of lines. Measured: a_strangers_answer_hides_no_change (200, 401 expected) and a_stranger_is_told_nothing (878 bytes) failed before, pass. Who forges the address of a host is still believed.

--- a/crates/steer/src/events.rs
+++ b/crates/steer/src/events.rs
@@ -159,6 +159,14 @@
         /// Milliseconds from sending the request to the crash.
         ran_ms: u128,
     },
+    /// A datagram at the address for messages of other hosts was dropped.
+    MessageDropped {
+        /// Address of the sender.
+        sender: &'a str,
+        /// `stranger` (no registered host has that address), `malformed`, `unasked` (an answer to no
+        /// question of this host) or `implausible` (an answer that is checked with the store).
+        reason: &'a str,
+    },
     /// What this host knows of a request that crashes instances has changed.
     Quarantine {
         /// What identifies the request at all hosts and attempts.
--- a/crates/steer/src/feed.rs
+++ b/crates/steer/src/feed.rs
@@ -15,7 +15,10 @@
 };
 
 use futures_util::future::try_join_all;
-use marjorampick_core::steering::relay::{Schedule, Step};
+use marjorampick_core::steering::{
+    relay::{Schedule, Step},
+    seats::SEAT_PROPAGATION_TIME,
+};
 use relay::{Answer, Inbox, Question};
 use tokio::time::timeout;
 
@@ -116,8 +119,11 @@
             self.schedule.record_question(asked_at);
         }
         let has_questions = self.inbox.has_questions();
-        let region_hosts = self.state.fleet.borrow().region_hosts().to_vec();
         let now = clock::now();
+        // Until the others have seen its registration, they take this host for a stranger.
+        let is_known = now >= self.state.started_at + SEAT_PROPAGATION_TIME;
+        let region_hosts =
+            if is_known { self.state.fleet.borrow().region_hosts().to_vec() } else { Vec::new() };
         match self.schedule.next(now, &region_hosts, has_questions) {
             Step::CallStore => self.call_store().await,
             Step::Ask(relay) => self.ask(&relay, now),
--- a/crates/steer/src/metrics.rs
+++ b/crates/steer/src/metrics.rs
@@ -15,6 +15,7 @@
 const REQUESTS_IN_FLIGHT: &str = "marjorampick_requests_in_flight";
 const RELAY_MESSAGES_TOTAL: &str = "marjorampick_relay_messages_total";
 const LIMITED_INSTANCES: &str = "marjorampick_limited_instances";
+const DROPPED_MESSAGES_TOTAL: &str = "marjorampick_dropped_messages_total";
 const QUARANTINED_REQUESTS: &str = "marjorampick_quarantined_requests";
 
 /// Upper bounds of the histogram buckets, in seconds.
@@ -40,6 +41,11 @@
         Unit::Count,
         "Changes of the store passed on to other hosts or learned from them, by outcome."
     );
+    describe_counter!(
+        DROPPED_MESSAGES_TOTAL,
+        Unit::Count,
+        "Datagrams that were dropped at the address for messages of other hosts, by reason."
+    );
     describe_gauge!(REQUESTS_IN_FLIGHT, Unit::Count, "Requests that have not ended.");
     describe_gauge!(LIMITED_INSTANCES, Unit::Count, "Instances with a limit that applies.");
     describe_gauge!(
@@ -103,6 +109,11 @@
     gauge!(LIMITED_INSTANCES).set(count as f64);
 }
 
+/// Records a dropped message.
+pub(crate) fn record_dropped_message(reason: &'static str) {
+    counter!(DROPPED_MESSAGES_TOTAL, "reason" => reason).increment(1);
+}
+
 /// Sets the number of requests that are refused as they crash instances.
 pub(crate) fn set_quarantined_requests(count: usize) {
     gauge!(QUARANTINED_REQUESTS).set(count as f64);
--- a/crates/steer/src/peers.rs
+++ b/crates/steer/src/peers.rs
@@ -2,8 +2,9 @@
 //!
 //! Two exchanges use them: loans of rate limit tokens ([`crate::lending`]) and changes of the store that
 //! one host passes on to others ([`crate::feed`]). Announcements tell all other hosts at once what one of
-//! them has just learned; they count only from a registered host. All of it works without any message: a
-//! lost, late or duplicated one costs a retry or a call of the store and never leads to a wrong state.
+//! them has just learned. Messages count only from the address of a registered host. All of it works
+//! without any message: a lost, late or duplicated one costs a retry or a call of the store and never leads
+//! to a wrong state.
 
 use std::{net::SocketAddr, rc::Rc, sync::Arc};
 
@@ -12,9 +13,10 @@
 use tokio::{net::UdpSocket, sync::mpsc};
 
 use crate::{
+    events::{Event, Rank},
     feed::relay::{self, Answer, Inbox, Question},
     lending::Lending,
-    limits,
+    limits, metrics,
     quarantine::{self, Notice},
     state::State,
 };
@@ -110,7 +112,8 @@
     }
 }
 
-/// Handles messages of other hosts until the process ends.
+/// Handles messages of other hosts until the process ends. Those of strangers are dropped, as they would
+/// be told what hosts know, or change it.
 pub async fn run(state: Rc<State>, socket: Rc<Socket>, lending: Rc<Lending>, inbox: Rc<Inbox>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
@@ -121,6 +124,10 @@
                 continue;
             }
         };
+        let Some(host) = registered_host(&state, sender) else {
+            record_dropped(&state, sender, "stranger");
+            continue;
+        };
         let mut parts = buffer[..length].splitn(2, |byte| *byte == b'\n');
         let (head, payload) = (parts.next().unwrap_or_default(), parts.next().unwrap_or_default());
         match serde_json::from_slice(head) {
@@ -131,23 +138,22 @@
             Ok(Message::Follow(question)) => inbox.add_question(question, sender),
             Ok(Message::Changes(answer)) => match relay::decode(payload) {
                 Some(changes) => inbox.add_answer(answer, changes),
-                None => log::debug!("peers: malformed changes from {sender}"),
+                None => record_dropped(&state, sender, "malformed"),
             },
-            Ok(Message::Limit(limit)) => {
-                if let Some(host) = registered_host(&state, sender) {
-                    limits::apply_message(&state, &limit, &host);
-                }
-            }
-            Ok(Message::Quarantine(notice)) => {
-                if let Some(host) = registered_host(&state, sender) {
-                    quarantine::apply_notice(&state, &notice, &host);
-                }
-            }
-            Err(error) => log::debug!("peers: malformed datagram from {sender}: {error}"),
+            Ok(Message::Limit(limit)) => limits::apply_message(&state, &limit, &host),
+            Ok(Message::Quarantine(notice)) => quarantine::apply_notice(&state, &notice, &host),
+            Err(_) => record_dropped(&state, sender, "malformed"),
         }
     }
 }
 
+/// Records a message that was dropped.
+pub(crate) fn record_dropped(state: &State, sender: SocketAddr, reason: &'static str) {
+    metrics::record_dropped_message(reason);
+    let event = Event::MessageDropped { sender: &sender.to_string(), reason };
+    state.log.write(Rank::Failure, event);
+}
+
 /// Sends announcements to all other registered hosts until the channel is closed.
 pub async fn announce(
     state: Rc<State>,
@@ -167,8 +173,5 @@
 fn registered_host(state: &State, sender: SocketAddr) -> Option<Arc<str>> {
     let hosts = state.hosts.borrow();
     let found = hosts.iter().find(|(_, host)| host.registration.peers == sender);
-    if found.is_none() {
-        log::debug!("peers: an announcement from {sender}, which is no host");
-    }
     found.map(|(name, _)| name.clone())
 }
