feed: an answer counts only to a question of this host, and only if the store can back it

Cause: an answer was matched by a time between the host's start and now, and its revision was taken as it came. A relay that was asked by a host ahead of it repeated that host's revision, so that the host never noticed. Change: a question has a random id (in the field that earlier versions repeat as it is), one entry until it is answered, and counts only from the host that was asked. An answer that claims over 1,000 revisions beyond its last change is dropped, and the host asks the store.

--- a/crates/steer/src/feed.rs
+++ b/crates/steer/src/feed.rs
@@ -19,7 +19,7 @@
     relay::{Schedule, Step},
     seats::SEAT_PROPAGATION_TIME,
 };
-use relay::{Answer, Inbox, Question};
+use relay::{Answer, Inbox, Outstanding, Question, Received};
 use tokio::time::timeout;
 
 use crate::{
@@ -30,12 +30,15 @@
     },
     events::{Event, Rank},
     metrics,
-    peers::{Message, Socket},
+    peers::{Message, Socket, record_dropped},
     registration::KEY_PREFIX,
     state::{Host, State},
     store::{Call, Change, Client, Fault, Item, Reply},
 };
 
+/// Most questions without an answer; the oldest one is forgotten.
+const MAX_OUTSTANDING: usize = 4;
+
 /// Prefix of all keys. A single watch covers the whole store, because each open watch call costs
 /// money.
 const ALL_KEYS_PREFIX: &str = "";
@@ -49,6 +52,7 @@
         client,
         socket,
         inbox,
+        outstanding: Vec::new(),
         revision: 0,
         progress: Progress::Unread,
         is_reachable: false,
@@ -79,6 +83,8 @@
     socket: Rc<Socket>,
     inbox: Rc<Inbox>,
     schedule: Schedule,
+    /// Questions to relays without an answer, the oldest first.
+    outstanding: Vec<Outstanding>,
     /// Revision up to which changes have been applied.
     revision: u64,
     progress: Progress,
@@ -112,8 +118,8 @@
 impl Feed {
     /// Does the next thing that is due.
     async fn step(&mut self) {
-        for (answer, changes) in self.inbox.take_answers() {
-            self.apply_answer(&answer, changes);
+        for received in self.inbox.take_answers() {
+            self.apply_answer(received);
         }
         if let Some(asked_at) = self.inbox.take_asked_at() {
             self.schedule.record_question(asked_at);
@@ -216,45 +222,59 @@
     }
 
     /// Asks another host for the changes.
-    fn ask(&self, relay: &str, now: Duration) {
+    fn ask(&mut self, relay: &str, now: Duration) {
         let Some(address) =
             self.state.hosts.borrow().get(relay).map(|host| host.registration.peers)
         else {
             return;
         };
-        let asked_at = u64::try_from(now.as_nanos()).unwrap_or_default();
-        let question = Question { asked_at, revision: self.revision };
-        self.socket.send(&Message::Follow(question), address);
+        let question = Question { id: rand::random(), revision: self.revision };
+        self.socket.send(&Message::Follow(question.clone()), address);
+        if self.outstanding.len() >= MAX_OUTSTANDING {
+            self.outstanding.remove(0);
+        }
+        self.outstanding.push(Outstanding { question, relay: address, asked_at: now });
     }
 
-    /// Answers the questions of other hosts from a batch. A host that has missed changes from before it
-    /// gets no answer, and asks the store.
+    /// Answers the questions of other hosts from a batch. A host that has missed changes from before it, or
+    /// knows a revision that the store has not reached, gets no answer and asks the store.
     fn answer(&self, questions: &[(SocketAddr, Question)], batch: &Batch) {
         let mut payloads: BTreeMap<u64, Vec<u8>> = BTreeMap::new();
-        for (host, question) in questions.iter().filter(|(_, asked)| asked.revision >= batch.after)
-        {
-            let Question { asked_at, revision: after } = *question;
+        let is_answerable =
+            |asked: &Question| (batch.after..=batch.until).contains(&asked.revision);
+        for (host, question) in questions.iter().filter(|(_, asked)| is_answerable(asked)) {
+            let Question { id, revision: after } = *question;
             let payload = payloads
                 .entry(after)
                 .or_insert_with(|| relay::encode(&batch.changes, after).unwrap_or_default());
-            let answer = Answer { asked_at, after, until: batch.until.max(after) };
+            let answer = Answer { id, after, until: batch.until };
             let message = Message::Changes(answer);
             let is_sent = self.socket.send_with_payload(&message, payload, *host);
             metrics::record_relay(if is_sent { "answered" } else { "unanswered" });
         }
     }
 
-    /// Applies the answer of another host to a question of this process.
-    fn apply_answer(&mut self, answer: &Answer, changes: Vec<Change>) {
-        let asked_at = Duration::from_nanos(answer.asked_at);
-        let is_own = self.state.started_at <= asked_at && asked_at <= clock::now();
-        if !is_own || self.progress != Progress::Complete || answer.after > self.revision {
+    /// Applies the answer of another host to a question of this process. One that claims more than the
+    /// store can have reached is not used; the host asks the store.
+    fn apply_answer(&mut self, received: Received) {
+        let asked = self.outstanding.iter().position(|asked| asked.is_answered_by(&received));
+        let Some(index) = asked else {
+            record_dropped(&self.state, received.sender, "unasked");
+            return;
+        };
+        let asked_at = self.outstanding.swap_remove(index).asked_at;
+        if !received.is_plausible() {
+            record_dropped(&self.state, received.sender, "implausible");
+            self.schedule.record_gap();
+            return;
+        }
+        if self.progress != Progress::Complete {
             return;
         }
         metrics::record_relay("followed");
         self.schedule.record_answer(asked_at);
         self.record_response(asked_at);
-        self.apply_changes(changes, answer.until);
+        self.apply_changes(received.changes, received.answer.until);
         self.publish();
     }
 
@@ -329,21 +349,16 @@
     }
 
     fn record_failure(&mut self, fault: &Fault) {
+        let reason = fault.to_string();
         if *fault == Fault::Compacted {
             self.progress = Progress::Incomplete;
             self.schedule.record_gap();
             // Changes were missed for an unknown time, in which entries may have expired and
-            // reappeared, so everything has to be read again.
-            self.state.log.write(
-                Rank::Notice,
-                Event::StoreFault {
-                    call: "watch",
-                    reason: "history compacted; reading all items again",
-                },
-            );
+            // reappeared, or what was applied is not the store's, so everything has to be read again.
+            let event = Event::StoreFault { call: "watch", reason: &reason };
+            self.state.log.write(Rank::Notice, event);
             return;
         }
-        let reason = fault.to_string();
         let event = if self.is_reachable {
             Event::StoreLost { reason: &reason, revision: self.revision }
         } else {
--- a/crates/steer/src/feed/relay.rs
+++ b/crates/steer/src/feed/relay.rs
@@ -30,14 +30,18 @@
 /// Revisions by which the sender of a question may be behind. One that is further behind asks the store.
 const MAX_LAG: u64 = 500;
 
+/// Revisions of the store that may come without a change, such as those of leases.
+const MAX_REVISIONS_WITHOUT_CHANGE: u64 = 1000;
+
 /// Largest decompressed payload, in bytes.
 const MAX_PAYLOAD_BYTES: u64 = 4 * 1024 * 1024;
 
 /// Asks for the changes of the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Question {
-    /// When it was asked, in nanoseconds on the clock of the host that asks.
-    pub asked_at: u64,
+    /// Random id. Its name on the wire is that of earlier versions, whose relays repeat any number.
+    #[serde(rename = "asked_at")]
+    pub id: u64,
     /// Revision up to which that host has all changes.
     pub revision: u64,
 }
@@ -45,8 +49,9 @@
 /// Answers a question. The changes follow as the payload of the message, see [`encode`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Answer {
-    /// [`Question::asked_at`] of the question.
-    pub asked_at: u64,
+    /// [`Question::id`] of the question.
+    #[serde(rename = "asked_at")]
+    pub id: u64,
     /// [`Question::revision`] of the question.
     pub after: u64,
     /// Revision up to which the changes are complete.
@@ -109,11 +114,47 @@
     wire.into_iter().map(WireChange::into_change).collect()
 }
 
+/// Answer of another host.
+#[derive(Debug)]
+pub(crate) struct Received {
+    pub(crate) sender: SocketAddr,
+    pub(crate) answer: Answer,
+    pub(crate) changes: Vec<Change>,
+}
+
+/// Question of this host that has no answer yet.
+#[derive(Debug)]
+pub(super) struct Outstanding {
+    pub(super) question: Question,
+    /// Address of the host that was asked.
+    pub(super) relay: SocketAddr,
+    pub(super) asked_at: Duration,
+}
+
+impl Outstanding {
+    /// Whether an answer belongs to this question.
+    pub(super) fn is_answered_by(&self, received: &Received) -> bool {
+        let Received { sender, answer, .. } = received;
+        self.relay == *sender
+            && self.question.id == answer.id
+            && self.question.revision == answer.after
+    }
+}
+
+impl Received {
+    /// Whether the store can have reached the revision up to which the changes are complete: it counts
+    /// one revision for each change.
+    pub(super) fn is_plausible(&self) -> bool {
+        let last = self.changes.iter().map(Change::revision).fold(self.answer.after, u64::max);
+        self.answer.until <= last.saturating_add(MAX_REVISIONS_WITHOUT_CHANGE)
+    }
+}
+
 /// Messages of other hosts about changes of the store, until the feed takes them.
 #[derive(Debug, Default)]
 pub struct Inbox {
     questions: RefCell<Vec<(SocketAddr, Question)>>,
-    answers: RefCell<Vec<(Answer, Vec<Change>)>>,
+    answers: RefCell<Vec<Received>>,
     /// When the last question arrived.
     asked_at: Cell<Option<Duration>>,
     arrived: Notify,
@@ -132,10 +173,10 @@
     }
 
     /// Adds an answer.
-    pub(crate) fn add_answer(&self, answer: Answer, changes: Vec<Change>) {
+    pub(crate) fn add_answer(&self, received: Received) {
         let mut answers = self.answers.borrow_mut();
         if answers.len() < MAX_ANSWERS {
-            answers.push((answer, changes));
+            answers.push(received);
         }
         self.arrived.notify_one();
     }
@@ -158,7 +199,7 @@
     }
 
     /// Takes the answers.
-    pub(super) fn take_answers(&self) -> Vec<(Answer, Vec<Change>)> {
+    pub(super) fn take_answers(&self) -> Vec<Received> {
         self.answers.take()
     }
 
--- a/crates/steer/src/peers.rs
+++ b/crates/steer/src/peers.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     events::{Event, Rank},
-    feed::relay::{self, Answer, Inbox, Question},
+    feed::relay::{self, Answer, Inbox, Question, Received},
     lending::Lending,
     limits, metrics,
     quarantine::{self, Notice},
@@ -137,7 +137,7 @@
             Ok(Message::Lend { id, tokens }) => lending.accept_loan(&state, id, tokens),
             Ok(Message::Follow(question)) => inbox.add_question(question, sender),
             Ok(Message::Changes(answer)) => match relay::decode(payload) {
-                Some(changes) => inbox.add_answer(answer, changes),
+                Some(changes) => inbox.add_answer(Received { sender, answer, changes }),
                 None => record_dropped(&state, sender, "malformed"),
             },
             Ok(Message::Limit(limit)) => limits::apply_message(&state, &limit, &host),
--- a/crates/steer/src/store.rs
+++ b/crates/steer/src/store.rs
@@ -147,7 +147,8 @@
     Refused(String),
     /// It is unknown whether the call was executed.
     Unknown(String),
-    /// The store has compacted its history past the requested revision.
+    /// The store does not have the requested revision: it has compacted its history past it, or not
+    /// reached it.
     Compacted,
     /// A condition of the transaction does not hold.
     Conflict,
@@ -162,7 +163,7 @@
         match self {
             Self::Refused(reason) => write!(f, "the call was not executed: {reason}"),
             Self::Unknown(reason) => write!(f, "no usable answer: {reason}"),
-            Self::Compacted => write!(f, "the history after the revision was compacted"),
+            Self::Compacted => write!(f, "the store does not have the revision"),
             Self::Conflict => write!(f, "a condition of the transaction does not hold"),
             Self::LeaseNotFound => write!(f, "the lease does not exist"),
             Self::Malformed(reason) => write!(f, "malformed response: {reason}"),
