quarantine: hosts that stop or start again are heard, and an answer outlasts a late record

Cause, from the logs of the three hosts: entry-0 had just started again and entry-1 was stopping, so that neither was registered at entry-2, which dropped their reports as those of strangers. It did not know that the request to blame was on the same instances, and condemned the one that it tried. entry-0 answered the request 0.6 s later and told entry-2, which forgot the verdict before it had seen its own record; the hosts that started later read the record and refused the request, so that no answer came. Change: messages of a host count, and it gets announcements, for 60 s after its registration. An answer is remembered for 10 s: a record that arrives meanwhile does not condemn again, and is removed.

--- a/crates/core/src/steering/quarantine.rs
+++ b/crates/core/src/steering/quarantine.rs
@@ -12,6 +12,7 @@
 //! and one that crashes the instance without another suspect on it is condemned. See docs/platform.md.
 
 mod book;
+mod claim;
 mod evidence;
 mod fingerprint;
 
--- a/crates/core/src/steering/quarantine/book.rs
+++ b/crates/core/src/steering/quarantine/book.rs
@@ -14,6 +14,10 @@
 /// Shortest time between two writes of this host about one request.
 const MIN_PUBLICATION_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Time for which a host remembers that a condemned request was answered. A record that was written before
+/// may reach it later.
+const ACQUITTAL_TIME: Duration = Duration::from_secs(10);
+
 /// Suspects and condemned requests.
 #[derive(Clone, Debug, Default)]
 pub struct Book {
@@ -34,6 +38,8 @@
     /// Whether the end of the sentence has been handled. Such an entry only waits until its record is
     /// removed.
     is_released: bool,
+    /// Whether an instance ran the request to its end.
+    is_acquitted: bool,
 }
 
 /// Whether a request may run.
@@ -151,12 +157,14 @@
         let was_on_trial = self.evidence.trial_wait(now, request).is_some();
         let was_suspect = self.evidence.remove(request);
         let was_condemned = self.sentence_left(now, request).is_some();
-        if let Some(entry) = self.sentences.get_mut(&request).filter(|_| was_condemned) {
+        let entry = self.sentences.get_mut(&request).filter(|_| was_condemned);
+        if let Some(entry) = entry {
             entry.ends_at = now;
             entry.is_own = true;
             entry.is_released = true;
+            entry.is_acquitted = true;
         }
-        self.forget_released();
+        self.forget_released(now);
         match (was_suspect, was_condemned || was_on_trial) {
             (_, true) => Acquittal::Refused,
             (true, false) => Acquittal::Suspect,
@@ -180,7 +188,9 @@
     /// Applies a record of the store, which has this revision. Returns whether it is new to the host.
     pub fn apply_record(&mut self, now: Duration, request: Fingerprint, revision: u64) -> bool {
         match self.sentences.get_mut(&request) {
-            Some(entry) if now < entry.ends_at || revision <= entry.revision => {
+            Some(entry)
+                if now < entry.ends_at || revision <= entry.revision || entry.is_acquitted =>
+            {
                 entry.revision = revision;
                 false
             }
@@ -227,13 +237,16 @@
         for request in &ended {
             self.evidence.add_released(now, *request);
         }
-        self.forget_released();
+        self.forget_released(now);
         ended
     }
 
-    /// Forgets the sentences that have ended and have no record.
-    fn forget_released(&mut self) {
-        self.sentences.retain(|_, entry| !entry.is_released || entry.revision > 0);
+    /// Forgets the sentences that have ended and have no record, or will have none.
+    fn forget_released(&mut self, now: Duration) {
+        let is_recent = |entry: &Entry| entry.is_acquitted && now < entry.ends_at + ACQUITTAL_TIME;
+        let is_needed =
+            |entry: &Entry| !entry.is_released || entry.revision > 0 || is_recent(entry);
+        self.sentences.retain(|_, entry| is_needed(entry));
     }
 
     fn condemn(&mut self, now: Duration, request: Fingerprint, is_own: bool, revision: u64) {
@@ -246,6 +259,7 @@
             learned_at: now,
             published_at: None,
             is_released: false,
+            is_acquitted: false,
         };
         self.sentences.insert(request, entry);
         if self.sentences.len() > MAX_SENTENCES {
--- a/crates/core/src/steering/quarantine/evidence.rs
+++ b/crates/core/src/steering/quarantine/evidence.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use super::{CLAIM_TIME, Crash, Fingerprint, SETTLING_TIME, TRIAL_CRASHES};
+use super::{Crash, Fingerprint, SETTLING_TIME, TRIAL_CRASHES, claim::Claim};
 
 /// Time after which a crash no longer counts.
 const RETENTION_TIME: Duration = Duration::from_secs(600);
@@ -64,9 +64,7 @@
     is_own: bool,
     /// Time from which on the request may be tried again.
     next_trial_at: Duration,
-    /// Highest rank of the hosts that want to try it, and until when they may say so.
-    best_rank: u64,
-    claims_end_at: Duration,
+    claim: Claim,
 }
 
 impl Suspect {
@@ -158,11 +156,7 @@
     /// Records that a host with this rank wants to try a request.
     pub(super) fn claim_trial(&mut self, now: Duration, request: Fingerprint, rank: u64) {
         if let Some(suspect) = self.suspects.get_mut(&request) {
-            if now >= suspect.claims_end_at {
-                suspect.best_rank = rank;
-                suspect.claims_end_at = now + CLAIM_TIME;
-            }
-            suspect.best_rank = suspect.best_rank.max(rank);
+            suspect.claim.add(now, rank);
             suspect.next_trial_at = now + TRIAL_TIME;
             self.next_trial_at = now + TRIAL_INTERVAL;
         }
@@ -170,7 +164,7 @@
 
     /// Whether no host with a higher rank wants to try a request.
     pub(super) fn holds_trial(&self, request: Fingerprint, rank: u64) -> bool {
-        self.suspects.get(&request).is_none_or(|suspect| suspect.best_rank <= rank)
+        self.suspects.get(&request).is_none_or(|suspect| suspect.claim.is_held_by(rank))
     }
 
     /// Records that another host wants to try a request, so that it has enough crashes also if this host has
--- a/crates/core/src/steering/tests/quarantine.rs
+++ b/crates/core/src/steering/tests/quarantine.rs
@@ -164,6 +164,10 @@
     assert_eq!(book.admit(at(3000), suspect, 1), Admission::Trial);
     assert!(book.record_verdict(at(0), deadly) && !book.record_verdict(at(0), deadly));
     assert!(matches!(book.admit(at(3000), deadly, 1), Admission::Refused { .. }));
+    assert_eq!(
+        book.admit_trial(at(3000), deadly, 1),
+        Admission::Refused { retry_after: SENTENCE_TIME - Duration::from_secs(3) }
+    );
 }
 
 /// A request that was on four of many instances that crashed one after the other is not to blame yet.
@@ -180,6 +184,20 @@
     assert_eq!(book.admit(at(1000), innocent, 1), Admission::Trial);
 }
 
+/// A verdict that an answer has ended must not come back with a record that was written before: in the soak,
+/// an innocent request was refused for good.
+#[test]
+fn an_answer_outlasts_a_late_record() {
+    let innocent = request(1);
+    let mut book = Book::default();
+    book.record_verdict(at(0), innocent);
+    assert_eq!(book.record_answer(at(5300), innocent), Acquittal::Refused);
+    assert!(!book.apply_record(at(6000), innocent, 7));
+    assert_eq!(book.admit(at(6100), innocent, 1), Admission::Free);
+    let removal = book.publications(at(6100), |_| false)[0];
+    assert!(!removal.is_condemned && removal.replaces_revision == 7);
+}
+
 /// A request is run again after its sentence, and one more crash condemns it again; an answer ends a sentence.
 #[test]
 fn a_sentence_ends() {
@@ -195,6 +213,7 @@
     assert_eq!(judged(&mut book, end + SETTLING_TIME), [deadly]);
     assert_eq!(book.record_answer(end + SETTLING_TIME, deadly), Acquittal::Refused);
     assert!(book.sentence_left(end + SETTLING_TIME, deadly).is_none());
+    book.remove_expired(end + Duration::from_secs(11));
     assert!(book.is_empty());
 }
 
--- a/crates/steer/src/constants.rs
+++ b/crates/steer/src/constants.rs
@@ -145,3 +145,6 @@
 
 /// Most announcements that wait until they are sent.
 pub(crate) const MAX_WAITING_ANNOUNCEMENTS: usize = 256;
+
+/// Time after the end of its registration for which a host's messages count and it gets announcements.
+pub(crate) const FORMER_HOST_TIME: Duration = Duration::from_secs(60);
--- a/crates/steer/src/peers.rs
+++ b/crates/steer/src/peers.rs
@@ -124,7 +124,7 @@
                 continue;
             }
         };
-        let Some(host) = registered_host(&state, sender) else {
+        let Some(host) = peer_name(&state, sender) else {
             record_dropped(&state, sender, "stranger");
             continue;
         };
@@ -161,17 +161,13 @@
     mut announcements: mpsc::Receiver<Message>,
 ) {
     while let Some(message) = announcements.recv().await {
-        let hosts = state.hosts.borrow();
-        let others = hosts.iter().filter(|(name, _)| **name != state.settings.host.name);
-        for (_, host) in others {
-            socket.send(&message, host.registration.peers);
-        }
+        let peers = state.peers.borrow();
+        let others = peers.iter().filter(|(_, peer)| peer.name != state.settings.host.name);
+        others.for_each(|(address, _)| socket.send(&message, *address));
     }
 }
 
-/// Name of the registered host that sends from this address; `None` for a stranger.
-fn registered_host(state: &State, sender: SocketAddr) -> Option<Arc<str>> {
-    let hosts = state.hosts.borrow();
-    let found = hosts.iter().find(|(_, host)| host.registration.peers == sender);
-    found.map(|(name, _)| name.clone())
+/// Name of the host that sends from this address; `None` for a stranger.
+fn peer_name(state: &State, sender: SocketAddr) -> Option<Arc<str>> {
+    state.peers.borrow().get(&sender).map(|peer| peer.name.clone())
 }
--- a/crates/steer/src/state.rs
+++ b/crates/steer/src/state.rs
@@ -30,7 +30,7 @@
     backend::{memory::Memory, pool::Pool},
     clock,
     codec::Codec,
-    constants::{MAX_WAITING_ANNOUNCEMENTS, STARTUP_WAIT},
+    constants::{FORMER_HOST_TIME, MAX_WAITING_ANNOUNCEMENTS, STARTUP_WAIT},
     events::{Event, Log, Rank},
     peers::Message,
     settings::Settings,
@@ -58,6 +58,15 @@
     pub expires_at: Option<Duration>,
 }
 
+/// Host that may send messages.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    /// Name of the host.
+    pub name: Arc<str>,
+    /// When it was last registered. A host that stops, or has just started again, goes on sending.
+    seen_at: Duration,
+}
+
 /// Data that the state publishes to the look-up and readiness listeners, whose handlers must be
 /// `Send`.
 #[derive(Debug)]
@@ -127,6 +136,8 @@
     pub quarantine: RefCell<quarantine::Book>,
     /// Wakes the task that judges them.
     pub crash_reported: Notify,
+    /// Hosts that are registered, or were until a moment ago, by the address for messages of other hosts.
+    pub peers: RefCell<BTreeMap<SocketAddr, Peer>>,
     /// Idle connections to backend servers.
     pub pool: RefCell<Pool>,
     /// Memory for answers of backend servers.
@@ -180,6 +191,7 @@
             hosts: RefCell::default(),
             quarantine: RefCell::default(),
             crash_reported: Notify::new(),
+            peers: RefCell::default(),
             pool: RefCell::default(),
             answer_memory: Memory::default(),
             snapshot: Arc::new(snapshot),
@@ -247,6 +259,12 @@
             region_hosts.push(own.name.clone());
         }
         self.fleet.borrow_mut().set_region_hosts(region_hosts);
+        let now = clock::now();
+        let mut peers = self.peers.borrow_mut();
+        peers.retain(|_, peer| now < peer.seen_at + FORMER_HOST_TIME);
+        peers.extend(hosts.iter().map(|(name, host)| {
+            (host.registration.peers, Peer { name: name.clone(), seen_at: now })
+        }));
         let registrations: Vec<Registration> =
             hosts.values().map(|host| host.registration.clone()).collect();
         let registered = registrations.len();
