--- a/crates/steer/src/quarantine.rs
+++ b/crates/steer/src/quarantine.rs
@@ -146,12 +146,15 @@
 }
 
 /// Judges after each crash, as soon as all hosts have told what was on the instance, until the process
-/// ends.
+/// ends. A host that has just registered does not judge, as it may not hear of the request to blame.
 pub async fn judge(state: Rc<State>) {
     loop {
         state.crash_reported.notified().await;
         // A report that arrives meanwhile makes the next round.
         sleep(SETTLING_TIME).await;
+        if !state.is_known_to_others() {
+            continue;
+        }
         let judged = state.quarantine.borrow_mut().judge(clock::now());
         for (request, is_own) in judged {
             log(&state, request, "condemned", None);
--- a/crates/steer/src/registration.rs
+++ b/crates/steer/src/registration.rs
@@ -138,6 +138,7 @@
     // Otherwise this host would see its own registration only with the next response to a watch.
     let own_host = Host { registration, expires_at: None };
     state.hosts.borrow_mut().insert(host.name.clone(), own_host);
+    state.registered_at.set(Some(clock::now()));
     state.publish_hosts();
     Ok(lease)
 }
--- a/crates/steer/src/state.rs
+++ b/crates/steer/src/state.rs
@@ -17,7 +17,7 @@
     fleet::{Fleet, Locality},
     plan::Plan,
     quarantine, rate, retry,
-    seats::{CUT_OFF_TIME, Seats},
+    seats::{CUT_OFF_TIME, SEAT_PROPAGATION_TIME, Seats},
     split,
 };
 use serde::{Deserialize, Serialize};
@@ -148,6 +148,8 @@
     pub store_last_response_at: Cell<Duration>,
     /// Time from which this host's share of the rate limits counts; `None` until it has a seat.
     pub seat_valid_from: Cell<Option<Duration>>,
+    /// When this host last registered; `None` until it has.
+    pub registered_at: Cell<Option<Duration>>,
     /// Entries of this host that were removed from the store.
     pub lost_entries: LostEntries,
     /// When the process started.
@@ -197,6 +199,7 @@
             snapshot: Arc::new(snapshot),
             store_last_response_at: Cell::new(Duration::ZERO),
             seat_valid_from: Cell::new(None),
+            registered_at: Cell::new(None),
             lost_entries: LostEntries::default(),
             started_at: clock::now(),
             became_ready: Notify::new(),
@@ -225,6 +228,13 @@
         clock::now().saturating_sub(self.store_last_response_at.get()).as_millis()
     }
 
+    /// Whether this host and the others have had time to learn of each other, so that they hear what each
+    /// other tells.
+    pub fn is_known_to_others(&self) -> bool {
+        let registered_at = self.registered_at.get();
+        registered_at.is_some_and(|at| at + SEAT_PROPAGATION_TIME <= clock::now())
+    }
+
     /// Counts a request towards the retry budget of `service`.
     pub fn count_request(&self, service: &Arc<str>) {
         let limit = self.retry_limit();
