reach: the log tells instances that a host does not reach from instances without room

Change: core::steering::reach counts a service as lost after connections to three different instances failed in a row; a 'reach' line and marjorampick_lost_services say so, and refusals where half of the candidates are not reached have the reason 'unreached'. When a connection is opened again, instances that were not reached may get a probe request at once. Nothing else is decided by it yet.

--- a/crates/core/src/steering.rs
+++ b/crates/core/src/steering.rs
@@ -16,6 +16,7 @@
 pub mod plan;
 pub mod quarantine;
 pub mod rate;
+pub mod reach;
 pub mod relay;
 pub mod retry;
 pub mod samples;
--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -6,6 +6,7 @@
 mod limits;
 mod notices;
 mod ranking;
+mod reach;
 mod side;
 mod upstream;
 
@@ -16,6 +17,7 @@
 };
 
 pub use choice::{Choice, Criteria, Rejection};
+pub use reach::{ReachChange, Target};
 use upstream::Upstream;
 
 use super::{
--- a/crates/core/src/steering/fleet/choice.rs
+++ b/crates/core/src/steering/fleet/choice.rs
@@ -75,6 +75,12 @@
         /// Suggested delay before a retry.
         retry_after: Duration,
     },
+    /// Of the instances that may run the request, this host does not reach many, and the others have no
+    /// capacity for it.
+    Unreached {
+        /// Suggested delay before a retry.
+        retry_after: Duration,
+    },
     /// The request can run only in other regions, and the share of requests that run there may rise
     /// only slowly.
     ShiftLimited {
@@ -102,7 +108,10 @@
         }
         let retry_after = retry_after(upstream).max(Self::pause_left(now, &candidates));
         let choice = self.choose_by_draw(now, upstream, &candidates, criteria);
-        let choice = choice.ok_or(Rejection::NoCapacity { retry_after })?;
+        let choice = choice.ok_or_else(|| match Self::are_unreached(upstream, &candidates) {
+            true => Rejection::Unreached { retry_after },
+            false => Rejection::NoCapacity { retry_after },
+        })?;
         let is_limited = self.is_shift_limited(now, upstream, &candidates);
         let is_allowed = !is_limited || self.shift_limiter.allows_remote(now);
         self.shift_limiter.record_demand(now, choice.is_remote);
--- a/crates/core/src/steering/fleet/upstream.rs
+++ b/crates/core/src/steering/fleet/upstream.rs
@@ -7,6 +7,7 @@
     cache,
     instance::{self, Instance, Outcome},
     load::{self, Report},
+    reach::Reach,
     spill, work,
 };
 
@@ -52,6 +53,8 @@
     pub(super) warmup: Duration,
     /// Requests per second that a cold instance tolerates from all hosts together.
     pub(super) cold_rate: f64,
+    /// Whether this host reaches the instances.
+    pub(super) reach: Reach,
 }
 
 impl Upstream {
@@ -72,6 +75,7 @@
             usual_failure_rate: 0.0,
             warmup: Duration::ZERO,
             cold_rate: f64::INFINITY,
+            reach: Reach::default(),
         }
     }
 
--- a/crates/core/src/steering/instance.rs
+++ b/crates/core/src/steering/instance.rs
@@ -108,6 +108,10 @@
     /// Objects that the instance is believed to have cached.
     pub(super) objects: cache::Contents,
     last_request_at: Duration,
+    /// When this host last opened a connection, or failed to; `None` before the first one.
+    connection_tried_at: Option<Duration>,
+    /// Whether the last attempt to open a connection failed.
+    is_unreached: bool,
 }
 
 impl Instance {
@@ -133,6 +137,8 @@
             slowness: None,
             objects: cache::Contents::default(),
             last_request_at: Duration::ZERO,
+            connection_tried_at: None,
+            is_unreached: false,
         }
     }
 
@@ -243,6 +249,34 @@
         }
     }
 
+    /// Records whether a connection could be opened.
+    pub fn record_connection(&mut self, now: Duration, is_open: bool) {
+        self.connection_tried_at = Some(now);
+        self.is_unreached = !is_open;
+    }
+
+    /// Whether the last attempt to open a connection failed.
+    pub fn is_unreached(&self) -> bool {
+        self.is_unreached
+    }
+
+    /// When this host last tried to open a connection; zero before the first attempt.
+    pub fn connection_tried_at(&self) -> Duration {
+        self.connection_tried_at.unwrap_or_default()
+    }
+
+    /// Whether the last attempt to open a connection succeeded, not longer than `time` ago.
+    pub fn was_opened_since(&self, now: Duration, time: Duration) -> bool {
+        !self.is_unreached && self.connection_tried_at.is_some_and(|at| now < at + time)
+    }
+
+    /// Lets an instance that was not reached get a probe request at once.
+    pub fn allow_probe(&mut self, now: Duration) {
+        if self.is_unreached {
+            self.ejected_until = self.ejected_until.min(now);
+        }
+    }
+
     /// When this host last sent the instance a request.
     pub fn last_request_at(&self) -> Duration {
         self.last_request_at
--- a/crates/steer/src/callers/attempt.rs
+++ b/crates/steer/src/callers/attempt.rs
@@ -22,7 +22,7 @@
     },
     clock,
     events::{Event, Rank},
-    metrics, quarantine,
+    metrics, quarantine, reach,
     state::State,
 };
 
@@ -114,6 +114,9 @@
         Some(connection) => Ok(connection),
         None => Connection::open(choice.address).await,
     };
+    if !is_pooled {
+        reach::record(state, &call.service, &choice.id, opened.as_ref().err());
+    }
     let mut connection = match opened {
         Ok(connection) => connection,
         Err(error) => {
--- a/crates/steer/src/callers/forward.rs
+++ b/crates/steer/src/callers/forward.rs
@@ -110,6 +110,9 @@
         Rejection::NoCapacity { retry_after } => {
             Refusal::with_retry_after(Reason::Full, retry_after)
         }
+        Rejection::Unreached { retry_after } => {
+            Refusal::with_retry_after(Reason::Unreached, retry_after)
+        }
         Rejection::ShiftLimited { retry_after } => {
             Refusal::with_retry_after(Reason::Shift, retry_after)
         }
--- a/crates/steer/src/callers/refusal.rs
+++ b/crates/steer/src/callers/refusal.rs
@@ -25,6 +25,8 @@
     NoInstance,
     /// No instance has capacity for the request.
     Full,
+    /// This host does not reach many of the instances, and the others have no capacity.
+    Unreached,
     /// The request can run only in other regions, and the share of requests that run there may rise
     /// only slowly.
     Shift,
@@ -52,6 +54,7 @@
             Self::Starting => "starting",
             Self::NoInstance => "no_instance",
             Self::Full => "full",
+            Self::Unreached => "unreached",
             Self::Shift => "shift",
             Self::Quarantined => "quarantined",
             Self::Shed => "shed",
@@ -76,6 +79,7 @@
             Self::Starting
             | Self::NoInstance
             | Self::Full
+            | Self::Unreached
             | Self::Shift
             | Self::Quarantined
             | Self::Shed
--- a/crates/steer/src/events.rs
+++ b/crates/steer/src/events.rs
@@ -148,6 +148,19 @@
         #[serde(skip_serializing_if = "Option::is_none")]
         revision: Option<u64>,
     },
+    /// This host reaches no instance of a service any more, or one again.
+    Reach {
+        /// Name of the service.
+        service: &'a str,
+        /// Whether it reaches an instance.
+        reached: bool,
+        /// Id of the instance to which a connection failed or was opened.
+        instance: &'a str,
+        /// Why the connection failed; empty if it was opened.
+        reason: &'a str,
+        /// Milliseconds for which it reached none; 0 if it reaches none from now on.
+        lost_ms: u128,
+    },
     /// An instance crashed while it ran a request of this host.
     InstanceCrashed {
         /// Id of the instance.
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -18,6 +18,7 @@
 mod metrics;
 pub mod peers;
 pub mod quarantine;
+pub mod reach;
 pub mod registration;
 pub mod run;
 pub mod settings;
--- a/crates/steer/src/metrics.rs
+++ b/crates/steer/src/metrics.rs
@@ -16,6 +16,7 @@
 const RELAY_MESSAGES_TOTAL: &str = "marjorampick_relay_messages_total";
 const LIMITED_INSTANCES: &str = "marjorampick_limited_instances";
 const DROPPED_MESSAGES_TOTAL: &str = "marjorampick_dropped_messages_total";
+const LOST_SERVICES: &str = "marjorampick_lost_services";
 const QUARANTINED_REQUESTS: &str = "marjorampick_quarantined_requests";
 
 /// Upper bounds of the histogram buckets, in seconds.
@@ -48,6 +49,7 @@
     );
     describe_gauge!(REQUESTS_IN_FLIGHT, Unit::Count, "Requests that have not ended.");
     describe_gauge!(LIMITED_INSTANCES, Unit::Count, "Instances with a limit that applies.");
+    describe_gauge!(LOST_SERVICES, Unit::Count, "Services of which the host reaches no instance.");
     describe_gauge!(
         QUARANTINED_REQUESTS,
         Unit::Count,
@@ -109,6 +111,11 @@
     gauge!(LIMITED_INSTANCES).set(count as f64);
 }
 
+/// Sets the number of services of which the host reaches no instance.
+pub(crate) fn set_lost_services(count: usize) {
+    gauge!(LOST_SERVICES).set(count as f64);
+}
+
 /// Records a dropped message.
 pub(crate) fn record_dropped_message(reason: &'static str) {
     counter!(DROPPED_MESSAGES_TOTAL, "reason" => reason).increment(1);
