crash: a host that reaches no other instance does not take one for crashed

Cause: a broken connection and then a refused one was taken for a crash, although a cut host sees that of all instances. Where only some links are cut, an instance that answers a request which ran across the reported crash refutes the report at the host that hears the answer.

--- a/crates/core/src/steering/fleet/reach.rs
+++ b/crates/core/src/steering/fleet/reach.rs
@@ -105,6 +105,17 @@
         instances.into_iter().take(count).map(target).collect()
     }
 
+    /// Instances other than the one with this id that show, when a connection to one of them opens, that the
+    /// network is not at fault: at most `count`, of all services, first those reached before and tried
+    /// longest ago.
+    pub fn witnesses(&self, id: &str, count: usize) -> Vec<Target> {
+        let instances = self.upstreams.values().flat_map(|upstream| &upstream.instances);
+        let mut others: Vec<&Instance> =
+            instances.filter(|instance| instance.endpoint.id.as_ref() != id).collect();
+        others.sort_by_key(|instance| (instance.is_unreached(), instance.connection_tried_at()));
+        others.into_iter().take(count).map(target).collect()
+    }
+
     /// Names of all services with instances.
     pub fn services(&self) -> Vec<Arc<str>> {
         let used = self.upstreams.iter().filter(|(_, upstream)| !upstream.instances.is_empty());
--- a/crates/core/src/steering/quarantine/book.rs
+++ b/crates/core/src/steering/quarantine/book.rs
@@ -1,6 +1,6 @@
 //! What a host knows of requests that crash instances, and which ones it refuses.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use super::{CLAIM_TIME, Crash, Fingerprint, SENTENCE_TIME, evidence::Evidence};
 
@@ -151,6 +151,18 @@
         self.evidence.add(now, crash, is_own, may_be_suspect);
     }
 
+    /// Records that an instance answered a request that was sent at `sent_at`, which refutes the report of a
+    /// crash of the instance in between.
+    pub fn record_survival(
+        &mut self,
+        now: Duration,
+        instance: &Arc<str>,
+        incarnation: u64,
+        sent_at: Duration,
+    ) {
+        self.evidence.add_survival(now, &(instance.clone(), incarnation), sent_at);
+    }
+
     /// Records that an instance ran a request to its end. Returns what the request was before; the other
     /// hosts should know if it was anything.
     pub fn record_answer(&mut self, now: Duration, request: Fingerprint) -> Acquittal {
--- a/crates/core/src/steering/quarantine/evidence.rs
+++ b/crates/core/src/steering/quarantine/evidence.rs
@@ -31,6 +31,10 @@
 /// should be over by then.
 const TRIAL_DELAY: Duration = Duration::from_millis(500);
 
+/// Time by which an answer must come later than a reported crash to refute it, as the time of the crash is
+/// known only roughly.
+const SURVIVAL_MARGIN: Duration = Duration::from_millis(150);
+
 /// Time for which a trial of a request keeps it from being tried again.
 const TRIAL_TIME: Duration = Duration::from_secs(2);
 
@@ -38,7 +42,7 @@
 const TRIAL_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Id and incarnation of an instance that crashed.
-type Instance = (Arc<str>, u64);
+pub(super) type Instance = (Arc<str>, u64);
 
 /// Run of a suspect that ended with a crash.
 #[derive(Clone, Debug)]
@@ -97,6 +101,8 @@
 #[derive(Clone, Debug, Default)]
 struct Scene {
     reported_at: Duration,
+    /// When the instance crashed, as far as known.
+    ended_at: Duration,
     requests: BTreeSet<Fingerprint>,
 }
 
@@ -129,6 +135,7 @@
         let started_at = ended_at.saturating_sub(crash.ran_for);
         let scene = self.scenes.entry(instance.clone()).or_default();
         scene.reported_at = now;
+        scene.ended_at = scene.ended_at.max(ended_at);
         scene.requests.insert(crash.request);
         if may_be_suspect {
             let suspect = self.suspects.entry(crash.request).or_default();
@@ -140,6 +147,21 @@
         self.limit_size();
     }
 
+    /// Records that the instance answered, on one and the same connection, a request that was sent at
+    /// `sent_at`. A crash in between did not happen: the host that reported it lost its own connections.
+    pub(super) fn add_survival(&mut self, now: Duration, instance: &Instance, sent_at: Duration) {
+        let is_refuted =
+            |scene: &Scene| sent_at < scene.ended_at && scene.ended_at + SURVIVAL_MARGIN < now;
+        if !self.scenes.get(instance).is_some_and(is_refuted) {
+            return;
+        }
+        self.scenes.remove(instance);
+        for suspect in self.suspects.values_mut() {
+            suspect.runs.retain(|run| run.instance != *instance);
+        }
+        self.suspects.retain(|_, suspect| suspect.crashes() > 0);
+    }
+
     /// Adds a request whose sentence has ended: one more crash condemns it again.
     pub(super) fn add_released(&mut self, now: Duration, request: Fingerprint) {
         let suspect = Suspect { earlier: TRIAL_CRASHES, reported_at: now, ..Suspect::default() };
--- a/crates/core/src/steering/tests/quarantine.rs
+++ b/crates/core/src/steering/tests/quarantine.rs
@@ -87,6 +87,21 @@
     assert_eq!(book.admit(at(1000), deadly, 1), Admission::Free);
 }
 
+/// A host that is cut off from some instances reports crashes that did not happen. An instance that answers
+/// a request which it ran all the while refutes the report; one that was sent later may have come to its
+/// next start.
+#[test]
+fn an_answer_refutes_the_report_of_a_crash() {
+    let innocent = request(1);
+    let mut book = book_with([crash("a", innocent, 0, 50), crash("b", innocent, 60, 100)]);
+    book.record_survival(at(400), &name("a"), 1, at(60));
+    book.record_survival(at(400), &name("a"), 2, at(20));
+    assert_eq!(book.suspect_count(), 1);
+    book.record_survival(at(400), &name("a"), 1, at(20));
+    book.record_survival(at(400), &name("b"), 1, at(20));
+    assert!(book.is_empty());
+}
+
 /// A request that was answered since a crash is not to blame for it.
 #[test]
 fn an_answer_acquits_a_request() {
--- a/crates/steer/src/callers/attempt.rs
+++ b/crates/steer/src/callers/attempt.rs
@@ -132,6 +132,7 @@
         return Err(record_failure(state, call, choice, failure));
     }
     let request = encode_request(state, call, body, choice);
+    let sent_at = clock::now();
     let remaining = limit.saturating_sub(clock::now().saturating_sub(started_at));
     let result = timeout(remaining, connection.exchange(&request, &state.answer_memory)).await;
     let elapsed = clock::now().saturating_sub(started_at);
@@ -139,7 +140,7 @@
         Ok(Ok((answer, is_reusable))) => {
             let is_leaving = statement::record(state, call, choice, started_at, &answer);
             if answer.head.headers.contains_key(&state.codec.headers.response_stamp) {
-                quarantine::record_answer(state, call, body);
+                quarantine::record_answer(state, call, body, choice, sent_at);
             }
             if is_reusable && !is_leaving {
                 let keep_alive = keep_alive_time(&answer);
--- a/crates/steer/src/callers/crash.rs
+++ b/crates/steer/src/callers/crash.rs
@@ -1,7 +1,8 @@
 //! Tells an instance that crashed from a connection that was lost.
 //!
 //! A broken connection may have been idle, reset on the way, or ended by an instance that is well. Only an
-//! instance whose address refuses connections right afterwards has crashed.
+//! instance whose address refuses connections right afterwards may have crashed, and only if this host
+//! reaches another one: a host that is cut off sees the same of all instances.
 
 use std::{io::ErrorKind, rc::Rc, time::Duration};
 
@@ -16,7 +17,7 @@
     backend::connection::Connection,
     clock,
     events::{Event, Rank},
-    quarantine,
+    quarantine, reach,
     state::State,
 };
 
@@ -55,6 +56,13 @@
             state.pool.borrow_mut().put(clock::now(), key, connection, None);
         }
         Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
+            if !reach::is_another_reached(&state, &choice.id).await {
+                log::debug!(
+                    "crash: cannot tell whether {} runs: no instance is reached",
+                    choice.id
+                );
+                return;
+            }
             let event = Event::InstanceCrashed {
                 id: &choice.id,
                 request: &id,
--- a/crates/steer/src/quarantine.rs
+++ b/crates/steer/src/quarantine.rs
@@ -8,8 +8,11 @@
 use bytes::Bytes;
 use marjorampick_core::{
     rendezvous,
-    steering::quarantine::{
-        Acquittal, Admission, CLAIM_TIME, Crash, Fingerprint, Publication, SETTLING_TIME,
+    steering::{
+        fleet::Choice,
+        quarantine::{
+            Acquittal, Admission, CLAIM_TIME, Crash, Fingerprint, Publication, SETTLING_TIME,
+        },
     },
 };
 use serde::{Deserialize, Serialize};
@@ -97,11 +100,19 @@
     state.announce(Message::Quarantine(Notice::Crash(crash)));
 }
 
-/// Records that an instance ran a request to its end.
-pub(crate) fn record_answer(state: &State, request: &Request, body: &Bytes) {
+/// Records that an instance ran a request, which was sent at `sent_at`, to its end.
+pub(crate) fn record_answer(
+    state: &State,
+    request: &Request,
+    body: &Bytes,
+    choice: &Choice,
+    sent_at: Duration,
+) {
     if state.quarantine.borrow().is_empty() {
         return;
     }
+    let (id, incarnation) = (&choice.id, choice.incarnation);
+    state.quarantine.borrow_mut().record_survival(clock::now(), id, incarnation, sent_at);
     let fingerprint = request.fingerprint(body);
     let acquittal = state.quarantine.borrow_mut().record_answer(clock::now(), fingerprint);
     log_acquittal(state, fingerprint, acquittal, None);
