--- a/crates/core/src/steering.rs
+++ b/crates/core/src/steering.rs
@@ -8,6 +8,7 @@
 pub mod cache;
 pub mod cold;
 pub mod fleet;
+pub mod helper;
 pub mod instance;
 pub mod lenders;
 pub mod limit;
--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -87,6 +87,11 @@
         }
     }
 
+    /// Name and location of this host.
+    pub fn locality(&self) -> &Locality {
+        &self.locality
+    }
+
     /// Sets the names of the hosts of this region, including this one.
     pub fn set_region_hosts(&mut self, hosts: Vec<Arc<str>>) {
         self.region_hosts = hosts;
--- a/crates/core/src/steering/retry.rs
+++ b/crates/core/src/steering/retry.rs
@@ -53,6 +53,13 @@
         self.current_interval(now, limit).requests += 1;
     }
 
+    /// Takes back the record of a request that another host runs and counts.
+    pub fn forget_request(&mut self) {
+        if let Some(interval) = self.intervals.back_mut() {
+            interval.requests = interval.requests.saturating_sub(1);
+        }
+    }
+
     /// Records a retry and returns true, or returns false if the budget is exhausted.
     pub fn try_retry(&mut self, now: Duration, limit: &Limit) -> bool {
         self.current_interval(now, limit);
--- a/crates/steer/src/backend/connection.rs
+++ b/crates/steer/src/backend/connection.rs
@@ -1,6 +1,11 @@
 //! Connection to a backend server.
 
-use std::{io, mem::MaybeUninit, net::SocketAddr, time::Duration};
+use std::{
+    io,
+    mem::MaybeUninit,
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderName, Method, header};
@@ -8,7 +13,7 @@
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{
-        TcpStream,
+        TcpSocket, TcpStream,
         tcp::{ReadHalf, WriteHalf},
     },
     time::timeout,
@@ -97,6 +102,21 @@
     /// Opens a connection to the instance at `address`.
     pub async fn open(address: SocketAddr) -> io::Result<Self> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
+        Self::new(stream)
+    }
+
+    /// Opens a connection to another host from the IP address by which that host knows this one.
+    pub async fn open_from(
+        own_ip: IpAddr,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> io::Result<Self> {
+        let socket = if own_ip.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+        socket.bind(SocketAddr::new(own_ip, 0))?;
+        Self::new(timeout(limit, socket.connect(address)).await??)
+    }
+
+    fn new(stream: TcpStream) -> io::Result<Self> {
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
         Ok(Self { stream, buffer: BytesMut::new(), may_have_sent: false, is_used: false })
--- a/crates/steer/src/callers.rs
+++ b/crates/steer/src/callers.rs
@@ -2,7 +2,9 @@
 
 pub mod accept;
 mod attempt;
+mod carry;
 mod crash;
+mod encode;
 mod forward;
 mod handle;
 mod refusal;
--- a/crates/steer/src/callers/accept.rs
+++ b/crates/steer/src/callers/accept.rs
@@ -1,4 +1,4 @@
-//! Listener for callers, which serves HTTP/1.1 connections until the host drains.
+//! Listeners for callers and for other hosts, which serve HTTP/1.1 connections until the host drains.
 
 use std::{
     cell::Cell,
@@ -22,7 +22,7 @@
     time::{sleep, timeout},
 };
 
-use super::handle;
+use super::handle::{self, Sender};
 use crate::{
     constants::{ACCEPT_RETRY_DELAY, FIRST_REQUEST_TIME, WRITE_TIMEOUT},
     lending::Lending,
@@ -38,26 +38,41 @@
 /// Idle timeout of connections until a configuration is in force.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Binds the caller listener and accepts connections on a task of its own until `closing` is true.
+/// Who connects to a listener.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    /// Callers.
+    Callers,
+    /// Other hosts, which pass on requests of their callers. Others are refused.
+    Hosts,
+}
+
+/// Binds a listener and accepts connections on a task of its own until `closing` is true.
 pub async fn listen(
     state: Rc<State>,
     lending: Rc<Lending>,
+    side: Side,
     closing: watch::Receiver<bool>,
 ) -> eyre::Result<()> {
-    let address = state.settings.listeners.callers;
+    let listeners = &state.settings.listeners;
+    let address = match side {
+        Side::Callers => listeners.callers,
+        Side::Hosts => listeners.peers,
+    };
     let listener = TcpListener::bind(address).await;
     let listener = listener.wrap_err_with(|| format!("cannot listen on {address}"))?;
-    tokio::task::spawn_local(accept(state, lending, listener, closing));
+    tokio::task::spawn_local(accept(state, lending, side, listener, closing));
     Ok(())
 }
 
 async fn accept(
     state: Rc<State>,
     lending: Rc<Lending>,
+    side: Side,
     listener: TcpListener,
     closing: watch::Receiver<bool>,
 ) {
-    let accept_one = |stream| spawn_connection(&state, &lending, stream, &closing);
+    let accept_one = |stream| spawn_connection(&state, &lending, side, stream, &closing);
     let mut closed = closing.clone();
     loop {
         let accepted = tokio::select! {
@@ -82,11 +97,12 @@
 fn spawn_connection(
     state: &Rc<State>,
     lending: &Rc<Lending>,
+    side: Side,
     stream: TcpStream,
     closing: &watch::Receiver<bool>,
 ) {
     let open = OpenConnection::start(state);
-    let serving = serve(state.clone(), lending.clone(), stream, closing.clone());
+    let serving = serve(state.clone(), lending.clone(), side, stream, closing.clone());
     tokio::task::spawn_local(async move {
         serving.await;
         drop(open);
@@ -114,6 +130,7 @@
 async fn serve(
     state: Rc<State>,
     lending: Rc<Lending>,
+    side: Side,
     stream: TcpStream,
     mut closing: watch::Receiver<bool>,
 ) {
@@ -124,6 +141,12 @@
         Some(plan) => (plan.limits.max_header_bytes, plan.limits.idle_timeout),
         None => (DEFAULT_MAX_HEADER_BYTES, DEFAULT_IDLE_TIMEOUT),
     };
+    let sender = match (side, stream.peer_addr()) {
+        (Side::Hosts, Ok(address)) => Sender::Host(address),
+        // A connection that has ended brings no request.
+        (Side::Hosts, Err(_)) => return,
+        (Side::Callers, _) => Sender::Caller,
+    };
     let has_ambiguous_framing = Arc::new(AtomicBool::new(false));
     let stream =
         Stream::new(stream, max_header_bytes, WRITE_TIMEOUT, has_ambiguous_framing.clone());
@@ -135,7 +158,8 @@
         let lending = lending.clone();
         let is_ambiguous = has_ambiguous_framing.load(Ordering::Acquire);
         async move {
-            Ok::<_, Infallible>(handle::respond(&state, &lending, request, is_ambiguous).await)
+            let responding = handle::respond(&state, &lending, sender, request, is_ambiguous);
+            Ok::<_, Infallible>(responding.await)
         }
     });
     let connection = http1::Builder::new()
--- a/crates/steer/src/callers/attempt.rs
+++ b/crates/steer/src/callers/attempt.rs
@@ -1,8 +1,8 @@
 //! Attempt to run a request at one instance.
 
-use std::{rc::Rc, time::Duration};
+use std::{io::ErrorKind, rc::Rc, time::Duration};
 
-use bytes::{BufMut as _, Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderValue, StatusCode, header};
 use marjorampick_core::steering::{
     fleet::Choice, instance::Outcome, load::Report, plan::Idempotency, retry,
@@ -11,6 +11,7 @@
 
 use super::{
     crash,
+    encode::encode,
     routing::{Call, milliseconds},
     statement,
 };
@@ -34,6 +35,8 @@
     pub(crate) has_reached_instance: bool,
     /// Whether the deadline passed.
     pub(crate) has_timed_out: bool,
+    /// Whether the instance was not reached, so that another host may reach it.
+    pub(crate) is_unreached: bool,
     /// Suggested delay before the caller repeats the request if it has not run.
     pub(crate) retry_after: Duration,
     /// The instance's server error, which the caller gets if this was the last attempt.
@@ -48,17 +51,23 @@
             may_have_run: false,
             has_reached_instance,
             has_timed_out: false,
+            is_unreached: false,
             retry_after: retry::delay_after_rejection(None),
             answer: None,
             reason,
         }
     }
 
+    fn unreached(reason: String) -> Self {
+        Self { is_unreached: true, ..Self::not_run(reason, false) }
+    }
+
     fn may_have_run(reason: String) -> Self {
         Self {
             may_have_run: true,
             has_reached_instance: true,
             has_timed_out: false,
+            is_unreached: false,
             retry_after: retry::delay_after_rejection(None),
             answer: None,
             reason,
@@ -76,7 +85,9 @@
 
 impl<'a> Guard<'a> {
     fn start(state: &'a Rc<State>, choice: &'a Choice) -> Self {
-        state.fleet.borrow_mut().start_request(clock::now(), choice);
+        let now = clock::now();
+        state.fleet.borrow_mut().start_request(now, choice);
+        state.silence.record_sent(now);
         Self { state, choice, has_ended: false }
     }
 
@@ -88,6 +99,7 @@
 
 impl Drop for Guard<'_> {
     fn drop(&mut self) {
+        self.state.silence.record_end();
         if !self.has_ended {
             let mut fleet = self.state.fleet.borrow_mut();
             fleet.end_request(clock::now(), self.choice, Outcome::Cancelled, None);
@@ -104,12 +116,16 @@
     choice: &Choice,
     limit: Duration,
 ) -> Result<Answer, Failure> {
-    let guard = Guard::start(state, choice);
     let key: Key = (choice.id.clone(), choice.incarnation);
     let is_at_most_once = call.route.idempotency == Idempotency::AtMostOnce;
     let started_at = clock::now();
     let pooled = state.pool.borrow_mut().take(started_at, &key, is_at_most_once);
     let is_pooled = pooled.is_some();
+    if !is_pooled && !state.fleet.borrow().may_connect(started_at, &call.service, &choice.id) {
+        let reason = "no instance of the service is reached".to_owned();
+        return Err(Failure::unreached(reason));
+    }
+    let guard = Guard::start(state, choice);
     let opened = match pooled {
         Some(connection) => Ok(connection),
         None => Connection::open(choice.address).await,
@@ -121,7 +137,7 @@
         Ok(connection) => connection,
         Err(error) => {
             guard.end(Outcome::TransportError, None);
-            let failure = Failure::not_run(format!("cannot connect: {error}"), false);
+            let failure = Failure::unreached(format!("cannot connect: {error}"));
             return Err(record_failure(state, call, choice, failure));
         }
     };
@@ -138,6 +154,7 @@
     let elapsed = clock::now().saturating_sub(started_at);
     match result {
         Ok(Ok((answer, is_reusable))) => {
+            state.silence.record_contact(clock::now());
             let is_leaving = statement::record(state, call, choice, started_at, &answer);
             if answer.head.headers.contains_key(&state.codec.headers.response_stamp) {
                 quarantine::record_answer(state, call, body, choice, sent_at);
@@ -149,6 +166,11 @@
             classify(state, call, choice, guard, answer, elapsed)
         }
         Ok(Err(fault)) => {
+            if let Fault::Transport(error) = &fault
+                && error.kind() == ErrorKind::TimedOut
+            {
+                reach::record(state, &call.service, &choice.id, Some(error));
+            }
             // The instance may have closed a pooled connection because it was idle, which is not a
             // failure.
             let is_idle_close = is_pooled && matches!(fault, Fault::Transport(_) | Fault::Closed);
@@ -239,41 +261,12 @@
 /// Encodes the request for the instance.
 fn encode_request(state: &Rc<State>, call: &Call, body: &Bytes, choice: &Choice) -> Request {
     let names = &state.codec.headers;
-    let target = call.uri.path_and_query().map_or("/", |target| target.as_str());
-    let mut head = BytesMut::with_capacity(512);
-    head.put_slice(call.method.as_str().as_bytes());
-    head.put_slice(b" ");
-    head.put_slice(target.as_bytes());
-    head.put_slice(b" HTTP/1.1\r\n");
-    let mut add = |name: &str, value: &[u8]| {
-        head.put_slice(name.as_bytes());
-        head.put_slice(b": ");
-        head.put_slice(value);
-        head.put_slice(b"\r\n");
-    };
-    for (name, value) in &call.headers {
-        add(name.as_str(), value.as_bytes());
-    }
-    let remaining = call.deadline.saturating_sub(clock::now());
-    add(names.time_left.as_str(), milliseconds(remaining).as_bytes());
-    add(names.expected_instance.as_str(), choice.id.as_bytes());
-    if let Some(name) = &call.workspace_name {
-        add(names.workspace.as_str(), name.as_bytes());
-    }
-    if !body.is_empty() || method_has_body(call) {
-        add(header::CONTENT_LENGTH.as_str(), body.len().to_string().as_bytes());
-    }
-    head.put_slice(b"\r\n");
-    Request {
-        method: call.method.clone(),
-        head: head.freeze(),
-        body: body.clone(),
-        id: call.id.clone(),
-        id_header: names.request_id.clone(),
-    }
-}
-
-/// Whether the method normally has a body, so that an empty one needs a `Content-Length` of 0.
-fn method_has_body(call: &Call) -> bool {
-    matches!(call.method.as_str(), "POST" | "PUT" | "PATCH")
+    let remaining = milliseconds(call.deadline.saturating_sub(clock::now()));
+    let mut headers = vec![
+        (names.time_left.as_str(), remaining.as_bytes()),
+        (names.expected_instance.as_str(), choice.id.as_bytes()),
+    ];
+    let workspace = call.workspace_name.as_ref();
+    headers.extend(workspace.map(|name| (names.workspace.as_str(), name.as_bytes())));
+    encode(call, body, &headers, &names.request_id)
 }
--- /dev/null
+++ b/crates/steer/src/callers/carry.rs
@@ -0,0 +1,234 @@
+//! Passes a request on to another host that reaches the instances.
+//!
+//! This host acts as the caller does: with the caller's own key, on a connection to the other host, which
+//! finds the route, takes the token of the workspace's rate and chooses the instance as for any request.
+//! Only the listener differs: what comes there is never passed on again, so that no request goes in
+//! circles, and only hosts may use it. See docs/platform.md.
+
+use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderValue, StatusCode, header};
+use marjorampick_core::steering::helper::{Candidate, Criteria, Outcome};
+use tokio::time::timeout;
+
+use super::{
+    encode::encode,
+    refusal::{Reason, Refusal},
+    routing::{Call, milliseconds},
+};
+use crate::{
+    backend::{
+        answer::Answer,
+        connection::{Connection, Request},
+    },
+    clock,
+    constants::{
+        HELPER_ANSWER_MARGIN, HELPER_CONNECT_TIMEOUT, MAX_HELPERS_ASKED, MIN_ATTEMPT_TIME,
+    },
+    metrics,
+    state::State,
+};
+
+/// Header with the number of instances that the request may have reached before it was passed on.
+pub(crate) const ATTEMPTS_HEADER: &str = "marjorampick-attempts";
+
+/// Header with the reason of a refusal by the host to which a request was passed on.
+pub(crate) const REASON_HEADER: &str = "marjorampick-reason";
+
+/// What became of a request that was to be passed on.
+pub(super) enum Carried {
+    /// A helper returned the answer of an instance, or one of its own that is final.
+    Answered {
+        /// The answer, without the headers between hosts.
+        answer: Box<Answer>,
+        /// Name of the helper.
+        helper: Arc<str>,
+    },
+    /// It may have run, but the helper gave no answer.
+    Lost {
+        /// Whether the deadline passed.
+        has_timed_out: bool,
+        /// Name of the helper.
+        helper: Arc<str>,
+    },
+    /// It has not run; `refusal` is that of the last helper, if one was asked.
+    NotRun {
+        /// Refusal for the caller.
+        refusal: Option<Refusal>,
+    },
+}
+
+/// Counts a request as running at a helper until it ends. Dropping the guard without calling
+/// [`Self::end`], because the caller left, records it as cancelled.
+struct Guard<'a> {
+    state: &'a State,
+    call: &'a Call,
+    helper: Arc<str>,
+    has_ended: bool,
+}
+
+impl<'a> Guard<'a> {
+    fn start(state: &'a State, call: &'a Call, helper: &Arc<str>) -> Self {
+        state.helpers.borrow_mut().start(helper);
+        Self { state, call, helper: helper.clone(), has_ended: false }
+    }
+
+    fn end(mut self, outcome: Outcome) {
+        self.record(outcome);
+    }
+
+    fn record(&mut self, outcome: Outcome) {
+        self.has_ended = true;
+        let service = &self.call.service;
+        self.state.helpers.borrow_mut().end(clock::now(), &self.helper, service, outcome);
+        metrics::record_carried(outcome_name(outcome));
+    }
+}
+
+impl Drop for Guard<'_> {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            self.record(Outcome::Cancelled);
+        }
+    }
+}
+
+/// Passes a request on. `attempts` is the number of instances that it may have reached already.
+pub(super) async fn run(state: &Rc<State>, call: &Call, body: &Bytes, attempts: u32) -> Carried {
+    let mut refusal = None;
+    let mut asked: Vec<Arc<str>> = Vec::new();
+    while asked.len() < MAX_HELPERS_ASKED {
+        let remaining = call.deadline.saturating_sub(clock::now());
+        if remaining < MIN_ATTEMPT_TIME {
+            break;
+        }
+        let Some((helper, address)) = choose(state, call, &asked) else {
+            break;
+        };
+        asked.push(helper.clone());
+        let guard = Guard::start(state, call, &helper);
+        let key = (helper.clone(), 0);
+        let is_at_most_once = !call.is_idempotent();
+        let pooled = state.helper_pool.borrow_mut().take(clock::now(), &key, is_at_most_once);
+        let opened = match pooled {
+            Some(connection) => Ok(connection),
+            None => {
+                let own_ip = state.settings.listeners.peers.ip();
+                Connection::open_from(own_ip, address, HELPER_CONNECT_TIMEOUT).await
+            }
+        };
+        let Ok(mut connection) = opened else {
+            guard.end(Outcome::Failed);
+            continue;
+        };
+        let request = encode_request(state, call, body, attempts);
+        let limit = call.deadline.saturating_sub(clock::now()) + HELPER_ANSWER_MARGIN;
+        let exchange = connection.exchange(&request, &state.answer_memory);
+        match timeout(limit, exchange).await {
+            Ok(Ok((answer, is_reusable))) => {
+                if is_reusable {
+                    state.helper_pool.borrow_mut().put(clock::now(), key, connection, None);
+                }
+                match refusal_of(&answer) {
+                    Some((outcome, refused)) => {
+                        guard.end(outcome);
+                        refusal = Some(refused);
+                        if outcome == Outcome::Answered {
+                            break;
+                        }
+                    }
+                    None => {
+                        guard.end(Outcome::Answered);
+                        let answer = Box::new(without_reason(answer));
+                        return Carried::Answered { answer, helper };
+                    }
+                }
+            }
+            Ok(Err(_)) if !connection.may_have_sent() => guard.end(Outcome::Failed),
+            Ok(Err(_)) => {
+                guard.end(Outcome::Failed);
+                return Carried::Lost { has_timed_out: false, helper };
+            }
+            Err(_) => {
+                guard.end(Outcome::Failed);
+                state.helper_pool.borrow_mut().remove(&key);
+                return Carried::Lost { has_timed_out: true, helper };
+            }
+        }
+    }
+    Carried::NotRun { refusal }
+}
+
+/// Chooses a host that may help, with its address.
+fn choose(state: &State, call: &Call, asked: &[Arc<str>]) -> Option<(Arc<str>, SocketAddr)> {
+    let hosts = state.hosts.borrow();
+    let candidates = hosts.iter().map(|(name, host)| Candidate {
+        name,
+        region: &host.registration.region,
+        domain: &host.registration.failure_domain,
+        is_lost: host.registration.reach.lost.contains(&call.service),
+    });
+    let criteria = Criteria {
+        id: call.id_text(),
+        service: &call.service,
+        route_regions: &call.route.home_regions,
+        workspace_regions: call.workspace().map_or(&[], |workspace| &workspace.home_regions),
+        excluded: asked,
+    };
+    let helpers = state.helpers.borrow();
+    let fleet = state.fleet.borrow();
+    let name = helpers.choose(clock::now(), fleet.locality(), candidates, &criteria)?;
+    let address = hosts.get(&name)?.registration.peers;
+    Some((name, address))
+}
+
+/// Encodes the request as the caller would send it.
+fn encode_request(state: &State, call: &Call, body: &Bytes, attempts: u32) -> Request {
+    let names = &state.codec.headers;
+    let remaining = milliseconds(call.deadline.saturating_sub(clock::now()));
+    let attempts = HeaderValue::from(attempts);
+    let mut headers = vec![
+        (names.time_left.as_str(), remaining.as_bytes()),
+        (ATTEMPTS_HEADER, attempts.as_bytes()),
+    ];
+    headers.extend(call.api_key.as_ref().map(|key| (names.api_key.as_str(), key.as_bytes())));
+    encode(call, body, &headers, &names.request_id)
+}
+
+/// The refusal in an answer by which a helper says that the request has not run, and what it says of the
+/// helper; `None` for any other answer.
+fn refusal_of(answer: &Answer) -> Option<(Outcome, Refusal)> {
+    let reason = answer.head.headers.get(REASON_HEADER)?.to_str().ok()?;
+    let outcome = match reason {
+        name if name == Reason::Unreached.name() => Outcome::Unreached,
+        name if name == Reason::Busy.name() => Outcome::Busy,
+        name if name == Reason::Stranger.name() => Outcome::Failed,
+        _ => Outcome::Answered,
+    };
+    let reason = match answer.head.status {
+        StatusCode::TOO_MANY_REQUESTS => Reason::OverRate,
+        StatusCode::SERVICE_UNAVAILABLE => Reason::HelperRefused,
+        _ => return None,
+    };
+    let seconds = answer.head.headers.get(header::RETRY_AFTER);
+    let seconds = seconds.and_then(|value| value.to_str().ok()?.parse().ok());
+    let retry_after = seconds.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+    Some((outcome, Refusal { reason, retry_after }))
+}
+
+fn without_reason(mut answer: Answer) -> Answer {
+    answer.head.headers.remove(REASON_HEADER);
+    answer
+}
+
+/// Name of an outcome in the metrics.
+fn outcome_name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Answered => "answered",
+        Outcome::Unreached => "unreached",
+        Outcome::Busy => "busy",
+        Outcome::Failed => "failed",
+        Outcome::Cancelled => "cancelled",
+    }
+}
--- a/crates/steer/src/callers/forward.rs
+++ b/crates/steer/src/callers/forward.rs
@@ -10,13 +10,16 @@
 
 use super::{
     attempt::{self, Failure},
+    carry::{self, Carried},
     refusal::{Reason, Refusal},
     routing::Call,
 };
 use crate::{
     backend::answer::Answer,
     clock,
-    constants::{MAX_RETRIES, MIN_ATTEMPT_TIME, NO_INSTANCE_RETRY_AFTER},
+    constants::{
+        FAILED_CONNECTIONS_BEFORE_CARRY, MAX_RETRIES, MIN_ATTEMPT_TIME, NO_INSTANCE_RETRY_AFTER,
+    },
     quarantine::{self, Admitted},
     state::State,
 };
@@ -29,56 +32,157 @@
     pub(crate) choice: Option<Choice>,
     /// Number of attempts that reached an instance, as far as known.
     pub(crate) attempts: u32,
+    /// Name of the host that ran the request, or refused it, in place of this one.
+    pub(crate) helper: Option<Arc<str>>,
 }
 
-/// Sends a request to instances until one answers or no retry is allowed.
+/// Sends a request to instances until one answers or no retry is allowed. If this host does not reach
+/// them, another host sends it.
 pub(crate) async fn forward(state: &Rc<State>, call: &Call, body: &Bytes) -> Outcome {
     state.count_request(&call.service);
-    let mut tried_ids: Vec<Arc<str>> = Vec::new();
-    let mut attempts = 0;
-    let mut may_have_run = false;
-    let mut is_on_trial = false;
-    let mut last_failure: Option<Failure> = None;
-    let mut last_choice: Option<Choice> = None;
+    let mut progress = Progress { attempts: call.earlier_attempts(), ..Progress::default() };
+    // The instance that the other host tried counts, so this host's first attempt is a retry.
+    if progress.attempts > 0 && !state.try_retry(&call.service) {
+        let refusal = Refusal::with_retry_after(Reason::Shed, NO_INSTANCE_RETRY_AFTER);
+        return progress.refused(refusal);
+    }
     loop {
+        let choice = match progress.next_choice(state, call, body).await {
+            Ok(choice) => choice,
+            Err(refusal) if progress.may_carry(state, call, refusal.reason) => {
+                return progress.carry(state, call, body, refusal).await;
+            }
+            Err(refusal) => return progress.refused(refusal),
+        };
+        progress.tried_ids.push(choice.id.clone());
+        let remaining = call.deadline.saturating_sub(clock::now());
+        let failure = match attempt::run(state, call, body, &choice, remaining).await {
+            Ok(answer) => return progress.answered(answer, choice),
+            Err(failure) => failure,
+        };
+        let is_retried = progress.record_failure(state, call, choice, failure);
+        if progress.is_unreached(state, call) && progress.may_carry(state, call, Reason::Unreached)
+        {
+            let refusal = Refusal::with_retry_after(Reason::Unreached, NO_INSTANCE_RETRY_AFTER);
+            return progress.carry(state, call, body, refusal).await;
+        }
+        if !is_retried {
+            let failure = progress.last_failure.as_ref();
+            let retry_after = failure.map_or(NO_INSTANCE_RETRY_AFTER, |f| f.retry_after);
+            return progress.refused(Refusal::with_retry_after(Reason::Shed, retry_after));
+        }
+    }
+}
+
+/// What has become of a request so far.
+#[derive(Default)]
+struct Progress {
+    tried_ids: Vec<Arc<str>>,
+    /// Attempts that reached an instance, as far as known.
+    attempts: u32,
+    may_have_run: bool,
+    is_on_trial: bool,
+    /// Attempts that ended as no connection could be opened.
+    failed_connections: usize,
+    last_failure: Option<Failure>,
+    last_choice: Option<Choice>,
+}
+
+impl Progress {
+    /// Admits the request and chooses its next instance.
+    async fn next_choice(
+        &mut self,
+        state: &Rc<State>,
+        call: &Call,
+        body: &Bytes,
+    ) -> Result<Choice, Refusal> {
         // A trial that has not reached an instance goes on at the next one.
-        let admitted = match is_on_trial && attempts == 0 {
+        let admitted = match self.is_on_trial && self.attempts == 0 {
             true => Ok(Admitted::OnTrial),
             false => admit(state, call, body).await,
         };
-        is_on_trial = admitted == Ok(Admitted::OnTrial);
+        self.is_on_trial = admitted == Ok(Admitted::OnTrial);
+        admitted?;
         let remaining = call.deadline.saturating_sub(clock::now());
-        let chosen = admitted.and_then(|_| choose(state, call, &tried_ids, remaining));
-        let choice = match chosen {
-            Ok(choice) => choice,
-            Err(refusal) => {
-                let result = final_result(last_failure, may_have_run, refusal);
-                return Outcome { result, choice: last_choice, attempts };
+        choose(state, call, &self.tried_ids, remaining)
+    }
+
+    /// Records a failed attempt. Returns whether the request may be sent to another instance.
+    fn record_failure(
+        &mut self,
+        state: &Rc<State>,
+        call: &Call,
+        choice: Choice,
+        failure: Failure,
+    ) -> bool {
+        self.last_choice = Some(choice);
+        self.attempts += u32::from(failure.has_reached_instance);
+        self.may_have_run |= failure.may_have_run;
+        self.failed_connections += usize::from(failure.is_unreached);
+        let is_retried = may_retry(state, call, &failure, self.attempts, self.tried_ids.len());
+        self.last_failure = Some(failure);
+        is_retried
+    }
+
+    /// Whether the last attempt found no connection, and the next one will probably find none either.
+    fn is_unreached(&self, state: &State, call: &Call) -> bool {
+        let has_failed = self.last_failure.as_ref().is_some_and(|failure| failure.is_unreached);
+        let is_lost = || state.fleet.borrow().is_lost(&call.service);
+        has_failed && (self.failed_connections >= FAILED_CONNECTIONS_BEFORE_CARRY || is_lost())
+    }
+
+    /// Whether the request, which this host would refuse for this reason, may be passed on.
+    fn may_carry(&self, state: &State, call: &Call, reason: Reason) -> bool {
+        let is_reason = match reason {
+            Reason::Unreached => true,
+            Reason::NoInstance | Reason::Full | Reason::Shift => {
+                state.fleet.borrow().is_lost(&call.service)
             }
+            _ => false,
         };
-        tried_ids.push(choice.id.clone());
-        let failure = match attempt::run(state, call, body, &choice, remaining).await {
-            Ok(answer) => {
-                return Outcome {
-                    result: Ok(answer),
-                    choice: Some(choice),
-                    attempts: attempts + 1,
-                };
+        let is_safe = call.is_idempotent() || !self.may_have_run;
+        is_reason
+            && is_safe
+            && !call.is_carried()
+            && self.attempts < call.route.max_attempts
+            && state.is_known_to_others()
+    }
+
+    /// Passes the request on. `refusal` applies if no host takes it.
+    async fn carry(
+        mut self,
+        state: &Rc<State>,
+        call: &Call,
+        body: &Bytes,
+        refusal: Refusal,
+    ) -> Outcome {
+        let choice = self.last_choice.take();
+        match carry::run(state, call, body, self.attempts).await {
+            Carried::Answered { answer, helper } => {
+                let (result, helper) = (Ok(*answer), Some(helper));
+                Outcome { result, choice, attempts: self.attempts, helper }
+            }
+            Carried::Lost { has_timed_out, helper } => {
+                let reason = if has_timed_out { Reason::Late } else { Reason::Lost };
+                let (result, helper) = (Err(Refusal::new(reason)), Some(helper));
+                Outcome { result, choice, attempts: self.attempts, helper }
+            }
+            Carried::NotRun { refusal: last } => {
+                self.last_choice = choice;
+                self.refused(last.unwrap_or(refusal))
             }
-            Err(failure) => failure,
-        };
-        last_choice = Some(choice);
-        attempts += u32::from(failure.has_reached_instance);
-        may_have_run |= failure.may_have_run;
-        let is_retried = may_retry(state, call, &failure, attempts, tried_ids.len());
-        let retry_after = failure.retry_after;
-        last_failure = Some(failure);
-        if !is_retried {
-            let refusal = Refusal::with_retry_after(Reason::Shed, retry_after);
-            let result = final_result(last_failure, may_have_run, refusal);
-            return Outcome { result, choice: last_choice, attempts };
         }
     }
+
+    fn answered(self, answer: Answer, choice: Choice) -> Outcome {
+        let attempts = self.attempts + 1;
+        Outcome { result: Ok(answer), choice: Some(choice), attempts, helper: None }
+    }
+
+    fn refused(self, refusal: Refusal) -> Outcome {
+        let result = final_result(self.last_failure, self.may_have_run, refusal);
+        Outcome { result, choice: self.last_choice, attempts: self.attempts, helper: None }
+    }
 }
 
 fn choose(
--- a/crates/steer/src/callers/handle.rs
+++ b/crates/steer/src/callers/handle.rs
@@ -1,6 +1,6 @@
 //! Handles one request of a caller.
 
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header};
@@ -11,18 +11,19 @@
 use tokio::time::timeout;
 
 use super::{
-    forward::{self, Outcome},
+    carry::REASON_HEADER,
+    forward,
     refusal::{Reason, Refusal},
     routing::{self, Call},
 };
 use crate::{
     backend::answer::Answer,
     clock,
-    constants::{DEFAULT_REQUEST_TIMEOUT, MAX_REQUEST_BODY_BYTES},
+    constants::{BUSY_RETRY_AFTER, DEFAULT_REQUEST_TIMEOUT, MAX_REQUEST_BODY_BYTES},
     events::{Event, Rank},
     lending::Lending,
-    metrics,
-    state::State,
+    metrics, peers,
+    state::{CarriedRequest, State},
 };
 
 /// Counts a request as in flight until it is dropped.
@@ -41,21 +42,74 @@
     }
 }
 
+/// Who sent a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Sender {
+    /// A caller.
+    Caller,
+    /// A host at this address, if it is registered.
+    Host(SocketAddr),
+}
+
 /// Returns the response to a request, which is refused if its framing is ambiguous.
 pub(crate) async fn respond(
     state: &Rc<State>,
     lending: &Lending,
+    sender: Sender,
     request: Request<Incoming>,
     has_ambiguous_framing: bool,
 ) -> Response<Full<Bytes>> {
     let _in_flight = InFlight::start(state);
+    let Sender::Host(address) = sender else {
+        return respond_to(state, lending, None, request, has_ambiguous_framing).await;
+    };
+    let id = request.headers().get(&state.codec.headers.request_id).cloned();
+    let response = match state.peer_at(address.ip()) {
+        Some(name) => respond_to(state, lending, Some(name), request, has_ambiguous_framing).await,
+        None => {
+            peers::record_dropped(state, address, Reason::Stranger.name());
+            refuse(state, None, Refusal::new(Reason::Stranger), clock::now())
+        }
+    };
+    mark_for_host(state, response, id)
+}
+
+/// Adds the request's id, without which the other host would take a refusal for an answer to another
+/// request, and the reason of a refusal.
+fn mark_for_host(
+    state: &State,
+    mut response: Response<Full<Bytes>>,
+    id: Option<HeaderValue>,
+) -> Response<Full<Bytes>> {
+    let reason = response.extensions().get::<Reason>().copied();
+    let headers = response.headers_mut();
+    headers.remove(REASON_HEADER);
+    if let Some(reason) = reason {
+        headers.insert(REASON_HEADER, HeaderValue::from_static(reason.name()));
+        let name = &state.codec.headers.request_id;
+        id.and_then(|id| headers.insert(name, id));
+        if !state.is_draining.get() && reason != Reason::Stranger {
+            headers.remove(header::CONNECTION);
+        }
+    }
+    response
+}
+
+/// Returns the response to a request of a caller, or of the host with the name `peer`.
+async fn respond_to(
+    state: &Rc<State>,
+    lending: &Lending,
+    peer: Option<Arc<str>>,
+    request: Request<Incoming>,
+    has_ambiguous_framing: bool,
+) -> Response<Full<Bytes>> {
     let arrived_at = clock::now();
     state.wait_until_ready().await;
     let (parts, body) = request.into_parts();
     let mut response = if has_ambiguous_framing {
         refuse(state, None, Refusal::new(Reason::BadRequest), arrived_at)
     } else {
-        match routing::resolve(state, parts, arrived_at) {
+        match routing::resolve(state, parts, arrived_at, peer) {
             Ok(call) => handle(state, lending, &call, body).await,
             Err(refusal) => {
                 // Closing a connection with unread bytes resets it, and the response could be lost.
@@ -77,6 +131,13 @@
     call: &Call,
     body: Incoming,
 ) -> Response<Full<Bytes>> {
+    let _room = match take_room(state, call, &body) {
+        Ok(room) => room,
+        Err(refusal) => {
+            discard_body(body).await;
+            return refuse(state, Some(call), refusal, call.arrived_at);
+        }
+    };
     if let Err(refusal) = acquire_token(state, lending, call).await {
         discard_body(body).await;
         return refuse(state, Some(call), refusal, call.arrived_at);
@@ -85,29 +146,45 @@
         Ok(body) => body,
         Err(refusal) => return refuse(state, Some(call), refusal, call.arrived_at),
     };
-    let Outcome { result, choice, attempts } = forward::forward(state, call, &body).await;
-    let response = match result {
+    let outcome = forward::forward(state, call, &body).await;
+    let (choice, helper) = (outcome.choice, outcome.helper);
+    let end =
+        End { choice: choice.as_ref(), attempts: outcome.attempts, helper: helper.as_deref() };
+    if helper.is_some() {
+        // The helper takes a token and counts the request.
+        refund_token(state, call);
+        state.uncount_request(&call.service);
+    }
+    let response = match outcome.result {
         Ok(answer) => into_response(answer),
         Err(refusal) => {
             metrics::record_refusal(refusal.reason.name());
-            if refusal.reason.is_not_run() {
+            if refusal.reason.is_not_run() && helper.is_none() {
                 refund_token(state, call);
             }
-            record_end(
-                state,
-                call,
-                refusal.reason.name(),
-                &refusal.into_response(),
-                choice.as_ref(),
-                attempts,
-            );
-            return refusal.into_response();
+            let response = refusal.into_response();
+            record_end(state, call, refusal.reason.name(), &response, &end);
+            return response;
         }
     };
-    record_end(state, call, "answered", &response, choice.as_ref(), attempts);
+    record_end(state, call, "answered", &response, &end);
     response
 }
 
+/// Takes room for a request of another host, with as much of the body as its length says.
+fn take_room<'a>(
+    state: &'a State,
+    call: &Call,
+    body: &Incoming,
+) -> Result<Option<CarriedRequest<'a>>, Refusal> {
+    if !call.is_carried() {
+        return Ok(None);
+    }
+    let body_bytes = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    let room = state.carried.reserve(body_bytes);
+    room.map(Some).ok_or(Refusal::with_retry_after(Reason::Busy, BUSY_RETRY_AFTER))
+}
+
 /// Takes a token of the workspace's rate limit. If there is none, waits for other hosts to lend
 /// some.
 async fn acquire_token(state: &State, lending: &Lending, call: &Call) -> Result<(), Refusal> {
@@ -175,7 +252,7 @@
     metrics::record_refusal(reason);
     let response = refusal.into_response();
     match call {
-        Some(call) => record_end(state, call, reason, &response, None, 0),
+        Some(call) => record_end(state, call, reason, &response, &End::default()),
         None => {
             let elapsed_ms = clock::now().saturating_sub(arrived_at).as_millis();
             let event = Event::Request {
@@ -187,6 +264,8 @@
                 remote: false,
                 known: false,
                 expected_ms: 0,
+                helper: "",
+                carried_for: "",
                 status: response.status().as_u16(),
                 reason,
                 attempts: 0,
@@ -202,15 +281,23 @@
     response
 }
 
+/// Where a request was sent until it ended.
+#[derive(Clone, Copy, Debug, Default)]
+struct End<'a> {
+    choice: Option<&'a Choice>,
+    attempts: u32,
+    helper: Option<&'a str>,
+}
+
 /// Records the end of a request with a route in the metrics and the log.
 fn record_end(
     state: &State,
     call: &Call,
     reason: &str,
     response: &Response<Full<Bytes>>,
-    choice: Option<&Choice>,
-    attempts: u32,
+    end: &End<'_>,
 ) {
+    let End { choice, attempts, helper } = *end;
     let elapsed = clock::now().saturating_sub(call.arrived_at);
     let status = response.status();
     let workspace_name = call.workspace_name.clone().unwrap_or_default();
@@ -225,6 +312,8 @@
         known: choice.is_some_and(|choice| choice.is_cached),
         expected_ms: choice
             .map_or(0, |choice| Duration::from_secs_f64(choice.cost_seconds).as_millis()),
+        helper: helper.unwrap_or_default(),
+        carried_for: call.carried_for(),
         status: status.as_u16(),
         reason,
         attempts,
--- a/crates/steer/src/callers/refusal.rs
+++ b/crates/steer/src/callers/refusal.rs
@@ -27,6 +27,12 @@
     Full,
     /// This host does not reach many of the instances, and the others have no capacity.
     Unreached,
+    /// The host to which the request was passed on refused it.
+    HelperRefused,
+    /// This host runs as many requests of other hosts as it may.
+    Busy,
+    /// The request came to the listener for other hosts, but not from one.
+    Stranger,
     /// The request can run only in other regions, and the share of requests that run there may rise
     /// only slowly.
     Shift,
@@ -55,6 +61,9 @@
             Self::NoInstance => "no_instance",
             Self::Full => "full",
             Self::Unreached => "unreached",
+            Self::HelperRefused => "helper_refused",
+            Self::Busy => "busy",
+            Self::Stranger => "stranger",
             Self::Shift => "shift",
             Self::Quarantined => "quarantined",
             Self::Shed => "shed",
@@ -80,6 +89,9 @@
             | Self::NoInstance
             | Self::Full
             | Self::Unreached
+            | Self::HelperRefused
+            | Self::Busy
+            | Self::Stranger
             | Self::Shift
             | Self::Quarantined
             | Self::Shed
@@ -119,6 +131,7 @@
     pub(crate) fn into_response(self) -> Response<Full<Bytes>> {
         let mut response = Response::new(Full::default());
         *response.status_mut() = self.reason.status();
+        response.extensions_mut().insert(self.reason);
         if let Some(wait) = self.retry_after {
             let text = format!("{:.3}", wait.as_secs_f64());
             if let Ok(value) = HeaderValue::try_from(text) {
--- a/crates/steer/src/callers/routing.rs
+++ b/crates/steer/src/callers/routing.rs
@@ -13,7 +13,10 @@
 };
 use marjorampick_link::wire::headers::strip_hop_by_hop;
 
-use super::refusal::{Reason, Refusal};
+use super::{
+    carry::{ATTEMPTS_HEADER, REASON_HEADER},
+    refusal::{Reason, Refusal},
+};
 use crate::{
     codec::Headers,
     constants::{DEFAULT_REQUEST_TIMEOUT, STARTUP_RETRY_AFTER},
@@ -23,6 +26,20 @@
 /// Largest path and query, in bytes.
 const MAX_TARGET_BYTES: usize = 16 * 1024;
 
+/// Where a request came from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Origin {
+    /// A caller.
+    Caller,
+    /// Another host, which does not reach the instances.
+    Host {
+        /// Name of the host.
+        name: Arc<str>,
+        /// Number of instances that the request may have reached already.
+        attempts: u32,
+    },
+}
+
 /// A request with a route and, unless the route needs none, a valid API key.
 pub(crate) struct Call {
     /// Configuration that applies to the request until its end.
@@ -40,6 +57,10 @@
     pub(crate) uri: Uri,
     /// Headers to forward to the instance, without those that the host sets.
     pub(crate) headers: HeaderMap,
+    /// API key of the caller, which only another host gets.
+    pub(crate) api_key: Option<HeaderValue>,
+    /// Where the request came from.
+    pub(crate) origin: Origin,
     pub(crate) arrived_at: Duration,
     /// Time by which the caller must have its answer.
     pub(crate) deadline: Duration,
@@ -52,6 +73,27 @@
         self.route.idempotency == Idempotency::Idempotent
     }
 
+    /// Whether another host passed the request on, so that this one must not.
+    pub(crate) fn is_carried(&self) -> bool {
+        self.origin != Origin::Caller
+    }
+
+    /// Name of the host that passed the request on; empty if it came from a caller.
+    pub(crate) fn carried_for(&self) -> &str {
+        match &self.origin {
+            Origin::Caller => "",
+            Origin::Host { name, .. } => name,
+        }
+    }
+
+    /// Number of instances that the request may have reached before it came here.
+    pub(crate) fn earlier_attempts(&self) -> u32 {
+        match &self.origin {
+            Origin::Caller => 0,
+            Origin::Host { attempts, .. } => *attempts,
+        }
+    }
+
     /// Workspace that owns the API key; `None` if no key is required.
     pub(crate) fn workspace(&self) -> Option<&Workspace> {
         self.plan.workspaces.get(self.workspace_name.as_ref()?)
@@ -85,7 +127,14 @@
 }
 
 /// Finds the route, workspace and deadline of a request, or refuses it.
-pub(crate) fn resolve(state: &State, parts: Parts, arrived_at: Duration) -> Result<Call, Refusal> {
+///
+/// `peer` is the name of the host that passed the request on.
+pub(crate) fn resolve(
+    state: &State,
+    parts: Parts,
+    arrived_at: Duration,
+    peer: Option<Arc<str>>,
+) -> Result<Call, Refusal> {
     let names = &state.codec.headers;
     let plan = state.plan.borrow().clone();
     let plan =
@@ -106,7 +155,15 @@
     let requested =
         requested_timeout(&parts.headers, &names.time_left).unwrap_or(DEFAULT_REQUEST_TIMEOUT);
     let timeout = route.timeout.map_or(requested, |timeout| timeout.min(requested));
+    let origin = peer.map_or(Origin::Caller, |name| {
+        let attempts = parts.headers.get(ATTEMPTS_HEADER);
+        let attempts = attempts.and_then(|value| value.to_str().ok()?.parse().ok());
+        Origin::Host { name, attempts: attempts.unwrap_or_default() }
+    });
+    let api_key = parts.headers.get(&names.api_key).cloned();
     Ok(Call {
+        api_key,
+        origin,
         object_hash: object.map(|object| object_hash(&route, object)),
         id: id.unwrap_or_default(),
         method: parts.method,
@@ -179,7 +236,14 @@
 /// Headers to forward to an instance. Removes those that the host sets, and the caller's API key.
 fn forwarded_headers(mut headers: HeaderMap, names: &Headers) -> HeaderMap {
     strip_hop_by_hop(&mut headers);
-    let removed = [&names.api_key, &names.workspace, &names.expected_instance, &names.time_left];
+    let removed = [
+        names.api_key.as_str(),
+        names.workspace.as_str(),
+        names.expected_instance.as_str(),
+        names.time_left.as_str(),
+        ATTEMPTS_HEADER,
+        REASON_HEADER,
+    ];
     for name in removed {
         headers.remove(name);
     }
--- a/crates/steer/src/constants.rs
+++ b/crates/steer/src/constants.rs
@@ -148,3 +148,31 @@
 
 /// Time after the end of its registration for which a host's messages count and it gets announcements.
 pub(crate) const FORMER_HOST_TIME: Duration = Duration::from_secs(60);
+
+/// Timeout for opening a connection to another host.
+pub(crate) const HELPER_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time beyond a request's deadline in which the host that runs it may still answer, as its clock started
+/// later by the time on the way.
+pub(crate) const HELPER_ANSWER_MARGIN: Duration = Duration::from_millis(150);
+
+/// Most hosts that are asked to run one request.
+pub(crate) const MAX_HELPERS_ASKED: usize = 3;
+
+/// Failed connections of one request, from which on it is passed on to another host.
+pub(crate) const FAILED_CONNECTIONS_BEFORE_CARRY: usize = 2;
+
+/// Most requests of other hosts that run at the same time.
+pub(crate) const MAX_CARRIED_REQUESTS: usize = 256;
+
+/// Memory of the bodies of requests of other hosts, in bytes.
+pub(crate) const MAX_CARRIED_BODY_BYTES: usize = 32 * 1024 * 1024;
+
+/// `Retry-After` of a host that carries all that it can.
+pub(crate) const BUSY_RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// Interval at which a connection is opened to an instance of each service that is not reached.
+pub(crate) const PROBE_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Time without any answer of an instance, while requests wait for one, after which the network is checked.
+pub(crate) const SILENCE_TIME: Duration = Duration::from_millis(800);
--- a/crates/steer/src/events.rs
+++ b/crates/steer/src/events.rs
@@ -269,6 +269,12 @@
         known: bool,
         /// Expected response time plus the other costs of the chosen instance, in milliseconds.
         expected_ms: u128,
+        /// Name of the host that ran the request in place of this one; empty if there is none.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        helper: &'a str,
+        /// Name of the host from which the request came; empty if it came from a caller.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        carried_for: &'a str,
         /// HTTP status of the response.
         status: u16,
         /// `answered`, or why the host refused the request.
--- a/crates/steer/src/listeners.rs
+++ b/crates/steer/src/listeners.rs
@@ -109,13 +109,20 @@
 }
 
 /// Returns the addresses of the hosts in the caller's region, or of all hosts if there are none in
-/// it. If there are too many for one response, rendezvous hashing chooses the same ones for all
+/// it. Hosts that reach no instance are left out, unless all hosts are such. If there are too many for one response, rendezvous hashing chooses the same ones for all
 /// callers in a failure domain that ask for the same name.
 pub fn lookup_addresses(hosts: &[Registration], query: &Query) -> Vec<SocketAddr> {
-    let is_local = |host: &&Registration| host.region.as_ref() == query.region;
-    let local: Vec<SocketAddr> = hosts.iter().filter(is_local).map(|host| host.callers).collect();
-    let mut addresses =
-        if local.is_empty() { hosts.iter().map(|host| host.callers).collect() } else { local };
+    let is_local = |host: &Registration| host.region.as_ref() == query.region;
+    let is_cut_off = |host: &Registration| host.reach.is_cut_off;
+    let addresses_where = |is_named: &dyn Fn(&Registration) -> bool| {
+        let named = hosts.iter().filter(|host| is_named(host)).map(|host| host.callers);
+        Some(named.collect::<Vec<SocketAddr>>()).filter(|addresses| !addresses.is_empty())
+    };
+    let mut addresses = addresses_where(&|host| is_local(host) && !is_cut_off(host))
+        .or_else(|| addresses_where(&|host| !is_cut_off(host)))
+        .or_else(|| addresses_where(&is_local))
+        .or_else(|| addresses_where(&|_| true))
+        .unwrap_or_default();
     if addresses.len() > MAX_LOOKUP_ADDRESSES {
         let key = format!("{}/{}", query.domain, query.name);
         addresses.sort_by_key(|address| rendezvous::weight(&key, &address.to_string()));
--- a/crates/steer/src/metrics.rs
+++ b/crates/steer/src/metrics.rs
@@ -16,6 +16,7 @@
 const RELAY_MESSAGES_TOTAL: &str = "marjorampick_relay_messages_total";
 const LIMITED_INSTANCES: &str = "marjorampick_limited_instances";
 const DROPPED_MESSAGES_TOTAL: &str = "marjorampick_dropped_messages_total";
+const CARRIED_REQUESTS_TOTAL: &str = "marjorampick_carried_requests_total";
 const LOST_SERVICES: &str = "marjorampick_lost_services";
 const QUARANTINED_REQUESTS: &str = "marjorampick_quarantined_requests";
 
@@ -49,6 +50,11 @@
     );
     describe_gauge!(REQUESTS_IN_FLIGHT, Unit::Count, "Requests that have not ended.");
     describe_gauge!(LIMITED_INSTANCES, Unit::Count, "Instances with a limit that applies.");
+    describe_counter!(
+        CARRIED_REQUESTS_TOTAL,
+        Unit::Count,
+        "Requests passed on to other hosts, by outcome."
+    );
     describe_gauge!(LOST_SERVICES, Unit::Count, "Services of which the host reaches no instance.");
     describe_gauge!(
         QUARANTINED_REQUESTS,
@@ -111,6 +117,11 @@
     gauge!(LIMITED_INSTANCES).set(count as f64);
 }
 
+/// Records the end of a request that was passed on to another host.
+pub(crate) fn record_carried(outcome: &'static str) {
+    counter!(CARRIED_REQUESTS_TOTAL, "outcome" => outcome).increment(1);
+}
+
 /// Sets the number of services of which the host reaches no instance.
 pub(crate) fn set_lost_services(count: usize) {
     gauge!(LOST_SERVICES).set(count as f64);
--- a/crates/steer/src/reach.rs
+++ b/crates/steer/src/reach.rs
@@ -1,13 +1,25 @@
 //! Finds out which services this host reaches. See docs/platform.md.
+//!
+//! Requests tell it while connections to instances open or fail at once. A task finds out the rest: whether
+//! a lost service is reached again, without a request that waits for it, and whether a silent network
+//! holds back all answers.
 
-use std::{io, rc::Rc, sync::Arc};
+use std::{cell::Cell, io, rc::Rc, sync::Arc, time::Duration};
 
 use futures_util::{StreamExt as _, future, stream::FuturesUnordered};
-use marjorampick_core::steering::fleet::{ReachChange, Target};
+use marjorampick_core::{
+    rendezvous,
+    steering::{
+        fleet::{ReachChange, Target},
+        reach::Reporter,
+    },
+};
+use tokio::time::{MissedTickBehavior, interval};
 
 use crate::{
     backend::connection::Connection,
     clock,
+    constants::{PROBE_INTERVAL, SILENCE_TIME},
     events::{Event, Rank},
     metrics,
     state::State,
@@ -20,10 +32,19 @@
     instance: &Arc<str>,
     error: Option<&io::Error>,
 ) {
+    let now = clock::now();
+    if error.is_none() {
+        state.silence.record_contact(now);
+    }
     let mut fleet = state.fleet.borrow_mut();
-    let Some(change) = fleet.record_connection(clock::now(), instance, error.is_none()) else {
+    let Some(change) = fleet.record_connection(now, instance, error.is_none()) else {
         return;
     };
+    // Where connections hang, the open ones hang as well.
+    if error.is_some_and(|error| error.kind() == io::ErrorKind::TimedOut) {
+        let mut pool = state.pool.borrow_mut();
+        fleet.instances_of(service).iter().for_each(|key| pool.remove(key));
+    }
     metrics::set_lost_services(fleet.lost_services().len());
     let reason = error.map(ToString::to_string).unwrap_or_default();
     let lost_ms = match change {
@@ -55,3 +76,86 @@
         .map(|connection| state.pool.borrow_mut().put(clock::now(), key, connection, None))
         .is_ok()
 }
+
+/// Connections that are opened at the same time to instances of a service that may be lost.
+const PROBES: usize = 3;
+
+/// Requests at instances without an answer, and since when there has been none.
+#[derive(Debug, Default)]
+pub struct Silence {
+    waiting: Cell<u32>,
+    since: Cell<Duration>,
+}
+
+impl Silence {
+    /// Records that a request is sent to an instance.
+    pub(crate) fn record_sent(&self, now: Duration) {
+        if self.waiting.get() == 0 {
+            self.since.set(now);
+        }
+        self.waiting.set(self.waiting.get() + 1);
+    }
+
+    /// Records that a request ended.
+    pub(crate) fn record_end(&self) {
+        self.waiting.set(self.waiting.get().saturating_sub(1));
+    }
+
+    /// Records that an instance answered, or a connection opened.
+    pub(crate) fn record_contact(&self, now: Duration) {
+        self.since.set(now);
+    }
+
+    fn is_suspicious(&self, now: Duration) -> bool {
+        self.waiting.get() > 0 && now >= self.since.get() + SILENCE_TIME
+    }
+}
+
+/// Opens connections to instances of lost services, and to some of all services while no instance answers,
+/// until the process ends.
+pub async fn run(state: Rc<State>) {
+    let mut reporter = Reporter::default();
+    let mut ticks = interval(PROBE_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let lost = state.fleet.borrow().lost_services();
+        future::join_all(lost.iter().map(|service| probe(&state, service, 1))).await;
+        if state.silence.is_suspicious(clock::now()) {
+            probe_all(&state).await;
+        }
+        report(&state, &mut reporter);
+    }
+}
+
+/// Has the registration written again when others should know of a change.
+fn report(state: &State, reporter: &mut Reporter) {
+    let fleet = state.fleet.borrow();
+    let services = fleet.services().into_iter().map(|service| {
+        let is_lost = fleet.is_lost(&service);
+        (service, is_lost)
+    });
+    let hosts = state.hosts.borrow().len();
+    let weight = rendezvous::weight("report", &state.settings.host.name);
+    let draw = weight as f64 / u64::MAX as f64;
+    if let Some(report) = reporter.update(clock::now(), services, hosts, draw) {
+        state.reach_report.replace(report);
+        state.lost_entries.record_report();
+    }
+}
+
+/// Finds out whether the network is silent: opens a connection, and if it fails some more in each service.
+async fn probe_all(state: &Rc<State>) {
+    let services = state.fleet.borrow().services();
+    let first = state.fleet.borrow().witnesses("", 1);
+    let is_open = future::join_all(first.into_iter().map(|target| try_open(state, target))).await;
+    if !is_open.contains(&true) {
+        future::join_all(services.iter().map(|service| probe(state, service, PROBES))).await;
+    }
+}
+
+/// Opens connections to instances of a service.
+async fn probe(state: &Rc<State>, service: &Arc<str>, count: usize) {
+    let targets = state.fleet.borrow().reach_targets(service, count);
+    future::join_all(targets.into_iter().map(|target| try_open(state, target))).await;
+}
--- a/crates/steer/src/registration.rs
+++ b/crates/steer/src/registration.rs
@@ -63,11 +63,13 @@
         if state.lost_entries.take_registration() {
             *lease = None;
         }
+        let must_report = lease.is_some() && state.lost_entries.take_report();
         let result = match (seat, *lease) {
             (Seat::Missing, _) => claim_seat(state, client).await.map(|claimed| seat = claimed),
             (Seat::Held, None) => {
                 register(state, client).await.map(|granted| *lease = Some(granted))
             }
+            (Seat::Held, Some(id)) if must_report => write(state, client, id).await,
             (Seat::Held, Some(id)) => call(state, client, &Call::Renew(id)).await.map(drop),
         };
         match result {
@@ -80,6 +82,9 @@
             }
             Err(Fault::LeaseNotFound) => *lease = None,
             Err(_) => {
+                if must_report {
+                    state.lost_entries.record_report();
+                }
                 sleep(retry_delay).await;
                 retry_delay = (retry_delay * 2).min(MAX_STORE_RETRY_DELAY);
             }
@@ -123,12 +128,20 @@
     let Reply::Lease(lease) = call(state, client, &Call::Grant(REGISTRATION_LEASE)).await? else {
         return Err(Fault::Malformed("the response has no lease".to_owned()));
     };
+    write(state, client, lease).await?;
+    state.registered_at.set(Some(clock::now()));
+    Ok(lease)
+}
+
+/// Writes the registration under its lease.
+async fn write(state: &Rc<State>, client: &Client, lease: u64) -> Result<(), Fault> {
     let host = &state.settings.host;
     let registration = Registration {
         callers: state.settings.listeners.callers,
         peers: state.settings.listeners.peers,
         region: host.region.clone(),
         failure_domain: host.failure_domain.clone(),
+        reach: state.reach_report.borrow().clone(),
     };
     let value = serde_json::to_vec(&registration)
         .map_err(|error| Fault::Refused(format!("cannot encode the registration: {error}")))?;
@@ -138,9 +151,8 @@
     // Otherwise this host would see its own registration only with the next response to a watch.
     let own_host = Host { registration, expires_at: None };
     state.hosts.borrow_mut().insert(host.name.clone(), own_host);
-    state.registered_at.set(Some(clock::now()));
     state.publish_hosts();
-    Ok(lease)
+    Ok(())
 }
 
 /// Removes the seats of hosts whose registrations ended long ago.
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -12,7 +12,8 @@
 };
 
 use crate::{
-    callers, clock,
+    callers::accept::{self, Side},
+    clock,
     codec::Codec,
     constants::{CLOSE_DELAY_RATIO, GRACE_MARGIN, MAINTENANCE_INTERVAL},
     events::{Event, Log, Rank},
@@ -22,7 +23,7 @@
     listeners::{self, Context},
     metrics,
     peers::{self, Message, Socket},
-    quarantine, registration,
+    quarantine, reach, registration,
     settings::{self, Settings},
     state::State,
     store::Client,
@@ -70,6 +71,7 @@
     tokio::task::spawn_local(feed);
     tokio::task::spawn_local(peers::announce(state.clone(), socket.clone(), announcements));
     tokio::task::spawn_local(limits::run(state.clone(), client.clone()));
+    tokio::task::spawn_local(reach::run(state.clone()));
     tokio::task::spawn_local(quarantine::judge(state.clone()));
     tokio::task::spawn_local(quarantine::publish(state.clone(), client.clone()));
     let registration_task =
@@ -82,7 +84,9 @@
         lending.clone(),
     ));
     tokio::task::spawn_local(validate_on_hang_up(state.clone(), file.to_owned(), hang_up));
-    callers::accept::listen(state.clone(), lending, closing).await?;
+    let hosts_closing = closing.clone();
+    accept::listen(state.clone(), lending.clone(), Side::Hosts, hosts_closing).await?;
+    accept::listen(state.clone(), lending, Side::Callers, closing).await?;
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
@@ -148,7 +152,10 @@
         tick_count = tick_count.wrapping_add(1);
         feed::remove_expired(&state);
         lending.remove_expired_requests();
-        state.pool.borrow_mut().remove_expired(clock::now());
+        let now = clock::now();
+        state.pool.borrow_mut().remove_expired(now);
+        state.helper_pool.borrow_mut().remove_expired(now);
+        state.helpers.borrow_mut().remove_expired(now);
         limits::update(&state);
         metrics::set_in_flight(state.in_flight.get());
         if tick_count.is_multiple_of(10) {
--- a/crates/steer/src/state.rs
+++ b/crates/steer/src/state.rs
@@ -3,7 +3,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, HashMap},
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     rc::Rc,
     sync::{
         Arc,
@@ -15,8 +15,9 @@
 use arc_swap::ArcSwap;
 use marjorampick_core::steering::{
     fleet::{Fleet, Locality},
+    helper,
     plan::Plan,
-    quarantine, rate, retry,
+    quarantine, rate, reach, retry,
     seats::{CUT_OFF_TIME, SEAT_PROPAGATION_TIME, Seats},
     split,
 };
@@ -30,9 +31,13 @@
     backend::{memory::Memory, pool::Pool},
     clock,
     codec::Codec,
-    constants::{FORMER_HOST_TIME, MAX_WAITING_ANNOUNCEMENTS, STARTUP_WAIT},
+    constants::{
+        FORMER_HOST_TIME, MAX_CARRIED_BODY_BYTES, MAX_CARRIED_REQUESTS, MAX_WAITING_ANNOUNCEMENTS,
+        STARTUP_WAIT,
+    },
     events::{Event, Log, Rank},
     peers::Message,
+    reach::Silence,
     settings::Settings,
 };
 
@@ -47,6 +52,9 @@
     pub region: Arc<str>,
     /// Failure domain of the host.
     pub failure_domain: Arc<str>,
+    /// Services that it does not reach.
+    #[serde(default, flatten)]
+    pub reach: reach::Report,
 }
 
 /// An entry host that is registered, or was until an outage of the store.
@@ -77,11 +85,12 @@
     pub hosts: ArcSwap<Vec<Registration>>,
 }
 
-/// Entries of this host that were removed from the store and that it has to write again.
+/// Entries of this host in the store that it has to write again, as they were removed or say something else.
 #[derive(Debug, Default)]
 pub struct LostEntries {
     seat: Cell<bool>,
     registration: Cell<bool>,
+    report: Cell<bool>,
     changed: Notify,
 }
 
@@ -98,6 +107,17 @@
         self.changed.notify_one();
     }
 
+    /// Records that the registration has to be written again as it says something else.
+    pub fn record_report(&self) {
+        self.report.set(true);
+        self.changed.notify_one();
+    }
+
+    /// Whether the registration says something else since the last call.
+    pub fn take_report(&self) -> bool {
+        self.report.take()
+    }
+
     /// Whether the seat was removed since the last call.
     pub fn take_seat(&self) -> bool {
         self.seat.take()
@@ -114,6 +134,43 @@
     }
 }
 
+/// Requests of other hosts that run here, and the memory of their bodies.
+#[derive(Debug, Default)]
+pub struct Carried {
+    requests: Cell<usize>,
+    body_bytes: Cell<usize>,
+}
+
+impl Carried {
+    /// Takes room for one more request with a body of this size, until the returned value is dropped;
+    /// `None` if there is none.
+    pub fn reserve(&self, body_bytes: usize) -> Option<CarriedRequest<'_>> {
+        let requests = self.requests.get() + 1;
+        let total_bytes = self.body_bytes.get() + body_bytes;
+        if requests > MAX_CARRIED_REQUESTS || total_bytes > MAX_CARRIED_BODY_BYTES {
+            return None;
+        }
+        self.requests.set(requests);
+        self.body_bytes.set(total_bytes);
+        Some(CarriedRequest { carried: self, body_bytes })
+    }
+}
+
+/// Room of one request of another host.
+#[derive(Debug)]
+pub struct CarriedRequest<'a> {
+    carried: &'a Carried,
+    body_bytes: usize,
+}
+
+impl Drop for CarriedRequest<'_> {
+    fn drop(&mut self) {
+        let Carried { requests, body_bytes } = self.carried;
+        requests.set(requests.get() - 1);
+        body_bytes.set(body_bytes.get() - self.body_bytes);
+    }
+}
+
 /// State of the process.
 pub struct State {
     /// Settings of the process.
@@ -140,6 +197,16 @@
     pub peers: RefCell<BTreeMap<SocketAddr, Peer>>,
     /// Idle connections to backend servers.
     pub pool: RefCell<Pool>,
+    /// What this host tells the others of the services that it reaches.
+    pub reach_report: RefCell<reach::Report>,
+    /// Whether instances answer.
+    pub silence: Silence,
+    /// Idle connections to hosts to which requests are passed on.
+    pub helper_pool: RefCell<Pool>,
+    /// Hosts to which requests are passed on.
+    pub helpers: RefCell<helper::Book>,
+    /// Requests of other hosts that run here.
+    pub carried: Carried,
     /// Memory for answers of backend servers.
     pub answer_memory: Memory,
     /// Data for the look-up and readiness listeners.
@@ -195,6 +262,11 @@
             crash_reported: Notify::new(),
             peers: RefCell::default(),
             pool: RefCell::default(),
+            reach_report: RefCell::default(),
+            silence: Silence::default(),
+            helper_pool: RefCell::default(),
+            helpers: RefCell::default(),
+            carried: Carried::default(),
             answer_memory: Memory::default(),
             snapshot: Arc::new(snapshot),
             store_last_response_at: Cell::new(Duration::ZERO),
@@ -242,6 +314,20 @@
         budgets.entry(service.clone()).or_default().record_request(clock::now(), &limit);
     }
 
+    /// Takes back the count of a request that another host runs and counts.
+    pub fn uncount_request(&self, service: &str) {
+        if let Some(budget) = self.retry_budgets.borrow_mut().get_mut(service) {
+            budget.forget_request();
+        }
+    }
+
+    /// Name of the host with this IP address for messages; `None` for a stranger.
+    pub fn peer_at(&self, ip: IpAddr) -> Option<Arc<str>> {
+        let peers = self.peers.borrow();
+        let found = peers.iter().find(|(address, _)| address.ip() == ip);
+        found.map(|(_, peer)| peer.name.clone())
+    }
+
     /// Uses one retry of the budget of `service`. Returns false if the budget is exhausted.
     pub fn try_retry(&self, service: &Arc<str>) -> bool {
         let limit = self.retry_limit();
