--- a/crates/core/src/steering/helper.rs
+++ b/crates/core/src/steering/helper.rs
@@ -30,7 +30,14 @@
 const OTHER_DOMAIN_COST: f64 = 1.2;
 
 /// Cost of a request at a helper in another region, relative to one in the own failure domain.
-const OTHER_REGION_COST: f64 = 8.0;
+const OTHER_REGION_COST: f64 = 3.0;
+
+/// Helpers of one failure domain in a row that do not reach a service, from which on probably none of the
+/// domain does: links fail together.
+const UNREACHED_IN_A_ROW: u32 = 4;
+
+/// Time for which the helpers of such a failure domain are not asked.
+const DOUBT_TIME: Duration = Duration::from_millis(500);
 
 /// Host that may help.
 #[derive(Clone, Copy, Debug)]
@@ -51,7 +58,7 @@
     /// Id of the request, which decides between helpers with the same cost.
     pub id: &'a str,
     /// Service that runs the request.
-    pub service: &'a str,
+    pub service: &'a Arc<str>,
     /// Regions that the route allows; all if empty. They bind the helper, too, as it gets the body.
     pub route_regions: &'a [Arc<str>],
     /// Regions that the workspace allows; all if empty.
@@ -93,10 +100,20 @@
     }
 }
 
+/// Answers of the helpers of one failure domain about one service.
+#[derive(Clone, Copy, Debug, Default)]
+struct Doubt {
+    /// Helpers in a row that do not reach it.
+    unreached: u32,
+    avoided_until: Duration,
+}
+
 /// Helpers of this host, by their names.
 #[derive(Clone, Debug, Default)]
 pub struct Book {
     helpers: BTreeMap<Arc<str>, Helper>,
+    /// By the names of the service and the failure domain.
+    doubts: HashMap<(Arc<str>, Arc<str>), Doubt>,
 }
 
 impl Book {
@@ -118,6 +135,7 @@
                 && allows(criteria.workspace_regions, candidate.region)
                 && !criteria.excluded.contains(candidate.name)
                 && !helper.is_some_and(|helper| helper.is_avoided(now, criteria.service))
+                && !self.is_doubtful(now, criteria.service, candidate.domain)
         });
         let ranked = eligible.map(|candidate| {
             let cost = self.cost(locality, &candidate);
@@ -132,13 +150,26 @@
         self.helpers.entry(helper.clone()).or_default().running += 1;
     }
 
-    /// Records the end of a request that was passed on.
-    pub fn end(&mut self, now: Duration, name: &Arc<str>, service: &Arc<str>, outcome: Outcome) {
+    /// Records the end of a request that was passed on to a helper in a failure domain.
+    pub fn end(
+        &mut self,
+        now: Duration,
+        name: &Arc<str>,
+        domain: &Arc<str>,
+        service: &Arc<str>,
+        outcome: Outcome,
+    ) {
         let helper = self.helpers.entry(name.clone()).or_default();
         helper.running = helper.running.saturating_sub(1);
+        let doubt = self.doubts.entry((service.clone(), domain.clone())).or_default();
         match outcome {
-            Outcome::Answered | Outcome::Cancelled => {}
+            Outcome::Answered => *doubt = Doubt::default(),
+            Outcome::Cancelled => {}
             Outcome::Unreached => {
+                doubt.unreached += 1;
+                if doubt.unreached >= UNREACHED_IN_A_ROW {
+                    doubt.avoided_until = now + DOUBT_TIME;
+                }
                 helper.unreached_until.insert(service.clone(), now + UNREACHED_TIME);
             }
             Outcome::Busy => helper.avoided_until = now + BUSY_TIME,
@@ -148,12 +179,18 @@
 
     /// Forgets helpers without requests that may be asked about everything.
     pub fn remove_expired(&mut self, now: Duration) {
+        self.doubts.retain(|_, doubt| now < doubt.avoided_until + DOUBT_TIME);
         self.helpers.retain(|_, helper| {
             helper.unreached_until.retain(|_, until| now < *until);
             helper.running > 0 || now < helper.avoided_until || !helper.unreached_until.is_empty()
         });
     }
 
+    fn is_doubtful(&self, now: Duration, service: &Arc<str>, domain: &Arc<str>) -> bool {
+        let doubt = self.doubts.get(&(service.clone(), domain.clone()));
+        doubt.is_some_and(|doubt| now < doubt.avoided_until)
+    }
+
     /// Cost of one more request at a helper.
     fn cost(&self, locality: &Locality, candidate: &Candidate<'_>) -> f64 {
         let running = self.helpers.get(candidate.name).map_or(0, |helper| helper.running);
--- a/crates/core/src/steering/tests.rs
+++ b/crates/core/src/steering/tests.rs
@@ -3,6 +3,7 @@
 mod cache;
 mod cold;
 mod fleet;
+mod helper;
 mod instance;
 mod lenders;
 mod limit;
@@ -11,6 +12,7 @@
 mod plan;
 mod quarantine;
 mod rate;
+mod reach;
 mod relay;
 mod retry;
 mod seats;
--- a/crates/steer/src/callers/attempt.rs
+++ b/crates/steer/src/callers/attempt.rs
@@ -37,6 +37,8 @@
     pub(crate) has_timed_out: bool,
     /// Whether the instance was not reached, so that another host may reach it.
     pub(crate) is_unreached: bool,
+    /// Whether the connection could not be opened in time, rather than being refused.
+    pub(crate) has_hung: bool,
     /// Suggested delay before the caller repeats the request if it has not run.
     pub(crate) retry_after: Duration,
     /// The instance's server error, which the caller gets if this was the last attempt.
@@ -52,6 +54,7 @@
             has_reached_instance,
             has_timed_out: false,
             is_unreached: false,
+            has_hung: false,
             retry_after: retry::delay_after_rejection(None),
             answer: None,
             reason,
@@ -68,6 +71,7 @@
             has_reached_instance: true,
             has_timed_out: false,
             is_unreached: false,
+            has_hung: false,
             retry_after: retry::delay_after_rejection(None),
             answer: None,
             reason,
@@ -137,7 +141,9 @@
         Ok(connection) => connection,
         Err(error) => {
             guard.end(Outcome::TransportError, None);
+            let has_hung = error.kind() == ErrorKind::TimedOut;
             let failure = Failure::unreached(format!("cannot connect: {error}"));
+            let failure = Failure { has_hung, ..failure };
             return Err(record_failure(state, call, choice, failure));
         }
     };
--- a/crates/steer/src/callers/carry.rs
+++ b/crates/steer/src/callers/carry.rs
@@ -59,18 +59,26 @@
     },
 }
 
+/// Host that is asked to run a request.
+#[derive(Clone, Debug)]
+struct Helper {
+    name: Arc<str>,
+    domain: Arc<str>,
+    address: SocketAddr,
+}
+
 /// Counts a request as running at a helper until it ends. Dropping the guard without calling
 /// [`Self::end`], because the caller left, records it as cancelled.
 struct Guard<'a> {
     state: &'a State,
     call: &'a Call,
-    helper: Arc<str>,
+    helper: Helper,
     has_ended: bool,
 }
 
 impl<'a> Guard<'a> {
-    fn start(state: &'a State, call: &'a Call, helper: &Arc<str>) -> Self {
-        state.helpers.borrow_mut().start(helper);
+    fn start(state: &'a State, call: &'a Call, helper: &Helper) -> Self {
+        state.helpers.borrow_mut().start(&helper.name);
         Self { state, call, helper: helper.clone(), has_ended: false }
     }
 
@@ -80,8 +88,8 @@
 
     fn record(&mut self, outcome: Outcome) {
         self.has_ended = true;
-        let service = &self.call.service;
-        self.state.helpers.borrow_mut().end(clock::now(), &self.helper, service, outcome);
+        let (service, Helper { name, domain, .. }) = (&self.call.service, &self.helper);
+        self.state.helpers.borrow_mut().end(clock::now(), name, domain, service, outcome);
         metrics::record_carried(outcome_name(outcome));
     }
 }
@@ -103,11 +111,12 @@
         if remaining < MIN_ATTEMPT_TIME {
             break;
         }
-        let Some((helper, address)) = choose(state, call, &asked) else {
+        let Some(chosen) = choose(state, call, &asked) else {
             break;
         };
+        let helper = chosen.name.clone();
         asked.push(helper.clone());
-        let guard = Guard::start(state, call, &helper);
+        let guard = Guard::start(state, call, &chosen);
         let key = (helper.clone(), 0);
         let is_at_most_once = !call.is_idempotent();
         let pooled = state.helper_pool.borrow_mut().take(clock::now(), &key, is_at_most_once);
@@ -115,7 +124,7 @@
             Some(connection) => Ok(connection),
             None => {
                 let own_ip = state.settings.listeners.peers.ip();
-                Connection::open_from(own_ip, address, HELPER_CONNECT_TIMEOUT).await
+                Connection::open_from(own_ip, chosen.address, HELPER_CONNECT_TIMEOUT).await
             }
         };
         let Ok(mut connection) = opened else {
@@ -160,8 +169,8 @@
     Carried::NotRun { refusal }
 }
 
-/// Chooses a host that may help, with its address.
-fn choose(state: &State, call: &Call, asked: &[Arc<str>]) -> Option<(Arc<str>, SocketAddr)> {
+/// Chooses a host that may help.
+fn choose(state: &State, call: &Call, asked: &[Arc<str>]) -> Option<Helper> {
     let hosts = state.hosts.borrow();
     let candidates = hosts.iter().map(|(name, host)| Candidate {
         name,
@@ -179,8 +188,9 @@
     let helpers = state.helpers.borrow();
     let fleet = state.fleet.borrow();
     let name = helpers.choose(clock::now(), fleet.locality(), candidates, &criteria)?;
-    let address = hosts.get(&name)?.registration.peers;
-    Some((name, address))
+    let registration = &hosts.get(&name)?.registration;
+    let (domain, address) = (registration.failure_domain.clone(), registration.peers);
+    Some(Helper { name, domain, address })
 }
 
 /// Encodes the request as the caller would send it.
--- a/crates/steer/src/callers/crash.rs
+++ b/crates/steer/src/callers/crash.rs
@@ -11,11 +11,13 @@
     fleet::Choice,
     quarantine::{Crash, Fingerprint},
 };
+use tokio::time::sleep;
 
 use super::routing::Call;
 use crate::{
     backend::connection::Connection,
     clock,
+    constants::CONFIRMATION_DELAY,
     events::{Event, Rank},
     quarantine, reach,
     state::State,
@@ -56,6 +58,8 @@
             state.pool.borrow_mut().put(clock::now(), key, connection, None);
         }
         Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
+            // The links to other instances may fail a moment later.
+            sleep(CONFIRMATION_DELAY).await;
             if !reach::is_another_reached(&state, &choice.id).await {
                 log::debug!(
                     "crash: cannot tell whether {} runs: no instance is reached",
--- a/crates/steer/src/callers/forward.rs
+++ b/crates/steer/src/callers/forward.rs
@@ -61,10 +61,14 @@
             Err(failure) => failure,
         };
         let is_retried = progress.record_failure(state, call, choice, failure);
-        if progress.is_unreached(state, call) && progress.may_carry(state, call, Reason::Unreached)
-        {
+        if progress.is_unreached(state, call) {
             let refusal = Refusal::with_retry_after(Reason::Unreached, NO_INSTANCE_RETRY_AFTER);
-            return progress.carry(state, call, body, refusal).await;
+            if call.is_carried() {
+                return progress.refused(refusal);
+            }
+            if progress.may_carry(state, call, Reason::Unreached) {
+                return progress.carry(state, call, body, refusal).await;
+            }
         }
         if !is_retried {
             let failure = progress.last_failure.as_ref();
@@ -124,11 +128,16 @@
         is_retried
     }
 
-    /// Whether the last attempt found no connection, and the next one will probably find none either.
+    /// Whether the last attempt found no connection, and the next one will probably find none either. A
+    /// request that another host passed on has no time for more attempts that hang.
     fn is_unreached(&self, state: &State, call: &Call) -> bool {
-        let has_failed = self.last_failure.as_ref().is_some_and(|failure| failure.is_unreached);
-        let is_lost = || state.fleet.borrow().is_lost(&call.service);
-        has_failed && (self.failed_connections >= FAILED_CONNECTIONS_BEFORE_CARRY || is_lost())
+        let Some(failure) = self.last_failure.as_ref().filter(|failure| failure.is_unreached)
+        else {
+            return false;
+        };
+        self.failed_connections >= FAILED_CONNECTIONS_BEFORE_CARRY
+            || (call.is_carried() && failure.has_hung)
+            || state.fleet.borrow().is_lost(&call.service)
     }
 
     /// Whether the request, which this host would refuse for this reason, may be passed on.
--- a/crates/steer/src/constants.rs
+++ b/crates/steer/src/constants.rs
@@ -172,7 +172,10 @@
 pub(crate) const BUSY_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// Interval at which a connection is opened to an instance of each service that is not reached.
-pub(crate) const PROBE_INTERVAL: Duration = Duration::from_millis(400);
+pub(crate) const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Time without any answer of an instance, while requests wait for one, after which the network is checked.
 pub(crate) const SILENCE_TIME: Duration = Duration::from_millis(800);
+
+/// Time after an instance refused a connection after which the host finds out whether it reaches others.
+pub(crate) const CONFIRMATION_DELAY: Duration = Duration::from_millis(100);
--- a/crates/steer/src/reach.rs
+++ b/crates/steer/src/reach.rs
@@ -14,7 +14,7 @@
         reach::Reporter,
     },
 };
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, timeout};
 
 use crate::{
     backend::connection::Connection,
@@ -80,6 +80,9 @@
 /// Connections that are opened at the same time to instances of a service that may be lost.
 const PROBES: usize = 3;
 
+/// Time after which the first connection in a silent network is unlikely to open.
+const FIRST_PROBE_TIME: Duration = Duration::from_millis(200);
+
 /// Requests at instances without an answer, and since when there has been none.
 #[derive(Debug, Default)]
 pub struct Silence {
@@ -144,14 +147,18 @@
     }
 }
 
-/// Finds out whether the network is silent: opens a connection, and if it fails some more in each service.
+/// Finds out whether the network is silent: opens a connection, and if that takes long some more in each
+/// service.
 async fn probe_all(state: &Rc<State>) {
-    let services = state.fleet.borrow().services();
     let first = state.fleet.borrow().witnesses("", 1);
-    let is_open = future::join_all(first.into_iter().map(|target| try_open(state, target))).await;
-    if !is_open.contains(&true) {
-        future::join_all(services.iter().map(|service| probe(state, service, PROBES))).await;
+    let opening = future::join_all(first.into_iter().map(|target| try_open(state, target)));
+    tokio::pin!(opening);
+    if timeout(FIRST_PROBE_TIME, opening.as_mut()).await.is_ok_and(|opened| opened.contains(&true))
+    {
+        return;
     }
+    let services = state.fleet.borrow().services();
+    future::join_all(services.iter().map(|service| probe(state, service, PROBES))).await;
 }
 
 /// Opens connections to instances of a service.
