reach: a failed connection has the network checked at once

Cause: where connections hung, a host with few requests tried the same two instances for each of them, so that it took 4 to 6 s to count the service as lost; look-ups named it after 5 s, and with all hosts cut a refusal took 1.2 s. Change: a request that finds no connection has the network checked at once, and silence counts from the first request since the last sign of an instance.

--- a/crates/steer/src/callers/attempt.rs
+++ b/crates/steer/src/callers/attempt.rs
@@ -103,7 +103,6 @@
 
 impl Drop for Guard<'_> {
     fn drop(&mut self) {
-        self.state.silence.record_end();
         if !self.has_ended {
             let mut fleet = self.state.fleet.borrow_mut();
             fleet.end_request(clock::now(), self.choice, Outcome::Cancelled, None);
@@ -141,6 +140,7 @@
         Ok(connection) => connection,
         Err(error) => {
             guard.end(Outcome::TransportError, None);
+            state.silence.record_failure();
             let has_hung = error.kind() == ErrorKind::TimedOut;
             let failure = Failure::unreached(format!("cannot connect: {error}"));
             let failure = Failure { has_hung, ..failure };
@@ -160,7 +160,7 @@
     let elapsed = clock::now().saturating_sub(started_at);
     match result {
         Ok(Ok((answer, is_reusable))) => {
-            state.silence.record_contact(clock::now());
+            state.silence.record_contact();
             let is_leaving = statement::record(state, call, choice, started_at, &answer);
             if answer.head.headers.contains_key(&state.codec.headers.response_stamp) {
                 quarantine::record_answer(state, call, body, choice, sent_at);
--- a/crates/steer/src/constants.rs
+++ b/crates/steer/src/constants.rs
@@ -174,6 +174,9 @@
 /// Interval at which a connection is opened to an instance of each service that is not reached.
 pub(crate) const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Shortest pause between two rounds of such connections.
+pub(crate) const MIN_PROBE_PAUSE: Duration = Duration::from_millis(100);
+
 /// Time without any answer of an instance, while requests wait for one, after which the network is checked.
 pub(crate) const SILENCE_TIME: Duration = Duration::from_millis(800);
 
--- a/crates/steer/src/reach.rs
+++ b/crates/steer/src/reach.rs
@@ -14,12 +14,15 @@
         reach::Reporter,
     },
 };
-use tokio::time::{MissedTickBehavior, interval, timeout};
+use tokio::{
+    sync::Notify,
+    time::{sleep, timeout},
+};
 
 use crate::{
     backend::connection::Connection,
     clock,
-    constants::{PROBE_INTERVAL, SILENCE_TIME},
+    constants::{MIN_PROBE_PAUSE, PROBE_INTERVAL, SILENCE_TIME},
     events::{Event, Rank},
     metrics,
     state::State,
@@ -34,7 +37,7 @@
 ) {
     let now = clock::now();
     if error.is_none() {
-        state.silence.record_contact(now);
+        state.silence.record_contact();
     }
     let mut fleet = state.fleet.borrow_mut();
     let Some(change) = fleet.record_connection(now, instance, error.is_none()) else {
@@ -83,34 +86,36 @@
 /// Time after which the first connection in a silent network is unlikely to open.
 const FIRST_PROBE_TIME: Duration = Duration::from_millis(200);
 
-/// Requests at instances without an answer, and since when there has been none.
+/// Whether instances answer this host.
 #[derive(Debug, Default)]
 pub struct Silence {
-    waiting: Cell<u32>,
-    since: Cell<Duration>,
+    /// When the first request was sent since an instance answered, or a connection opened.
+    since: Cell<Option<Duration>>,
+    /// Whether a request found no connection since the last check.
+    has_failed: Cell<bool>,
+    failed: Notify,
 }
 
 impl Silence {
     /// Records that a request is sent to an instance.
     pub(crate) fn record_sent(&self, now: Duration) {
-        if self.waiting.get() == 0 {
-            self.since.set(now);
-        }
-        self.waiting.set(self.waiting.get() + 1);
+        self.since.set(self.since.get().or(Some(now)));
     }
 
-    /// Records that a request ended.
-    pub(crate) fn record_end(&self) {
-        self.waiting.set(self.waiting.get().saturating_sub(1));
+    /// Records that an instance answered, or a connection opened.
+    pub(crate) fn record_contact(&self) {
+        self.since.set(None);
     }
 
-    /// Records that an instance answered, or a connection opened.
-    pub(crate) fn record_contact(&self, now: Duration) {
-        self.since.set(now);
+    /// Records that a request found no connection.
+    pub(crate) fn record_failure(&self) {
+        self.has_failed.set(true);
+        self.failed.notify_one();
     }
 
-    fn is_suspicious(&self, now: Duration) -> bool {
-        self.waiting.get() > 0 && now >= self.since.get() + SILENCE_TIME
+    /// Whether the network should be checked now.
+    fn take_suspicion(&self, now: Duration) -> bool {
+        self.has_failed.take() || self.since.get().is_some_and(|since| now >= since + SILENCE_TIME)
     }
 }
 
@@ -118,16 +123,16 @@
 /// until the process ends.
 pub async fn run(state: Rc<State>) {
     let mut reporter = Reporter::default();
-    let mut ticks = interval(PROBE_INTERVAL);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        ticks.tick().await;
+        // A timeout means that it is time for the next probes.
+        timeout(PROBE_INTERVAL, state.silence.failed.notified()).await.ok();
         let lost = state.fleet.borrow().lost_services();
         future::join_all(lost.iter().map(|service| probe(&state, service, 1))).await;
-        if state.silence.is_suspicious(clock::now()) {
+        if state.silence.take_suspicion(clock::now()) {
             probe_all(&state).await;
         }
         report(&state, &mut reporter);
+        sleep(MIN_PROBE_PAUSE).await;
     }
 }
 
@@ -157,7 +162,10 @@
     {
         return;
     }
-    let services = state.fleet.borrow().services();
+    let fleet = state.fleet.borrow();
+    let services: Vec<Arc<str>> =
+        fleet.services().into_iter().filter(|service| !fleet.is_lost(service)).collect();
+    drop(fleet);
     future::join_all(services.iter().map(|service| probe(state, service, PROBES))).await;
 }
 
