reach: a service with a few instances is not lost and regained all the time

Cause: one connection that opened ended the loss and three that failed began it again. Change: a service does not count as lost in the second after a connection opened, and a failed connection has the network checked only where no instance has answered for 0.3 s.

--- a/crates/core/src/steering/reach.rs
+++ b/crates/core/src/steering/reach.rs
@@ -19,11 +19,16 @@
 /// Different instances to which connections must have failed in a row; fewer if there are fewer.
 const FAILURES_BEFORE_LOSS: usize = 3;
 
+/// Time since a connection was last opened before which a service does not count as lost: where a few of many
+/// instances run, it would be lost and regained all the time.
+const OPENED_TIME: Duration = Duration::from_secs(1);
+
 /// Record of the connections that this host opened to the instances of a service.
 #[derive(Clone, Debug, Default)]
 pub struct Reach {
     /// Ids of the instances to which connections failed since one was last opened.
     failed: Vec<Arc<str>>,
+    opened_at: Option<Duration>,
     lost_at: Option<Duration>,
 }
 
@@ -31,11 +36,14 @@
     /// Records that no connection to an instance could be opened. `instances` is the number of instances
     /// that take requests. Returns whether the service counts as lost from now on.
     pub fn record_failure(&mut self, now: Duration, id: &Arc<str>, instances: usize) -> bool {
-        if self.is_lost() || self.failed.contains(id) {
+        if self.is_lost() {
             return false;
         }
-        self.failed.push(id.clone());
-        let is_lost = self.failed.len() >= instances.clamp(1, FAILURES_BEFORE_LOSS);
+        if !self.failed.contains(id) {
+            self.failed.push(id.clone());
+        }
+        let was_opened = self.opened_at.is_some_and(|at| now < at + OPENED_TIME);
+        let is_lost = !was_opened && self.failed.len() >= instances.clamp(1, FAILURES_BEFORE_LOSS);
         if is_lost {
             self.lost_at = Some(now);
         }
@@ -46,6 +54,7 @@
     /// was.
     pub fn record_opened(&mut self, now: Duration) -> Option<Duration> {
         self.failed.clear();
+        self.opened_at = Some(now);
         self.lost_at.take().map(|lost_at| now.saturating_sub(lost_at))
     }
 
--- a/crates/steer/src/callers/attempt.rs
+++ b/crates/steer/src/callers/attempt.rs
@@ -160,7 +160,7 @@
     let elapsed = clock::now().saturating_sub(started_at);
     match result {
         Ok(Ok((answer, is_reusable))) => {
-            state.silence.record_contact();
+            state.silence.record_contact(clock::now());
             let is_leaving = statement::record(state, call, choice, started_at, &answer);
             if answer.head.headers.contains_key(&state.codec.headers.response_stamp) {
                 quarantine::record_answer(state, call, body, choice, sent_at);
--- a/crates/steer/src/constants.rs
+++ b/crates/steer/src/constants.rs
@@ -177,6 +177,9 @@
 /// Shortest pause between two rounds of such connections.
 pub(crate) const MIN_PROBE_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time since the last answer of any instance before which a connection that failed says nothing of the network.
+pub(crate) const CONTACT_TIME: Duration = Duration::from_millis(300);
+
 /// Time without any answer of an instance, while requests wait for one, after which the network is checked.
 pub(crate) const SILENCE_TIME: Duration = Duration::from_millis(800);
 
--- a/crates/steer/src/reach.rs
+++ b/crates/steer/src/reach.rs
@@ -22,7 +22,7 @@
 use crate::{
     backend::connection::Connection,
     clock,
-    constants::{MIN_PROBE_PAUSE, PROBE_INTERVAL, SILENCE_TIME},
+    constants::{CONTACT_TIME, MIN_PROBE_PAUSE, PROBE_INTERVAL, SILENCE_TIME},
     events::{Event, Rank},
     metrics,
     state::State,
@@ -37,7 +37,7 @@
 ) {
     let now = clock::now();
     if error.is_none() {
-        state.silence.record_contact();
+        state.silence.record_contact(now);
     }
     let mut fleet = state.fleet.borrow_mut();
     let Some(change) = fleet.record_connection(now, instance, error.is_none()) else {
@@ -91,7 +91,9 @@
 pub struct Silence {
     /// When the first request was sent since an instance answered, or a connection opened.
     since: Cell<Option<Duration>>,
-    /// Whether a request found no connection since the last check.
+    /// When an instance last answered, or a connection opened.
+    contact_at: Cell<Duration>,
+    /// Whether a request has found no connection since then.
     has_failed: Cell<bool>,
     failed: Notify,
 }
@@ -103,19 +105,23 @@
     }
 
     /// Records that an instance answered, or a connection opened.
-    pub(crate) fn record_contact(&self) {
+    pub(crate) fn record_contact(&self, now: Duration) {
         self.since.set(None);
+        self.contact_at.set(now);
+        self.has_failed.set(false);
     }
 
     /// Records that a request found no connection.
     pub(crate) fn record_failure(&self) {
-        self.has_failed.set(true);
-        self.failed.notify_one();
+        if !self.has_failed.replace(true) {
+            self.failed.notify_one();
+        }
     }
 
-    /// Whether the network should be checked now.
-    fn take_suspicion(&self, now: Duration) -> bool {
-        self.has_failed.take() || self.since.get().is_some_and(|since| now >= since + SILENCE_TIME)
+    /// Whether the network should be checked now. Where other instances answer, it need not be.
+    fn is_suspicious(&self, now: Duration) -> bool {
+        let has_failed = self.has_failed.get() && now >= self.contact_at.get() + CONTACT_TIME;
+        has_failed || self.since.get().is_some_and(|since| now >= since + SILENCE_TIME)
     }
 }
 
@@ -128,7 +134,7 @@
         timeout(PROBE_INTERVAL, state.silence.failed.notified()).await.ok();
         let lost = state.fleet.borrow().lost_services();
         future::join_all(lost.iter().map(|service| probe(&state, service, 1))).await;
-        if state.silence.take_suspicion(clock::now()) {
+        if state.silence.is_suspicious(clock::now()) {
             probe_all(&state).await;
         }
         report(&state, &mut reporter);
@@ -162,13 +168,16 @@
     {
         return;
     }
-    let fleet = state.fleet.borrow();
-    let services: Vec<Arc<str>> =
-        fleet.services().into_iter().filter(|service| !fleet.is_lost(service)).collect();
-    drop(fleet);
+    let services = unlost_services(state);
     future::join_all(services.iter().map(|service| probe(state, service, PROBES))).await;
 }
 
+/// Names of the services that do not count as lost.
+fn unlost_services(state: &State) -> Vec<Arc<str>> {
+    let fleet = state.fleet.borrow();
+    fleet.services().into_iter().filter(|service| !fleet.is_lost(service)).collect()
+}
+
 /// Opens connections to instances of a service.
 async fn probe(state: &Rc<State>, service: &Arc<str>, count: usize) {
     let targets = state.fleet.borrow().reach_targets(service, count);
