outage: a silence of this host alone is no outage of the store

Callers saw requests fail or run at an instance that had left. Change: core::steering::outage asks the registrations of the other hosts, whose leases are shorter than those of instances; if one of them did not end, the store was there and what is missing is gone. store_regained says how many hosts were known and kept.

--- a/crates/core/src/steering.rs
+++ b/crates/core/src/steering.rs
@@ -14,6 +14,7 @@
 pub mod limit;
 pub mod load;
 pub mod notice;
+pub mod outage;
 pub mod plan;
 pub mod quarantine;
 pub mod rate;
--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -27,9 +27,6 @@
     notice, shift,
 };
 
-/// How long registrations that expired during an outage of the store may take to reappear.
-pub const REREGISTRATION_GRACE: Duration = Duration::from_millis(2300);
-
 /// Name and location of this host, and the layout of failure domains and regions.
 #[derive(Clone, Debug)]
 pub struct Locality {
@@ -204,11 +201,9 @@
     /// Removes the instances that have not registered again in time. Returns their ids.
     pub fn remove_expired(&mut self, now: Duration) -> Vec<Arc<str>> {
         self.notices.remove_expired(now);
-        let is_expired =
-            |instance: &&Instance| instance.expires_at.is_some_and(|expires_at| expires_at <= now);
         let instances = self.upstreams.values().flat_map(|upstream| &upstream.instances);
-        let expired: Vec<Arc<str>> =
-            instances.filter(is_expired).map(|instance| instance.endpoint.id.clone()).collect();
+        let expired = instances.filter(|instance| instance.is_expired(now));
+        let expired: Vec<Arc<str>> = expired.map(|instance| instance.endpoint.id.clone()).collect();
         for id in &expired {
             self.remove(id);
         }
--- a/crates/core/src/steering/instance.rs
+++ b/crates/core/src/steering/instance.rs
@@ -159,6 +159,11 @@
         self.paused_until = self.paused_until.max(notice.paused_until);
     }
 
+    /// Whether the registration has ended, and has not returned in time.
+    pub fn is_expired(&self, now: Duration) -> bool {
+        self.expires_at.is_some_and(|expires_at| expires_at <= now)
+    }
+
     /// Whether the instance wants no requests now.
     pub fn is_paused(&self, now: Duration) -> bool {
         now < self.paused_until
--- a/crates/core/src/steering/tests.rs
+++ b/crates/core/src/steering/tests.rs
@@ -9,6 +9,7 @@
 mod limit;
 mod load;
 mod notice;
+mod outage;
 mod plan;
 mod quarantine;
 mod rate;
--- a/crates/core/src/steering/tests/fleet.rs
+++ b/crates/core/src/steering/tests/fleet.rs
@@ -4,8 +4,9 @@
 
 use super::{
     super::{
-        fleet::{Criteria, REREGISTRATION_GRACE, Rejection},
+        fleet::{Criteria, Rejection},
         instance::{Endpoint, Outcome},
+        outage::REREGISTRATION_GRACE,
     },
     support::{SLOTS, answer, at, criteria, endpoint, fleet, four_instances, name, send},
 };
@@ -309,3 +310,18 @@
     let sent = (0..8).filter(|_| send(&mut fleet, at(100), &criteria()).is_ok()).count();
     assert!(sent >= SLOTS as usize, "{sent}");
 }
+
+/// The deadline was kept only at the next maintenance run, half a second late, in which requests were
+/// still sent.
+#[test]
+fn an_instance_that_is_missing_gets_no_request_after_its_deadline() {
+    let mut fleet = four_instances();
+    let first = fleet.choose(at(0), &criteria()).unwrap();
+    fleet.deregister(&first.id, Some(at(100)));
+    assert!(fleet.may_send(at(99), &first), "it may still be registered again");
+    assert!(!fleet.may_send(at(100), &first));
+    let second = fleet.choose(at(100), &criteria()).unwrap();
+    assert_ne!(second.id, first.id);
+    fleet.register(at(101), endpoint(&first.id, "south-a"));
+    assert!(fleet.may_send(at(101), &first), "it is registered again");
+}
--- a/crates/steer/src/constants.rs
+++ b/crates/steer/src/constants.rs
@@ -29,9 +29,6 @@
 /// Longest delay after a failed store call.
 pub(crate) const MAX_STORE_RETRY_DELAY: Duration = Duration::from_millis(800);
 
-/// Time without a response of the store after which leased entries may have expired.
-pub(crate) const OUTAGE_THRESHOLD: Duration = Duration::from_millis(2500);
-
 /// Lease of a host's registration. A crashed host stays in look-up responses until
 /// the lease expires.
 pub(crate) const REGISTRATION_LEASE: Duration = Duration::from_millis(3500);
--- a/crates/steer/src/events.rs
+++ b/crates/steer/src/events.rs
@@ -72,6 +72,10 @@
         away_ms: u128,
         /// Revision up to which changes have been applied.
         revision: u64,
+        /// Other hosts that were registered before.
+        hosts: usize,
+        /// Those of them whose registration did not end meanwhile. With one of them, the store was there.
+        hosts_kept: usize,
     },
     /// A read or watch failed while the store counted as reachable.
     StoreLost {
--- a/crates/steer/src/feed.rs
+++ b/crates/steer/src/feed.rs
@@ -16,6 +16,7 @@
 
 use futures_util::future::try_join_all;
 use marjorampick_core::steering::{
+    outage::{Others, Recovery},
     relay::{Schedule, Step},
     seats::SEAT_PROPAGATION_TIME,
 };
@@ -26,12 +27,12 @@
     clock,
     constants::{
         MAX_COMPLETE_BYTES, MAX_COMPLETE_CHANGES, MAX_STORE_RETRY_DELAY, MIN_STORE_RETRY_DELAY,
-        OUTAGE_THRESHOLD, RELAY_WATCH_WAIT, WATCH_INTERVAL_RATIO, WATCH_WAIT,
+        RELAY_WATCH_WAIT, WATCH_INTERVAL_RATIO, WATCH_WAIT,
     },
     events::{Event, Rank},
     metrics,
     peers::{Message, Socket, record_dropped},
-    registration::KEY_PREFIX,
+    registration::{HOSTS_PREFIX, KEY_PREFIX},
     state::{Host, State},
     store::{Call, Change, Client, Fault, Item, Reply},
 };
@@ -57,7 +58,7 @@
         progress: Progress::Unread,
         is_reachable: false,
         last_response_at: clock::now(),
-        recovered_at: None,
+        recovery: Recovery::default(),
         retry_delay: MIN_STORE_RETRY_DELAY,
     };
     loop {
@@ -91,8 +92,8 @@
     is_reachable: bool,
     /// When the store last responded; at first, when the watch started.
     last_response_at: Duration,
-    /// When the store last recovered from an outage that was long enough for leases to expire.
-    recovered_at: Option<Duration>,
+    /// Latest recovery of the store from an outage that was long enough for leases to expire.
+    recovery: Recovery,
     /// Delay before the next call of the store if this one fails.
     retry_delay: Duration,
 }
@@ -193,7 +194,7 @@
             batch.until = batch.until.max(next.until);
             batch.changes.extend(next.changes);
         }
-        self.record_response(clock::now());
+        self.record_response(clock::now(), self.others_after(&batch.changes));
         self.answer(&questions, &batch);
         self.apply_changes(batch.changes, batch.until);
         Ok(())
@@ -273,7 +274,7 @@
         }
         metrics::record_relay("followed");
         self.schedule.record_answer(asked_at);
-        self.record_response(asked_at);
+        self.record_response(asked_at, self.others_after(&received.changes));
         self.apply_changes(received.changes, received.answer.until);
         self.publish();
     }
@@ -290,8 +291,11 @@
             items.extend(page);
             min_revision = min_revision.min(revision);
         }
-        self.record_response(clock::now());
         let keys: BTreeSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
+        let unchanged = items.iter().filter(|item| item.revision <= self.revision);
+        let unchanged: BTreeSet<&str> = unchanged.map(|item| item.key.as_str()).collect();
+        let others = self.count_others(|key| unchanged.contains(key));
+        self.record_response(clock::now(), others);
         let entries = self.known_entries().into_iter();
         for entry in entries.filter(|entry| !keys.contains(entry.key.as_str())) {
             self.remove_entry(&entry.kind, min_revision);
@@ -331,16 +335,37 @@
         }
     }
 
-    /// Records that the host knows what the store held at `at`, or later.
-    fn record_response(&mut self, at: Duration) {
+    /// Counts the other hosts that this host knows, by whether their registration, with this key, did not
+    /// end.
+    fn count_others(&self, is_kept: impl Fn(&str) -> bool) -> Others {
+        let hosts = self.state.hosts.borrow();
+        let registered = hosts.iter().filter(|(_, host)| host.expires_at.is_none());
+        let others = registered.filter(|(name, _)| **name != self.state.settings.host.name);
+        Others::count(others.map(|(name, _)| is_kept(&format!("{HOSTS_PREFIX}{name}"))))
+    }
+
+    /// The other hosts after these changes.
+    fn others_after(&self, changes: &[Change]) -> Others {
+        let is_removal = |change: &&Change| matches!(change, Change::Removed { revision, .. } if *revision > self.revision);
+        let removed: BTreeSet<&str> = changes.iter().filter(is_removal).map(Change::key).collect();
+        self.count_others(|key| !removed.contains(key))
+    }
+
+    /// Records that the host knows what the store held at `at`, or later. `others` are the other hosts
+    /// that were known before.
+    fn record_response(&mut self, at: Duration, others: Others) {
         let now = clock::now();
         if !self.is_reachable {
             let outage_time = now.saturating_sub(self.last_response_at);
-            if self.progress == Progress::Complete && outage_time >= OUTAGE_THRESHOLD {
-                self.recovered_at = Some(now);
+            if self.progress == Progress::Complete {
+                self.recovery.record(now, outage_time, others);
             }
-            let event =
-                Event::StoreRegained { away_ms: outage_time.as_millis(), revision: self.revision };
+            let event = Event::StoreRegained {
+                away_ms: outage_time.as_millis(),
+                revision: self.revision,
+                hosts: others.known,
+                hosts_kept: others.kept,
+            };
             self.state.log.write(Rank::Notice, event);
         }
         self.is_reachable = true;
--- a/crates/steer/src/feed/entries.rs
+++ b/crates/steer/src/feed/entries.rs
@@ -1,10 +1,8 @@
 //! Applies items of the store, and their removal, to the state of the host.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{rc::Rc, sync::Arc};
 
-use marjorampick_core::steering::{
-    fleet::REREGISTRATION_GRACE, instance::Endpoint, plan::Plan, quarantine::Fingerprint,
-};
+use marjorampick_core::steering::{instance::Endpoint, plan::Plan, quarantine::Fingerprint};
 
 use super::Feed;
 use crate::{
@@ -38,14 +36,6 @@
 }
 
 impl Feed {
-    /// Returns the time until which a missing entry is kept, or `None` if it is removed at once.
-    /// Soon after an outage of the store, entries whose leases expired may still be registered
-    /// again.
-    fn reregistration_deadline(&self) -> Option<Duration> {
-        let expires_at = self.recovered_at? + REREGISTRATION_GRACE;
-        (clock::now() < expires_at).then_some(expires_at)
-    }
-
     /// Applies an item as it was written.
     pub(super) fn apply(&self, item: &Item) {
         match self.entry_kind(&item.key) {
@@ -194,7 +184,7 @@
     /// Applies the removal of an entry.
     pub(super) fn remove_entry(&self, kind: &Kind, revision: u64) {
         let now = clock::now();
-        let expires_at = self.reregistration_deadline();
+        let expires_at = self.recovery.reregistration_deadline(now);
         match kind {
             Kind::Host(name) => {
                 self.state.seats.borrow_mut().mark_unregistered(now, name);
