fleet: a missing instance gets no request after its deadline

Maintenance dropped missing instances every 0.5 s, and until then they got requests. The choice and the last check before sending now ask for the deadline themselves. an_instance_that_is_missing_gets_no_request_after_its_deadline fails without it.

--- a/crates/core/src/steering/fleet/admission.rs
+++ b/crates/core/src/steering/fleet/admission.rs
@@ -76,6 +76,7 @@
     instance: &Instance,
 ) -> bool {
     !instance.endpoint.is_draining
+        && !instance.is_expired(now)
         && !evacuated_domains.contains(&instance.endpoint.domain)
         && instance.is_available(now)
 }
--- a/crates/core/src/steering/fleet/choice.rs
+++ b/crates/core/src/steering/fleet/choice.rs
@@ -100,7 +100,7 @@
         self.update_sides(now, criteria.service);
         let upstream = self.upstreams.get(criteria.service).ok_or(Rejection::NoInstance)?;
         let eligible =
-            upstream.instances.iter().filter(|instance| self.is_eligible(instance, criteria));
+            upstream.instances.iter().filter(|instance| self.is_eligible(now, instance, criteria));
         let candidates: Vec<&Instance> = eligible.collect();
         let is_tried = |instance: &&Instance| criteria.excluded.contains(&instance.endpoint.id);
         if candidates.iter().all(is_tried) {
@@ -156,12 +156,13 @@
     }
 
     /// Whether the request may run at the instance, regardless of load, failures and earlier attempts.
-    fn is_eligible(&self, instance: &Instance, criteria: &Criteria<'_>) -> bool {
+    fn is_eligible(&self, now: Duration, instance: &Instance, criteria: &Criteria<'_>) -> bool {
         let allows = |regions: &[Arc<str>]| {
             regions.is_empty()
                 || instance.region.as_ref().is_some_and(|region| regions.contains(region))
         };
         !instance.endpoint.is_draining
+            && !instance.is_expired(now)
             && !self.evacuated_domains.contains(&instance.endpoint.domain)
             && allows(criteria.route_regions)
             && allows(criteria.workspace_regions)
--- a/crates/core/src/steering/fleet/notices.rs
+++ b/crates/core/src/steering/fleet/notices.rs
@@ -39,6 +39,7 @@
                 instance.endpoint.incarnation == choice.incarnation
                     && !instance.endpoint.is_draining
                     && !instance.is_paused(now)
+                    && !instance.is_expired(now)
                     && !is_evacuated(instance)
             },
         )
