departure: the first host to hear that an instance leaves tells the others

Hosts now announce departures, which only stop requests and end once the host has read the store that far; a host whose call of the store failed asks others for the changes, also in regions without a relay; hosts ask after 45% of the propagation time, no longer 60%.

--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod candidate;
 mod choice;
+mod departures;
 mod limits;
 mod notices;
 mod ranking;
@@ -21,6 +22,7 @@
 use upstream::Upstream;
 
 use super::{
+    departure,
     instance::{Endpoint, Instance, Outcome},
     limit,
     load::Report,
@@ -55,6 +57,8 @@
     limit_group: limit::Group,
     /// What instances have asked for in their answers.
     notices: notice::Book,
+    /// What other hosts have heard of instances that leave.
+    departures: departure::Book,
     /// Limits how fast this host's requests shift to other regions.
     shift_limiter: shift::Limiter,
     /// Names of the hosts of this region, including this one.
@@ -78,6 +82,7 @@
             limits: limit::Book::default(),
             limit_group: group,
             notices: notice::Book::default(),
+            departures: departure::Book::default(),
             shift_limiter: shift::Limiter::default(),
             region_hosts,
             is_synced: false,
@@ -201,6 +206,7 @@
     /// Removes the instances that have not registered again in time. Returns their ids.
     pub fn remove_expired(&mut self, now: Duration) -> Vec<Arc<str>> {
         self.notices.remove_expired(now);
+        self.departures.remove_expired(now);
         let instances = self.upstreams.values().flat_map(|upstream| &upstream.instances);
         let expired = instances.filter(|instance| instance.is_expired(now));
         let expired: Vec<Arc<str>> = expired.map(|instance| instance.endpoint.id.clone()).collect();
--- a/crates/core/src/steering/fleet/choice.rs
+++ b/crates/core/src/steering/fleet/choice.rs
@@ -161,8 +161,7 @@
             regions.is_empty()
                 || instance.region.as_ref().is_some_and(|region| regions.contains(region))
         };
-        !instance.endpoint.is_draining
-            && !instance.is_expired(now)
+        !self.is_leaving(now, instance)
             && !self.evacuated_domains.contains(&instance.endpoint.domain)
             && allows(criteria.route_regions)
             && allows(criteria.workspace_regions)
--- a/crates/core/src/steering/fleet/notices.rs
+++ b/crates/core/src/steering/fleet/notices.rs
@@ -37,9 +37,8 @@
         instances.iter().find(|instance| instance.endpoint.id == choice.id).is_some_and(
             |instance| {
                 instance.endpoint.incarnation == choice.incarnation
-                    && !instance.endpoint.is_draining
+                    && !self.is_leaving(now, instance)
                     && !instance.is_paused(now)
-                    && !instance.is_expired(now)
                     && !is_evacuated(instance)
             },
         )
--- a/crates/core/src/steering/relay.rs
+++ b/crates/core/src/steering/relay.rs
@@ -5,7 +5,8 @@
 //! store once for all questions that have arrived, and answers each with the changes that its sender is
 //! missing. An answer shows what the store held after the question was sent, by the clock of the host
 //! that sent it: neither a delayed message nor a frozen relay can pass off an old state as a new one. A
-//! host that has no answer in time asks the store itself, as soon as it would without a relay. See
+//! host that has no answer in time asks the store itself, as soon as it would without a relay. A host that
+//! the store does not serve asks others as well, whatever the size of its region. See
 //! docs/platform.md.
 
 use std::{sync::Arc, time::Duration};
@@ -25,6 +26,10 @@
 /// Longest wait for an answer, relative to the longest time without a fresh state.
 const ANSWER_TIME_RATIO: f64 = 0.6;
 
+/// Most hosts that are asked in turn by a host that the store does not serve. Some of them may not be
+/// served either.
+const MAX_SUBSTITUTES: usize = 8;
+
 /// Time after an unanswered question after which the first host is asked again. All hosts that ask the
 /// same one share its calls.
 const RETURN_TIME: Duration = Duration::from_secs(10);
@@ -43,6 +48,15 @@
     Wait(Duration),
 }
 
+/// Hosts that may be asked, including this one.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Hosts {
+    /// Those of the own region.
+    pub region: Vec<Arc<str>>,
+    /// Those of all regions.
+    pub all: Vec<Arc<str>>,
+}
+
 /// Times at which a host learned, and has to learn, what the store holds.
 #[derive(Clone, Debug)]
 pub struct Schedule {
@@ -55,6 +69,8 @@
     called_at: Duration,
     /// Time before which the store is not called again, after a failure.
     retry_at: Duration,
+    /// Whether the last call of the store failed.
+    has_failed: bool,
     /// When the last question to a relay was sent; `None` if it was answered.
     asked_at: Option<Duration>,
     /// Number of questions that were not answered since the first host was asked.
@@ -74,6 +90,7 @@
             fresh_at: None,
             called_at: Duration::ZERO,
             retry_at: Duration::ZERO,
+            has_failed: false,
             asked_at: None,
             unanswered: 0,
             unanswered_at: Duration::ZERO,
@@ -81,9 +98,9 @@
         }
     }
 
-    /// Returns what to do now. `region_hosts` are the hosts of the region, including this one, and
+    /// Returns what to do now. `hosts` are those that may be asked, including this one, and
     /// `has_questions` says whether other hosts wait for an answer.
-    pub fn next(&mut self, now: Duration, region_hosts: &[Arc<str>], has_questions: bool) -> Step {
+    pub fn next(&mut self, now: Duration, hosts: &Hosts, has_questions: bool) -> Step {
         let relay_due = self.called_at + self.interval.mul_f64(RELAY_INTERVAL_RATIO);
         let own_due = self.fresh_at.map_or(Duration::ZERO, |fresh_at| fresh_at + self.interval);
         let due = if has_questions { relay_due.min(own_due) } else { own_due };
@@ -92,7 +109,8 @@
             return Step::CallStore;
         }
         let is_relay = self.was_asked_at.is_some_and(|at| now < at + RELAY_TIME);
-        if has_questions || is_relay || region_hosts.len() < MIN_HOSTS {
+        let is_served = !self.has_failed;
+        if is_served && (has_questions || is_relay || hosts.region.len() < MIN_HOSTS) {
             self.asked_at = None;
             return Step::Wait(call_at);
         }
@@ -109,14 +127,25 @@
             None => {}
         }
         self.asked_at = Some(now);
-        match relays(region_hosts).nth(self.unanswered % MAX_RELAYS) {
+        match self.relay(hosts) {
             Some(relay) if relay != self.host => Step::Ask(relay),
             _ => Step::Wait(call_at.min(now + answer_time)),
         }
     }
 
+    /// The host to ask now.
+    fn relay(&self, hosts: &Hosts) -> Option<Arc<str>> {
+        if !self.has_failed {
+            return relays(&hosts.region).nth(self.unanswered % MAX_RELAYS);
+        }
+        let others: Vec<Arc<str>> = substitutes(hosts).filter(|host| *host != self.host).collect();
+        let index = self.unanswered.checked_rem(others.len())?;
+        others.get(index).cloned()
+    }
+
     /// Records a response of the store.
     pub fn record_response(&mut self, now: Duration) {
+        self.has_failed = false;
         self.fresh_at = self.fresh_at.max(Some(now));
         self.called_at = now;
         self.retry_at = Duration::ZERO;
@@ -124,6 +153,7 @@
 
     /// Records a failed call of the store, which is repeated after `delay` at the earliest.
     pub fn record_failure(&mut self, now: Duration, delay: Duration) {
+        self.has_failed = true;
         self.called_at = now;
         self.retry_at = now + delay;
     }
@@ -147,6 +177,16 @@
     }
 }
 
+/// Hosts that a host which the store does not serve asks instead: the relays of its region, and then
+/// those of all regions together, so that all such hosts share their calls.
+fn substitutes(hosts: &Hosts) -> impl Iterator<Item = Arc<str>> {
+    let is_followed = hosts.region.len() >= MIN_HOSTS;
+    let near = relays(&hosts.region).filter(move |_| is_followed);
+    let ranked = rendezvous::rank("relay", hosts.all.iter().map(AsRef::as_ref));
+    let far = ranked.into_iter().take(MAX_SUBSTITUTES).map(|index| hosts.all[index].clone());
+    near.chain(far)
+}
+
 /// Hosts of a region that are asked, the first one first, in an order that all hosts know.
 pub fn relays(region_hosts: &[Arc<str>]) -> impl Iterator<Item = Arc<str>> {
     let ranked = rendezvous::rank("relay", region_hosts.iter().map(AsRef::as_ref));
--- a/crates/core/src/steering/tests/relay.rs
+++ b/crates/core/src/steering/tests/relay.rs
@@ -6,7 +6,7 @@
 use arbtest::{arbitrary, arbtest};
 
 use super::{
-    super::relay::{Schedule, Step, relays},
+    super::relay::{Hosts, Schedule, Step, relays},
     support::name,
 };
 
@@ -120,7 +120,8 @@
         }
         let names = self.names.clone();
         let has_questions = !host.questions.is_empty();
-        match host.schedule.next(now, &names, has_questions) {
+        let hosts = Hosts { region: names.clone(), all: names };
+        match host.schedule.next(now, &hosts, has_questions) {
             Step::CallStore => {
                 self.calls += 1;
                 host.call = Some((now + CALL_TIME, std::mem::take(&mut host.questions)));
@@ -248,3 +249,23 @@
         }
     }
 }
+
+/// In a region without a relay, a host that the store refused heard nothing until it was served again.
+#[test]
+fn a_refused_host_of_a_small_region_follows_through_another() {
+    for refused in [&[0][..], &[1], &[0, 1]] {
+        let mut region = Region::new(3);
+        let mut now = Duration::from_secs(100);
+        for step in 0..1_000 {
+            if step == 200 {
+                refused.iter().for_each(|index| region.hosts[*index].is_refused = true);
+            }
+            region.step(now, &mut || false);
+            now += TICK;
+            for index in refused.iter().filter(|_| step > 500) {
+                let age = now.saturating_sub(region.hosts[*index].known);
+                assert!(age <= INTERVAL * 2, "host {index} knows a state that is {age:?} old");
+            }
+        }
+    }
+}
--- a/crates/steer/src/callers/statement.rs
+++ b/crates/steer/src/callers/statement.rs
@@ -91,7 +91,8 @@
     if is_leaving {
         state.pool.borrow_mut().remove(&(choice.id.clone(), choice.incarnation));
         if state.fleet.borrow_mut().record_leaving(clock::now(), choice) {
-            let event = Event::InstanceLeaving { id: &choice.id, request: call.id_text() };
+            let request = Some(call.id_text());
+            let event = Event::InstanceLeaving { id: &choice.id, request, told_by: None };
             state.log.write(Rank::Notice, event);
         }
     }
--- a/crates/steer/src/constants.rs
+++ b/crates/steer/src/constants.rs
@@ -18,7 +18,7 @@
 /// Longest time for which a host does not learn what the store holds, relative to the configured
 /// propagation time of changes. The delay collects several changes in one call, because every call costs
 /// money and entries change many times a second.
-pub(crate) const WATCH_INTERVAL_RATIO: f64 = 0.6;
+pub(crate) const WATCH_INTERVAL_RATIO: f64 = 0.45;
 
 /// Timeout of a store call, in addition to the time for which the store may hold it.
 pub(crate) const STORE_CALL_TIMEOUT: Duration = Duration::from_millis(900);
--- /dev/null
+++ b/crates/steer/src/departures.rs
@@ -0,0 +1,52 @@
+//! Tells the other hosts of instances that leave, and applies what they tell.
+//!
+//! A host asks the store about once a second and hears nothing while the store refuses it. The first
+//! host to hear that an instance leaves tells all others, as hosts ask at different moments. See
+//! docs/incidents/inc-drain.md.
+
+use std::cell::RefCell;
+
+use marjorampick_core::steering::departure::Departure;
+
+use crate::{
+    clock,
+    events::{Event, Rank},
+    peers::Message,
+    state::State,
+};
+
+/// Most instances in one message, so that it fits into a datagram.
+const MAX_ANNOUNCED: usize = 256;
+
+/// Departures that were heard from the store and wait until they are announced together.
+#[derive(Debug, Default)]
+pub(crate) struct Outbox(RefCell<Vec<Departure>>);
+
+impl Outbox {
+    /// Adds the departure of an instance at `revision`, unless another host has announced it.
+    pub(crate) fn add(&self, state: &State, id: &str, revision: u64) {
+        let departure = state.fleet.borrow().unannounced_departure(id, revision);
+        self.0.borrow_mut().extend(departure);
+    }
+
+    /// Announces all departures, or drops them if this host is not the first to hear of them, as after
+    /// a full read.
+    pub(crate) fn flush(&self, state: &State, is_announced: bool) {
+        let departures = self.0.take();
+        for chunk in departures.chunks(MAX_ANNOUNCED).filter(|_| is_announced) {
+            state.announce(Message::Leaving(chunk.to_vec()));
+        }
+    }
+}
+
+/// Applies the announcement of another host.
+pub(crate) fn apply(state: &State, instances: &[Departure], host: &str) {
+    let now = clock::now();
+    for departure in instances {
+        if state.fleet.borrow_mut().record_departure(now, departure) {
+            let id = &departure.id;
+            let event = Event::InstanceLeaving { id, request: None, told_by: Some(host) };
+            state.log.write(Rank::Notice, event);
+        }
+    }
+}
--- a/crates/steer/src/events.rs
+++ b/crates/steer/src/events.rs
@@ -195,12 +195,17 @@
         #[serde(skip_serializing_if = "Option::is_none")]
         told_by: Option<&'a str>,
     },
-    /// An instance said in an answer that it leaves, so that it gets no more requests.
+    /// An instance said in an answer that it leaves, or another host has heard so, so that it gets no
+    /// more requests.
     InstanceLeaving {
         /// Id of the instance.
         id: &'a str,
         /// Id of the request whose answer says so.
-        request: &'a str,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        request: Option<&'a str>,
+        /// Name of the host that says so.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        told_by: Option<&'a str>,
     },
     /// An instance rejected a request and asked for a pause.
     InstancePaused {
--- a/crates/steer/src/feed.rs
+++ b/crates/steer/src/feed.rs
@@ -17,7 +17,7 @@
 use futures_util::future::try_join_all;
 use marjorampick_core::steering::{
     outage::{Others, Recovery},
-    relay::{Schedule, Step},
+    relay::{Hosts, Schedule, Step},
     seats::SEAT_PROPAGATION_TIME,
 };
 use relay::{Answer, Inbox, Outstanding, Question, Received};
@@ -29,6 +29,7 @@
         MAX_COMPLETE_BYTES, MAX_COMPLETE_CHANGES, MAX_STORE_RETRY_DELAY, MIN_STORE_RETRY_DELAY,
         RELAY_WATCH_WAIT, WATCH_INTERVAL_RATIO, WATCH_WAIT,
     },
+    departures::Outbox,
     events::{Event, Rank},
     metrics,
     peers::{Message, Socket, record_dropped},
@@ -60,6 +61,7 @@
         last_response_at: clock::now(),
         recovery: Recovery::default(),
         retry_delay: MIN_STORE_RETRY_DELAY,
+        departures: Outbox::default(),
     };
     loop {
         feed.step().await;
@@ -96,6 +98,8 @@
     recovery: Recovery,
     /// Delay before the next call of the store if this one fails.
     retry_delay: Duration,
+    /// Departures of instances that this host has just heard of.
+    departures: Outbox,
 }
 
 /// All changes from one revision to another.
@@ -129,9 +133,8 @@
         let now = clock::now();
         // Until the others have seen its registration, they take this host for a stranger.
         let is_known = now >= self.state.started_at + SEAT_PROPAGATION_TIME;
-        let region_hosts =
-            if is_known { self.state.fleet.borrow().region_hosts().to_vec() } else { Vec::new() };
-        match self.schedule.next(now, &region_hosts, has_questions) {
+        let hosts = if is_known { self.hosts_to_ask() } else { Hosts::default() };
+        match self.schedule.next(now, &hosts, has_questions) {
             Step::CallStore => self.call_store().await,
             Step::Ask(relay) => self.ask(&relay, now),
             Step::Wait(until) => {
@@ -142,6 +145,14 @@
         }
     }
 
+    /// Hosts that may be asked for changes.
+    fn hosts_to_ask(&self) -> Hosts {
+        Hosts {
+            region: self.state.fleet.borrow().region_hosts().to_vec(),
+            all: self.state.hosts.borrow().keys().cloned().collect(),
+        }
+    }
+
     /// Reads all items, or the changes since the last call.
     async fn call_store(&mut self) {
         match self.read().await {
@@ -220,6 +231,8 @@
             }
         }
         self.revision = self.revision.max(revision);
+        self.state.fleet.borrow_mut().reach_revision(self.revision);
+        self.departures.flush(&self.state, true);
     }
 
     /// Asks another host for the changes.
@@ -274,7 +287,7 @@
         }
         metrics::record_relay("followed");
         self.schedule.record_answer(asked_at);
-        self.record_response(asked_at, self.others_after(&received.changes));
+        self.record_knowledge(asked_at, self.others_after(&received.changes));
         self.apply_changes(received.changes, received.answer.until);
         self.publish();
     }
@@ -305,6 +318,8 @@
         }
         self.state.fleet.borrow_mut().finish_initial_sync();
         self.revision = min_revision;
+        self.state.fleet.borrow_mut().reach_revision(self.revision);
+        self.departures.flush(&self.state, false);
         self.progress = Progress::Complete;
         Ok(())
     }
@@ -351,15 +366,23 @@
         self.count_others(|key| !removed.contains(key))
     }
 
-    /// Records that the host knows what the store held at `at`, or later. `others` are the other hosts
-    /// that were known before.
-    fn record_response(&mut self, at: Duration, others: Others) {
+    /// Records that the host knows what the store held at `at`, or later, from the store or another host.
+    /// `others` are the other hosts that were known before. Returns the time since the host last knew.
+    fn record_knowledge(&mut self, at: Duration, others: Others) -> Duration {
         let now = clock::now();
+        let silence = now.saturating_sub(self.last_response_at);
+        if self.progress == Progress::Complete {
+            self.recovery.record(now, silence, others);
+        }
+        self.last_response_at = self.last_response_at.max(at);
+        self.state.store_last_response_at.set(self.last_response_at);
+        silence
+    }
+
+    /// Records a response of the store.
+    fn record_response(&mut self, at: Duration, others: Others) {
+        let outage_time = self.record_knowledge(at, others);
         if !self.is_reachable {
-            let outage_time = now.saturating_sub(self.last_response_at);
-            if self.progress == Progress::Complete {
-                self.recovery.record(now, outage_time, others);
-            }
             let event = Event::StoreRegained {
                 away_ms: outage_time.as_millis(),
                 revision: self.revision,
@@ -369,8 +392,6 @@
             self.state.log.write(Rank::Notice, event);
         }
         self.is_reachable = true;
-        self.last_response_at = self.last_response_at.max(at);
-        self.state.store_last_response_at.set(self.last_response_at);
     }
 
     fn record_failure(&mut self, fault: &Fault) {
--- a/crates/steer/src/feed/entries.rs
+++ b/crates/steer/src/feed/entries.rs
@@ -134,6 +134,9 @@
 
     fn apply_instance(&self, endpoint: &Endpoint, revision: u64) {
         let is_changed = self.state.fleet.borrow_mut().register(clock::now(), endpoint.clone());
+        if is_changed && endpoint.is_draining {
+            self.departures.add(&self.state, &endpoint.id, revision);
+        }
         if is_changed {
             let event = Event::Instance {
                 id: &endpoint.id,
@@ -198,6 +201,9 @@
             Kind::Limit(id) => limits::remove_record(&self.state, id, revision),
             Kind::Sentence(request) => quarantine::remove_record(&self.state, *request),
             Kind::Platform(Subject::Instance(id)) => {
+                if expires_at.is_none() && !self.state.fleet.borrow().is_draining(id) {
+                    self.departures.add(&self.state, id, revision);
+                }
                 self.state.fleet.borrow_mut().deregister(id, expires_at);
                 let reason =
                     if expires_at.is_some() { "missing after an outage" } else { "removed" };
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod clock;
 pub mod codec;
 mod constants;
+mod departures;
 pub mod events;
 pub mod feed;
 pub mod lending;
--- a/crates/steer/src/peers.rs
+++ b/crates/steer/src/peers.rs
@@ -9,10 +9,12 @@
 use std::{net::SocketAddr, rc::Rc, sync::Arc};
 
 use eyre::WrapErr as _;
+use marjorampick_core::steering::departure::Departure;
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, sync::mpsc};
 
 use crate::{
+    departures,
     events::{Event, Rank},
     feed::relay::{self, Answer, Inbox, Question, Received},
     lending::Lending,
@@ -52,6 +54,8 @@
     Limit(Limit),
     /// Tells of a request that crashes instances.
     Quarantine(Notice),
+    /// Announces instances of which the sender has just heard that they leave.
+    Leaving(Vec<Departure>),
 }
 
 /// Limit that an instance has stated in an answer to the sender.
@@ -142,6 +146,7 @@
             },
             Ok(Message::Limit(limit)) => limits::apply_message(&state, &limit, &host),
             Ok(Message::Quarantine(notice)) => quarantine::apply_notice(&state, &notice, &host),
+            Ok(Message::Leaving(instances)) => departures::apply(&state, &instances, &host),
             Err(_) => record_dropped(&state, sender, "malformed"),
         }
     }
