notice: an instance that said in the store that it drains stays away

The word lived in the registration only. An entry of an earlier start replaced it, and an entry that another writer spoiled took it away; the next valid entry brought the instance back. It is now kept beside what instances say in answers: for this start, until a later one. an_instance_that_drains_stays_away_when_its_entry_is_replaced failed before at its first step.

--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -153,6 +153,10 @@
         let id = endpoint.id.clone();
         self.service_by_id.insert(id.clone(), endpoint.service.clone());
         self.limits.restart(&id, endpoint.incarnation);
+        // Whatever becomes of its entry, this start has said that it leaves.
+        if endpoint.is_draining {
+            self.notices.record_leaving(now, &id, endpoint.incarnation);
+        }
         let notice = self.notices.get(&id, endpoint.incarnation);
         let upstream = self.upstream(now, &endpoint.service.clone());
         let warmup = upstream.warmup;
--- a/crates/core/src/steering/tests/notice.rs
+++ b/crates/core/src/steering/tests/notice.rs
@@ -83,3 +83,24 @@
     let retry_after = Duration::from_secs(6);
     assert_eq!(refused, Err(Rejection::NoCapacity { retry_after }));
 }
+
+/// An entry of an earlier start, or one that another writer had spoiled meanwhile, brought a draining
+/// instance back.
+#[test]
+fn an_instance_that_drains_stays_away_when_its_entry_is_replaced() {
+    let draining = Endpoint { incarnation: 2, is_draining: true, ..endpoint("n1", "north-a") };
+    let mut fleet = four_instances();
+    fleet.register(at(0), draining.clone());
+    fleet.register(at(1), endpoint("n1", "north-a"));
+    assert_eq!(choose_n1(&mut fleet, at(2)), None, "an entry of an earlier start");
+    fleet.register(at(3), draining.clone());
+    fleet.deregister("n1", None);
+    fleet.register(at(4), Endpoint { is_draining: false, ..draining.clone() });
+    assert_eq!(
+        choose_n1(&mut fleet, at(60_000)),
+        None,
+        "an entry that was spoiled and written again"
+    );
+    fleet.register(at(60_001), Endpoint { incarnation: 3, is_draining: false, ..draining });
+    assert!(choose_n1(&mut fleet, at(120_000)).is_some(), "a later start");
+}
