--- a/crates/core/src/steering.rs
+++ b/crates/core/src/steering.rs
@@ -20,6 +20,7 @@
 pub mod quarantine;
 pub mod rate;
 pub mod reach;
+pub mod read_ahead;
 pub mod relay;
 pub mod retry;
 pub mod samples;
--- a/crates/core/src/steering/tests.rs
+++ b/crates/core/src/steering/tests.rs
@@ -15,6 +15,7 @@
 mod quarantine;
 mod rate;
 mod reach;
+mod read_ahead;
 mod relay;
 mod retry;
 mod seats;
--- a/crates/steer/src/feed.rs
+++ b/crates/steer/src/feed.rs
@@ -17,6 +17,7 @@
 use futures_util::future::try_join_all;
 use marjorampick_core::steering::{
     outage::{Others, Recovery},
+    read_ahead::ReadAhead,
     relay::{Hosts, Schedule, Step},
     seats::SEAT_PROPAGATION_TIME,
 };
@@ -61,6 +62,7 @@
         last_response_at: clock::now(),
         recovery: Recovery::default(),
         retry_delay: MIN_STORE_RETRY_DELAY,
+        read_ahead: ReadAhead::default(),
         departures: Outbox::default(),
     };
     loop {
@@ -98,10 +100,19 @@
     recovery: Recovery,
     /// Delay before the next call of the store if this one fails.
     retry_delay: Duration,
+    /// Keys whose state is later than [`Self::revision`].
+    read_ahead: ReadAhead,
     /// Departures of instances that this host has just heard of.
     departures: Outbox,
 }
 
+/// All items of the store.
+struct Snapshot {
+    items: Vec<Item>,
+    /// Revision up to which they are complete. Some may be of a later one, as they come in pages.
+    revision: u64,
+}
+
 /// All changes from one revision to another.
 struct Batch {
     /// Revision after which the changes begin.
@@ -169,35 +180,55 @@
     }
 
     /// Reads what is missing.
-    ///
-    /// The first read costs less as it may be of an earlier state, from which the watch goes on. After a
-    /// compaction such a state could be older than the history again.
     async fn read(&mut self) -> Result<(), Fault> {
         match self.progress {
-            Progress::Unread => {
-                self.read_all(true).await?;
-                self.watch(RELAY_WATCH_WAIT).await
+            Progress::Unread => self.start().await,
+            Progress::Incomplete => {
+                let snapshot = self.read_all(false).await?;
+                self.apply_snapshot(&snapshot);
+                Ok(())
             }
-            Progress::Incomplete => self.read_all(false).await,
             Progress::Complete => self.watch(WATCH_WAIT).await,
         }?;
         self.publish();
         Ok(())
     }
 
+    /// Reads everything for the first time.
+    ///
+    /// The items may be of an earlier state, which costs less. Nothing of it counts until the changes
+    /// after it are known too: instances may have left and keys been withdrawn since then.
+    async fn start(&mut self) -> Result<(), Fault> {
+        let snapshot = self.read_all(true).await?;
+        let batch = self.read_batch(snapshot.revision, RELAY_WATCH_WAIT).await?;
+        self.apply_snapshot(&snapshot);
+        self.record_response(clock::now(), self.others_after(&batch.changes));
+        self.apply_changes(batch.changes, batch.until);
+        Ok(())
+    }
+
     /// Waits for changes, applies them and passes them on to the hosts that have asked for them.
     async fn watch(&mut self, wait: Duration) -> Result<(), Fault> {
         let questions = self.inbox.take_questions(self.revision);
         let asked = questions.iter().map(|(_, question)| question.revision);
         let oldest = asked.fold(self.revision, u64::min);
         let wait = if questions.is_empty() { wait } else { RELAY_WATCH_WAIT };
-        let mut batch = match self.read_changes(oldest, wait).await {
+        let batch = match self.read_batch(oldest, wait).await {
             // The changes that only other hosts are missing are gone. They have to ask the store.
             Err(Fault::Compacted) if oldest < self.revision => {
-                self.read_changes(self.revision, wait).await?
+                self.read_batch(self.revision, wait).await?
             }
             result => result?,
         };
+        self.record_response(clock::now(), self.others_after(&batch.changes));
+        self.answer(&questions, &batch);
+        self.apply_changes(batch.changes, batch.until);
+        Ok(())
+    }
+
+    /// Returns all changes after a revision, which the store may report in parts.
+    async fn read_batch(&self, after: u64, wait: Duration) -> Result<Batch, Fault> {
+        let mut batch = self.read_changes(after, wait).await?;
         let mut is_complete = batch.is_complete();
         while !is_complete {
             let next = self.read_changes(batch.until, RELAY_WATCH_WAIT).await?;
@@ -205,10 +236,7 @@
             batch.until = batch.until.max(next.until);
             batch.changes.extend(next.changes);
         }
-        self.record_response(clock::now(), self.others_after(&batch.changes));
-        self.answer(&questions, &batch);
-        self.apply_changes(batch.changes, batch.until);
-        Ok(())
+        Ok(batch)
     }
 
     /// Returns the changes after a revision.
@@ -225,12 +253,16 @@
     /// Applies the changes that are new, in the order of their revisions.
     fn apply_changes(&mut self, changes: Vec<Change>, revision: u64) {
         for change in changes.into_iter().filter(|change| change.revision() > self.revision) {
+            if self.read_ahead.is_over(change.key(), change.revision()) {
+                continue;
+            }
             match change {
                 Change::Written(item) => self.apply(&item),
                 Change::Removed { key, revision } => self.remove_key(&key, revision),
             }
         }
         self.revision = self.revision.max(revision);
+        self.read_ahead.reach(self.revision);
         self.state.fleet.borrow_mut().reach_revision(self.revision);
         self.departures.flush(&self.state, true);
     }
@@ -292,36 +324,45 @@
         self.publish();
     }
 
-    /// Reads all items, and removes the entries of [`Self::known_entries`] that are no longer in
-    /// the store. `may_be_stale` allows items of an earlier revision.
-    async fn read_all(&mut self, may_be_stale: bool) -> Result<(), Fault> {
+    /// Reads all items. `may_be_stale` allows items of an earlier revision.
+    async fn read_all(&self, may_be_stale: bool) -> Result<Snapshot, Fault> {
         let mut items = Vec::new();
-        let mut min_revision = u64::MAX;
+        let mut revision = u64::MAX;
         let prefixes: Vec<&str> =
             self.state.codec.key_prefixes.iter().copied().chain([KEY_PREFIX]).collect();
         let reads = prefixes.into_iter().map(|prefix| self.read_prefix(prefix, may_be_stale));
-        for (page, revision) in try_join_all(reads).await? {
+        for (page, page_revision) in try_join_all(reads).await? {
             items.extend(page);
-            min_revision = min_revision.min(revision);
+            revision = revision.min(page_revision);
         }
+        Ok(Snapshot { items, revision })
+    }
+
+    /// Applies all items, and removes the entries of [`Self::known_entries`] that are no longer in the
+    /// store.
+    fn apply_snapshot(&mut self, snapshot: &Snapshot) {
+        let Snapshot { items, revision } = snapshot;
         let keys: BTreeSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
         let unchanged = items.iter().filter(|item| item.revision <= self.revision);
         let unchanged: BTreeSet<&str> = unchanged.map(|item| item.key.as_str()).collect();
         let others = self.count_others(|key| unchanged.contains(key));
         self.record_response(clock::now(), others);
-        let entries = self.known_entries().into_iter();
+        // Before the first read, the host knows only its own registration, which may be later.
+        let is_first = self.progress == Progress::Unread;
+        let entries = self.known_entries().into_iter().filter(|_| !is_first);
         for entry in entries.filter(|entry| !keys.contains(entry.key.as_str())) {
-            self.remove_entry(&entry.kind, min_revision);
+            self.remove_entry(&entry.kind, *revision);
         }
-        for item in &items {
+        self.read_ahead.clear();
+        for item in items {
             self.apply(item);
+            self.read_ahead.record(&item.key, item.revision, *revision);
         }
         self.state.fleet.borrow_mut().finish_initial_sync();
-        self.revision = min_revision;
+        self.revision = *revision;
         self.state.fleet.borrow_mut().reach_revision(self.revision);
         self.departures.flush(&self.state, false);
         self.progress = Progress::Complete;
-        Ok(())
     }
 
     /// Reads all pages of the items under a prefix. Returns the lowest revision of the pages, as
