backend: a head binds as soon as it is whole, and a repeated refusal is not believed

Two faults of the same reader, so one commit. (1) The word of an instance that it leaves was read after the whole answer: a body that broke off, was reset or never ended lost it, and the next request reached the instance. (2) An instance that repeated an earlier refusal on a kept connection refused a caller's second try with the same id, though it ran it (503 where 200 came 50 ms later): a request whose id failed on a connection, or that has none, now takes another one, and a failure without an id after bytes that nobody asked for is no answer. a_head_that_says_that_its_instance_leaves_counts_without_the_body and an_earlier_refusal_says_nothing_of_the_same_request_sent_again failed before. Shown not to happen: a copy of a refusal after it or on the idle connection, and an answer cut at any byte of head or chunks (an_answer_that_is_cut_anywhere_is_no_success passed before the change).

--- a/crates/steer/src/backend/answer.rs
+++ b/crates/steer/src/backend/answer.rs
@@ -122,6 +122,11 @@
         }
     }
 
+    /// Head of the answer whose body is not complete yet.
+    pub fn head(&self) -> Option<&Head> {
+        self.head.as_ref().map(|(head, _)| head)
+    }
+
     /// Number of body bytes that the parser holds.
     pub fn held_bytes(&self) -> usize {
         self.body.len()
--- a/crates/steer/src/backend/connection.rs
+++ b/crates/steer/src/backend/connection.rs
@@ -20,10 +20,12 @@
 };
 
 use super::{
-    answer::{Answer, Malformed, Parser},
+    answer::{Answer, Head, Malformed, Parser},
     memory::{Exhausted, Memory, Reservation},
 };
-use crate::constants::{CONNECT_TIMEOUT, KEEP_ALIVE_MARGIN, MAX_SKIPPED_ANSWERS, TCP_USER_TIMEOUT};
+use crate::constants::{
+    CONNECT_TIMEOUT, KEEP_ALIVE_MARGIN, MAX_FAILED_IDS, MAX_SKIPPED_ANSWERS, TCP_USER_TIMEOUT,
+};
 
 /// Free space in the buffer before each read, in bytes. Requests with a body up to this size are
 /// sent with a single write.
@@ -96,8 +98,14 @@
     may_have_sent: bool,
     /// Whether the connection has carried a request before the current one.
     is_used: bool,
+    /// Ids of the requests that were answered without a success. A faulty instance may repeat such an
+    /// answer, which would be taken for that of another request with the same id.
+    failed_ids: Vec<Bytes>,
 }
 
+/// Receives each head as soon as it is whole, with whether it answers the current request.
+pub type OnHead<'a> = &'a mut dyn FnMut(&Head, bool);
+
 impl Connection {
     /// Opens a connection to the instance at `address`.
     pub async fn open(address: SocketAddr) -> io::Result<Self> {
@@ -119,7 +127,8 @@
     fn new(stream: TcpStream) -> io::Result<Self> {
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
-        Ok(Self { stream, buffer: BytesMut::new(), may_have_sent: false, is_used: false })
+        let (buffer, failed_ids) = (BytesMut::new(), Vec::new());
+        Ok(Self { stream, buffer, may_have_sent: false, is_used: false, failed_ids })
     }
 
     /// Whether bytes of the last request may have been sent.
@@ -127,6 +136,12 @@
         self.may_have_sent
     }
 
+    /// Whether an answer to a request with this id can be told from those to earlier requests. Without an
+    /// id that takes a new connection.
+    pub fn may_carry(&self, id: &[u8]) -> bool {
+        !id.is_empty() && !self.failed_ids.iter().any(|failed| *failed == id)
+    }
+
     /// Whether the idle connection is open and has no unread bytes, which would precede the next
     /// answer.
     pub fn is_reusable(&self) -> bool {
@@ -143,14 +158,19 @@
         &mut self,
         request: &Request,
         memory: &Memory,
+        on_head: OnHead<'_>,
     ) -> Result<(Answer, bool), Fault> {
         self.may_have_sent = false;
-        let (answer, is_written) = self.send_and_receive(request, memory).await?;
+        let (answer, is_written) = self.send_and_receive(request, memory, on_head).await?;
         self.is_used = true;
+        if !answer.head.status.is_success() {
+            self.failed_ids.push(request.id.clone());
+        }
         let is_persistent = answer.head.is_persistent
             && !answer.is_ended_by_close
             && !marjorampick_link::wire::headers::says_close(&answer.head.headers);
-        Ok((answer, is_persistent && is_written && self.buffer.is_empty()))
+        let has_room = self.failed_ids.len() < MAX_FAILED_IDS;
+        Ok((answer, is_persistent && is_written && has_room && self.buffer.is_empty()))
     }
 
     /// Sends and reads concurrently, as the answer may arrive before the whole body has been sent.
@@ -159,11 +179,14 @@
         &mut self,
         request: &Request,
         memory: &Memory,
+        on_head: OnHead<'_>,
     ) -> Result<(Answer, bool), Fault> {
-        let Self { stream, buffer, may_have_sent, is_used } = self;
+        let Self { stream, buffer, may_have_sent, is_used, .. } = self;
         let (mut read_half, mut write_half) = stream.split();
         let sending = send(&mut write_half, request, may_have_sent);
-        let receiving = receive(&mut read_half, buffer, memory.reserve(), request, *is_used);
+        let reservation = memory.reserve();
+        let source = Source { is_used: *is_used, on_head };
+        let receiving = receive(&mut read_half, buffer, reservation, request, source);
         tokio::pin!(sending, receiving);
         let mut is_written = false;
         loop {
@@ -198,20 +221,42 @@
     write_half.write_all(&request.body).await
 }
 
-/// Receives the answer to a request. `is_used` says whether the connection has carried another request
-/// before.
+/// Connection from which an answer is received.
+struct Source<'a> {
+    /// Whether it has carried another request before, or sent what was no answer to this one.
+    is_used: bool,
+    on_head: OnHead<'a>,
+}
+
+impl Source<'_> {
+    /// Handles a head that is whole. Returns whether it answers the request.
+    fn record_head(&mut self, head: &Head, request: &Request) -> Result<bool, Fault> {
+        let is_own = is_answer_to(head, request, self.is_used);
+        (self.on_head)(head, matches!(is_own, Ok(true)));
+        self.is_used |= !matches!(is_own, Ok(true));
+        is_own
+    }
+}
+
+/// Receives the answer to a request.
 async fn receive(
     read_half: &mut ReadHalf<'_>,
     buffer: &mut BytesMut,
     mut reservation: Reservation<'_>,
     request: &Request,
-    is_used: bool,
+    mut source: Source<'_>,
 ) -> Result<Answer, Fault> {
     let mut parser = Parser::default();
     let mut skipped = 0;
+    // Whether the answer that is being received is that to the request; `None` before its head.
+    let mut is_own = None;
     loop {
         while let Some(answer) = parser.next(buffer, &request.method)? {
-            if is_answer_to(&answer, request, is_used)? {
+            let is_own_answer = match is_own.take() {
+                Some(is_own) => is_own,
+                None => source.record_head(&answer.head, request)?,
+            };
+            if is_own_answer {
                 return Ok(answer);
             }
             log::debug!("backend: skipped an answer to another request");
@@ -220,15 +265,14 @@
                 return Err(Fault::Malformed("too many answers to other requests"));
             }
         }
+        if let (None, Some(head)) = (is_own, parser.head()) {
+            is_own = Some(source.record_head(head, request)?);
+        }
         reservation.resize(buffer.len() + parser.held_bytes())?;
         buffer.reserve(READ_BUFFER_BYTES);
         if read_half.read_buf(buffer).await? == 0 {
             let answer = parser.end_of_stream().ok_or(Fault::Closed)?;
-            return if is_answer_to(&answer, request, is_used)? {
-                Ok(answer)
-            } else {
-                Err(Fault::Closed)
-            };
+            return if is_own == Some(true) { Ok(answer) } else { Err(Fault::Closed) };
         }
     }
 }
@@ -237,13 +281,11 @@
 ///
 /// An answer that is not a success need not have one, but then it may be a late answer to an earlier
 /// request on a used connection. As a rejection it would promise that this request has not run.
-fn is_answer_to(answer: &Answer, request: &Request, is_used: bool) -> Result<bool, Fault> {
-    match answer.head.headers.get(&request.id_header) {
+fn is_answer_to(head: &Head, request: &Request, is_used: bool) -> Result<bool, Fault> {
+    match head.headers.get(&request.id_header) {
         Some(id) => Ok(id.as_bytes() == request.id),
-        None if answer.head.status.is_success() => Ok(false),
-        None if is_used && !request.id.is_empty() => {
-            Err(Fault::Malformed("failure without an id on a used connection"))
-        }
+        None if head.status.is_success() => Ok(false),
+        None if is_used => Err(Fault::Malformed("failure without an id on a used connection")),
         None => Ok(true),
     }
 }
--- a/crates/steer/src/backend/pool.rs
+++ b/crates/steer/src/backend/pool.rs
@@ -24,13 +24,21 @@
 impl Pool {
     /// Takes the most recently used idle connection that is still usable. For a request that must
     /// run at most once, it must have been used within `MAX_IDLE_TIME_AT_MOST_ONCE`; connections
-    /// that don't qualify are closed.
-    pub fn take(&mut self, now: Duration, key: &Key, is_at_most_once: bool) -> Option<Connection> {
+    /// that don't qualify are closed, also those that cannot carry a request with this id.
+    pub fn take(
+        &mut self,
+        now: Duration,
+        key: &Key,
+        is_at_most_once: bool,
+        request_id: &[u8],
+    ) -> Option<Connection> {
         let idle = self.idle.get_mut(key)?;
         while let Some(newest) = idle.pop() {
             let is_recent =
                 !is_at_most_once || now < newest.idle_since + MAX_IDLE_TIME_AT_MOST_ONCE;
-            if now < newest.expires_at && is_recent && newest.connection.is_reusable() {
+            let may_carry = newest.connection.may_carry(request_id);
+            if now < newest.expires_at && is_recent && may_carry && newest.connection.is_reusable()
+            {
                 return Some(newest.connection);
             }
         }
--- a/crates/steer/src/callers/attempt.rs
+++ b/crates/steer/src/callers/attempt.rs
@@ -17,7 +17,7 @@
 };
 use crate::{
     backend::{
-        answer::Answer,
+        answer::{Answer, Head},
         connection::{Connection, Fault, Request, keep_alive_time},
         pool::Key,
     },
@@ -122,7 +122,8 @@
     let key: Key = (choice.id.clone(), choice.incarnation);
     let is_at_most_once = call.route.idempotency == Idempotency::AtMostOnce;
     let started_at = clock::now();
-    let pooled = state.pool.borrow_mut().take(started_at, &key, is_at_most_once);
+    let id = call.id_text().as_bytes();
+    let pooled = state.pool.borrow_mut().take(started_at, &key, is_at_most_once, id);
     let is_pooled = pooled.is_some();
     if !is_pooled && !state.fleet.borrow().may_connect(started_at, &call.service, &choice.id) {
         let reason = "no instance of the service is reached".to_owned();
@@ -156,12 +157,16 @@
     let request = encode_request(state, call, body, choice);
     let sent_at = clock::now();
     let remaining = limit.saturating_sub(clock::now().saturating_sub(started_at));
-    let result = timeout(remaining, connection.exchange(&request, &state.answer_memory)).await;
+    let mut is_leaving = false;
+    let mut on_head = |head: &Head, is_own| {
+        is_leaving |= statement::record(state, call, choice, started_at, head, is_own);
+    };
+    let exchange = connection.exchange(&request, &state.answer_memory, &mut on_head);
+    let result = timeout(remaining, exchange).await;
     let elapsed = clock::now().saturating_sub(started_at);
     match result {
         Ok(Ok((answer, is_reusable))) => {
             state.silence.record_contact(clock::now());
-            let is_leaving = statement::record(state, call, choice, started_at, &answer);
             if answer.head.headers.contains_key(&state.codec.headers.response_stamp) {
                 quarantine::record_answer(state, call, body, choice, sent_at);
             }
--- a/crates/steer/src/callers/carry.rs
+++ b/crates/steer/src/callers/carry.rs
@@ -19,7 +19,7 @@
 };
 use crate::{
     backend::{
-        answer::Answer,
+        answer::{Answer, Head},
         connection::{Connection, Request},
     },
     clock,
@@ -119,7 +119,12 @@
         let guard = Guard::start(state, call, &chosen);
         let key = (helper.clone(), 0);
         let is_at_most_once = !call.is_idempotent();
-        let pooled = state.helper_pool.borrow_mut().take(clock::now(), &key, is_at_most_once);
+        let pooled = state.helper_pool.borrow_mut().take(
+            clock::now(),
+            &key,
+            is_at_most_once,
+            call.id_text().as_bytes(),
+        );
         let opened = match pooled {
             Some(connection) => Ok(connection),
             None => {
@@ -133,7 +138,8 @@
         };
         let request = encode_request(state, call, body, attempts);
         let limit = call.deadline.saturating_sub(clock::now()) + HELPER_ANSWER_MARGIN;
-        let exchange = connection.exchange(&request, &state.answer_memory);
+        let mut ignore_head = |_: &Head, _| {};
+        let exchange = connection.exchange(&request, &state.answer_memory, &mut ignore_head);
         match timeout(limit, exchange).await {
             Ok(Ok((answer, is_reusable))) => {
                 if is_reusable {
--- a/crates/steer/src/callers/statement.rs
+++ b/crates/steer/src/callers/statement.rs
@@ -8,7 +8,7 @@
 
 use super::routing::Call;
 use crate::{
-    backend::answer::{Answer, Head},
+    backend::answer::Head,
     clock,
     events::{Event, Rank},
     limits,
@@ -24,19 +24,20 @@
     head: &'a Head,
 }
 
-/// Records the statements of an answer to a request that was sent at `sent_at`. Returns whether the
-/// instance leaves.
+/// Records the statements of an answer, as soon as its head is whole, to a request that was sent at
+/// `sent_at`. Returns whether the instance leaves.
 ///
 /// An answer that the chosen instance neither ran nor rejected may come from another one, and says
-/// nothing.
+/// nothing. One to another request (`is_own` is false) is late: of what it says, only that the instance
+/// leaves still holds.
 pub(super) fn record(
     state: &Rc<State>,
     call: &Call,
     choice: &Choice,
     sent_at: Duration,
-    answer: &Answer,
+    head: &Head,
+    is_own: bool,
 ) -> bool {
-    let head = &answer.head;
     let names = &state.codec.headers;
     let is_executed = head.headers.contains_key(&names.response_stamp);
     let is_rejected = head.headers.contains_key(&names.not_run);
@@ -45,8 +46,10 @@
         return false;
     }
     let source = Source { state, call, choice, head };
-    record_limit(source, sent_at, is_executed);
-    if head.status == StatusCode::SERVICE_UNAVAILABLE {
+    if is_own {
+        record_limit(source, sent_at, is_executed);
+    }
+    if is_own && head.status == StatusCode::SERVICE_UNAVAILABLE {
         record_pause(source);
     }
     record_leaving(source)
--- a/crates/steer/src/constants.rs
+++ b/crates/steer/src/constants.rs
@@ -85,6 +85,9 @@
 /// Most answers to other requests that are skipped before an answer.
 pub(crate) const MAX_SKIPPED_ANSWERS: usize = 8;
 
+/// Requests without a success after which a connection to an instance is not used again.
+pub(crate) const MAX_FAILED_IDS: usize = 64;
+
 /// Most headers in an answer of a backend server.
 pub(crate) const MAX_ANSWER_HEADERS: usize = 64;
 
