--- a/crates/core/src/steering.rs
+++ b/crates/core/src/steering.rs
@@ -7,6 +7,7 @@
 
 pub mod cache;
 pub mod cold;
+pub mod departure;
 pub mod fleet;
 pub mod helper;
 pub mod instance;
@@ -14,10 +15,12 @@
 pub mod limit;
 pub mod load;
 pub mod notice;
+pub mod outage;
 pub mod plan;
 pub mod quarantine;
 pub mod rate;
 pub mod reach;
+pub mod read_ahead;
 pub mod relay;
 pub mod retry;
 pub mod samples;
--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod candidate;
 mod choice;
+mod departures;
 mod limits;
 mod notices;
 mod ranking;
@@ -21,15 +22,13 @@
 use upstream::Upstream;
 
 use super::{
+    departure,
     instance::{Endpoint, Instance, Outcome},
     limit,
     load::Report,
     notice, shift,
 };
 
-/// How long registrations that expired during an outage of the store may take to reappear.
-pub const REREGISTRATION_GRACE: Duration = Duration::from_millis(2300);
-
 /// Name and location of this host, and the layout of failure domains and regions.
 #[derive(Clone, Debug)]
 pub struct Locality {
@@ -58,6 +57,8 @@
     limit_group: limit::Group,
     /// What instances have asked for in their answers.
     notices: notice::Book,
+    /// What other hosts have heard of instances that leave.
+    departures: departure::Book,
     /// Limits how fast this host's requests shift to other regions.
     shift_limiter: shift::Limiter,
     /// Names of the hosts of this region, including this one.
@@ -81,6 +82,7 @@
             limits: limit::Book::default(),
             limit_group: group,
             notices: notice::Book::default(),
+            departures: departure::Book::default(),
             shift_limiter: shift::Limiter::default(),
             region_hosts,
             is_synced: false,
@@ -151,6 +153,10 @@
         let id = endpoint.id.clone();
         self.service_by_id.insert(id.clone(), endpoint.service.clone());
         self.limits.restart(&id, endpoint.incarnation);
+        // Whatever becomes of its entry, this start has said that it leaves.
+        if endpoint.is_draining {
+            self.notices.record_leaving(now, &id, endpoint.incarnation);
+        }
         let notice = self.notices.get(&id, endpoint.incarnation);
         let upstream = self.upstream(now, &endpoint.service.clone());
         let warmup = upstream.warmup;
@@ -204,11 +210,10 @@
     /// Removes the instances that have not registered again in time. Returns their ids.
     pub fn remove_expired(&mut self, now: Duration) -> Vec<Arc<str>> {
         self.notices.remove_expired(now);
-        let is_expired =
-            |instance: &&Instance| instance.expires_at.is_some_and(|expires_at| expires_at <= now);
+        self.departures.remove_expired(now);
         let instances = self.upstreams.values().flat_map(|upstream| &upstream.instances);
-        let expired: Vec<Arc<str>> =
-            instances.filter(is_expired).map(|instance| instance.endpoint.id.clone()).collect();
+        let expired = instances.filter(|instance| instance.is_expired(now));
+        let expired: Vec<Arc<str>> = expired.map(|instance| instance.endpoint.id.clone()).collect();
         for id in &expired {
             self.remove(id);
         }
--- a/crates/core/src/steering/tests.rs
+++ b/crates/core/src/steering/tests.rs
@@ -2,6 +2,7 @@
 
 mod cache;
 mod cold;
+mod departure;
 mod fleet;
 mod helper;
 mod instance;
@@ -9,10 +10,12 @@
 mod limit;
 mod load;
 mod notice;
+mod outage;
 mod plan;
 mod quarantine;
 mod rate;
 mod reach;
+mod read_ahead;
 mod relay;
 mod retry;
 mod seats;
--- a/crates/steer/src/constants.rs
+++ b/crates/steer/src/constants.rs
@@ -18,7 +18,7 @@
 /// Longest time for which a host does not learn what the store holds, relative to the configured
 /// propagation time of changes. The delay collects several changes in one call, because every call costs
 /// money and entries change many times a second.
-pub(crate) const WATCH_INTERVAL_RATIO: f64 = 0.6;
+pub(crate) const WATCH_INTERVAL_RATIO: f64 = 0.45;
 
 /// Timeout of a store call, in addition to the time for which the store may hold it.
 pub(crate) const STORE_CALL_TIMEOUT: Duration = Duration::from_millis(900);
@@ -29,9 +29,6 @@
 /// Longest delay after a failed store call.
 pub(crate) const MAX_STORE_RETRY_DELAY: Duration = Duration::from_millis(800);
 
-/// Time without a response of the store after which leased entries may have expired.
-pub(crate) const OUTAGE_THRESHOLD: Duration = Duration::from_millis(2500);
-
 /// Lease of a host's registration. A crashed host stays in look-up responses until
 /// the lease expires.
 pub(crate) const REGISTRATION_LEASE: Duration = Duration::from_millis(3500);
@@ -88,6 +85,9 @@
 /// Most answers to other requests that are skipped before an answer.
 pub(crate) const MAX_SKIPPED_ANSWERS: usize = 8;
 
+/// Requests without a success after which a connection to an instance is not used again.
+pub(crate) const MAX_FAILED_IDS: usize = 64;
+
 /// Most headers in an answer of a backend server.
 pub(crate) const MAX_ANSWER_HEADERS: usize = 64;
 
--- a/crates/steer/src/feed.rs
+++ b/crates/steer/src/feed.rs
@@ -16,7 +16,9 @@
 
 use futures_util::future::try_join_all;
 use marjorampick_core::steering::{
-    relay::{Schedule, Step},
+    outage::{Others, Recovery},
+    read_ahead::ReadAhead,
+    relay::{Hosts, Schedule, Step},
     seats::SEAT_PROPAGATION_TIME,
 };
 use relay::{Answer, Inbox, Outstanding, Question, Received};
@@ -26,12 +28,13 @@
     clock,
     constants::{
         MAX_COMPLETE_BYTES, MAX_COMPLETE_CHANGES, MAX_STORE_RETRY_DELAY, MIN_STORE_RETRY_DELAY,
-        OUTAGE_THRESHOLD, RELAY_WATCH_WAIT, WATCH_INTERVAL_RATIO, WATCH_WAIT,
+        RELAY_WATCH_WAIT, WATCH_INTERVAL_RATIO, WATCH_WAIT,
     },
+    departures::Outbox,
     events::{Event, Rank},
     metrics,
     peers::{Message, Socket, record_dropped},
-    registration::KEY_PREFIX,
+    registration::{HOSTS_PREFIX, KEY_PREFIX},
     state::{Host, State},
     store::{Call, Change, Client, Fault, Item, Reply},
 };
@@ -57,8 +60,10 @@
         progress: Progress::Unread,
         is_reachable: false,
         last_response_at: clock::now(),
-        recovered_at: None,
+        recovery: Recovery::default(),
         retry_delay: MIN_STORE_RETRY_DELAY,
+        read_ahead: ReadAhead::default(),
+        departures: Outbox::default(),
     };
     loop {
         feed.step().await;
@@ -91,10 +96,21 @@
     is_reachable: bool,
     /// When the store last responded; at first, when the watch started.
     last_response_at: Duration,
-    /// When the store last recovered from an outage that was long enough for leases to expire.
-    recovered_at: Option<Duration>,
+    /// Latest recovery of the store from an outage that was long enough for leases to expire.
+    recovery: Recovery,
     /// Delay before the next call of the store if this one fails.
     retry_delay: Duration,
+    /// Keys whose state is later than [`Self::revision`].
+    read_ahead: ReadAhead,
+    /// Departures of instances that this host has just heard of.
+    departures: Outbox,
+}
+
+/// All items of the store.
+struct Snapshot {
+    items: Vec<Item>,
+    /// Revision up to which they are complete. Some may be of a later one, as they come in pages.
+    revision: u64,
 }
 
 /// All changes from one revision to another.
@@ -128,9 +144,8 @@
         let now = clock::now();
         // Until the others have seen its registration, they take this host for a stranger.
         let is_known = now >= self.state.started_at + SEAT_PROPAGATION_TIME;
-        let region_hosts =
-            if is_known { self.state.fleet.borrow().region_hosts().to_vec() } else { Vec::new() };
-        match self.schedule.next(now, &region_hosts, has_questions) {
+        let hosts = if is_known { self.hosts_to_ask() } else { Hosts::default() };
+        match self.schedule.next(now, &hosts, has_questions) {
             Step::CallStore => self.call_store().await,
             Step::Ask(relay) => self.ask(&relay, now),
             Step::Wait(until) => {
@@ -141,6 +156,14 @@
         }
     }
 
+    /// Hosts that may be asked for changes.
+    fn hosts_to_ask(&self) -> Hosts {
+        Hosts {
+            region: self.state.fleet.borrow().region_hosts().to_vec(),
+            all: self.state.hosts.borrow().keys().cloned().collect(),
+        }
+    }
+
     /// Reads all items, or the changes since the last call.
     async fn call_store(&mut self) {
         match self.read().await {
@@ -157,35 +180,55 @@
     }
 
     /// Reads what is missing.
-    ///
-    /// The first read costs less as it may be of an earlier state, from which the watch goes on. After a
-    /// compaction such a state could be older than the history again.
     async fn read(&mut self) -> Result<(), Fault> {
         match self.progress {
-            Progress::Unread => {
-                self.read_all(true).await?;
-                self.watch(RELAY_WATCH_WAIT).await
+            Progress::Unread => self.start().await,
+            Progress::Incomplete => {
+                let snapshot = self.read_all(false).await?;
+                self.apply_snapshot(&snapshot);
+                Ok(())
             }
-            Progress::Incomplete => self.read_all(false).await,
             Progress::Complete => self.watch(WATCH_WAIT).await,
         }?;
         self.publish();
         Ok(())
     }
 
+    /// Reads everything for the first time.
+    ///
+    /// The items may be of an earlier state, which costs less. Nothing of it counts until the changes
+    /// after it are known too: instances may have left and keys been withdrawn since then.
+    async fn start(&mut self) -> Result<(), Fault> {
+        let snapshot = self.read_all(true).await?;
+        let batch = self.read_batch(snapshot.revision, RELAY_WATCH_WAIT).await?;
+        self.apply_snapshot(&snapshot);
+        self.record_response(clock::now(), self.others_after(&batch.changes));
+        self.apply_changes(batch.changes, batch.until);
+        Ok(())
+    }
+
     /// Waits for changes, applies them and passes them on to the hosts that have asked for them.
     async fn watch(&mut self, wait: Duration) -> Result<(), Fault> {
         let questions = self.inbox.take_questions(self.revision);
         let asked = questions.iter().map(|(_, question)| question.revision);
         let oldest = asked.fold(self.revision, u64::min);
         let wait = if questions.is_empty() { wait } else { RELAY_WATCH_WAIT };
-        let mut batch = match self.read_changes(oldest, wait).await {
+        let batch = match self.read_batch(oldest, wait).await {
             // The changes that only other hosts are missing are gone. They have to ask the store.
             Err(Fault::Compacted) if oldest < self.revision => {
-                self.read_changes(self.revision, wait).await?
+                self.read_batch(self.revision, wait).await?
             }
             result => result?,
         };
+        self.record_response(clock::now(), self.others_after(&batch.changes));
+        self.answer(&questions, &batch);
+        self.apply_changes(batch.changes, batch.until);
+        Ok(())
+    }
+
+    /// Returns all changes after a revision, which the store may report in parts.
+    async fn read_batch(&self, after: u64, wait: Duration) -> Result<Batch, Fault> {
+        let mut batch = self.read_changes(after, wait).await?;
         let mut is_complete = batch.is_complete();
         while !is_complete {
             let next = self.read_changes(batch.until, RELAY_WATCH_WAIT).await?;
@@ -193,10 +236,7 @@
             batch.until = batch.until.max(next.until);
             batch.changes.extend(next.changes);
         }
-        self.record_response(clock::now());
-        self.answer(&questions, &batch);
-        self.apply_changes(batch.changes, batch.until);
-        Ok(())
+        Ok(batch)
     }
 
     /// Returns the changes after a revision.
@@ -213,12 +253,18 @@
     /// Applies the changes that are new, in the order of their revisions.
     fn apply_changes(&mut self, changes: Vec<Change>, revision: u64) {
         for change in changes.into_iter().filter(|change| change.revision() > self.revision) {
+            if self.read_ahead.is_over(change.key(), change.revision()) {
+                continue;
+            }
             match change {
                 Change::Written(item) => self.apply(&item),
                 Change::Removed { key, revision } => self.remove_key(&key, revision),
             }
         }
         self.revision = self.revision.max(revision);
+        self.read_ahead.reach(self.revision);
+        self.state.fleet.borrow_mut().reach_revision(self.revision);
+        self.departures.flush(&self.state, true);
     }
 
     /// Asks another host for the changes.
@@ -273,36 +319,50 @@
         }
         metrics::record_relay("followed");
         self.schedule.record_answer(asked_at);
-        self.record_response(asked_at);
+        self.record_knowledge(asked_at, self.others_after(&received.changes));
         self.apply_changes(received.changes, received.answer.until);
         self.publish();
     }
 
-    /// Reads all items, and removes the entries of [`Self::known_entries`] that are no longer in
-    /// the store. `may_be_stale` allows items of an earlier revision.
-    async fn read_all(&mut self, may_be_stale: bool) -> Result<(), Fault> {
+    /// Reads all items. `may_be_stale` allows items of an earlier revision.
+    async fn read_all(&self, may_be_stale: bool) -> Result<Snapshot, Fault> {
         let mut items = Vec::new();
-        let mut min_revision = u64::MAX;
+        let mut revision = u64::MAX;
         let prefixes: Vec<&str> =
             self.state.codec.key_prefixes.iter().copied().chain([KEY_PREFIX]).collect();
         let reads = prefixes.into_iter().map(|prefix| self.read_prefix(prefix, may_be_stale));
-        for (page, revision) in try_join_all(reads).await? {
+        for (page, page_revision) in try_join_all(reads).await? {
             items.extend(page);
-            min_revision = min_revision.min(revision);
+            revision = revision.min(page_revision);
         }
-        self.record_response(clock::now());
+        Ok(Snapshot { items, revision })
+    }
+
+    /// Applies all items, and removes the entries of [`Self::known_entries`] that are no longer in the
+    /// store.
+    fn apply_snapshot(&mut self, snapshot: &Snapshot) {
+        let Snapshot { items, revision } = snapshot;
         let keys: BTreeSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
-        let entries = self.known_entries().into_iter();
+        let unchanged = items.iter().filter(|item| item.revision <= self.revision);
+        let unchanged: BTreeSet<&str> = unchanged.map(|item| item.key.as_str()).collect();
+        let others = self.count_others(|key| unchanged.contains(key));
+        self.record_response(clock::now(), others);
+        // Before the first read, the host knows only its own registration, which may be later.
+        let is_first = self.progress == Progress::Unread;
+        let entries = self.known_entries().into_iter().filter(|_| !is_first);
         for entry in entries.filter(|entry| !keys.contains(entry.key.as_str())) {
-            self.remove_entry(&entry.kind, min_revision);
+            self.remove_entry(&entry.kind, *revision);
         }
-        for item in &items {
+        self.read_ahead.clear();
+        for item in items {
             self.apply(item);
+            self.read_ahead.record(&item.key, item.revision, *revision);
         }
         self.state.fleet.borrow_mut().finish_initial_sync();
-        self.revision = min_revision;
+        self.revision = *revision;
+        self.state.fleet.borrow_mut().reach_revision(self.revision);
+        self.departures.flush(&self.state, false);
         self.progress = Progress::Complete;
-        Ok(())
     }
 
     /// Reads all pages of the items under a prefix. Returns the lowest revision of the pages, as
@@ -331,21 +391,48 @@
         }
     }
 
-    /// Records that the host knows what the store held at `at`, or later.
-    fn record_response(&mut self, at: Duration) {
+    /// Counts the other hosts that this host knows, by whether their registration, with this key, did not
+    /// end.
+    fn count_others(&self, is_kept: impl Fn(&str) -> bool) -> Others {
+        let hosts = self.state.hosts.borrow();
+        let registered = hosts.iter().filter(|(_, host)| host.expires_at.is_none());
+        let others = registered.filter(|(name, _)| **name != self.state.settings.host.name);
+        Others::count(others.map(|(name, _)| is_kept(&format!("{HOSTS_PREFIX}{name}"))))
+    }
+
+    /// The other hosts after these changes.
+    fn others_after(&self, changes: &[Change]) -> Others {
+        let is_removal = |change: &&Change| matches!(change, Change::Removed { revision, .. } if *revision > self.revision);
+        let removed: BTreeSet<&str> = changes.iter().filter(is_removal).map(Change::key).collect();
+        self.count_others(|key| !removed.contains(key))
+    }
+
+    /// Records that the host knows what the store held at `at`, or later, from the store or another host.
+    /// `others` are the other hosts that were known before. Returns the time since the host last knew.
+    fn record_knowledge(&mut self, at: Duration, others: Others) -> Duration {
         let now = clock::now();
+        let silence = now.saturating_sub(self.last_response_at);
+        if self.progress == Progress::Complete {
+            self.recovery.record(now, silence, others);
+        }
+        self.last_response_at = self.last_response_at.max(at);
+        self.state.store_last_response_at.set(self.last_response_at);
+        silence
+    }
+
+    /// Records a response of the store.
+    fn record_response(&mut self, at: Duration, others: Others) {
+        let outage_time = self.record_knowledge(at, others);
         if !self.is_reachable {
-            let outage_time = now.saturating_sub(self.last_response_at);
-            if self.progress == Progress::Complete && outage_time >= OUTAGE_THRESHOLD {
-                self.recovered_at = Some(now);
-            }
-            let event =
-                Event::StoreRegained { away_ms: outage_time.as_millis(), revision: self.revision };
+            let event = Event::StoreRegained {
+                away_ms: outage_time.as_millis(),
+                revision: self.revision,
+                hosts: others.known,
+                hosts_kept: others.kept,
+            };
             self.state.log.write(Rank::Notice, event);
         }
         self.is_reachable = true;
-        self.last_response_at = self.last_response_at.max(at);
-        self.state.store_last_response_at.set(self.last_response_at);
     }
 
     fn record_failure(&mut self, fault: &Fault) {
