tasks: an odd entry costs that entry alone, and no background task ends unseen

An entry of another writer with a cold_left of 584 million years ended the task that follows the store (overflow in a sum); the host stayed ready and accepted a withdrawn key for good. That the process drains when a task ends is not shown by a run: no known input ends one now. failures_map_to_faults said that one bad value fails a whole watch, which was the fault: replaced by malformed responses, and by the test of single entries.

--- a/crates/core/src/steering/fleet/admission.rs
+++ b/crates/core/src/steering/fleet/admission.rs
@@ -62,7 +62,7 @@
     /// of the limit. A host that is alone in its region sees all requests and needs no limit.
     pub(super) fn is_within_unreported_share(&self, instance: &Instance) -> bool {
         let hosts = u32::try_from(self.region_hosts.len()).unwrap_or(u32::MAX).max(1);
-        let limit = instance.endpoint.slots * UNREPORTED_LOAD_LIMIT;
+        let limit = instance.endpoint.slots.saturating_mul(UNREPORTED_LOAD_LIMIT);
         hosts == 1
             || instance.load.has_report()
             || instance.load.own_requests() < limit.div_ceil(hosts)
--- a/crates/core/src/steering/instance.rs
+++ b/crates/core/src/steering/instance.rs
@@ -117,7 +117,7 @@
 impl Instance {
     /// An instance that has just been registered.
     pub fn new(now: Duration, endpoint: Endpoint, region: Option<Arc<str>>) -> Self {
-        let cold_until = now + endpoint.warmup_left;
+        let cold_until = now.saturating_add(endpoint.warmup_left);
         Self {
             endpoint,
             region,
@@ -146,7 +146,7 @@
     pub fn update(&mut self, now: Duration, endpoint: Endpoint) {
         let was_draining = self.endpoint.is_draining;
         if !endpoint.warmup_left.is_zero() {
-            self.cold_until = now + endpoint.warmup_left;
+            self.cold_until = now.saturating_add(endpoint.warmup_left);
         }
         self.endpoint = endpoint;
         self.endpoint.is_draining |= was_draining;
@@ -176,7 +176,7 @@
 
     /// Treats the instance as cold for at least `time` from now.
     pub fn mark_cold(&mut self, now: Duration, time: Duration) {
-        self.cold_until = self.cold_until.max(now + time);
+        self.cold_until = self.cold_until.max(now.saturating_add(time));
         self.objects.clear();
     }
 
--- a/crates/core/src/steering/load.rs
+++ b/crates/core/src/steering/load.rs
@@ -85,7 +85,7 @@
     /// Records the load report of a response to this host. [`Self::end_request`] must have been
     /// called for the answered request.
     pub fn record_report(&mut self, now: Duration, report: Report) {
-        let reported = f64::from(report.running + report.waiting);
+        let reported = f64::from(report.running) + f64::from(report.waiting);
         let of_others = (reported - f64::from(self.own_requests)).max(0.0);
         self.others_waiting = of_others.min(f64::from(report.waiting));
         self.others_running = of_others - self.others_waiting;
--- a/crates/steer/src/callers/accept.rs
+++ b/crates/steer/src/callers/accept.rs
@@ -27,6 +27,7 @@
     constants::{ACCEPT_RETRY_DELAY, FIRST_REQUEST_TIME, WRITE_TIMEOUT},
     lending::Lending,
     state::State,
+    tasks,
 };
 
 /// Largest request head until a configuration is in force, in bytes.
@@ -47,13 +48,13 @@
     Hosts,
 }
 
-/// Binds a listener and accepts connections on a task of its own until `closing` is true.
+/// Binds a listener. The returned future accepts connections until `closing` is true.
 pub async fn listen(
     state: Rc<State>,
     lending: Rc<Lending>,
     side: Side,
     closing: watch::Receiver<bool>,
-) -> eyre::Result<()> {
+) -> eyre::Result<impl Future<Output = ()>> {
     let listeners = &state.settings.listeners;
     let address = match side {
         Side::Callers => listeners.callers,
@@ -61,8 +62,7 @@
     };
     let listener = TcpListener::bind(address).await;
     let listener = listener.wrap_err_with(|| format!("cannot listen on {address}"))?;
-    tokio::task::spawn_local(accept(state, lending, side, listener, closing));
-    Ok(())
+    Ok(accept(state, lending, side, listener, closing))
 }
 
 async fn accept(
@@ -104,8 +104,7 @@
     let open = OpenConnection::start(state);
     let serving = serve(state.clone(), lending.clone(), side, stream, closing.clone());
     tokio::task::spawn_local(async move {
-        serving.await;
-        drop(open);
+        tasks::contain_task(&open.0, "connection", serving).await;
     });
 }
 
--- a/crates/steer/src/callers/crash.rs
+++ b/crates/steer/src/callers/crash.rs
@@ -21,6 +21,7 @@
     events::{Event, Rank},
     quarantine, reach,
     state::State,
+    tasks,
 };
 
 /// Run of a request that ended with the connection to its instance.
@@ -47,7 +48,11 @@
         started_at,
         ended_at: clock::now(),
     };
-    tokio::task::spawn_local(report_crash(state.clone(), run));
+    let state = state.clone();
+    tokio::task::spawn_local(async move {
+        let reporting = report_crash(state.clone(), run);
+        tasks::contain_task(&state, "crash report", reporting).await;
+    });
 }
 
 async fn report_crash(state: Rc<State>, run: Run) {
--- a/crates/steer/src/events.rs
+++ b/crates/steer/src/events.rs
@@ -59,6 +59,14 @@
         /// Milliseconds since the process was asked to stop.
         after_ms: u128,
     },
+    /// A background task ended, which ends the process in order; or one that served a connection or a
+    /// request, which does not.
+    TaskEnded {
+        /// Name of the task.
+        task: &'a str,
+        /// Why it ended.
+        reason: &'a str,
+    },
     /// The settings file was validated again.
     Reload {
         /// Whether the file is valid.
--- a/crates/steer/src/feed/entries.rs
+++ b/crates/steer/src/feed/entries.rs
@@ -13,6 +13,7 @@
     registration::{HOSTS_PREFIX, SEATS_PREFIX, SeatRecord},
     state::{Host, Registration},
     store::Item,
+    tasks,
 };
 
 /// Kind of a store entry, with the name that its key contains.
@@ -36,8 +37,14 @@
 }
 
 impl Feed {
-    /// Applies an item as it was written.
+    /// Applies an item as it was written. One that causes a panic is ignored like one that is invalid.
     pub(super) fn apply(&self, item: &Item) {
+        if let Err(reason) = tasks::contain(|| self.apply_item(item)) {
+            self.ignore(item, &reason);
+        }
+    }
+
+    fn apply_item(&self, item: &Item) {
         match self.entry_kind(&item.key) {
             Kind::Host(name) => self.apply_host(name, item),
             Kind::Seat(name) => self.apply_seat(&name, item),
--- a/crates/steer/src/feed/relay.rs
+++ b/crates/steer/src/feed/relay.rs
@@ -86,14 +86,15 @@
 }
 
 impl WireChange {
-    fn into_change(self) -> Option<Change> {
+    /// The change. An invalid value becomes an empty one, which no kind of entry accepts.
+    fn into_change(self) -> Change {
         let Self { key, revision, text, bytes } = self;
         let value = match (text, bytes) {
             (Some(text), _) => text.into_bytes(),
-            (None, Some(bytes)) => STANDARD.decode(bytes).ok()?,
-            (None, None) => return Some(Change::Removed { key, revision }),
+            (None, Some(bytes)) => STANDARD.decode(bytes).unwrap_or_default(),
+            (None, None) => return Change::Removed { key, revision },
         };
-        Some(Change::Written(Item { key, value, revision }))
+        Change::Written(Item { key, value, revision })
     }
 }
 
@@ -111,7 +112,7 @@
 pub fn decode(payload: &[u8]) -> Option<Vec<Change>> {
     let reader = ZlibDecoder::new(payload).take(MAX_PAYLOAD_BYTES);
     let wire: Vec<WireChange> = serde_json::from_reader(io::BufReader::new(reader)).ok()?;
-    wire.into_iter().map(WireChange::into_change).collect()
+    Some(wire.into_iter().map(WireChange::into_change).collect())
 }
 
 /// Answer of another host.
@@ -194,7 +195,7 @@
     /// Takes the questions of hosts that have most changes up to `revision`.
     pub(super) fn take_questions(&self, revision: u64) -> Vec<(SocketAddr, Question)> {
         let mut questions = self.questions.take();
-        questions.retain(|(_, question)| question.revision + MAX_LAG >= revision);
+        questions.retain(|(_, question)| question.revision.saturating_add(MAX_LAG) >= revision);
         questions
     }
 
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -25,3 +25,4 @@
 pub mod settings;
 pub mod state;
 pub mod store;
+pub mod tasks;
--- a/crates/steer/src/listeners.rs
+++ b/crates/steer/src/listeners.rs
@@ -74,12 +74,13 @@
     single_route(context, "/metrics", handle_metrics)
 }
 
-/// Listens on `address` and serves `router` in a background task.
-pub async fn serve(address: SocketAddr, router: Router) -> eyre::Result<()> {
+/// Listens on `address`. The returned future serves `router`.
+pub async fn serve(address: SocketAddr, router: Router) -> eyre::Result<impl Future<Output = ()>> {
     let listener = TcpListener::bind(address).await;
     let listener = listener.wrap_err_with(|| format!("cannot listen on {address}"))?;
-    tokio::spawn(gotham::bind_server(listener, router, future::ok));
-    Ok(())
+    Ok(async move {
+        gotham::bind_server(listener, router, future::ok).await;
+    })
 }
 
 fn single_route(
--- a/crates/steer/src/metrics.rs
+++ b/crates/steer/src/metrics.rs
@@ -16,6 +16,7 @@
 const RELAY_MESSAGES_TOTAL: &str = "marjorampick_relay_messages_total";
 const LIMITED_INSTANCES: &str = "marjorampick_limited_instances";
 const DROPPED_MESSAGES_TOTAL: &str = "marjorampick_dropped_messages_total";
+const ENDED_TASKS_TOTAL: &str = "marjorampick_ended_tasks_total";
 const CARRIED_REQUESTS_TOTAL: &str = "marjorampick_carried_requests_total";
 const LOST_SERVICES: &str = "marjorampick_lost_services";
 const QUARANTINED_REQUESTS: &str = "marjorampick_quarantined_requests";
@@ -48,6 +49,7 @@
         Unit::Count,
         "Datagrams that were dropped at the address for messages of other hosts, by reason."
     );
+    describe_counter!(ENDED_TASKS_TOTAL, Unit::Count, "Background tasks that ended, by name.");
     describe_gauge!(REQUESTS_IN_FLIGHT, Unit::Count, "Requests that have not ended.");
     describe_gauge!(LIMITED_INSTANCES, Unit::Count, "Instances with a limit that applies.");
     describe_counter!(
@@ -127,6 +129,11 @@
     gauge!(LOST_SERVICES).set(count as f64);
 }
 
+/// Records a background task that ended.
+pub(crate) fn record_ended_task(task: &'static str) {
+    counter!(ENDED_TASKS_TOTAL, "task" => task).increment(1);
+}
+
 /// Records a dropped message.
 pub(crate) fn record_dropped_message(reason: &'static str) {
     counter!(DROPPED_MESSAGES_TOTAL, "reason" => reason).increment(1);
--- a/crates/steer/src/peers.rs
+++ b/crates/steer/src/peers.rs
@@ -21,6 +21,7 @@
     limits, metrics,
     quarantine::{self, Notice},
     state::State,
+    tasks,
 };
 
 /// Largest datagram, in bytes.
@@ -132,23 +133,47 @@
             record_dropped(&state, sender, "stranger");
             continue;
         };
-        let mut parts = buffer[..length].splitn(2, |byte| *byte == b'\n');
-        let (head, payload) = (parts.next().unwrap_or_default(), parts.next().unwrap_or_default());
-        match serde_json::from_slice(head) {
-            Ok(Message::Ask { id, workspace, tokens }) => {
-                lending.lend(&state, id, &workspace, tokens, sender);
-            }
-            Ok(Message::Lend { id, tokens }) => lending.accept_loan(&state, id, tokens),
-            Ok(Message::Follow(question)) => inbox.add_question(question, sender),
-            Ok(Message::Changes(answer)) => match relay::decode(payload) {
-                Some(changes) => inbox.add_answer(Received { sender, answer, changes }),
-                None => record_dropped(&state, sender, "malformed"),
-            },
-            Ok(Message::Limit(limit)) => limits::apply_message(&state, &limit, &host),
-            Ok(Message::Quarantine(notice)) => quarantine::apply_notice(&state, &notice, &host),
-            Ok(Message::Leaving(instances)) => departures::apply(&state, &instances, &host),
-            Err(_) => record_dropped(&state, sender, "malformed"),
+        let datagram = &buffer[..length];
+        let handled =
+            tasks::contain(|| handle(&state, &lending, &inbox, datagram, &Source { sender, host }));
+        if let Err(reason) = handled {
+            log::error!("peers: a message of {sender} caused a {reason}");
+            record_dropped(&state, sender, "malformed");
+        }
+    }
+}
+
+/// Registered host that sent a message.
+struct Source {
+    sender: SocketAddr,
+    host: Arc<str>,
+}
+
+/// Handles a message of another host.
+fn handle(
+    state: &Rc<State>,
+    lending: &Rc<Lending>,
+    inbox: &Inbox,
+    datagram: &[u8],
+    source: &Source,
+) {
+    let Source { sender, host } = source;
+    let mut parts = datagram.splitn(2, |byte| *byte == b'\n');
+    let (head, payload) = (parts.next().unwrap_or_default(), parts.next().unwrap_or_default());
+    match serde_json::from_slice(head) {
+        Ok(Message::Ask { id, workspace, tokens }) => {
+            lending.lend(state, id, &workspace, tokens, *sender);
         }
+        Ok(Message::Lend { id, tokens }) => lending.accept_loan(state, id, tokens),
+        Ok(Message::Follow(question)) => inbox.add_question(question, *sender),
+        Ok(Message::Changes(answer)) => match relay::decode(payload) {
+            Some(changes) => inbox.add_answer(Received { sender: *sender, answer, changes }),
+            None => record_dropped(state, *sender, "malformed"),
+        },
+        Ok(Message::Limit(limit)) => limits::apply_message(state, &limit, host),
+        Ok(Message::Quarantine(notice)) => quarantine::apply_notice(state, &notice, host),
+        Ok(Message::Leaving(instances)) => departures::apply(state, &instances, host),
+        Err(_) => record_dropped(state, *sender, "malformed"),
     }
 }
 
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -27,6 +27,7 @@
     settings::{self, Settings},
     state::State,
     store::Client,
+    tasks::{self, Supervisor},
 };
 
 /// Interval at which a drain checks whether requests are still in flight.
@@ -35,7 +36,7 @@
 /// Maximum time to wait at shutdown for the removal of the registration.
 const DEREGISTRATION_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Runs an entry host until SIGTERM or SIGINT, and then drains it. `settings` were read from
+/// Runs an entry host until SIGTERM or SIGINT, or until a background task ends, and then drains it. `settings` were read from
 /// `file`, which is validated again on SIGHUP.
 pub fn run(file: &Path, settings: Settings, codec: Codec) -> eyre::Result<Exit> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
@@ -60,51 +61,64 @@
     };
     state.log.write(Rank::Notice, start);
     let metrics_handle = metrics::install()?;
-    start_listeners(&state, metrics_handle.clone()).await?;
     let client = Client::new(state.settings.store.address, state.codec.store.clone());
     let (stopping_sender, stopping) = watch::channel(false);
     let (closing_sender, closing) = watch::channel(false);
     let socket = Rc::new(Socket::open(state.settings.listeners.peers).await?);
     let lending = Rc::new(Lending::new(socket.clone()));
     let inbox = Rc::new(Inbox::default());
+    let (supervisor, mut ended) = Supervisor::new();
+    start_listeners(&state, &supervisor, metrics_handle.clone()).await?;
     let feed = feed::run(state.clone(), client.clone(), socket.clone(), inbox.clone());
-    tokio::task::spawn_local(feed);
-    tokio::task::spawn_local(peers::announce(state.clone(), socket.clone(), announcements));
-    tokio::task::spawn_local(limits::run(state.clone(), client.clone()));
-    tokio::task::spawn_local(reach::run(state.clone()));
-    tokio::task::spawn_local(quarantine::judge(state.clone()));
-    tokio::task::spawn_local(quarantine::publish(state.clone(), client.clone()));
-    let registration_task =
-        tokio::task::spawn_local(registration::run(state.clone(), client.clone(), stopping));
-    tokio::task::spawn_local(peers::run(state.clone(), socket.clone(), lending.clone(), inbox));
-    tokio::task::spawn_local(run_maintenance(
-        state.clone(),
-        client,
-        metrics_handle,
-        lending.clone(),
-    ));
-    tokio::task::spawn_local(validate_on_hang_up(state.clone(), file.to_owned(), hang_up));
+    supervisor.spawn("feed", feed);
+    supervisor.spawn("announce", peers::announce(state.clone(), socket.clone(), announcements));
+    supervisor.spawn("limits", limits::run(state.clone(), client.clone()));
+    supervisor.spawn("reach", reach::run(state.clone()));
+    supervisor.spawn("judge", quarantine::judge(state.clone()));
+    supervisor.spawn("verdicts", quarantine::publish(state.clone(), client.clone()));
+    let registration = registration::run(state.clone(), client.clone(), stopping);
+    let registration_task = supervisor.spawn("registration", registration);
+    let messages = peers::run(state.clone(), socket.clone(), lending.clone(), inbox);
+    supervisor.spawn("peers", messages);
+    let maintenance = run_maintenance(state.clone(), client, metrics_handle, lending.clone());
+    supervisor.spawn("maintenance", maintenance);
+    let validation = validate_on_hang_up(state.clone(), file.to_owned(), hang_up);
+    supervisor.spawn("settings", validation);
     let hosts_closing = closing.clone();
-    accept::listen(state.clone(), lending.clone(), Side::Hosts, hosts_closing).await?;
-    accept::listen(state.clone(), lending, Side::Callers, closing).await?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+    let accept_hosts = accept::listen(state.clone(), lending.clone(), Side::Hosts, hosts_closing);
+    supervisor.spawn("hosts", accept_hosts.await?);
+    let accept_callers = accept::listen(state.clone(), lending, Side::Callers, closing);
+    supervisor.spawn("callers", accept_callers.await?);
+    let exit = tokio::select! {
+        _ = terminate.recv() => Exit::Success,
+        _ = interrupt.recv() => Exit::Success,
+        Some(ended) = ended.recv() => {
+            tasks::record_end(&state, &ended);
+            Exit::Failure
+        }
+    };
     drain(&state, &stopping_sender, &closing_sender).await;
     timeout(DEREGISTRATION_TIMEOUT, registration_task).await.ok();
-    Ok(Exit::Success)
+    Ok(exit)
 }
 
 /// Starts the listeners for look-ups, readiness and metrics.
-async fn start_listeners(state: &Rc<State>, metrics_handle: PrometheusHandle) -> eyre::Result<()> {
+async fn start_listeners(
+    state: &Rc<State>,
+    supervisor: &Supervisor,
+    metrics_handle: PrometheusHandle,
+) -> eyre::Result<()> {
     let lifetime = state.settings.lookup_lifetime;
     let context =
         Context::new(state.snapshot.clone(), state.codec.clone(), lifetime, metrics_handle);
     let addresses = &state.settings.listeners;
-    listeners::serve(addresses.lookup, listeners::lookup_router(context.clone())).await?;
-    listeners::serve(addresses.readiness, listeners::readiness_router(context.clone())).await?;
-    listeners::serve(addresses.metrics, listeners::metrics_router(context)).await
+    let lookup = listeners::lookup_router(context.clone());
+    supervisor.spawn("lookup", listeners::serve(addresses.lookup, lookup).await?);
+    let readiness = listeners::readiness_router(context.clone());
+    supervisor.spawn("readiness", listeners::serve(addresses.readiness, readiness).await?);
+    let metrics = listeners::metrics_router(context);
+    supervisor.spawn("metrics", listeners::serve(addresses.metrics, metrics).await?);
+    Ok(())
 }
 
 /// Shuts down gracefully: removes the host from look-ups, gives callers time to switch to other
