feed: a host that the store does not answer goes on asking others during its calls

A replay in virtual time with the real schedule (tests/departure) showed hosts that heard of a departure only after 4 to 8 s when the store did not answer a third of the hosts and a third of the messages was lost: the feed waited for a hanging call (1.9 s) before it asked another host, and moved on from hosts that answered late.

--- a/crates/core/src/steering/fleet/departures.rs
+++ b/crates/core/src/steering/fleet/departures.rs
@@ -23,6 +23,11 @@
         (!is_announced).then_some(Departure { id, incarnation, revision })
     }
 
+    /// Whether an instance with this id is known.
+    pub fn contains(&self, id: &str) -> bool {
+        self.service_by_id.contains_key(id)
+    }
+
     /// Whether the instance has said in the store that it leaves.
     pub fn is_draining(&self, id: &str) -> bool {
         self.endpoint(id).is_some_and(|endpoint| endpoint.is_draining)
--- a/crates/core/src/steering/relay.rs
+++ b/crates/core/src/steering/relay.rs
@@ -9,7 +9,7 @@
 //! the store does not serve asks others as well, whatever the size of its region. See
 //! docs/platform.md.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::VecDeque, sync::Arc, time::Duration};
 
 use crate::rendezvous;
 
@@ -26,10 +26,17 @@
 /// Longest wait for an answer, relative to the longest time without a fresh state.
 const ANSWER_TIME_RATIO: f64 = 0.6;
 
+/// Time after which a host that the store does not serve asks another one besides, relative to the longest
+/// time without a fresh state. A third of those that it asks may not be served either.
+const SUBSTITUTE_TIME_RATIO: f64 = 0.3;
+
 /// Most hosts that are asked in turn by a host that the store does not serve. Some of them may not be
 /// served either.
 const MAX_SUBSTITUTES: usize = 8;
 
+/// Most questions that are remembered until they are answered.
+const MAX_QUESTIONS: usize = 4;
+
 /// Time after an unanswered question after which the first host is asked again. All hosts that ask the
 /// same one share its calls.
 const RETURN_TIME: Duration = Duration::from_secs(10);
@@ -73,6 +80,8 @@
     has_failed: bool,
     /// When the last question to a relay was sent; `None` if it was answered.
     asked_at: Option<Duration>,
+    /// The latest questions: when they were sent, and [`Self::unanswered`] at that time.
+    questions: VecDeque<(Duration, usize)>,
     /// Number of questions that were not answered since the first host was asked.
     unanswered: usize,
     /// When a question last remained unanswered.
@@ -92,6 +101,7 @@
             retry_at: Duration::ZERO,
             has_failed: false,
             asked_at: None,
+            questions: VecDeque::new(),
             unanswered: 0,
             unanswered_at: Duration::ZERO,
             was_asked_at: None,
@@ -114,7 +124,8 @@
             self.asked_at = None;
             return Step::Wait(call_at);
         }
-        let answer_time = self.interval.mul_f64(ANSWER_TIME_RATIO);
+        let ratio = if self.has_failed { SUBSTITUTE_TIME_RATIO } else { ANSWER_TIME_RATIO };
+        let answer_time = self.interval.mul_f64(ratio);
         match self.asked_at {
             Some(asked_at) if now < asked_at + answer_time => {
                 return Step::Wait(call_at.min(asked_at + answer_time));
@@ -127,6 +138,10 @@
             None => {}
         }
         self.asked_at = Some(now);
+        self.questions.push_back((now, self.unanswered));
+        if self.questions.len() > MAX_QUESTIONS {
+            self.questions.pop_front();
+        }
         match self.relay(hosts) {
             Some(relay) if relay != self.host => Step::Ask(relay),
             _ => Step::Wait(call_at.min(now + answer_time)),
@@ -158,6 +173,23 @@
         self.retry_at = now + delay;
     }
 
+    /// Whether the last call of the store failed, so that the next one is made beside questions to others.
+    pub fn is_failing(&self) -> bool {
+        self.has_failed
+    }
+
+    /// Records the start of a call that takes up to `time`, beside which the host goes on asking others.
+    pub fn record_probe(&mut self, now: Duration, time: Duration) {
+        self.retry_at = now + time;
+    }
+
+    /// Records that the store serves the host again, which calls it at once.
+    pub fn record_recovery(&mut self) {
+        self.has_failed = false;
+        self.fresh_at = None;
+        self.retry_at = Duration::ZERO;
+    }
+
     /// Records that the host has missed changes, so that it knows no complete state.
     pub fn record_gap(&mut self) {
         self.fresh_at = None;
@@ -166,7 +198,11 @@
     /// Records the answer to the question that was sent at `asked_at`.
     pub fn record_answer(&mut self, asked_at: Duration) {
         self.fresh_at = self.fresh_at.max(Some(asked_at));
-        if self.asked_at == Some(asked_at) {
+        let question = self.questions.iter().find(|(at, _)| *at == asked_at);
+        let is_last = self.asked_at == Some(asked_at);
+        if let Some((_, unanswered)) = question.filter(|_| is_last || self.has_failed) {
+            // It answers, though perhaps after another one was asked.
+            self.unanswered = *unanswered;
             self.asked_at = None;
         }
     }
--- a/crates/steer/src/feed.rs
+++ b/crates/steer/src/feed.rs
@@ -5,6 +5,7 @@
 //! store has compacted that history, everything is read again. See docs/platform.md.
 
 mod entries;
+mod probe;
 pub mod relay;
 
 use std::{
@@ -21,6 +22,7 @@
     relay::{Hosts, Schedule, Step},
     seats::SEAT_PROPAGATION_TIME,
 };
+use probe::Probe;
 use relay::{Answer, Inbox, Outstanding, Question, Received};
 use tokio::time::timeout;
 
@@ -64,6 +66,7 @@
         retry_delay: MIN_STORE_RETRY_DELAY,
         read_ahead: ReadAhead::default(),
         departures: Outbox::default(),
+        probe: Probe::default(),
     };
     loop {
         feed.step().await;
@@ -104,6 +107,8 @@
     read_ahead: ReadAhead,
     /// Departures of instances that this host has just heard of.
     departures: Outbox,
+    /// Call of a store that did not serve this host.
+    probe: Probe,
 }
 
 /// All items of the store.
@@ -140,12 +145,24 @@
         if let Some(asked_at) = self.inbox.take_asked_at() {
             self.schedule.record_question(asked_at);
         }
+        match self.probe.take() {
+            // A missing history is for the next call to find.
+            Some(Ok(()) | Err(Fault::Compacted)) => self.schedule.record_recovery(),
+            Some(Err(fault)) => self.record_call_failure(&fault),
+            None => {}
+        }
         let has_questions = self.inbox.has_questions();
         let now = clock::now();
         // Until the others have seen its registration, they take this host for a stranger.
         let is_known = now >= self.state.started_at + SEAT_PROPAGATION_TIME;
         let hosts = if is_known { self.hosts_to_ask() } else { Hosts::default() };
         match self.schedule.next(now, &hosts, has_questions) {
+            Step::CallStore
+                if self.schedule.is_failing() && self.progress == Progress::Complete =>
+            {
+                self.schedule.record_probe(now, probe::MAX_TIME);
+                self.probe.start(&self.state, &self.client, &self.inbox, self.revision);
+            }
             Step::CallStore => self.call_store().await,
             Step::Ask(relay) => self.ask(&relay, now),
             Step::Wait(until) => {
@@ -171,14 +188,16 @@
                 self.retry_delay = MIN_STORE_RETRY_DELAY;
                 self.schedule.record_response(clock::now());
             }
-            Err(fault) => {
-                self.record_failure(&fault);
-                self.schedule.record_failure(clock::now(), self.retry_delay);
-                self.retry_delay = (self.retry_delay * 2).min(MAX_STORE_RETRY_DELAY);
-            }
+            Err(fault) => self.record_call_failure(&fault),
         }
     }
 
+    fn record_call_failure(&mut self, fault: &Fault) {
+        self.record_failure(fault);
+        self.schedule.record_failure(clock::now(), self.retry_delay);
+        self.retry_delay = (self.retry_delay * 2).min(MAX_STORE_RETRY_DELAY);
+    }
+
     /// Reads what is missing.
     async fn read(&mut self) -> Result<(), Fault> {
         match self.progress {
--- a/crates/steer/src/feed/entries.rs
+++ b/crates/steer/src/feed/entries.rs
@@ -208,13 +208,16 @@
             Kind::Limit(id) => limits::remove_record(&self.state, id, revision),
             Kind::Sentence(request) => quarantine::remove_record(&self.state, *request),
             Kind::Platform(Subject::Instance(id)) => {
+                let is_known = self.state.fleet.borrow().contains(id);
                 if expires_at.is_none() && !self.state.fleet.borrow().is_draining(id) {
                     self.departures.add(&self.state, id, revision);
                 }
                 self.state.fleet.borrow_mut().deregister(id, expires_at);
                 let reason =
                     if expires_at.is_some() { "missing after an outage" } else { "removed" };
-                self.state.log.write(Rank::Notice, Event::InstanceGone { id, reason });
+                if is_known {
+                    self.state.log.write(Rank::Notice, Event::InstanceGone { id, reason });
+                }
             }
             Kind::Platform(Subject::Evacuation(domain)) => {
                 self.set_evacuated(domain, false, revision);
--- a/crates/steer/src/feed/relay.rs
+++ b/crates/steer/src/feed/relay.rs
@@ -182,6 +182,11 @@
         self.arrived.notify_one();
     }
 
+    /// Wakes the feed.
+    pub(super) fn wake(&self) {
+        self.arrived.notify_one();
+    }
+
     /// Whether questions wait for an answer.
     pub(super) fn has_questions(&self) -> bool {
         !self.questions.borrow().is_empty()
