feed: a host that failed once calls the store again; reads, questions and contact in modules of their own

After one failed call a host went on following another one for good, as its answers put off the next call: in a region of three 20 calls in 10 s where 15 were made before (a_host_that_is_served_again_calls_the_store_itself, failed before). A host that has failed now tries the store whatever others answer. feed.rs is split (496 lines to 278); what its parts do is unchanged.

--- a/crates/core/src/steering/relay.rs
+++ b/crates/core/src/steering/relay.rs
@@ -114,7 +114,8 @@
         let relay_due = self.called_at + self.interval.mul_f64(RELAY_INTERVAL_RATIO);
         let own_due = self.fresh_at.map_or(Duration::ZERO, |fresh_at| fresh_at + self.interval);
         let due = if has_questions { relay_due.min(own_due) } else { own_due };
-        let call_at = due.max(self.retry_at);
+        // Whatever others answer, a host that has failed tries the store again.
+        let call_at = if self.has_failed { self.retry_at } else { due.max(self.retry_at) };
         if now >= call_at {
             return Step::CallStore;
         }
--- a/crates/core/src/steering/tests/relay.rs
+++ b/crates/core/src/steering/tests/relay.rs
@@ -269,3 +269,24 @@
         }
     }
 }
+
+/// A host that the store had refused once went on following another one for good, whose calls are more
+/// frequent than those of a host that asks the store itself.
+#[test]
+fn a_host_that_is_served_again_calls_the_store_itself() {
+    let mut region = Region::new(3);
+    let mut now = Duration::from_secs(100);
+    let mut alone = 0;
+    for step in 0..1_500 {
+        region.hosts[0].is_refused = (500..700).contains(&step);
+        if step == 500 {
+            alone = std::mem::take(&mut region.calls);
+        }
+        if step == 1_000 {
+            region.calls = 0;
+        }
+        region.step(now, &mut || false);
+        now += TICK;
+    }
+    assert!(region.calls <= alone + 2, "{} calls in 10 s, {alone} before", region.calls);
+}
--- a/crates/steer/src/feed.rs
+++ b/crates/steer/src/feed.rs
@@ -4,46 +4,39 @@
 //! or from the answers of another host. A failed watch call is repeated from the same revision. If the
 //! store has compacted that history, everything is read again. See docs/platform.md.
 
+mod contact;
 mod entries;
 mod probe;
+mod questions;
+mod read;
 pub mod relay;
 
-use std::{
-    collections::{BTreeMap, BTreeSet},
-    net::SocketAddr,
-    rc::Rc,
-    time::Duration,
-};
+use std::{collections::BTreeSet, rc::Rc, time::Duration};
 
-use futures_util::future::try_join_all;
 use marjorampick_core::steering::{
-    outage::{Others, Recovery},
+    outage::Recovery,
     read_ahead::ReadAhead,
     relay::{Hosts, Schedule, Step},
     seats::SEAT_PROPAGATION_TIME,
 };
 use probe::Probe;
-use relay::{Answer, Inbox, Outstanding, Question, Received};
+use read::Snapshot;
+use relay::{Inbox, Outstanding};
 use tokio::time::timeout;
 
 use crate::{
     clock,
     constants::{
-        MAX_COMPLETE_BYTES, MAX_COMPLETE_CHANGES, MAX_STORE_RETRY_DELAY, MIN_STORE_RETRY_DELAY,
-        RELAY_WATCH_WAIT, WATCH_INTERVAL_RATIO, WATCH_WAIT,
+        MAX_STORE_RETRY_DELAY, MIN_STORE_RETRY_DELAY, RELAY_WATCH_WAIT, WATCH_INTERVAL_RATIO,
+        WATCH_WAIT,
     },
     departures::Outbox,
     events::{Event, Rank},
-    metrics,
-    peers::{Message, Socket, record_dropped},
-    registration::{HOSTS_PREFIX, KEY_PREFIX},
+    peers::Socket,
     state::{Host, State},
-    store::{Call, Change, Client, Fault, Item, Reply},
+    store::{Change, Client, Fault},
 };
 
-/// Most questions without an answer; the oldest one is forgotten.
-const MAX_OUTSTANDING: usize = 4;
-
 /// Prefix of all keys. A single watch covers the whole store, because each open watch call costs
 /// money.
 const ALL_KEYS_PREFIX: &str = "";
@@ -111,31 +104,6 @@
     probe: Probe,
 }
 
-/// All items of the store.
-struct Snapshot {
-    items: Vec<Item>,
-    /// Revision up to which they are complete. Some may be of a later one, as they come in pages.
-    revision: u64,
-}
-
-/// All changes from one revision to another.
-struct Batch {
-    /// Revision after which the changes begin.
-    after: u64,
-    changes: Vec<Change>,
-    /// Revision up to which they are complete.
-    until: u64,
-}
-
-impl Batch {
-    /// Whether the response surely holds all changes. The store reports many of them in parts, and does
-    /// not say so.
-    fn is_complete(&self) -> bool {
-        let bytes: usize = self.changes.iter().map(Change::value_bytes).sum();
-        self.changes.len() < MAX_COMPLETE_CHANGES && bytes < MAX_COMPLETE_BYTES
-    }
-}
-
 impl Feed {
     /// Does the next thing that is due.
     async fn step(&mut self) {
@@ -245,30 +213,6 @@
         Ok(())
     }
 
-    /// Returns all changes after a revision, which the store may report in parts.
-    async fn read_batch(&self, after: u64, wait: Duration) -> Result<Batch, Fault> {
-        let mut batch = self.read_changes(after, wait).await?;
-        let mut is_complete = batch.is_complete();
-        while !is_complete {
-            let next = self.read_changes(batch.until, RELAY_WATCH_WAIT).await?;
-            is_complete = next.is_complete();
-            batch.until = batch.until.max(next.until);
-            batch.changes.extend(next.changes);
-        }
-        Ok(batch)
-    }
-
-    /// Returns the changes after a revision.
-    async fn read_changes(&self, after: u64, wait: Duration) -> Result<Batch, Fault> {
-        let prefix = ALL_KEYS_PREFIX.to_owned();
-        let reply = self.client.call(&Call::Watch { prefix, after, wait }).await;
-        metrics::record_store_call("watch", reply.is_ok());
-        match reply? {
-            Reply::Changes { changes, revision: until } => Ok(Batch { after, changes, until }),
-            _ => Err(Fault::Malformed("the response has no changes".to_owned())),
-        }
-    }
-
     /// Applies the changes that are new, in the order of their revisions.
     fn apply_changes(&mut self, changes: Vec<Change>, revision: u64) {
         for change in changes.into_iter().filter(|change| change.revision() > self.revision) {
@@ -286,77 +230,6 @@
         self.departures.flush(&self.state, true);
     }
 
-    /// Asks another host for the changes.
-    fn ask(&mut self, relay: &str, now: Duration) {
-        let Some(address) =
-            self.state.hosts.borrow().get(relay).map(|host| host.registration.peers)
-        else {
-            return;
-        };
-        let question = Question { id: rand::random(), revision: self.revision };
-        self.socket.send(&Message::Follow(question.clone()), address);
-        if self.outstanding.len() >= MAX_OUTSTANDING {
-            self.outstanding.remove(0);
-        }
-        self.outstanding.push(Outstanding { question, relay: address, asked_at: now });
-    }
-
-    /// Answers the questions of other hosts from a batch. A host that has missed changes from before it, or
-    /// knows a revision that the store has not reached, gets no answer and asks the store.
-    fn answer(&self, questions: &[(SocketAddr, Question)], batch: &Batch) {
-        let mut payloads: BTreeMap<u64, Vec<u8>> = BTreeMap::new();
-        let is_answerable =
-            |asked: &Question| (batch.after..=batch.until).contains(&asked.revision);
-        for (host, question) in questions.iter().filter(|(_, asked)| is_answerable(asked)) {
-            let Question { id, revision: after } = *question;
-            let payload = payloads
-                .entry(after)
-                .or_insert_with(|| relay::encode(&batch.changes, after).unwrap_or_default());
-            let answer = Answer { id, after, until: batch.until };
-            let message = Message::Changes(answer);
-            let is_sent = self.socket.send_with_payload(&message, payload, *host);
-            metrics::record_relay(if is_sent { "answered" } else { "unanswered" });
-        }
-    }
-
-    /// Applies the answer of another host to a question of this process. One that claims more than the
-    /// store can have reached is not used; the host asks the store.
-    fn apply_answer(&mut self, received: Received) {
-        let asked = self.outstanding.iter().position(|asked| asked.is_answered_by(&received));
-        let Some(index) = asked else {
-            record_dropped(&self.state, received.sender, "unasked");
-            return;
-        };
-        let asked_at = self.outstanding.swap_remove(index).asked_at;
-        if !received.is_plausible() {
-            record_dropped(&self.state, received.sender, "implausible");
-            self.schedule.record_gap();
-            return;
-        }
-        if self.progress != Progress::Complete {
-            return;
-        }
-        metrics::record_relay("followed");
-        self.schedule.record_answer(asked_at);
-        self.record_knowledge(asked_at, self.others_after(&received.changes));
-        self.apply_changes(received.changes, received.answer.until);
-        self.publish();
-    }
-
-    /// Reads all items. `may_be_stale` allows items of an earlier revision.
-    async fn read_all(&self, may_be_stale: bool) -> Result<Snapshot, Fault> {
-        let mut items = Vec::new();
-        let mut revision = u64::MAX;
-        let prefixes: Vec<&str> =
-            self.state.codec.key_prefixes.iter().copied().chain([KEY_PREFIX]).collect();
-        let reads = prefixes.into_iter().map(|prefix| self.read_prefix(prefix, may_be_stale));
-        for (page, page_revision) in try_join_all(reads).await? {
-            items.extend(page);
-            revision = revision.min(page_revision);
-        }
-        Ok(Snapshot { items, revision })
-    }
-
     /// Applies all items, and removes the entries of [`Self::known_entries`] that are no longer in the
     /// store.
     fn apply_snapshot(&mut self, snapshot: &Snapshot) {
@@ -384,97 +257,6 @@
         self.progress = Progress::Complete;
     }
 
-    /// Reads all pages of the items under a prefix. Returns the lowest revision of the pages, as
-    /// items may change between two pages.
-    async fn read_prefix(
-        &self,
-        prefix: &str,
-        may_be_stale: bool,
-    ) -> Result<(Vec<Item>, u64), Fault> {
-        let mut all_items = Vec::new();
-        let mut after = None;
-        let mut min_revision = u64::MAX;
-        loop {
-            let call = Call::Range { prefix: prefix.to_owned(), after, may_be_stale };
-            let reply = self.client.call(&call).await;
-            metrics::record_store_call("range", reply.is_ok());
-            let Reply::Items { items, has_more, revision } = reply? else {
-                return Err(Fault::Malformed("the response has no items".to_owned()));
-            };
-            min_revision = min_revision.min(revision);
-            after = items.last().map(|item| item.key.clone());
-            all_items.extend(items);
-            if !has_more || after.is_none() {
-                return Ok((all_items, min_revision));
-            }
-        }
-    }
-
-    /// Counts the other hosts that this host knows, by whether their registration, with this key, did not
-    /// end.
-    fn count_others(&self, is_kept: impl Fn(&str) -> bool) -> Others {
-        let hosts = self.state.hosts.borrow();
-        let registered = hosts.iter().filter(|(_, host)| host.expires_at.is_none());
-        let others = registered.filter(|(name, _)| **name != self.state.settings.host.name);
-        Others::count(others.map(|(name, _)| is_kept(&format!("{HOSTS_PREFIX}{name}"))))
-    }
-
-    /// The other hosts after these changes.
-    fn others_after(&self, changes: &[Change]) -> Others {
-        let is_removal = |change: &&Change| matches!(change, Change::Removed { revision, .. } if *revision > self.revision);
-        let removed: BTreeSet<&str> = changes.iter().filter(is_removal).map(Change::key).collect();
-        self.count_others(|key| !removed.contains(key))
-    }
-
-    /// Records that the host knows what the store held at `at`, or later, from the store or another host.
-    /// `others` are the other hosts that were known before. Returns the time since the host last knew.
-    fn record_knowledge(&mut self, at: Duration, others: Others) -> Duration {
-        let now = clock::now();
-        let silence = now.saturating_sub(self.last_response_at);
-        if self.progress == Progress::Complete {
-            self.recovery.record(now, silence, others);
-        }
-        self.last_response_at = self.last_response_at.max(at);
-        self.state.store_last_response_at.set(self.last_response_at);
-        silence
-    }
-
-    /// Records a response of the store.
-    fn record_response(&mut self, at: Duration, others: Others) {
-        let outage_time = self.record_knowledge(at, others);
-        if !self.is_reachable {
-            let event = Event::StoreRegained {
-                away_ms: outage_time.as_millis(),
-                revision: self.revision,
-                hosts: others.known,
-                hosts_kept: others.kept,
-            };
-            self.state.log.write(Rank::Notice, event);
-        }
-        self.is_reachable = true;
-    }
-
-    fn record_failure(&mut self, fault: &Fault) {
-        let reason = fault.to_string();
-        if *fault == Fault::Compacted {
-            self.progress = Progress::Incomplete;
-            self.schedule.record_gap();
-            // Changes were missed for an unknown time, in which entries may have expired and
-            // reappeared, or what was applied is not the store's, so everything has to be read again.
-            let event = Event::StoreFault { call: "watch", reason: &reason };
-            self.state.log.write(Rank::Notice, event);
-            return;
-        }
-        let event = if self.is_reachable {
-            Event::StoreLost { reason: &reason, revision: self.revision }
-        } else {
-            Event::StoreFault { call: "watch", reason: &reason }
-        };
-        let rank = if self.is_reachable { Rank::Notice } else { Rank::Failure };
-        self.state.log.write(rank, event);
-        self.is_reachable = false;
-    }
-
     fn publish(&self) {
         self.state.publish_hosts();
         self.state.publish_readiness();
--- /dev/null
+++ b/crates/steer/src/feed/read.rs
@@ -0,0 +1,104 @@
+//! Reads of the store: all items, and the changes after a revision.
+
+use std::time::Duration;
+
+use futures_util::future::try_join_all;
+
+use super::{ALL_KEYS_PREFIX, Feed};
+use crate::{
+    constants::{MAX_COMPLETE_BYTES, MAX_COMPLETE_CHANGES, RELAY_WATCH_WAIT},
+    metrics,
+    registration::KEY_PREFIX,
+    store::{Call, Change, Fault, Item, Reply},
+};
+
+/// All items of the store.
+pub(super) struct Snapshot {
+    pub(super) items: Vec<Item>,
+    /// Revision up to which they are complete. Some may be of a later one, as they come in pages.
+    pub(super) revision: u64,
+}
+
+/// All changes from one revision to another.
+pub(super) struct Batch {
+    /// Revision after which the changes begin.
+    pub(super) after: u64,
+    pub(super) changes: Vec<Change>,
+    /// Revision up to which they are complete.
+    pub(super) until: u64,
+}
+
+impl Batch {
+    /// Whether the response surely holds all changes. The store reports many of them in parts, and does
+    /// not say so.
+    fn is_complete(&self) -> bool {
+        let bytes: usize = self.changes.iter().map(Change::value_bytes).sum();
+        self.changes.len() < MAX_COMPLETE_CHANGES && bytes < MAX_COMPLETE_BYTES
+    }
+}
+
+impl Feed {
+    /// Returns all changes after a revision, which the store may report in parts.
+    pub(super) async fn read_batch(&self, after: u64, wait: Duration) -> Result<Batch, Fault> {
+        let mut batch = self.read_changes(after, wait).await?;
+        let mut is_complete = batch.is_complete();
+        while !is_complete {
+            let next = self.read_changes(batch.until, RELAY_WATCH_WAIT).await?;
+            is_complete = next.is_complete();
+            batch.until = batch.until.max(next.until);
+            batch.changes.extend(next.changes);
+        }
+        Ok(batch)
+    }
+
+    /// Returns the changes after a revision.
+    pub(super) async fn read_changes(&self, after: u64, wait: Duration) -> Result<Batch, Fault> {
+        let prefix = ALL_KEYS_PREFIX.to_owned();
+        let reply = self.client.call(&Call::Watch { prefix, after, wait }).await;
+        metrics::record_store_call("watch", reply.is_ok());
+        match reply? {
+            Reply::Changes { changes, revision: until } => Ok(Batch { after, changes, until }),
+            _ => Err(Fault::Malformed("the response has no changes".to_owned())),
+        }
+    }
+
+    /// Reads all items. `may_be_stale` allows items of an earlier revision.
+    pub(super) async fn read_all(&self, may_be_stale: bool) -> Result<Snapshot, Fault> {
+        let mut items = Vec::new();
+        let mut revision = u64::MAX;
+        let prefixes: Vec<&str> =
+            self.state.codec.key_prefixes.iter().copied().chain([KEY_PREFIX]).collect();
+        let reads = prefixes.into_iter().map(|prefix| self.read_prefix(prefix, may_be_stale));
+        for (page, page_revision) in try_join_all(reads).await? {
+            items.extend(page);
+            revision = revision.min(page_revision);
+        }
+        Ok(Snapshot { items, revision })
+    }
+
+    /// Reads all pages of the items under a prefix. Returns the lowest revision of the pages, as
+    /// items may change between two pages.
+    pub(super) async fn read_prefix(
+        &self,
+        prefix: &str,
+        may_be_stale: bool,
+    ) -> Result<(Vec<Item>, u64), Fault> {
+        let mut all_items = Vec::new();
+        let mut after = None;
+        let mut min_revision = u64::MAX;
+        loop {
+            let call = Call::Range { prefix: prefix.to_owned(), after, may_be_stale };
+            let reply = self.client.call(&call).await;
+            metrics::record_store_call("range", reply.is_ok());
+            let Reply::Items { items, has_more, revision } = reply? else {
+                return Err(Fault::Malformed("the response has no items".to_owned()));
+            };
+            min_revision = min_revision.min(revision);
+            after = items.last().map(|item| item.key.clone());
+            all_items.extend(items);
+            if !has_more || after.is_none() {
+                return Ok((all_items, min_revision));
+            }
+        }
+    }
+}
