feed: a probe of the store reads nothing, and a question does not outlive its sender's patience

A probe is now a stale read of a prefix without keys; the changes are read by the next call, as before the probes. Questions of other hosts are dropped after 2 s, as all hosts that were asked meanwhile would answer after an outage with the same large changes.

--- a/crates/steer/src/feed.rs
+++ b/crates/steer/src/feed.rs
@@ -114,8 +114,7 @@
             self.schedule.record_question(asked_at);
         }
         match self.probe.take() {
-            // A missing history is for the next call to find.
-            Some(Ok(()) | Err(Fault::Compacted)) => self.schedule.record_recovery(),
+            Some(Ok(())) => self.schedule.record_recovery(),
             Some(Err(fault)) => self.record_call_failure(&fault),
             None => {}
         }
@@ -129,7 +128,7 @@
                 if self.schedule.is_failing() && self.progress == Progress::Complete =>
             {
                 self.schedule.record_probe(now, probe::MAX_TIME);
-                self.probe.start(&self.state, &self.client, &self.inbox, self.revision);
+                self.probe.start(&self.state, &self.client, &self.inbox);
             }
             Step::CallStore => self.call_store().await,
             Step::Ask(relay) => self.ask(&relay, now),
--- a/crates/steer/src/feed/probe.rs
+++ b/crates/steer/src/feed/probe.rs
@@ -1,11 +1,13 @@
 //! Calls of a store that does not serve this host, beside the questions to other hosts.
 //!
 //! A call may hang for a second, in which the host must go on learning from the others what the store holds.
+//! A probe reads nothing: after an outage the changes can be large, and hundreds of hosts that each read
+//! them to no use would keep the store's link from those that need them.
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use crate::{
-    constants::{RELAY_WATCH_WAIT, STORE_CALL_TIMEOUT},
+    constants::STORE_CALL_TIMEOUT,
     feed::relay::Inbox,
     metrics,
     state::State,
@@ -13,6 +15,9 @@
     tasks,
 };
 
+/// Prefix of no key.
+const NO_KEYS_PREFIX: &str = "marjorampick/probe/";
+
 /// Longest time that a probe takes.
 pub(super) const MAX_TIME: Duration = STORE_CALL_TIMEOUT.saturating_mul(2);
 
@@ -23,22 +28,15 @@
 }
 
 impl Probe {
-    /// Asks the store for the changes after `revision`, which are not used: they show that it serves this
-    /// host again. The inbox wakes the feed at the end.
-    pub(super) fn start(
-        &self,
-        state: &Rc<State>,
-        client: &Client,
-        inbox: &Rc<Inbox>,
-        revision: u64,
-    ) {
+    /// Finds out whether the store serves this host again. The inbox wakes the feed at the end.
+    pub(super) fn start(&self, state: &Rc<State>, client: &Client, inbox: &Rc<Inbox>) {
         let state = state.clone();
         let (client, inbox, result) = (client.clone(), inbox.clone(), self.result.clone());
         let probing = async move {
-            let prefix = super::ALL_KEYS_PREFIX.to_owned();
-            let call = Call::Watch { prefix, after: revision, wait: RELAY_WATCH_WAIT };
+            let prefix = NO_KEYS_PREFIX.to_owned();
+            let call = Call::Range { prefix, after: None, may_be_stale: true };
             let reply = client.call(&call).await;
-            metrics::record_store_call("watch", reply.is_ok());
+            metrics::record_store_call("probe", reply.is_ok());
             *result.borrow_mut() = Some(reply.map(drop));
             inbox.wake();
         };
--- a/crates/steer/src/feed/relay.rs
+++ b/crates/steer/src/feed/relay.rs
@@ -24,6 +24,10 @@
 /// Most questions that wait for the next call of the store; further ones are dropped.
 const MAX_QUESTIONS: usize = 1024;
 
+/// Time for which a question waits for the next call of the store. Its sender asks others meanwhile, and
+/// after an outage all of them would answer with the same changes.
+const MAX_QUESTION_AGE: Duration = Duration::from_secs(2);
+
 /// Most answers that wait until the feed applies them; further ones are dropped.
 const MAX_ANSWERS: usize = 16;
 
@@ -151,10 +155,18 @@
     }
 }
 
+/// Question of another host that waits for an answer.
+#[derive(Debug)]
+struct Waiting {
+    sender: SocketAddr,
+    question: Question,
+    since: Duration,
+}
+
 /// Messages of other hosts about changes of the store, until the feed takes them.
 #[derive(Debug, Default)]
 pub struct Inbox {
-    questions: RefCell<Vec<(SocketAddr, Question)>>,
+    questions: RefCell<Vec<Waiting>>,
     answers: RefCell<Vec<Received>>,
     /// When the last question arrived.
     asked_at: Cell<Option<Duration>>,
@@ -165,11 +177,12 @@
     /// Adds a question, which replaces an earlier one of the same host.
     pub(crate) fn add_question(&self, question: Question, sender: SocketAddr) {
         let mut questions = self.questions.borrow_mut();
-        questions.retain(|(other, _)| *other != sender);
+        let now = clock::now();
+        questions.retain(|other| other.sender != sender);
         if questions.len() < MAX_QUESTIONS {
-            questions.push((sender, question));
+            questions.push(Waiting { sender, question, since: now });
         }
-        self.asked_at.set(Some(clock::now()));
+        self.asked_at.set(Some(now));
         self.arrived.notify_one();
     }
 
@@ -197,11 +210,14 @@
         self.asked_at.take()
     }
 
-    /// Takes the questions of hosts that have most changes up to `revision`.
+    /// Takes the questions of hosts that have most changes up to `revision`, and still wait.
     pub(super) fn take_questions(&self, revision: u64) -> Vec<(SocketAddr, Question)> {
-        let mut questions = self.questions.take();
-        questions.retain(|(_, question)| question.revision.saturating_add(MAX_LAG) >= revision);
-        questions
+        let oldest = clock::now().saturating_sub(MAX_QUESTION_AGE);
+        let is_answerable = |waiting: &Waiting| {
+            waiting.since >= oldest && waiting.question.revision.saturating_add(MAX_LAG) >= revision
+        };
+        let waiting = self.questions.take().into_iter().filter(is_answerable);
+        waiting.map(|waiting| (waiting.sender, waiting.question)).collect()
     }
 
     /// Takes the answers.
