--- a/crates/core/src/steering/plan.rs
+++ b/crates/core/src/steering/plan.rs
@@ -82,6 +82,71 @@
     pub idle_timeout: Duration,
 }
 
+/// Kind of a configuration's entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Route.
+    Route,
+    /// Backend service.
+    Service,
+    /// Workspace.
+    Workspace,
+}
+
+impl Kind {
+    /// Name in the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Route => "route",
+            Self::Service => "service",
+            Self::Workspace => "workspace",
+        }
+    }
+}
+
+/// Requests that a route covers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Scope {
+    /// Value of the request's host header, in lower case.
+    pub host: Arc<str>,
+    /// Prefix of the request paths, with a slash at both ends.
+    pub prefix: Arc<str>,
+}
+
+/// Entry that this version of the program cannot use. It costs that entry alone: all others are in
+/// force. See docs/OPERATIONS.md.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Omission {
+    /// Kind of the entry.
+    pub kind: Kind,
+    /// Name of the entry.
+    pub name: Arc<str>,
+    /// Why the entry is not used.
+    pub reason: String,
+    /// Requests of an omitted route, which are refused; `None` if that part is not readable either.
+    pub scope: Option<Scope>,
+    /// Whether API keys of an omitted workspace may be unknown.
+    pub has_unknown_keys: bool,
+}
+
+/// What the configuration says about the requests to a host name and path.
+#[derive(Clone, Copy, Debug)]
+pub enum Match<'a> {
+    /// They have a route.
+    Route(&'a Arc<Route>),
+    /// They have a route that this version of the program cannot use.
+    Omitted,
+    /// They have no route.
+    Nothing,
+}
+
+/// Route, or `None` for one that is omitted.
+#[derive(Clone, Debug)]
+struct Slot {
+    prefix: Arc<str>,
+    route: Option<Arc<Route>>,
+}
+
 /// Complete configuration of one version.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -93,8 +158,10 @@
     pub workspaces: HashMap<Arc<str>, Workspace>,
     /// Limits on callers' requests and connections.
     pub limits: Limits,
+    /// Entries that this version of the program cannot use.
+    pub omissions: Vec<Omission>,
     /// Routes by host name, longest prefix first.
-    routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
+    routes: HashMap<Arc<str>, Vec<Slot>>,
     /// Workspace of each API key.
     keys: HashMap<Arc<str>, Arc<str>>,
 }
@@ -109,29 +176,77 @@
         keys: HashMap<Arc<str>, Arc<str>>,
         limits: Limits,
     ) -> Self {
-        let mut by_host: HashMap<Arc<str>, Vec<Arc<Route>>> = HashMap::new();
+        let mut by_host: HashMap<Arc<str>, Vec<Slot>> = HashMap::new();
         for route in routes {
-            by_host.entry(route.host.clone()).or_default().push(Arc::new(route));
+            let (host, prefix) = (route.host.clone(), route.prefix.clone());
+            by_host.entry(host).or_default().push(Slot { prefix, route: Some(Arc::new(route)) });
         }
-        for routes in by_host.values_mut() {
-            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        let omissions = Vec::new();
+        let mut plan =
+            Self { version, services, workspaces, limits, omissions, routes: by_host, keys };
+        plan.sort_routes();
+        plan
+    }
+
+    /// Adds the entries that this version of the program cannot use.
+    pub fn with_omissions(mut self, omissions: Vec<Omission>) -> Self {
+        for scope in omissions.iter().filter_map(|omission| omission.scope.as_ref()) {
+            let slot = Slot { prefix: scope.prefix.clone(), route: None };
+            self.routes.entry(scope.host.clone()).or_default().push(slot);
         }
-        Self { version, services, workspaces, limits, routes: by_host, keys }
+        self.omissions = omissions;
+        self.sort_routes();
+        self
     }
 
-    /// Returns the route of `host` with the longest prefix that `path` starts with.
+    /// Returns what applies to requests to `host` and `path`: the route with the longest prefix that
+    /// `path` starts with. A shorter one does not stand in for an omitted route, as it may lead to
+    /// another service.
+    pub fn find(&self, host: &str, path: &str) -> Match<'_> {
+        let slots = self.routes.get(host).map_or(&[][..], Vec::as_slice);
+        match slots.iter().find(|slot| path.starts_with(slot.prefix.as_ref())) {
+            Some(Slot { route: Some(route), .. }) => Match::Route(route),
+            Some(_) => Match::Omitted,
+            None => Match::Nothing,
+        }
+    }
+
+    /// Returns the route of `host` with the longest prefix that `path` starts with, unless it is omitted.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        let routes = self.routes.get(host)?;
-        routes.iter().find(|route| path.starts_with(route.prefix.as_ref()))
+        match self.find(host, path) {
+            Match::Route(route) => Some(route),
+            Match::Omitted | Match::Nothing => None,
+        }
     }
 
-    /// Returns the workspace that owns the API key.
+    /// Returns the workspace that owns the API key. It may be omitted, so that it is not in
+    /// [`Self::workspaces`].
     pub fn workspace_of(&self, key: &str) -> Option<&Arc<str>> {
         self.keys.get(key)
     }
 
-    /// Number of routes.
+    /// Whether routes that are not public require an API key.
+    pub fn requires_keys(&self) -> bool {
+        !self.workspaces.is_empty() || self.omits(|omission| omission.kind == Kind::Workspace)
+    }
+
+    /// Whether a key that is not known may belong to an omitted workspace.
+    pub fn has_unknown_keys(&self) -> bool {
+        self.omits(|omission| omission.has_unknown_keys)
+    }
+
+    /// Number of routes in force.
     pub fn route_count(&self) -> usize {
-        self.routes.values().map(Vec::len).sum()
+        self.routes.values().flatten().filter(|slot| slot.route.is_some()).count()
+    }
+
+    fn omits(&self, is_such: impl Fn(&Omission) -> bool) -> bool {
+        self.omissions.iter().any(is_such)
+    }
+
+    fn sort_routes(&mut self) {
+        for slots in self.routes.values_mut() {
+            slots.sort_by_key(|slot| std::cmp::Reverse(slot.prefix.len()));
+        }
     }
 }
--- a/crates/steer/src/callers/refusal.rs
+++ b/crates/steer/src/callers/refusal.rs
@@ -38,6 +38,8 @@
     Shift,
     /// The request crashes the instances that run it, or may do so.
     Quarantined,
+    /// This version of the program cannot use the route or workspace of the request.
+    Unsupported,
     /// All attempts ended without running the request, and no retry is allowed.
     Shed,
     /// The deadline passed, or was too close, before the request was sent.
@@ -66,6 +68,7 @@
             Self::Stranger => "stranger",
             Self::Shift => "shift",
             Self::Quarantined => "quarantined",
+            Self::Unsupported => "unsupported",
             Self::Shed => "shed",
             Self::LateUnsent => "late_unsent",
             Self::Lost => "lost",
@@ -94,6 +97,7 @@
             | Self::Stranger
             | Self::Shift
             | Self::Quarantined
+            | Self::Unsupported
             | Self::Shed
             | Self::LateUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Self::Lost => StatusCode::BAD_GATEWAY,
--- a/crates/steer/src/callers/routing.rs
+++ b/crates/steer/src/callers/routing.rs
@@ -7,7 +7,7 @@
 use marjorampick_core::{
     rendezvous,
     steering::{
-        plan::{Idempotency, Plan, Route, Workspace},
+        plan::{Idempotency, Match, Plan, Route, Workspace},
         quarantine::Fingerprint,
     },
 };
@@ -19,7 +19,7 @@
 };
 use crate::{
     codec::Headers,
-    constants::{DEFAULT_REQUEST_TIMEOUT, STARTUP_RETRY_AFTER},
+    constants::{DEFAULT_REQUEST_TIMEOUT, NO_INSTANCE_RETRY_AFTER, STARTUP_RETRY_AFTER},
     state::State,
 };
 
@@ -144,8 +144,11 @@
         return Err(Refusal::new(Reason::BadRequest));
     }
     let host = host_name(&parts.headers).ok_or_else(|| Refusal::new(Reason::BadRequest))?;
-    let route = plan.route(&host, parts.uri.path()).cloned();
-    let route = route.ok_or_else(|| Refusal::new(Reason::NoRoute))?;
+    let route = match plan.find(&host, parts.uri.path()) {
+        Match::Route(route) => route.clone(),
+        Match::Omitted => return Err(unsupported()),
+        Match::Nothing => return Err(Refusal::new(Reason::NoRoute)),
+    };
     let workspace_name = authorize(&plan, &route, &parts.headers, &names.api_key)?;
     let destination = state.next_destination(&route);
     let service = route.destinations[destination].service.clone();
@@ -199,15 +202,25 @@
     headers: &HeaderMap,
     key_header: &HeaderName,
 ) -> Result<Option<Arc<str>>, Refusal> {
-    if route.is_public || plan.workspaces.is_empty() {
+    if route.is_public || !plan.requires_keys() {
         return Ok(None);
     }
     let mut keys = headers.get_all(key_header).iter();
     let (Some(key), None) = (keys.next(), keys.next()) else {
         return Err(Refusal::new(Reason::UnknownKey));
     };
-    let workspace = key.to_str().ok().and_then(|key| plan.workspace_of(key.trim()));
-    workspace.cloned().map(Some).ok_or_else(|| Refusal::new(Reason::UnknownKey))
+    match key.to_str().ok().and_then(|key| plan.workspace_of(key.trim())) {
+        Some(workspace) if plan.workspaces.contains_key(workspace) => Ok(Some(workspace.clone())),
+        Some(_) => Err(unsupported()),
+        None if plan.has_unknown_keys() => Err(unsupported()),
+        None => Err(Refusal::new(Reason::UnknownKey)),
+    }
+}
+
+/// Refusal of a request whose route or workspace is omitted from the configuration in force. Hosts with
+/// a newer version of the program may know it.
+fn unsupported() -> Refusal {
+    Refusal::with_retry_after(Reason::Unsupported, NO_INSTANCE_RETRY_AFTER)
 }
 
 /// Value of the cookie that identifies the object.
--- a/crates/steer/src/events.rs
+++ b/crates/steer/src/events.rs
@@ -107,9 +107,22 @@
         routes: usize,
         /// Number of workspaces.
         workspaces: usize,
+        /// Number of entries that this version of the program cannot use.
+        omitted: usize,
         /// Revision of the change in the store.
         revision: u64,
     },
+    /// An entry of the configuration is not used, because this version of the program cannot read it.
+    Omitted {
+        /// Version of the configuration.
+        version: u64,
+        /// Kind of the entry: `route`, `service` or `workspace`.
+        kind: &'a str,
+        /// Name of the entry.
+        name: &'a str,
+        /// Why it is not used.
+        reason: &'a str,
+    },
     /// An item in the store was ignored because it is invalid.
     Ignored {
         /// Key of the item.
--- a/crates/steer/src/feed/entries.rs
+++ b/crates/steer/src/feed/entries.rs
@@ -9,13 +9,16 @@
     clock,
     codec::{Record, Subject},
     events::{Event, Rank},
-    limits, quarantine,
+    limits, metrics, quarantine,
     registration::{HOSTS_PREFIX, SEATS_PREFIX, SeatRecord},
     state::{Host, Registration},
     store::Item,
     tasks,
 };
 
+/// Most omitted entries of one configuration that are logged.
+const MAX_LOGGED_OMISSIONS: usize = 20;
+
 /// Kind of a store entry, with the name that its key contains.
 pub(super) enum Kind {
     Host(Arc<str>),
@@ -126,12 +129,28 @@
             version: plan.version,
             routes: plan.route_count(),
             workspaces: plan.workspaces.len(),
+            omitted: plan.omissions.len(),
             revision,
         };
         self.state.log.write(Rank::Notice, event);
+        self.report_omissions(&plan);
         *self.state.plan.borrow_mut() = Some(Rc::new(plan));
     }
 
+    /// Logs the entries of the configuration that are not used, and sets their number in the metrics.
+    fn report_omissions(&self, plan: &Plan) {
+        metrics::set_omitted_entries(plan.omissions.len());
+        for omission in plan.omissions.iter().take(MAX_LOGGED_OMISSIONS) {
+            let event = Event::Omitted {
+                version: plan.version,
+                kind: omission.kind.name(),
+                name: &omission.name,
+                reason: &omission.reason,
+            };
+            self.state.log.write(Rank::Notice, event);
+        }
+    }
+
     fn set_evacuated(&self, domain: &Arc<str>, active: bool, revision: u64) {
         if self.state.fleet.borrow_mut().set_evacuated(clock::now(), domain, active) {
             let event = Event::Evacuation { domain, active, revision };
--- a/crates/steer/src/metrics.rs
+++ b/crates/steer/src/metrics.rs
@@ -20,6 +20,7 @@
 const CARRIED_REQUESTS_TOTAL: &str = "marjorampick_carried_requests_total";
 const LOST_SERVICES: &str = "marjorampick_lost_services";
 const QUARANTINED_REQUESTS: &str = "marjorampick_quarantined_requests";
+const OMITTED_ENTRIES: &str = "marjorampick_omitted_configuration_entries";
 
 /// Upper bounds of the histogram buckets, in seconds.
 const BUCKET_BOUNDS_SECONDS: [f64; 10] = [0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0, 8.0];
@@ -63,6 +64,11 @@
         Unit::Count,
         "Requests that are refused as they crash instances."
     );
+    describe_gauge!(
+        OMITTED_ENTRIES,
+        Unit::Count,
+        "Entries of the configuration in force that this version of the program cannot use."
+    );
     Ok(handle)
 }
 
@@ -148,3 +154,8 @@
 pub(crate) fn record_lent_tokens(tokens: u32) {
     counter!(TOKENS_LENT_TOTAL).increment(tokens.into());
 }
+
+/// Sets the number of entries of the configuration that are not used.
+pub(crate) fn set_omitted_entries(count: usize) {
+    gauge!(OMITTED_ENTRIES).set(count as f64);
+}
