--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -12,7 +12,7 @@
 mod upstream;
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeSet, HashMap, HashSet},
     sync::Arc,
     time::Duration,
 };
@@ -63,6 +63,8 @@
     shift_limiter: shift::Limiter,
     /// Names of the hosts of this region, including this one.
     region_hosts: Vec<Arc<str>>,
+    /// Names of the routes with large answers.
+    large_answer_routes: HashSet<Arc<str>>,
     /// Whether the initial list of instances is complete. Instances that register later are treated
     /// as cold.
     is_synced: bool,
@@ -85,6 +87,7 @@
             departures: departure::Book::default(),
             shift_limiter: shift::Limiter::default(),
             region_hosts,
+            large_answer_routes: HashSet::new(),
             is_synced: false,
         }
     }
@@ -104,6 +107,11 @@
         &self.region_hosts
     }
 
+    /// Sets the names of the routes with large answers, which come from instances nearby if possible.
+    pub fn set_large_answer_routes(&mut self, routes: impl Iterator<Item = Arc<str>>) {
+        self.large_answer_routes = routes.collect();
+    }
+
     /// Sets how long a service's instances are cold after their start, and how many requests per
     /// second a cold instance tolerates from all hosts together.
     pub fn set_warmup(
--- a/crates/core/src/steering/fleet/choice.rs
+++ b/crates/core/src/steering/fleet/choice.rs
@@ -15,6 +15,9 @@
 /// Assumed response time until the first answer, in seconds.
 pub(super) const DEFAULT_RESPONSE_SECONDS: f64 = 0.5;
 
+/// Fewest instances of the own failure domain that are preferred for large answers.
+const MIN_NEARBY_INSTANCES: usize = 3;
+
 /// Properties of a request that decide which instance gets it.
 #[derive(Clone, Debug)]
 pub struct Criteria<'a> {
@@ -150,9 +153,33 @@
             !instance.is_available(now) || criteria.excluded.contains(&instance.endpoint.id)
         });
         let may_fall_back = is_unavailable || !stays_local;
-        self.cheapest(now, upstream, &preferred, criteria, key).or_else(|| {
-            may_fall_back.then(|| self.cheapest(now, upstream, &others, criteria, key)).flatten()
-        })
+        self.cheapest_nearby(now, upstream, &preferred, criteria, key)
+            .or_else(|| self.cheapest(now, upstream, &preferred, criteria, key))
+            .or_else(|| {
+                may_fall_back
+                    .then(|| self.cheapest(now, upstream, &others, criteria, key))
+                    .flatten()
+            })
+    }
+
+    /// The best instance of the own failure domain for a request with a large answer; `None` if none has
+    /// capacity, or there are too few to carry the load alone. Large answers that cross failure domains
+    /// take the links that all traffic shares.
+    fn cheapest_nearby(
+        &self,
+        now: Duration,
+        upstream: &Upstream,
+        candidates: &[&Instance],
+        criteria: &Criteria<'_>,
+        key: Option<rendezvous::Key>,
+    ) -> Option<Choice> {
+        if !self.large_answer_routes.contains(criteria.route) {
+            return None;
+        }
+        let is_near = |instance: &&Instance| instance.endpoint.domain == self.locality.domain;
+        let nearby: Vec<&Instance> = candidates.iter().copied().filter(is_near).collect();
+        let is_enough = nearby.len() >= MIN_NEARBY_INSTANCES;
+        is_enough.then(|| self.cheapest(now, upstream, &nearby, criteria, key)).flatten()
     }
 
     /// Whether the request may run at the instance, regardless of load, failures and earlier attempts.
--- a/crates/core/src/steering/plan.rs
+++ b/crates/core/src/steering/plan.rs
@@ -45,6 +45,8 @@
     pub is_public: bool,
     /// Whether an instance answers faster for objects that it handled recently.
     pub is_sticky: bool,
+    /// Whether answers are large, so that it matters which links they cross.
+    pub has_large_answers: bool,
     /// Regions in which requests may run; any region when empty.
     pub home_regions: Vec<Arc<str>>,
 }
@@ -235,6 +237,12 @@
         self.omits(|omission| omission.has_unknown_keys)
     }
 
+    /// Routes with large answers.
+    pub fn large_answer_routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        let routes = self.routes.values().flatten().filter_map(|slot| slot.route.as_ref());
+        routes.filter(|route| route.has_large_answers)
+    }
+
     /// Number of routes in force.
     pub fn route_count(&self) -> usize {
         self.routes.values().flatten().filter(|slot| slot.route.is_some()).count()
--- a/crates/steer/src/feed/entries.rs
+++ b/crates/steer/src/feed/entries.rs
@@ -134,6 +134,9 @@
         };
         self.state.log.write(Rank::Notice, event);
         self.report_omissions(&plan);
+        fleet.set_large_answer_routes(plan.large_answer_routes().map(|route| route.name.clone()));
+        let names = plan.large_answer_routes().map(|route| route.host.clone()).collect();
+        self.state.snapshot.large_answer_names.store(Arc::new(names));
         *self.state.plan.borrow_mut() = Some(Rc::new(plan));
     }
 
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod codec;
 mod constants;
 mod departures;
+pub mod directory;
 pub mod events;
 pub mod feed;
 pub mod lending;
--- a/crates/steer/src/listeners.rs
+++ b/crates/steer/src/listeners.rs
@@ -21,15 +21,10 @@
     state::{State as Exchange, StateData},
 };
 use http::{Response, StatusCode, Uri};
-use marjorampick_core::rendezvous;
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::TcpListener;
 
-use crate::{
-    codec::{Codec, Query},
-    constants::MAX_LOOKUP_ADDRESSES,
-    state::{Registration, Snapshot},
-};
+use crate::{codec::Codec, directory, state::Snapshot};
 
 /// Shared context of the handlers.
 #[derive(Clone)]
@@ -100,7 +95,9 @@
     let response = match query {
         Some(query) => {
             let hosts = inner.snapshot.hosts.load();
-            let addresses = lookup_addresses(&hosts, &query);
+            let names = inner.snapshot.large_answer_names.load();
+            let has_large_answers = names.contains(query.name.to_ascii_lowercase().as_str());
+            let addresses = directory::addresses(&hosts, &query, has_large_answers);
             let body = (inner.codec.encode_addresses)(&addresses, inner.lookup_lifetime);
             create_response(&exchange, StatusCode::OK, mime::APPLICATION_JSON, body)
         }
@@ -109,29 +106,6 @@
     (exchange, response)
 }
 
-/// Returns the addresses of the hosts in the caller's region, or of all hosts if there are none in
-/// it. Hosts that reach no instance are left out, unless all hosts are such. If there are too many for one response, rendezvous hashing chooses the same ones for all
-/// callers in a failure domain that ask for the same name.
-pub fn lookup_addresses(hosts: &[Registration], query: &Query) -> Vec<SocketAddr> {
-    let is_local = |host: &Registration| host.region.as_ref() == query.region;
-    let is_cut_off = |host: &Registration| host.reach.is_cut_off;
-    let addresses_where = |is_named: &dyn Fn(&Registration) -> bool| {
-        let named = hosts.iter().filter(|host| is_named(host)).map(|host| host.callers);
-        Some(named.collect::<Vec<SocketAddr>>()).filter(|addresses| !addresses.is_empty())
-    };
-    let mut addresses = addresses_where(&|host| is_local(host) && !is_cut_off(host))
-        .or_else(|| addresses_where(&|host| !is_cut_off(host)))
-        .or_else(|| addresses_where(&is_local))
-        .or_else(|| addresses_where(&|_| true))
-        .unwrap_or_default();
-    if addresses.len() > MAX_LOOKUP_ADDRESSES {
-        let key = format!("{}/{}", query.domain, query.name);
-        addresses.sort_by_key(|address| rendezvous::weight(&key, &address.to_string()));
-        addresses.truncate(MAX_LOOKUP_ADDRESSES);
-    }
-    addresses
-}
-
 fn handle_readiness(exchange: Exchange) -> (Exchange, Response<Body>) {
     let Context(inner) = exchange.borrow::<Context>();
     let is_ready = inner.snapshot.is_ready.load(Ordering::Acquire);
--- a/crates/steer/src/registration.rs
+++ b/crates/steer/src/registration.rs
@@ -141,6 +141,7 @@
         peers: state.settings.listeners.peers,
         region: host.region.clone(),
         failure_domain: host.failure_domain.clone(),
+        link_mbps: state.settings.link_mbps,
         reach: state.reach_report.borrow().clone(),
     };
     let value = serde_json::to_vec(&registration)
--- a/crates/steer/src/settings.rs
+++ b/crates/steer/src/settings.rs
@@ -11,6 +11,9 @@
 
 use crate::constants::MAX_LOOKUP_LIFETIME;
 
+/// Largest bandwidth of a link, in Mbit/s.
+const MAX_LINK_MBPS: f64 = 10_000_000.0;
+
 /// Identity and location of the host.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Host {
@@ -67,6 +70,8 @@
     pub retry_limit: retry::Limit,
     /// Maximum number of log lines about requests and failures per second.
     pub log_lines_per_second: u32,
+    /// Bandwidth of the machine's link in Mbit/s; `None` if it is not known.
+    pub link_mbps: Option<u32>,
 }
 
 /// Reads and validates a settings file. The error contains all faults of the file.
@@ -81,6 +86,7 @@
     let mut stop = table.table(findings, "stop");
     let mut lookup = table.table(findings, "lookup");
     let mut log = table.table(findings, "log");
+    let mut limits = table.table(findings, "limits");
     let settings = Settings {
         host: Host {
             name: host.string(findings, "name"),
@@ -112,8 +118,11 @@
             .integer(findings, "lines_per_second", 0..=100_000, Some(200))
             .try_into()
             .unwrap_or(u32::MAX),
+        link_mbps: limits
+            .has("link_mbps")
+            .then(|| limits.number(findings, "link_mbps", 0.0..=MAX_LINK_MBPS, None) as u32),
     };
-    for section in [host, listen, store, stop, lookup, log] {
+    for section in [host, listen, store, stop, lookup, log, limits] {
         section.finish(findings);
     }
     settings
--- a/crates/steer/src/state.rs
+++ b/crates/steer/src/state.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     net::{IpAddr, SocketAddr},
     rc::Rc,
     sync::{
@@ -52,6 +52,9 @@
     pub region: Arc<str>,
     /// Failure domain of the host.
     pub failure_domain: Arc<str>,
+    /// Bandwidth of its link in Mbit/s, if its settings tell it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub link_mbps: Option<u32>,
     /// Services that it does not reach.
     #[serde(default, flatten)]
     pub reach: reach::Report,
@@ -83,6 +86,8 @@
     pub is_ready: AtomicBool,
     /// Registered hosts.
     pub hosts: ArcSwap<Vec<Registration>>,
+    /// Host names of the routes with large answers.
+    pub large_answer_names: ArcSwap<HashSet<Arc<str>>>,
 }
 
 /// Entries of this host in the store that it has to write again, as they were removed or say something else.
@@ -248,7 +253,11 @@
             domain: settings.host.failure_domain.clone(),
             domain_regions: settings.failure_domains.clone(),
         };
-        let snapshot = Snapshot { is_ready: AtomicBool::new(false), hosts: ArcSwap::default() };
+        let snapshot = Snapshot {
+            is_ready: AtomicBool::new(false),
+            hosts: ArcSwap::default(),
+            large_answer_names: ArcSwap::default(),
+        };
         let state = Rc::new(Self {
             plan: RefCell::new(None),
             fleet: RefCell::new(Fleet::new(locality)),
