--- a/crates/core/src/steering/fleet/choice.rs
+++ b/crates/core/src/steering/fleet/choice.rs
@@ -162,8 +162,8 @@
             })
     }
 
-    /// The best instance of the own failure domain for a request with a large answer; `None` if none has
-    /// capacity, or there are too few to carry the load alone. Large answers that cross failure domains
+    /// The best instance of the own failure domain for a request with a large answer; `None` if it has no
+    /// free slot, or there are too few to carry the load alone. Large answers that cross failure domains
     /// take the links that all traffic shares.
     fn cheapest_nearby(
         &self,
@@ -178,8 +178,12 @@
         }
         let is_near = |instance: &&Instance| instance.endpoint.domain == self.locality.domain;
         let nearby: Vec<&Instance> = candidates.iter().copied().filter(is_near).collect();
-        let is_enough = nearby.len() >= MIN_NEARBY_INSTANCES;
-        is_enough.then(|| self.cheapest(now, upstream, &nearby, criteria, key)).flatten()
+        if nearby.len() < MIN_NEARBY_INSTANCES {
+            return None;
+        }
+        let choice = self.cheapest(now, upstream, &nearby, criteria, key)?;
+        let chosen = nearby.iter().find(|instance| instance.endpoint.id == choice.id)?;
+        (chosen.requests + 1.0 <= f64::from(chosen.endpoint.slots)).then_some(choice)
     }
 
     /// Whether the request may run at the instance, regardless of load, failures and earlier attempts.
--- a/crates/core/src/steering/tests.rs
+++ b/crates/core/src/steering/tests.rs
@@ -9,6 +9,7 @@
 mod lenders;
 mod limit;
 mod load;
+mod nearby;
 mod notice;
 mod outage;
 mod plan;
--- a/crates/core/src/steering/tests/plan.rs
+++ b/crates/core/src/steering/tests/plan.rs
@@ -20,6 +20,7 @@
         max_attempts: 2,
         is_public: true,
         is_sticky: false,
+        has_large_answers: false,
         home_regions: Vec::new(),
     }
 }
