steer: responses of more than 16 KiB are streamed to the caller

Cause: every response was buffered whole before its first byte went to the caller. On a slow link that delays the first byte by the whole transfer, and 200 slow readers of 500 kB use up the memory for answers. Change: once the head answers the request and the body has more than 16 KiB (by its length, or by what has come without one), the head goes to the caller and the body follows in pieces. A stream holds at most 64 KiB (16 KiB while more than half of the memory for answers is in use), reserved from the memory of all answers; the pieces count until they are written to the socket. After the head there is no retry. A body that breaks off makes the connection of the caller end without a last chunk or with fewer bytes than announced; the request is logged once, with the reason broken_off or caller_left. The deadline applies to the time in which the host waits for the instance; the time in which it waits for the caller is not learned as response time. Callers before HTTP/1.1 get bodies without a length buffered as before, as they could not tell a truncated one. Server errors and rejections stay buffered.

--- a/crates/steer/src/backend/answer.rs
+++ b/crates/steer/src/backend/answer.rs
@@ -8,8 +8,8 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 
 use crate::constants::{
-    MAX_ANSWER_BYTES, MAX_ANSWER_HEAD_BYTES, MAX_ANSWER_HEADERS, MAX_CHUNK_LINE_BYTES,
-    MAX_INTERIM_ANSWERS,
+    MAX_ANSWER_BYTES, MAX_ANSWER_HEAD_BYTES, MAX_ANSWER_HEADERS, MAX_BUFFERED_ANSWER_BYTES,
+    MAX_CHUNK_LINE_BYTES, MAX_INTERIM_ANSWERS,
 };
 
 /// Head of an answer.
@@ -54,7 +54,10 @@
 pub struct Parser {
     /// Head of the answer whose body is being parsed.
     head: Option<(Head, Framing)>,
+    /// Part of the body that has been received and not been taken.
     body: BytesMut,
+    /// Bytes of the body that were taken before its end.
+    taken_bytes: usize,
     chunk_position: Position,
     interim_answers: usize,
     trailer_bytes: usize,
@@ -107,7 +110,7 @@
                 false
             }
         };
-        if self.body.len() > MAX_ANSWER_BYTES {
+        if self.taken_bytes + self.body.len() > MAX_ANSWER_BYTES {
             return Err(Malformed("the body exceeds the size limit"));
         }
         Ok(if is_complete { self.take_answer(false) } else { None })
@@ -127,6 +130,25 @@
         self.head.as_ref().map(|(head, _)| head)
     }
 
+    /// Whether the current answer is too large to be buffered: by its length, or because more than
+    /// that has come without one.
+    pub fn is_large(&self) -> bool {
+        let known_bytes = match self.head {
+            Some((_, Framing::Length(length))) => length,
+            Some(_) => self.body.len(),
+            None => 0,
+        };
+        known_bytes > MAX_BUFFERED_ANSWER_BYTES
+    }
+
+    /// Takes what has been received of the current body, up to a size. The answer that [`Self::next`]
+    /// returns later has only the rest.
+    pub fn take_body(&mut self, max_bytes: usize) -> Bytes {
+        let taken = self.body.split_to(max_bytes.min(self.body.len()));
+        self.taken_bytes += taken.len();
+        taken.freeze()
+    }
+
     /// Number of body bytes that the parser holds.
     pub fn held_bytes(&self) -> usize {
         self.body.len()
@@ -140,14 +162,14 @@
 
     /// Moves body bytes from `buffer`. Returns whether the body is complete.
     fn read_sized_body(&mut self, buffer: &mut BytesMut, length: usize) -> bool {
-        let missing = length - self.body.len();
+        let missing = length - self.taken_bytes - self.body.len();
         let data = buffer.split_to(missing.min(buffer.len()));
         if self.body.is_empty() {
             self.body = data;
         } else {
             self.body.extend_from_slice(&data);
         }
-        self.body.len() == length
+        self.taken_bytes + self.body.len() == length
     }
 
     /// Moves decoded chunks from `buffer`. Returns whether the body is complete.
--- a/crates/steer/src/backend/connection.rs
+++ b/crates/steer/src/backend/connection.rs
@@ -7,7 +7,7 @@
     time::Duration,
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::{Buf as _, BufMut as _, Bytes, BytesMut, buf::Chain};
 use http::{HeaderName, Method, header};
 use socket2::SockRef;
 use tokio::{
@@ -24,11 +24,11 @@
     memory::{Exhausted, Memory, Reservation},
 };
 use crate::constants::{
-    CONNECT_TIMEOUT, KEEP_ALIVE_MARGIN, MAX_FAILED_IDS, MAX_SKIPPED_ANSWERS, TCP_USER_TIMEOUT,
+    CONNECT_TIMEOUT, KEEP_ALIVE_MARGIN, MAX_FAILED_IDS, MAX_SKIPPED_ANSWERS, STREAM_PIECE_BYTES,
+    TCP_USER_TIMEOUT,
 };
 
-/// Free space in the buffer before each read, in bytes. Requests with a body up to this size are
-/// sent with a single write.
+/// Free space in the buffer before each read, in bytes.
 const READ_BUFFER_BYTES: usize = 4096;
 
 /// Request in the form in which it is sent.
@@ -103,8 +103,41 @@
     failed_ids: Vec<Bytes>,
 }
 
-/// Receives each head as soon as it is whole, with whether it answers the current request.
-pub type OnHead<'a> = &'a mut dyn FnMut(&Head, bool);
+/// Receives each head as soon as it is whole, with whether it answers the current request. Returns
+/// whether the answer may be streamed.
+pub type OnHead<'a> = &'a mut dyn FnMut(&Head, bool) -> bool;
+
+/// Answer to a request.
+#[derive(Debug)]
+pub enum Reply {
+    /// The complete answer, and whether the connection can be reused.
+    Whole(Answer, bool),
+    /// An answer whose body follows. [`Connection::next_part`] returns it.
+    Large(Box<Large>),
+}
+
+/// Large answer that is being received.
+#[derive(Debug)]
+pub struct Large {
+    /// Status and headers.
+    pub head: Head,
+    parser: Parser,
+    method: Method,
+    id: Bytes,
+    unsent: Unsent,
+}
+
+/// Part of the body of a large answer.
+#[derive(Debug)]
+pub enum Part {
+    /// Bytes that others follow.
+    Piece(Bytes),
+    /// The last bytes, of which there may be none, and whether the connection can be reused.
+    Last(Bytes, bool),
+}
+
+/// Head and body of a request, as far as they have not been sent.
+type Unsent = Chain<Bytes, Bytes>;
 
 impl Connection {
     /// Opens a connection to the instance at `address`.
@@ -151,74 +184,145 @@
         has_no_data && self.buffer.is_empty()
     }
 
-    /// Sends a request and reads its answer. Skips answers to other requests.
-    ///
-    /// Also returns whether the connection can be reused.
+    /// Sends a request and reads its answer, of a large one only the head if `on_head` allows it. Skips
+    /// answers to other requests.
     pub async fn exchange(
         &mut self,
         request: &Request,
         memory: &Memory,
         on_head: OnHead<'_>,
-    ) -> Result<(Answer, bool), Fault> {
+    ) -> Result<Reply, Fault> {
         self.may_have_sent = false;
-        let (answer, is_written) = self.send_and_receive(request, memory, on_head).await?;
+        let mut unsent = request.head.clone().chain(request.body.clone());
+        let received = self.send_and_receive(request, &mut unsent, memory, on_head).await?;
         self.is_used = true;
+        Ok(match received {
+            Received::Whole(answer) => {
+                let is_reusable = self.finish(&request.id, &answer, &unsent);
+                Reply::Whole(answer, is_reusable)
+            }
+            Received::Large(head, parser) => {
+                let (method, id) = (request.method.clone(), request.id.clone());
+                Reply::Large(Box::new(Large { head, parser, method, id, unsent }))
+            }
+        })
+    }
+
+    /// Reads the next part of a large answer. Can be called again if it is cancelled.
+    pub async fn next_part(&mut self, large: &mut Large) -> Result<Part, Fault> {
+        loop {
+            let piece = large.parser.take_body(STREAM_PIECE_BYTES);
+            if !piece.is_empty() {
+                return Ok(Part::Piece(piece));
+            }
+            let is_closed = self.read_part(&mut large.unsent).await? == 0;
+            let mut answer = large.parser.next(&mut self.buffer, &large.method)?;
+            if answer.is_none() && is_closed {
+                answer = Some(large.parser.end_of_stream().ok_or(Fault::Closed)?);
+            }
+            if let Some(answer) = answer {
+                let is_reusable = self.finish(&large.id, &answer, &large.unsent);
+                return Ok(Part::Last(answer.body, is_reusable));
+            }
+        }
+    }
+
+    /// Reads what has come of an answer while the rest of the request is sent. Returns the number of
+    /// bytes, which is 0 at the end of the connection.
+    async fn read_part(&mut self, unsent: &mut Unsent) -> io::Result<usize> {
+        let Self { stream, buffer, may_have_sent, .. } = self;
+        let (mut read_half, mut write_half) = stream.split();
+        buffer.reserve(STREAM_PIECE_BYTES);
+        let mut free = buffer.limit(STREAM_PIECE_BYTES);
+        loop {
+            tokio::select! {
+                biased;
+                read = read_half.read_buf(&mut free) => return read,
+                () = send(&mut write_half, unsent, may_have_sent), if unsent.has_remaining() => {}
+            }
+        }
+    }
+
+    /// Records the end of an exchange. Returns whether the connection can be reused.
+    fn finish(&mut self, id: &Bytes, answer: &Answer, unsent: &Unsent) -> bool {
         if !answer.head.status.is_success() {
-            self.failed_ids.push(request.id.clone());
+            self.failed_ids.push(id.clone());
         }
         let is_persistent = answer.head.is_persistent
             && !answer.is_ended_by_close
             && !marjorampick_link::wire::headers::says_close(&answer.head.headers);
         let has_room = self.failed_ids.len() < MAX_FAILED_IDS;
-        Ok((answer, is_persistent && is_written && has_room && self.buffer.is_empty()))
+        is_persistent && !unsent.has_remaining() && has_room && self.buffer.is_empty()
     }
 
     /// Sends and reads concurrently, as the answer may arrive before the whole body has been sent.
-    /// Also returns whether sending has ended.
     async fn send_and_receive(
         &mut self,
         request: &Request,
+        unsent: &mut Unsent,
         memory: &Memory,
         on_head: OnHead<'_>,
-    ) -> Result<(Answer, bool), Fault> {
+    ) -> Result<Received, Fault> {
         let Self { stream, buffer, may_have_sent, is_used, .. } = self;
         let (mut read_half, mut write_half) = stream.split();
-        let sending = send(&mut write_half, request, may_have_sent);
+        let mut is_written = false;
+        let sending = send(&mut write_half, unsent, may_have_sent);
         let reservation = memory.reserve();
         let source = Source { is_used: *is_used, on_head };
         let receiving = receive(&mut read_half, buffer, reservation, request, source);
         tokio::pin!(sending, receiving);
-        let mut is_written = false;
         loop {
             tokio::select! {
                 biased;
-                answer = &mut receiving => return Ok((answer?, is_written)),
-                // After a failed write the answer may still arrive, so reading continues.
-                written = &mut sending, if !is_written => {
-                    is_written = true;
-                    if let Err(error) = written {
-                        log::debug!("backend: write failed: {error}");
-                    }
-                }
+                received = &mut receiving => return received,
+                () = &mut sending, if !is_written => is_written = true,
             }
         }
     }
 }
 
-async fn send(
+/// Sends the rest of a request. After a failed write the answer may still arrive, so that the rest is
+/// dropped and reading continues.
+async fn send(write_half: &mut WriteHalf<'_>, unsent: &mut Unsent, may_have_sent: &mut bool) {
+    if let Err(error) = try_send(write_half, unsent, may_have_sent).await {
+        log::debug!("backend: write failed: {error}");
+        unsent.advance(unsent.remaining());
+    }
+}
+
+async fn try_send(
     write_half: &mut WriteHalf<'_>,
-    request: &Request,
+    unsent: &mut Unsent,
     may_have_sent: &mut bool,
 ) -> io::Result<()> {
     write_half.writable().await?;
     // From here on, bytes of the request may have been sent.
     *may_have_sent = true;
-    if request.body.len() <= READ_BUFFER_BYTES {
-        let joined = [request.head.as_ref(), request.body.as_ref()].concat();
-        return write_half.write_all(&joined).await;
+    while unsent.has_remaining() {
+        if write_half.write_buf(unsent).await? == 0 {
+            return Err(io::ErrorKind::WriteZero.into());
+        }
     }
-    write_half.write_all(&request.head).await?;
-    write_half.write_all(&request.body).await
+    Ok(())
+}
+
+/// What has been received of the answer to a request.
+enum Received {
+    Whole(Answer),
+    /// An answer whose body is large. The parser has the part that has come.
+    Large(Head, Parser),
+}
+
+/// What an answer that is being received is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    /// The answer to the request.
+    Own {
+        /// Whether it may be streamed.
+        may_stream: bool,
+    },
+    /// An answer to another request.
+    Other,
 }
 
 /// Connection from which an answer is received.
@@ -229,12 +333,12 @@
 }
 
 impl Source<'_> {
-    /// Handles a head that is whole. Returns whether it answers the request.
-    fn record_head(&mut self, head: &Head, request: &Request) -> Result<bool, Fault> {
+    /// Handles a head that is whole.
+    fn record_head(&mut self, head: &Head, request: &Request) -> Result<Kind, Fault> {
         let is_own = is_answer_to(head, request, self.is_used);
-        (self.on_head)(head, matches!(is_own, Ok(true)));
+        let may_stream = (self.on_head)(head, matches!(is_own, Ok(true)));
         self.is_used |= !matches!(is_own, Ok(true));
-        is_own
+        Ok(if is_own? { Kind::Own { may_stream } } else { Kind::Other })
     }
 }
 
@@ -245,19 +349,19 @@
     mut reservation: Reservation<'_>,
     request: &Request,
     mut source: Source<'_>,
-) -> Result<Answer, Fault> {
+) -> Result<Received, Fault> {
     let mut parser = Parser::default();
     let mut skipped = 0;
-    // Whether the answer that is being received is that to the request; `None` before its head.
-    let mut is_own = None;
+    // Kind of the answer that is being received; `None` before its head.
+    let mut kind = None;
     loop {
         while let Some(answer) = parser.next(buffer, &request.method)? {
-            let is_own_answer = match is_own.take() {
-                Some(is_own) => is_own,
+            let kind_of_answer = match kind.take() {
+                Some(kind) => kind,
                 None => source.record_head(&answer.head, request)?,
             };
-            if is_own_answer {
-                return Ok(answer);
+            if kind_of_answer != Kind::Other {
+                return Ok(Received::Whole(answer));
             }
             log::debug!("backend: skipped an answer to another request");
             skipped += 1;
@@ -265,14 +369,24 @@
                 return Err(Fault::Malformed("too many answers to other requests"));
             }
         }
-        if let (None, Some(head)) = (is_own, parser.head()) {
-            is_own = Some(source.record_head(head, request)?);
+        if let Some(head) = parser.head() {
+            let kind = match kind {
+                Some(kind) => kind,
+                None => *kind.insert(source.record_head(head, request)?),
+            };
+            if kind == (Kind::Own { may_stream: true }) && parser.is_large() {
+                return Ok(Received::Large(head.clone(), parser));
+            }
+            if kind == Kind::Other {
+                drop(parser.take_body(usize::MAX));
+            }
         }
         reservation.resize(buffer.len() + parser.held_bytes())?;
         buffer.reserve(READ_BUFFER_BYTES);
         if read_half.read_buf(buffer).await? == 0 {
             let answer = parser.end_of_stream().ok_or(Fault::Closed)?;
-            return if is_own == Some(true) { Ok(answer) } else { Err(Fault::Closed) };
+            let is_own = matches!(kind, Some(Kind::Own { .. }));
+            return if is_own { Ok(Received::Whole(answer)) } else { Err(Fault::Closed) };
         }
     }
 }
@@ -292,8 +406,8 @@
 
 /// Time for which the instance keeps the idle connection open according to the `Keep-Alive` header,
 /// minus a margin; `None` without that information.
-pub fn keep_alive_time(answer: &Answer) -> Option<Duration> {
-    let value = answer.head.headers.get(header::HeaderName::from_static("keep-alive"))?;
+pub fn keep_alive_time(head: &Head) -> Option<Duration> {
+    let value = head.headers.get(header::HeaderName::from_static("keep-alive"))?;
     let parameters = value.to_str().ok()?.split(',');
     let seconds =
         parameters.filter_map(|parameter| parameter.trim().strip_prefix("timeout=")).next()?;
--- a/crates/steer/src/callers.rs
+++ b/crates/steer/src/callers.rs
@@ -2,6 +2,7 @@
 
 pub mod accept;
 mod attempt;
+mod body;
 mod carry;
 mod crash;
 mod encode;
@@ -10,3 +11,4 @@
 mod refusal;
 pub(crate) mod routing;
 mod statement;
+mod stream;
--- a/crates/steer/src/callers/attempt.rs
+++ b/crates/steer/src/callers/attempt.rs
@@ -3,22 +3,25 @@
 use std::{io::ErrorKind, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderValue, StatusCode, header};
+use http::{StatusCode, header};
 use marjorampick_core::steering::{
     fleet::Choice, instance::Outcome, load::Report, plan::Idempotency, retry,
 };
 use tokio::time::timeout;
 
 use super::{
+    body::Sink,
     crash,
     encode::encode,
+    forward,
     routing::{Call, milliseconds},
     statement,
+    stream::{self, End},
 };
 use crate::{
     backend::{
         answer::{Answer, Head},
-        connection::{Connection, Fault, Request, keep_alive_time},
+        connection::{Connection, Fault, Large, Reply, Request, keep_alive_time},
         pool::Key,
     },
     clock,
@@ -110,15 +113,16 @@
     }
 }
 
-/// Sends a request to the chosen instance and waits for its answer. `limit` includes the time for
-/// opening a connection.
+/// Sends a request to the chosen instance and waits for its answer, of which a large one goes to `sink`.
+/// `limit` includes the time for opening a connection.
 pub(crate) async fn run(
     state: &Rc<State>,
     call: &Call,
     body: &Bytes,
     choice: &Choice,
     limit: Duration,
-) -> Result<Answer, Failure> {
+    sink: &Sink,
+) -> Result<forward::Reply, Failure> {
     let key: Key = (choice.id.clone(), choice.incarnation);
     let is_at_most_once = call.route.idempotency == Idempotency::AtMostOnce;
     let started_at = clock::now();
@@ -160,28 +164,32 @@
     let mut is_leaving = false;
     let mut on_head = |head: &Head, is_own| {
         is_leaving |= statement::record(state, call, choice, started_at, head, is_own);
+        is_own && is_usable(state, head) && sink.allows(head)
     };
     let exchange = connection.exchange(&request, &state.answer_memory, &mut on_head);
     let result = timeout(remaining, exchange).await;
     let elapsed = clock::now().saturating_sub(started_at);
     match result {
-        Ok(Ok((answer, is_reusable))) => {
+        Ok(Ok(Reply::Whole(answer, is_reusable))) => {
             state.silence.record_contact(clock::now());
             if answer.head.headers.contains_key(&state.codec.headers.response_stamp) {
                 quarantine::record_answer(state, call, body, choice, sent_at);
             }
             if is_reusable && !is_leaving {
-                let keep_alive = keep_alive_time(&answer);
+                let keep_alive = keep_alive_time(&answer.head);
                 state.pool.borrow_mut().put(clock::now(), key, connection, keep_alive);
             }
-            classify(state, call, choice, guard, answer, elapsed)
+            let answer = classify(state, call, choice, guard, answer, elapsed)?;
+            Ok(forward::Reply::Whole(answer))
+        }
+        Ok(Ok(Reply::Large(large))) => {
+            state.silence.record_contact(clock::now());
+            let times = Times { started_at, sent_at, deadline: started_at + limit };
+            let attempt = Attempt { state, call, body, choice, times, is_leaving };
+            attempt.stream(guard, connection, *large, sink).await
         }
         Ok(Err(fault)) => {
-            if let Fault::Transport(error) = &fault
-                && error.kind() == ErrorKind::TimedOut
-            {
-                reach::record(state, &call.service, &choice.id, Some(error));
-            }
+            record_unreached(state, call, choice, &fault);
             // The instance may have closed a pooled connection because it was idle, which is not a
             // failure.
             let is_idle_close = is_pooled && matches!(fault, Fault::Transport(_) | Fault::Closed);
@@ -210,6 +218,123 @@
     }
 }
 
+/// Records a connection on which the instance acknowledged nothing.
+fn record_unreached(state: &Rc<State>, call: &Call, choice: &Choice, fault: &Fault) {
+    if let Fault::Transport(error) = fault
+        && error.kind() == ErrorKind::TimedOut
+    {
+        reach::record(state, &call.service, &choice.id, Some(error));
+    }
+}
+
+/// Times of an attempt.
+#[derive(Clone, Copy)]
+struct Times {
+    started_at: Duration,
+    /// When the request was sent, after the connection had been opened.
+    sent_at: Duration,
+    deadline: Duration,
+}
+
+/// Attempt whose answer is passed on while it is being received.
+struct Attempt<'a> {
+    state: &'a Rc<State>,
+    call: &'a Call,
+    body: &'a Bytes,
+    choice: &'a Choice,
+    times: Times,
+    /// Whether the instance said that it leaves.
+    is_leaving: bool,
+}
+
+impl Attempt<'_> {
+    /// Passes a large answer on. An error means that nothing was sent to the caller.
+    async fn stream(
+        &self,
+        guard: Guard<'_>,
+        mut connection: Connection,
+        mut large: Large,
+        sink: &Sink,
+    ) -> Result<forward::Reply, Failure> {
+        let Self { state, call, choice, times, .. } = self;
+        let waits_from = clock::now();
+        let left = times.deadline.saturating_sub(waits_from);
+        let Ok(Ok(window)) = timeout(left, state.answer_memory.reserve_window()).await else {
+            guard.end(Outcome::Cancelled, None);
+            let failure = Failure::may_have_run(Fault::OutOfMemory.reason());
+            let failure = Failure { has_timed_out: true, ..failure };
+            return Err(record_failure(state, call, choice, failure));
+        };
+        let memory_wait = clock::now().saturating_sub(waits_from);
+        let writer = sink.start(&large.head, window);
+        let streamed = stream::run(&mut connection, &mut large, writer, times.deadline).await;
+        let elapsed = clock::now().saturating_sub(times.started_at);
+        let elapsed = elapsed.saturating_sub(streamed.held + memory_wait);
+        self.record_streamed(guard, connection, &large.head, &streamed.end, elapsed);
+        let (status, reason) = (large.head.status, streamed.end.reason());
+        Ok(forward::Reply::Streamed { status, reason })
+    }
+
+    /// Records the end of a streamed answer, which took the instance `elapsed`.
+    fn record_streamed(
+        &self,
+        guard: Guard<'_>,
+        connection: Connection,
+        head: &Head,
+        end: &End,
+        elapsed: Duration,
+    ) {
+        let Self { state, call, body, choice, times, is_leaving } = self;
+        let key: Key = (choice.id.clone(), choice.incarnation);
+        let report = load_report(state, head);
+        let failure = match end {
+            End::Complete { is_reusable } => {
+                quarantine::record_answer(state, call, body, choice, times.sent_at);
+                if *is_reusable && !is_leaving {
+                    let keep_alive = keep_alive_time(head);
+                    state.pool.borrow_mut().put(clock::now(), key, connection, keep_alive);
+                }
+                guard.end(Outcome::Answered(elapsed), report);
+                metrics::record_attempt(&call.service, "answered");
+                return;
+            }
+            // The guard records it as cancelled.
+            End::CallerLeft => return,
+            End::Failed(fault) => {
+                record_unreached(state, call, choice, fault);
+                guard.end(Outcome::TransportError, report);
+                if matches!(fault, Fault::Transport(_) | Fault::Closed) {
+                    crash::investigate(state, call, body, choice, times.started_at);
+                }
+                Failure::may_have_run(format!("broke off: {}", fault.reason()))
+            }
+            End::TimedOut => {
+                guard.end(Outcome::TimedOut, report);
+                state.pool.borrow_mut().remove(&key);
+                Failure::may_have_run("broke off: the deadline passed".to_owned())
+            }
+        };
+        record_failure(state, call, choice, failure);
+    }
+}
+
+/// Whether the caller gets an answer with this head: the instance ran the request, and a retry would not
+/// help.
+fn is_usable(state: &State, head: &Head) -> bool {
+    let names = &state.codec.headers;
+    head.status != StatusCode::MISDIRECTED_REQUEST
+        && !head.status.is_server_error()
+        && !head.headers.contains_key(&names.not_run)
+        && head.headers.contains_key(&names.response_stamp)
+        && !head.headers.contains_key(header::CONTENT_ENCODING)
+}
+
+/// Load that the instance reports in a head.
+fn load_report(state: &State, head: &Head) -> Option<Report> {
+    let value = head.headers.get(&state.codec.headers.load)?;
+    value.to_str().ok().and_then(state.codec.parse_load)
+}
+
 /// Decides whether the caller gets the answer, and records the outcome in the instance's state.
 fn classify(
     state: &Rc<State>,
@@ -221,8 +346,7 @@
 ) -> Result<Answer, Failure> {
     let names = &state.codec.headers;
     let headers = &answer.head.headers;
-    let text = |name| headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
-    let report = text(&names.load).and_then(state.codec.parse_load);
+    let report = load_report(state, &answer.head);
     let status = answer.head.status;
     let failure = if status == StatusCode::MISDIRECTED_REQUEST {
         guard.end(Outcome::Cancelled, None);
--- a/crates/steer/src/callers/carry.rs
+++ b/crates/steer/src/callers/carry.rs
@@ -13,14 +13,17 @@
 use tokio::time::timeout;
 
 use super::{
+    body::Sink,
     encode::encode,
+    forward,
     refusal::{Reason, Refusal},
     routing::{Call, milliseconds},
+    stream::{self, End},
 };
 use crate::{
     backend::{
         answer::{Answer, Head},
-        connection::{Connection, Request},
+        connection::{Connection, Large, Reply, Request},
     },
     clock,
     constants::{
@@ -41,7 +44,7 @@
     /// A helper returned the answer of an instance, or one of its own that is final.
     Answered {
         /// The answer, without the headers between hosts.
-        answer: Box<Answer>,
+        reply: Box<forward::Reply>,
         /// Name of the helper.
         helper: Arc<str>,
     },
@@ -102,8 +105,15 @@
     }
 }
 
-/// Passes a request on. `attempts` is the number of instances that it may have reached already.
-pub(super) async fn run(state: &Rc<State>, call: &Call, body: &Bytes, attempts: u32) -> Carried {
+/// Passes a request on. `attempts` is the number of instances that it may have reached already. A large
+/// answer goes to `sink`.
+pub(super) async fn run(
+    state: &Rc<State>,
+    call: &Call,
+    body: &Bytes,
+    attempts: u32,
+    sink: &Sink,
+) -> Carried {
     let mut refusal = None;
     let mut asked: Vec<Arc<str>> = Vec::new();
     while asked.len() < MAX_HELPERS_ASKED {
@@ -138,10 +148,15 @@
         };
         let request = encode_request(state, call, body, attempts);
         let limit = call.deadline.saturating_sub(clock::now()) + HELPER_ANSWER_MARGIN;
-        let mut ignore_head = |_: &Head, _| {};
-        let exchange = connection.exchange(&request, &state.answer_memory, &mut ignore_head);
+        let mut on_head = |head: &Head, is_own| {
+            is_own && !head.headers.contains_key(REASON_HEADER) && sink.allows(head)
+        };
+        let exchange = connection.exchange(&request, &state.answer_memory, &mut on_head);
         match timeout(limit, exchange).await {
-            Ok(Ok((answer, is_reusable))) => {
+            Ok(Ok(Reply::Large(large))) => {
+                return stream(state, call, guard, connection, *large, sink).await;
+            }
+            Ok(Ok(Reply::Whole(answer, is_reusable))) => {
                 if is_reusable {
                     state.helper_pool.borrow_mut().put(clock::now(), key, connection, None);
                 }
@@ -155,8 +170,8 @@
                     }
                     None => {
                         guard.end(Outcome::Answered);
-                        let answer = Box::new(without_reason(answer));
-                        return Carried::Answered { answer, helper };
+                        let reply = Box::new(forward::Reply::Whole(without_reason(answer)));
+                        return Carried::Answered { reply, helper };
                     }
                 }
             }
@@ -175,6 +190,44 @@
     Carried::NotRun { refusal }
 }
 
+/// Passes a large answer of a helper on.
+async fn stream(
+    state: &Rc<State>,
+    call: &Call,
+    guard: Guard<'_>,
+    mut connection: Connection,
+    mut large: Large,
+    sink: &Sink,
+) -> Carried {
+    let helper = guard.helper.name.clone();
+    let key = (helper.clone(), 0);
+    let deadline = call.deadline + HELPER_ANSWER_MARGIN;
+    let left = deadline.saturating_sub(clock::now());
+    let Ok(Ok(window)) = timeout(left, state.answer_memory.reserve_window()).await else {
+        return Carried::Lost { has_timed_out: true, helper };
+    };
+    let writer = sink.start(&large.head, window);
+    let streamed = stream::run(&mut connection, &mut large, writer, deadline).await;
+    match streamed.end {
+        End::Complete { is_reusable } => {
+            if is_reusable {
+                state.helper_pool.borrow_mut().put(clock::now(), key, connection, None);
+            }
+            guard.end(Outcome::Answered);
+        }
+        // The guard records it as cancelled.
+        End::CallerLeft => {}
+        // The helper reached the instance, which may have been the one that failed.
+        End::Failed(_) => guard.end(Outcome::Answered),
+        End::TimedOut => {
+            guard.end(Outcome::Failed);
+            state.helper_pool.borrow_mut().remove(&key);
+        }
+    }
+    let (status, reason) = (large.head.status, streamed.end.reason());
+    Carried::Answered { reply: Box::new(forward::Reply::Streamed { status, reason }), helper }
+}
+
 /// Chooses a host that may help.
 fn choose(state: &State, call: &Call, asked: &[Arc<str>]) -> Option<Helper> {
     let hosts = state.hosts.borrow();
--- a/crates/steer/src/callers/forward.rs
+++ b/crates/steer/src/callers/forward.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
+use http::StatusCode;
 use marjorampick_core::{
     rendezvous::Key,
     steering::fleet::{Choice, Criteria, Rejection},
@@ -10,6 +11,7 @@
 
 use super::{
     attempt::{self, Failure},
+    body::Sink,
     carry::{self, Carried},
     refusal::{Reason, Refusal},
     routing::Call,
@@ -24,10 +26,23 @@
     state::State,
 };
 
+/// What became of an answer that the caller gets.
+pub(crate) enum Reply {
+    /// It is complete.
+    Whole(Answer),
+    /// It was passed on while it came, and has ended.
+    Streamed {
+        /// Status of the answer.
+        status: StatusCode,
+        /// How it ended, for the log.
+        reason: &'static str,
+    },
+}
+
 /// Final outcome of a request.
 pub(crate) struct Outcome {
     /// Answer of an instance, or refusal of this host.
-    pub(crate) result: Result<Answer, Refusal>,
+    pub(crate) result: Result<Reply, Refusal>,
     /// Instance that answered, or that got the last attempt.
     pub(crate) choice: Option<Choice>,
     /// Number of attempts that reached an instance, as far as known.
@@ -37,8 +52,8 @@
 }
 
 /// Sends a request to instances until one answers or no retry is allowed. If this host does not reach
-/// them, another host sends it.
-pub(crate) async fn forward(state: &Rc<State>, call: &Call, body: &Bytes) -> Outcome {
+/// them, another host sends it. A large answer goes to `sink`, and is not retried from then on.
+pub(crate) async fn forward(state: &Rc<State>, call: &Call, body: &Bytes, sink: &Sink) -> Outcome {
     state.count_request(&call.service);
     let mut progress = Progress { attempts: call.earlier_attempts(), ..Progress::default() };
     // The instance that the other host tried counts, so this host's first attempt is a retry.
@@ -50,14 +65,14 @@
         let choice = match progress.next_choice(state, call, body).await {
             Ok(choice) => choice,
             Err(refusal) if progress.may_carry(state, call, refusal.reason) => {
-                return progress.carry(state, call, body, refusal).await;
+                return progress.carry(state, call, body, sink, refusal).await;
             }
             Err(refusal) => return progress.refused(refusal),
         };
         progress.tried_ids.push(choice.id.clone());
         let remaining = call.deadline.saturating_sub(clock::now());
-        let failure = match attempt::run(state, call, body, &choice, remaining).await {
-            Ok(answer) => return progress.answered(answer, choice),
+        let failure = match attempt::run(state, call, body, &choice, remaining, sink).await {
+            Ok(reply) => return progress.answered(reply, choice),
             Err(failure) => failure,
         };
         let is_retried = progress.record_failure(state, call, choice, failure);
@@ -67,7 +82,7 @@
                 return progress.refused(refusal);
             }
             if progress.may_carry(state, call, Reason::Unreached) {
-                return progress.carry(state, call, body, refusal).await;
+                return progress.carry(state, call, body, sink, refusal).await;
             }
         }
         if !is_retried {
@@ -163,12 +178,13 @@
         state: &Rc<State>,
         call: &Call,
         body: &Bytes,
+        sink: &Sink,
         refusal: Refusal,
     ) -> Outcome {
         let choice = self.last_choice.take();
-        match carry::run(state, call, body, self.attempts).await {
-            Carried::Answered { answer, helper } => {
-                let (result, helper) = (Ok(*answer), Some(helper));
+        match carry::run(state, call, body, self.attempts, sink).await {
+            Carried::Answered { reply, helper } => {
+                let (result, helper) = (Ok(*reply), Some(helper));
                 Outcome { result, choice, attempts: self.attempts, helper }
             }
             Carried::Lost { has_timed_out, helper } => {
@@ -183,9 +199,9 @@
         }
     }
 
-    fn answered(self, answer: Answer, choice: Choice) -> Outcome {
+    fn answered(self, reply: Reply, choice: Choice) -> Outcome {
         let attempts = self.attempts + 1;
-        Outcome { result: Ok(answer), choice: Some(choice), attempts, helper: None }
+        Outcome { result: Ok(reply), choice: Some(choice), attempts, helper: None }
     }
 
     fn refused(self, refusal: Refusal) -> Outcome {
@@ -275,12 +291,12 @@
     last_failure: Option<Failure>,
     may_have_run: bool,
     refusal: Refusal,
-) -> Result<Answer, Refusal> {
+) -> Result<Reply, Refusal> {
     let Some(failure) = last_failure else {
         return Err(refusal);
     };
     if let Some(answer) = failure.answer {
-        return Ok(*answer);
+        return Ok(Reply::Whole(*answer));
     }
     match (may_have_run, failure.has_timed_out) {
         (false, _) => Err(refusal),
--- a/crates/steer/src/callers/handle.rs
+++ b/crates/steer/src/callers/handle.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, header};
+use http::{HeaderValue, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::body::{Body as _, Incoming};
 use marjorampick_core::steering::fleet::Choice;
@@ -11,10 +11,12 @@
 use tokio::time::timeout;
 
 use super::{
+    body::{self, Body, Sink},
     carry::REASON_HEADER,
-    forward,
+    forward::{self, Reply},
     refusal::{Reason, Refusal},
     routing::{self, Call},
+    stream::{BROKEN_OFF, CALLER_LEFT},
 };
 use crate::{
     backend::answer::Answer,
@@ -24,6 +26,7 @@
     lending::Lending,
     metrics, peers,
     state::{CarriedRequest, State},
+    tasks,
 };
 
 /// Counts a request as in flight until it is dropped.
@@ -52,26 +55,67 @@
 }
 
 /// Returns the response to a request, which is refused if its framing is ambiguous.
+///
+/// If the response is streamed, a task handles the request to its end, and ends early if the body is
+/// dropped.
 pub(crate) async fn respond(
+    state: &Rc<State>,
+    lending: &Rc<Lending>,
+    sender: Sender,
+    request: Request<Incoming>,
+    has_ambiguous_framing: bool,
+) -> Response<Body> {
+    let (sink, mut started) = body::sink(request.version());
+    let (task_state, lending) = (state.clone(), lending.clone());
+    let mut responding = Box::pin(async move {
+        let (state, sink) = (&task_state, &sink);
+        respond_to_sender(state, &lending, sender, request, has_ambiguous_framing, sink).await
+    });
+    let started = tokio::select! {
+        biased;
+        response = &mut responding => match response {
+            Some(response) => return response.map(Body::Full),
+            None => started.await,
+        },
+        response = &mut started => {
+            let state = state.clone();
+            tokio::task::spawn_local(async move {
+                let streaming = async { drop(responding.await) };
+                tasks::contain_task(&state, "response", streaming).await;
+            });
+            response
+        }
+    };
+    // Without a response, the request ended without one.
+    let lost = |_| Refusal::new(Reason::Lost).into_response().map(Body::Full);
+    let mut response = started.unwrap_or_else(lost);
+    response.headers_mut().remove(REASON_HEADER);
+    close_if_draining(state, &mut response);
+    response
+}
+
+/// Returns the response to a request, or `None` if it was passed to the sink.
+async fn respond_to_sender(
     state: &Rc<State>,
     lending: &Lending,
     sender: Sender,
     request: Request<Incoming>,
     has_ambiguous_framing: bool,
-) -> Response<Full<Bytes>> {
+    sink: &Sink,
+) -> Option<Response<Full<Bytes>>> {
     let _in_flight = InFlight::start(state);
     let Sender::Host(address) = sender else {
-        return respond_to(state, lending, None, request, has_ambiguous_framing).await;
+        return respond_to(state, lending, None, request, has_ambiguous_framing, sink).await;
     };
     let id = request.headers().get(&state.codec.headers.request_id).cloned();
-    let response = match state.peer_at(address.ip()) {
-        Some(name) => respond_to(state, lending, Some(name), request, has_ambiguous_framing).await,
-        None => {
-            peers::record_dropped(state, address, Reason::Stranger.name());
-            refuse(state, None, Refusal::new(Reason::Stranger), clock::now())
-        }
+    let peer = state.peer_at(address.ip());
+    let response = if peer.is_some() {
+        respond_to(state, lending, peer, request, has_ambiguous_framing, sink).await
+    } else {
+        peers::record_dropped(state, address, Reason::Stranger.name());
+        Some(refuse(state, None, Refusal::new(Reason::Stranger), clock::now()))
     };
-    mark_for_host(state, response, id)
+    response.map(|response| mark_for_host(state, response, id))
 }
 
 /// Adds the request's id, without which the other host would take a refusal for an answer to another
@@ -95,14 +139,16 @@
     response
 }
 
-/// Returns the response to a request of a caller, or of the host with the name `peer`.
+/// Returns the response to a request of a caller, or of the host with the name `peer`; `None` if it was
+/// passed to the sink.
 async fn respond_to(
     state: &Rc<State>,
     lending: &Lending,
     peer: Option<Arc<str>>,
     request: Request<Incoming>,
     has_ambiguous_framing: bool,
-) -> Response<Full<Bytes>> {
+    sink: &Sink,
+) -> Option<Response<Full<Bytes>>> {
     let arrived_at = clock::now();
     state.wait_until_ready().await;
     let (parts, body) = request.into_parts();
@@ -110,7 +156,7 @@
         refuse(state, None, Refusal::new(Reason::BadRequest), arrived_at)
     } else {
         match routing::resolve(state, parts, arrived_at, peer) {
-            Ok(call) => handle(state, lending, &call, body).await,
+            Ok(call) => handle(state, lending, &call, body, sink).await?,
             Err(refusal) => {
                 // Closing a connection with unread bytes resets it, and the response could be lost.
                 discard_body(body).await;
@@ -118,35 +164,42 @@
             }
         }
     };
+    close_if_draining(state, &mut response);
+    Some(response)
+}
+
+/// Makes the response of a host that stops the last one of its connection.
+fn close_if_draining<T>(state: &State, response: &mut Response<T>) {
     if state.is_draining.get() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
-    response
 }
 
-/// Admits a request, reads its body and forwards it.
+/// Admits a request, reads its body and forwards it. Returns the response, or `None` if it was passed to
+/// the sink.
 async fn handle(
     state: &Rc<State>,
     lending: &Lending,
     call: &Call,
     body: Incoming,
-) -> Response<Full<Bytes>> {
+    sink: &Sink,
+) -> Option<Response<Full<Bytes>>> {
     let _room = match take_room(state, call, &body) {
         Ok(room) => room,
         Err(refusal) => {
             discard_body(body).await;
-            return refuse(state, Some(call), refusal, call.arrived_at);
+            return Some(refuse(state, Some(call), refusal, call.arrived_at));
         }
     };
     if let Err(refusal) = acquire_token(state, lending, call).await {
         discard_body(body).await;
-        return refuse(state, Some(call), refusal, call.arrived_at);
+        return Some(refuse(state, Some(call), refusal, call.arrived_at));
     }
     let body = match read_body(call, body).await {
         Ok(body) => body,
-        Err(refusal) => return refuse(state, Some(call), refusal, call.arrived_at),
+        Err(refusal) => return Some(refuse(state, Some(call), refusal, call.arrived_at)),
     };
-    let outcome = forward::forward(state, call, &body).await;
+    let outcome = forward::forward(state, call, &body, sink).await;
     let (choice, helper) = (outcome.choice, outcome.helper);
     let end =
         End { choice: choice.as_ref(), attempts: outcome.attempts, helper: helper.as_deref() };
@@ -155,20 +208,26 @@
         refund_token(state, call);
         state.uncount_request(&call.service);
     }
-    let response = match outcome.result {
-        Ok(answer) => into_response(answer),
+    match outcome.result {
+        Ok(Reply::Whole(answer)) => {
+            let response = into_response(answer);
+            record_end(state, call, "answered", response.status(), &end);
+            Some(response)
+        }
+        Ok(Reply::Streamed { status, reason }) => {
+            record_end(state, call, reason, status, &end);
+            None
+        }
         Err(refusal) => {
             metrics::record_refusal(refusal.reason.name());
             if refusal.reason.is_not_run() && helper.is_none() {
                 refund_token(state, call);
             }
             let response = refusal.into_response();
-            record_end(state, call, refusal.reason.name(), &response, &end);
-            return response;
+            record_end(state, call, refusal.reason.name(), response.status(), &end);
+            Some(response)
         }
-    };
-    record_end(state, call, "answered", &response, &end);
-    response
+    }
 }
 
 /// Takes room for a request of another host, with as much of the body as its length says.
@@ -252,7 +311,7 @@
     metrics::record_refusal(reason);
     let response = refusal.into_response();
     match call {
-        Some(call) => record_end(state, call, reason, &response, &End::default()),
+        Some(call) => record_end(state, call, reason, response.status(), &End::default()),
         None => {
             let elapsed_ms = clock::now().saturating_sub(arrived_at).as_millis();
             let event = Event::Request {
@@ -290,18 +349,13 @@
 }
 
 /// Records the end of a request with a route in the metrics and the log.
-fn record_end(
-    state: &State,
-    call: &Call,
-    reason: &str,
-    response: &Response<Full<Bytes>>,
-    end: &End<'_>,
-) {
+fn record_end(state: &State, call: &Call, reason: &'static str, status: StatusCode, end: &End<'_>) {
     let End { choice, attempts, helper } = *end;
     let elapsed = clock::now().saturating_sub(call.arrived_at);
-    let status = response.status();
+    let is_complete = !matches!(reason, BROKEN_OFF | CALLER_LEFT);
     let workspace_name = call.workspace_name.clone().unwrap_or_default();
-    metrics::record_request(&call.service, &workspace_name, status.as_u16(), elapsed);
+    let class = if is_complete { metrics::status_class(status.as_u16()) } else { reason };
+    metrics::record_request(&call.service, &workspace_name, class, elapsed);
     let event = Event::Request {
         id: call.id_text(),
         route: &call.route.name,
@@ -321,8 +375,8 @@
         limit_ms: call.deadline.saturating_sub(call.arrived_at).as_millis(),
         plan: call.plan.version,
         store_age_ms: state.store_age_ms(),
-        fingerprint: call.known_fingerprint().filter(|_| !status.is_success()),
+        fingerprint: call.known_fingerprint().filter(|_| !status.is_success() || !is_complete),
     };
-    let rank = if status.is_success() { Rank::Success } else { Rank::Failure };
+    let rank = if status.is_success() && is_complete { Rank::Success } else { Rank::Failure };
     state.log.write(rank, event);
 }
--- a/crates/steer/src/constants.rs
+++ b/crates/steer/src/constants.rs
@@ -76,6 +76,23 @@
 /// Bytes of an answer that need no share of [`ANSWER_MEMORY_BYTES`].
 pub(crate) const UNRESERVED_ANSWER_BYTES: usize = 64 * 1024;
 
+/// Largest body of an answer that is received completely before any of it is sent to the caller, in
+/// bytes. Larger ones are streamed.
+pub(crate) const MAX_BUFFERED_ANSWER_BYTES: usize = 16 * 1024;
+
+/// Most bytes of a streamed answer that the host holds.
+pub(crate) const STREAM_WINDOW_BYTES: usize = 64 * 1024;
+
+/// Most bytes of a streamed answer that the host holds while more than half of the memory for
+/// answers is in use, so that more of them fit.
+pub(crate) const SMALL_STREAM_WINDOW_BYTES: usize = 16 * 1024;
+
+/// Largest piece in which a streamed answer is read, in bytes.
+pub(crate) const STREAM_PIECE_BYTES: usize = 16 * 1024;
+
+/// Memory that one piece of a streamed answer takes in addition to its bytes.
+pub(crate) const STREAM_PIECE_OVERHEAD_BYTES: usize = 256;
+
 /// Largest line with the size of a chunk of an answer, in bytes.
 pub(crate) const MAX_CHUNK_LINE_BYTES: usize = 4 * 1024;
 
--- a/crates/steer/src/metrics.rs
+++ b/crates/steer/src/metrics.rs
@@ -72,19 +72,24 @@
     Ok(handle)
 }
 
-/// Records a finished request with its response status and latency.
+/// Class of a status.
+pub(crate) fn status_class(status: u16) -> &'static str {
+    match status {
+        200..300 => "2xx",
+        300..400 => "3xx",
+        400..500 => "4xx",
+        _ => "5xx",
+    }
+}
+
+/// Records a finished request with its latency and the class of its status, or how its response ended
+/// early.
 pub(crate) fn record_request(
     service: &Arc<str>,
     workspace: &Arc<str>,
-    status: u16,
+    class: &'static str,
     elapsed: Duration,
 ) {
-    let class = match status {
-        200..300 => "2xx",
-        300..400 => "3xx",
-        400..500 => "4xx",
-        _ => "5xx",
-    };
     histogram!(
         REQUEST_SECONDS,
         "service" => service.clone(),
