steering: a host has at most 8 MiB of request bodies at one instance

Cause: an instance crashes if the requests that it holds exceed its memory; a host sent several bodies of up to 16 MiB to the same instance. Change: steering::upload counts the bytes of the request bodies at each start of an instance, from the choice to the end of the exchange. Beyond the first request with a body, an instance that would get over 8 MiB is not chosen: the request goes to another one or is refused as full. Requests without a body are not affected. Criteria and Choice have the size. Tests: steering::tests::upload 3 of 3 (all 3 fail without the limit); of the other tests of core::steering 124 passed and 1 is ignored as before.

--- a/crates/core/benches/choice.rs
+++ b/crates/core/benches/choice.rs
@@ -68,6 +68,7 @@
                     target_latency: Some(Duration::from_millis(400)),
                     locality_draw: 0.1,
                     admission_draw: 0.5,
+                    body_bytes: 0,
                 };
                 let choice = fleet.choose(NOW, &criteria).expect("an instance");
                 fleet.start_request(NOW, &choice);
--- a/crates/core/src/steering.rs
+++ b/crates/core/src/steering.rs
@@ -28,6 +28,7 @@
 pub mod shift;
 pub mod spill;
 pub mod split;
+pub mod upload;
 pub mod work;
 
 #[cfg(test)]
--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -26,7 +26,7 @@
     instance::{Endpoint, Instance, Outcome},
     limit,
     load::Report,
-    notice, shift,
+    notice, shift, upload,
 };
 
 /// Name and location of this host, and the layout of failure domains and regions.
@@ -59,6 +59,8 @@
     notices: notice::Book,
     /// What other hosts have heard of instances that leave.
     departures: departure::Book,
+    /// Request bodies that this host has at the instances.
+    uploads: upload::Book,
     /// Limits how fast this host's requests shift to other regions.
     shift_limiter: shift::Limiter,
     /// Names of the hosts of this region, including this one.
@@ -83,6 +85,7 @@
             limit_group: group,
             notices: notice::Book::default(),
             departures: departure::Book::default(),
+            uploads: upload::Book::default(),
             shift_limiter: shift::Limiter::default(),
             region_hosts,
             is_synced: false,
@@ -244,6 +247,7 @@
 
     /// Records that a request is being sent to the chosen instance.
     pub fn start_request(&mut self, now: Duration, choice: &Choice) {
+        self.uploads.start(&choice.id, choice.incarnation, choice.body_bytes);
         let Some(service) = self.service_by_id.get(&choice.id) else {
             return;
         };
@@ -265,6 +269,7 @@
         outcome: Outcome,
         report: Option<Report>,
     ) {
+        self.uploads.end(&choice.id, choice.incarnation, choice.body_bytes);
         let Some(service) = self.service_by_id.get(&choice.id).cloned() else {
             return;
         };
--- a/crates/core/src/steering/fleet/candidate.rs
+++ b/crates/core/src/steering/fleet/candidate.rs
@@ -90,6 +90,7 @@
                 && instance.is_available(now)
                 && self.is_warm_or_paced(now, upstream, instance)
                 && within_limit[index]
+                && self.allows_body(instance, criteria)
                 && self.is_within_unreported_share(instance)
                 && !(position == cache::Position::Later && upstream.is_busy(instance))
                 && has_capacity(upstream, instance, criteria, work, expected);
@@ -127,9 +128,16 @@
             position: best.position,
             is_cached: best.is_cached,
             cost_seconds: best.cost,
+            body_bytes: criteria.body_bytes,
         })
     }
 
+    /// Whether the instance may get the request's body.
+    fn allows_body(&self, instance: &Instance, criteria: &Criteria<'_>) -> bool {
+        let endpoint = &instance.endpoint;
+        self.uploads.allows(&endpoint.id, endpoint.incarnation, criteria.body_bytes)
+    }
+
     /// Costs of the instance's load, distance and failures, in seconds.
     fn other_costs_seconds(
         &self,
--- a/crates/core/src/steering/fleet/choice.rs
+++ b/crates/core/src/steering/fleet/choice.rs
@@ -39,6 +39,8 @@
     pub locality_draw: f64,
     /// Random number from 0 to below 1, by which the request is refused early if it would wait.
     pub admission_draw: f64,
+    /// Size of the request's body.
+    pub body_bytes: u64,
 }
 
 /// Instance that gets a request.
@@ -63,6 +65,8 @@
     pub is_cached: bool,
     /// Expected response time plus the other costs of the instance, in seconds.
     pub cost_seconds: f64,
+    /// Size of the request's body.
+    pub body_bytes: u64,
 }
 
 /// Why no instance can get a request.
--- a/crates/core/src/steering/tests.rs
+++ b/crates/core/src/steering/tests.rs
@@ -23,4 +23,5 @@
 mod spill;
 mod split;
 mod support;
+mod upload;
 mod work;
--- a/crates/core/src/steering/tests/support.rs
+++ b/crates/core/src/steering/tests/support.rs
@@ -81,6 +81,7 @@
         target_latency: Some(Duration::from_millis(400)),
         locality_draw: 0.0,
         admission_draw: 0.0,
+        body_bytes: 0,
     }
 }
 
--- a/crates/scenario/src/steering/world.rs
+++ b/crates/scenario/src/steering/world.rs
@@ -241,6 +241,7 @@
             target_latency: Some(kind.target),
             locality_draw: (request.object >> 11) as f64 / (1_u64 << 53) as f64,
             admission_draw,
+            body_bytes: 0,
         };
         match host.fleet.choose(self.now, &criteria) {
             Ok(choice) => {
--- a/crates/steer/src/callers/forward.rs
+++ b/crates/steer/src/callers/forward.rs
@@ -123,7 +123,7 @@
         self.is_on_trial = admitted == Ok(Admitted::OnTrial);
         admitted?;
         let remaining = call.deadline.saturating_sub(clock::now());
-        choose(state, call, &self.tried_ids, remaining)
+        choose(state, call, body, &self.tried_ids, remaining)
     }
 
     /// Records a failed attempt. Returns whether the request may be sent to another instance.
@@ -213,6 +213,7 @@
 fn choose(
     state: &Rc<State>,
     call: &Call,
+    body: &Bytes,
     tried_ids: &[Arc<str>],
     remaining: Duration,
 ) -> Result<Choice, Refusal> {
@@ -230,6 +231,7 @@
         target_latency: call.route.target_latency,
         locality_draw: locality_draw(call),
         admission_draw: unit_interval(Key::new([call.id_text()]).weight("admission")),
+        body_bytes: body.len() as u64,
     };
     let chosen = state.fleet.borrow_mut().choose(clock::now(), &criteria);
     chosen.map_err(|rejection| match rejection {
