--- a/crates/core/src/steering/tests.rs
+++ b/crates/core/src/steering/tests.rs
@@ -24,4 +24,5 @@
 mod spill;
 mod split;
 mod support;
+mod upload;
 mod work;
