steering: a departure notice of an unseen restart belongs to the later start

Cause: an instance that started again while a host was without the store told the host in an answer that it leaves. The host recorded the notice for the earlier start, the only one that it knew, and dropped it when it read of the later one. Requests reached the instance again.

Change: a notice keeps when the last request that got it was sent, in Unix milliseconds. A later start at the same address whose `born` is at or before that time is presumed to have given the notice, and gets no requests for 60 s after it was last heard. Other later starts have asked for nothing, as before. The time of sending and not that of the answer decides, as the answer of the earlier start may be late. Two consequences of clocks that disagree: if that of the instance is behind, a start after the notice may be unused for 60 s, not 10 minutes; if it is ahead, a notice shortly after an unseen start is attributed to the earlier start, as before. Announcements of other hosts are ordered by revisions of the store and need no time; a test now covers an unseen restart.

Notices that were heard under different incarnations are kept apart, so that a late answer of an earlier start adds nothing to the notice of a later one.

--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -155,9 +155,11 @@
         self.limits.restart(&id, endpoint.incarnation);
         // Whatever becomes of its entry, this start has said that it leaves.
         if endpoint.is_draining {
-            self.notices.record_leaving(now, &id, endpoint.incarnation);
+            let Endpoint { incarnation, address, .. } = endpoint;
+            let origin = notice::Origin { id: &id, incarnation, address, sent_at_ms: 0 };
+            self.notices.record_leaving(now, origin);
         }
-        let notice = self.notices.get(&id, endpoint.incarnation);
+        let notice = self.notices.get(&endpoint);
         let upstream = self.upstream(now, &endpoint.service.clone());
         let warmup = upstream.warmup;
         let position =
--- a/crates/core/src/steering/fleet/departures.rs
+++ b/crates/core/src/steering/fleet/departures.rs
@@ -33,7 +33,7 @@
         self.endpoint(id).is_some_and(|endpoint| endpoint.is_draining)
     }
 
-    fn endpoint(&self, id: &str) -> Option<&Endpoint> {
+    pub(super) fn endpoint(&self, id: &str) -> Option<&Endpoint> {
         let upstream = self.upstreams.get(self.service_by_id.get(id)?)?;
         let mut endpoints = upstream.instances.iter().map(|instance| &instance.endpoint);
         endpoints.find(|endpoint| *endpoint.id == *id)
--- a/crates/core/src/steering/fleet/notices.rs
+++ b/crates/core/src/steering/fleet/notices.rs
@@ -3,27 +3,29 @@
 use std::time::Duration;
 
 use super::{Choice, Fleet};
-use crate::steering::instance::Instance;
+use crate::steering::{instance::Instance, notice::Origin};
 
 impl Fleet {
-    /// Records that the chosen instance leaves, so that it gets no more requests. Returns whether that
-    /// is new.
-    pub fn record_leaving(&mut self, now: Duration, choice: &Choice) -> bool {
-        let is_new = self.notices.record_leaving(now, &choice.id, choice.incarnation);
-        self.apply_notice(choice);
+    /// Records that the chosen instance leaves, so that it gets no more requests. It said so in the answer
+    /// to a request that was sent at `sent_at_ms`, in Unix milliseconds. Returns whether that is new.
+    pub fn record_leaving(&mut self, now: Duration, choice: &Choice, sent_at_ms: u64) -> bool {
+        let is_new = self.notices.record_leaving(now, origin(choice, sent_at_ms));
+        self.apply_notice(&choice.id);
         is_new
     }
 
-    /// Records that the chosen instance wants no requests for `pause`. Returns the pause that counts, or
-    /// `None` if an earlier one lasts as long.
+    /// Records that the chosen instance wants no requests for `pause`, as it said in the answer to a request
+    /// that was sent at `sent_at_ms`, in Unix milliseconds. Returns the pause that counts, or `None` if an
+    /// earlier one lasts as long.
     pub fn record_pause(
         &mut self,
         now: Duration,
         choice: &Choice,
         pause: Duration,
+        sent_at_ms: u64,
     ) -> Option<Duration> {
-        let applied = self.notices.record_pause(now, &choice.id, choice.incarnation, pause);
-        self.apply_notice(choice);
+        let applied = self.notices.record_pause(now, origin(choice, sent_at_ms), pause);
+        self.apply_notice(&choice.id);
         applied
     }
 
@@ -50,12 +52,15 @@
         left.min().unwrap_or_default()
     }
 
-    fn apply_notice(&mut self, choice: &Choice) {
-        let notice = self.notices.get(&choice.id, choice.incarnation);
-        if let (Some(notice), Some(instance)) = (notice, self.instance(&choice.id))
-            && instance.endpoint.incarnation == choice.incarnation
-        {
+    fn apply_notice(&mut self, id: &str) {
+        let notice = self.endpoint(id).and_then(|endpoint| self.notices.get(endpoint));
+        if let (Some(notice), Some(instance)) = (notice, self.instance(id)) {
             instance.apply_notice(notice);
         }
     }
 }
+
+fn origin(choice: &Choice, sent_at_ms: u64) -> Origin<'_> {
+    let Choice { id, incarnation, address, .. } = choice;
+    Origin { id, incarnation: *incarnation, address: *address, sent_at_ms }
+}
--- a/crates/core/src/steering/instance.rs
+++ b/crates/core/src/steering/instance.rs
@@ -51,7 +51,8 @@
     pub domain: Arc<str>,
     /// Number of requests that it can run at the same time.
     pub slots: u32,
-    /// Distinguishes the starts of an instance, which may start again under the same id.
+    /// Distinguishes the starts of an instance, which may start again under the same id: when it started, in
+    /// Unix milliseconds of its clock.
     pub incarnation: u64,
     /// Whether the instance is shutting down and takes no new requests.
     pub is_draining: bool,
--- a/crates/core/src/steering/tests/departure.rs
+++ b/crates/core/src/steering/tests/departure.rs
@@ -10,6 +10,7 @@
 use super::{
     super::{
         departure::{Departure, MAX_TIME},
+        fleet::Criteria,
         instance::Endpoint,
     },
     support::{at, criteria, endpoint, four_instances, name},
@@ -63,6 +64,15 @@
     assert_eq!(announced, departure(2, 10));
     assert_eq!(fleet.unannounced_departure("n1", 9), None, "it was announced");
     assert_eq!(fleet.unannounced_departure("unknown", 10), None);
+    // A start of which this host has not read yet.
+    let others = [name("n2"), name("s1"), name("s2")];
+    let criteria = Criteria { excluded: &others, ..criteria() };
+    assert!(fleet.record_departure(at(0), &departure(3, 11)));
+    fleet.register(at(0), Endpoint { incarnation: 3, ..endpoint("n1", "north-a") });
+    fleet.reach_revision(10);
+    assert!(fleet.choose(at(10_000), &criteria).is_err(), "the announced start");
+    fleet.register(at(0), Endpoint { incarnation: 4, ..endpoint("n1", "north-a") });
+    assert!(fleet.choose(at(10_000), &criteria).is_ok(), "a later one");
 }
 
 /// What goes wrong in a replay.
--- a/crates/steer/src/callers/statement.rs
+++ b/crates/steer/src/callers/statement.rs
@@ -21,6 +21,8 @@
     state: &'a State,
     call: &'a Call,
     choice: &'a Choice,
+    /// When the request was sent.
+    sent_at: Duration,
     head: &'a Head,
 }
 
@@ -45,9 +47,9 @@
     if is_misdirected || !(is_executed || is_rejected) {
         return false;
     }
-    let source = Source { state, call, choice, head };
+    let source = Source { state, call, choice, sent_at, head };
     if is_own {
-        record_limit(source, sent_at, is_executed);
+        record_limit(source, is_executed);
     }
     if is_own && head.status == StatusCode::SERVICE_UNAVAILABLE {
         record_pause(source);
@@ -57,8 +59,8 @@
 
 /// Records the limit of the instance. An answer to a request that ran says by its silence that there is
 /// none; a rejection without a limit says nothing.
-fn record_limit(source: Source<'_>, sent_at: Duration, is_executed: bool) {
-    let Source { state, call, choice, head } = source;
+fn record_limit(source: Source<'_>, is_executed: bool) {
+    let Source { state, call, choice, sent_at, head } = source;
     let names = &state.codec.headers;
     let statement = if head.headers.contains_key(&names.limit) {
         value(source, &names.limit, state.codec.parse_limit).map(Statement::Limited)
@@ -75,10 +77,12 @@
 }
 
 fn record_pause(source: Source<'_>) {
-    let Source { state, call, choice, .. } = source;
+    let Source { state, call, choice, sent_at, .. } = source;
+    let sent_at_ms = clock::unix_milliseconds(sent_at);
     let pause = value(source, &state.codec.headers.pause, state.codec.parse_pause);
-    let recorded =
-        pause.and_then(|pause| state.fleet.borrow_mut().record_pause(clock::now(), choice, pause));
+    let recorded = pause.and_then(|pause| {
+        state.fleet.borrow_mut().record_pause(clock::now(), choice, pause, sent_at_ms)
+    });
     if let Some(pause) = recorded {
         let (id, request) = (&choice.id, call.id_text());
         let event = Event::InstancePaused { id, request, pause_ms: pause.as_millis() };
@@ -88,12 +92,13 @@
 
 /// Records that the instance leaves, and closes its idle connections. Returns whether it leaves.
 fn record_leaving(source: Source<'_>) -> bool {
-    let Source { state, call, choice, .. } = source;
+    let Source { state, call, choice, sent_at, .. } = source;
     let parsed = value(source, &state.codec.headers.leaving, state.codec.parse_leaving);
     let is_leaving = parsed == Some(true);
     if is_leaving {
         state.pool.borrow_mut().remove(&(choice.id.clone(), choice.incarnation));
-        if state.fleet.borrow_mut().record_leaving(clock::now(), choice) {
+        let sent_at_ms = clock::unix_milliseconds(sent_at);
+        if state.fleet.borrow_mut().record_leaving(clock::now(), choice, sent_at_ms) {
             let request = Some(call.id_text());
             let event = Event::InstanceLeaving { id: &choice.id, request, told_by: None };
             state.log.write(Rank::Notice, event);
@@ -104,7 +109,7 @@
 
 /// Parsed value of a header; `None` without one. An invalid value is logged.
 fn value<T>(source: Source<'_>, name: &HeaderName, parse: fn(&str) -> Option<T>) -> Option<T> {
-    let Source { state, call, choice, head } = source;
+    let Source { state, call, choice, head, .. } = source;
     let value = head.headers.get(name)?;
     let parsed = value.to_str().ok().and_then(parse);
     if parsed.is_none() {
