steer: a connection whose exchange has not ended is closed with a reset

Cause: a host that gave up a request on a cut link closed the connection in order.

Change: from the start of an exchange until its request is written and its answer is whole, dropping the connection sets SO_LINGER 0, so that the kernel drops what it holds. Idle connections and those with a complete exchange are closed in order. What is promised to the client does not change: a request that may have been sent still counts as such.

--- a/crates/steer/src/backend/connection.rs
+++ b/crates/steer/src/backend/connection.rs
@@ -89,11 +89,13 @@
     }
 }
 
-/// Open connection, which is closed when it is dropped.
+/// Open connection, which is closed when it is dropped, with a reset while an exchange has not ended.
 #[derive(Debug)]
 pub struct Connection {
     stream: TcpStream,
     buffer: BytesMut,
+    /// Whether an exchange has begun and not ended.
+    is_exchanging: bool,
     /// Whether bytes of the current request may have been sent.
     may_have_sent: bool,
     /// Whether the connection has carried a request before the current one.
@@ -128,7 +130,14 @@
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
         let (buffer, failed_ids) = (BytesMut::new(), Vec::new());
-        Ok(Self { stream, buffer, may_have_sent: false, is_used: false, failed_ids })
+        Ok(Self {
+            stream,
+            buffer,
+            is_exchanging: false,
+            may_have_sent: false,
+            is_used: false,
+            failed_ids,
+        })
     }
 
     /// Whether bytes of the last request may have been sent.
@@ -161,7 +170,9 @@
         on_head: OnHead<'_>,
     ) -> Result<(Answer, bool), Fault> {
         self.may_have_sent = false;
+        self.is_exchanging = true;
         let (answer, is_written) = self.send_and_receive(request, memory, on_head).await?;
+        self.is_exchanging = !is_written;
         self.is_used = true;
         if !answer.head.status.is_success() {
             self.failed_ids.push(request.id.clone());
@@ -205,6 +216,18 @@
     }
 }
 
+impl Drop for Connection {
+    /// Makes the kernel drop the bytes of a request that was given up. It would go on sending them, and an instance
+    /// could get the request after it has said that it leaves.
+    fn drop(&mut self) {
+        if self.is_exchanging
+            && let Err(error) = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))
+        {
+            log::debug!("backend: cannot reset a connection: {error}");
+        }
+    }
+}
+
 async fn send(
     write_half: &mut WriteHalf<'_>,
     request: &Request,
--- /dev/null
+++ b/crates/steer/tests/connection.rs
@@ -0,0 +1,84 @@
+//! Tests of how connections to backend servers are closed.
+
+use std::{io::ErrorKind, net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderName, Method};
+use marjorampick_steer::backend::{
+    connection::{Connection, Request},
+    memory::Memory,
+};
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, TcpSocket, TcpStream},
+    time::timeout,
+};
+
+/// More than the kernel of a peer with a small buffer takes.
+const BODY_BYTES: usize = 1 << 20;
+
+/// Listener whose connections have small receive buffers.
+fn listen() -> (TcpListener, SocketAddr) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.set_recv_buffer_size(4096).unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let listener = socket.listen(1).unwrap();
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+fn request(body_bytes: usize) -> Request {
+    Request {
+        method: Method::POST,
+        head: Bytes::from(format!("POST / HTTP/1.1\r\ncontent-length: {body_bytes}\r\n\r\n")),
+        body: Bytes::from(vec![b'x'; body_bytes]),
+        id: Bytes::from_static(b"1"),
+        id_header: HeaderName::from_static("request-id"),
+    }
+}
+
+/// Reads until the connection ends. Returns the number of bytes and the error, if any.
+async fn read_all(mut stream: TcpStream) -> (usize, Option<ErrorKind>) {
+    let mut bytes = Vec::new();
+    let result = stream.read_to_end(&mut bytes).await;
+    (bytes.len(), result.err().map(|error| error.kind()))
+}
+
+/// The kernel went on sending what it held of a request that the host had given up, which reached an instance
+/// seconds later, after it had said that it leaves.
+#[tokio::test]
+async fn a_request_that_is_given_up_is_not_sent_later() {
+    let (listener, address) = listen();
+    let mut connection = Connection::open(address).await.unwrap();
+    let (peer, _) = listener.accept().await.unwrap();
+    let (request, memory) = (request(BODY_BYTES), Memory::default());
+    let mut ignore_head = |_: &_, _| {};
+    let exchange = connection.exchange(&request, &memory, &mut ignore_head);
+    timeout(Duration::from_millis(300), exchange).await.expect_err("no answer was sent");
+    assert!(connection.may_have_sent());
+    drop(connection);
+    let (received, error) = read_all(peer).await;
+    // What the peer's kernel had acknowledged cannot be taken back.
+    assert!(received <= 64 << 10, "{received} bytes were sent in all");
+    assert_eq!(error, Some(ErrorKind::ConnectionReset));
+}
+
+/// A reset may make a peer drop what it has not read yet. Connections without an open exchange must not cause it.
+#[tokio::test]
+async fn connections_without_an_open_exchange_are_closed_in_order() {
+    let (listener, address) = listen();
+    for is_used in [false, true] {
+        let mut connection = Connection::open(address).await.unwrap();
+        let (mut peer, _) = listener.accept().await.unwrap();
+        if is_used {
+            let answer = "HTTP/1.1 200 OK\r\nrequest-id: 1\r\ncontent-length: 0\r\n\r\n";
+            peer.write_all(answer.as_bytes()).await.unwrap();
+            let (request, memory) = (request(5), Memory::default());
+            let mut ignore_head = |_: &_, _| {};
+            connection.exchange(&request, &memory, &mut ignore_head).await.unwrap();
+        }
+        drop(connection);
+        let (_, error) = read_all(peer).await;
+        assert_eq!(error, None, "used: {is_used}");
+    }
+}
