steering: the speed that instances report is part of the expected time

Cause: instances may work 2.5 times slower for some hundred milliseconds, and report it as the fourth value of Server-Load. The host ignored it. Answers of a slow machine then taught that the work takes longer, that an object had been displaced, and that the instance stays slow.

Change: the fourth value is parsed (absent or malformed: usual speed; bounded to 20..1000 percent). The host learns from consecutive reports of an instance how far a value still holds after some time, and expects the usual factor of the service otherwise. Learned times, the evidence of displaced objects and the slowness samples are divided by the factor. A service that does not report it is served as before.

What it protects are the learned values.

--- a/crates/core/benches/choice.rs
+++ b/crates/core/benches/choice.rs
@@ -71,7 +71,7 @@
                 };
                 let choice = fleet.choose(NOW, &criteria).expect("an instance");
                 fleet.start_request(NOW, &choice);
-                let report = Report { running: 3, waiting: 0, slots: SLOTS };
+                let report = Report { running: 3, waiting: 0, slots: SLOTS, factor: None };
                 let outcome = Outcome::Answered(Duration::from_millis(150));
                 fleet.end_request(NOW, &choice, outcome, Some(report));
                 black_box(choice.cost_seconds)
--- a/crates/core/src/steering.rs
+++ b/crates/core/src/steering.rs
@@ -26,6 +26,7 @@
 pub mod samples;
 pub mod seats;
 pub mod shift;
+pub mod speed;
 pub mod spill;
 pub mod split;
 pub mod work;
--- a/crates/core/src/steering/fleet/candidate.rs
+++ b/crates/core/src/steering/fleet/candidate.rs
@@ -155,5 +155,6 @@
     let slots = f64::from(instance.endpoint.slots.max(1));
     let waiting_per_slot = (instance.requests + 1.0 - slots).max(0.0) / slots;
     let wait = waiting_per_slot * upstream.work.mean_seconds();
-    (work + wait) * instance.slowdown(now, upstream.usual_slowness)
+    let factor = upstream.speed.expected(now, instance.speed);
+    (work + wait) * factor * instance.slowdown(now, upstream.usual_slowness)
 }
--- a/crates/core/src/steering/fleet/upstream.rs
+++ b/crates/core/src/steering/fleet/upstream.rs
@@ -8,7 +8,7 @@
     instance::{self, Instance, Outcome},
     load::{self, Report},
     reach::Reach,
-    spill, work,
+    speed, spill, work,
 };
 
 /// Weight of the newest sample in the exponential moving averages of a service.
@@ -43,6 +43,8 @@
     pub(super) remote_side: Side,
     /// Learned work on each kind of request.
     pub(super) work: work::Model,
+    /// How the reported speeds of the instances change.
+    pub(super) speed: speed::Model,
     /// Median over the instances of the slowness.
     pub(super) usual_slowness: f64,
     /// How long the instances keep an object.
@@ -70,6 +72,7 @@
             local_side: Side::default(),
             remote_side: Side::default(),
             work: work::Model::default(),
+            speed: speed::Model::default(),
             usual_slowness: 1.0,
             residence: cache::Residence::new(now),
             usual_failure_rate: 0.0,
@@ -150,9 +153,14 @@
         let Some(instance) = self.instances.iter_mut().find(is_chosen) else {
             return;
         };
+        let factor = report.and_then(|report| report.factor);
+        if let Some(reading) = factor.map(|factor| speed::Reading { factor, at: now }) {
+            self.speed.record(instance.speed.replace(reading), reading);
+        }
         let mut expected_seconds = times.cached;
         if let (Outcome::Answered(time), Some(object)) = (outcome, choice.object_hash) {
-            let is_uncached = times.is_uncached(time.as_secs_f64());
+            let factor = report.map_or(1.0, Report::factor);
+            let is_uncached = times.is_uncached(time.as_secs_f64() / factor);
             let age = instance.objects.age(now, object);
             let is_known = age.is_some_and(|age| age < self.residence.time(now));
             let has_queue = report.is_some_and(|report| report.waiting > 0);
--- a/crates/core/src/steering/instance.rs
+++ b/crates/core/src/steering/instance.rs
@@ -7,6 +7,7 @@
     load::{self, Estimate, Report},
     notice::Notice,
     samples::Samples,
+    speed,
 };
 
 /// Consecutive failures after which an instance is ejected and gets probe requests only.
@@ -107,6 +108,8 @@
     slowness: Option<f64>,
     /// Objects that the instance is believed to have cached.
     pub(super) objects: cache::Contents,
+    /// Latest report of the time that work takes; `None` without one.
+    pub(super) speed: Option<speed::Reading>,
     last_request_at: Duration,
     /// When this host last opened a connection, or failed to; `None` before the first one.
     connection_tried_at: Option<Duration>,
@@ -136,6 +139,7 @@
             slowness_samples: Samples::new(SLOWNESS_SAMPLES),
             slowness: None,
             objects: cache::Contents::default(),
+            speed: None,
             last_request_at: Duration::ZERO,
             connection_tried_at: None,
             is_unreached: false,
--- a/crates/core/src/steering/load.rs
+++ b/crates/core/src/steering/load.rs
@@ -8,6 +8,8 @@
 
 use std::time::Duration;
 
+use super::speed;
+
 /// Time constant of the exponential decay of the requests that other hosts have running.
 const RUNNING_DECAY_TIME: Duration = Duration::from_millis(2500);
 
@@ -19,7 +21,7 @@
 const SMOOTHING_FACTOR: f64 = 0.05;
 
 /// Load that an instance reports with a response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Report {
     /// Number of requests that the instance is running.
     pub running: u32,
@@ -27,13 +29,22 @@
     pub waiting: u32,
     /// Number of requests that it can run at the same time.
     pub slots: u32,
+    /// Time that work takes there now, relative to the usual time; `None` if it is not reported.
+    pub factor: Option<speed::Factor>,
 }
 
 impl Report {
     /// Work on a request that took `seconds`, without the wait in the instance's queue. A request
-    /// that found `w` others waiting for `s` slots took about `1 + w / s` times its work.
+    /// that found `w` others waiting for `s` slots took about `1 + w / s` times its work. A reported
+    /// factor is taken out, as the time at a slow instance says nothing about the work.
     pub fn work_seconds(self, seconds: f64) -> f64 {
-        seconds / (1.0 + f64::from(self.waiting) / f64::from(self.slots.max(1)))
+        let queue = 1.0 + f64::from(self.waiting) / f64::from(self.slots.max(1));
+        seconds / (queue * self.factor())
+    }
+
+    /// Reported factor of the time that work takes; 1 without one.
+    pub fn factor(self) -> f64 {
+        self.factor.map_or(1.0, speed::Factor::get)
     }
 }
 
--- a/crates/core/src/steering/tests.rs
+++ b/crates/core/src/steering/tests.rs
@@ -20,6 +20,7 @@
 mod retry;
 mod seats;
 mod shift;
+mod speed;
 mod spill;
 mod split;
 mod support;
--- a/crates/core/src/steering/tests/limit/world.rs
+++ b/crates/core/src/steering/tests/limit/world.rs
@@ -347,6 +347,7 @@
                 running: requests.min(SLOTS),
                 waiting: requests.saturating_sub(SLOTS),
                 slots: SLOTS,
+                factor: None,
             };
             let outcome = Outcome::Answered(Duration::from_millis(PROCESSING_MS));
             host.fleet.end_request(at(now_ms), choice, outcome, Some(report));
--- a/crates/core/src/steering/tests/load.rs
+++ b/crates/core/src/steering/tests/load.rs
@@ -19,7 +19,10 @@
 #[test]
 fn a_reported_queue_decays_as_fast_as_it_is_served() {
     let mut load = Estimate::default();
-    load.record_report(at(0), Report { running: SLOTS, waiting: QUEUE, slots: SLOTS });
+    load.record_report(
+        at(0),
+        Report { running: SLOTS, waiting: QUEUE, slots: SLOTS, factor: None },
+    );
     assert_eq!(load.total(at(0), Usual::default()), f64::from(SLOTS + QUEUE));
     let batches = QUEUE.div_ceil(SLOTS) + 1;
     let emptied_at = at(0) + WORK * batches;
@@ -34,7 +37,7 @@
 #[test]
 fn running_requests_of_others_decay_slowly() {
     let mut load = Estimate::default();
-    load.record_report(at(0), Report { running: SLOTS, waiting: 0, slots: SLOTS });
+    load.record_report(at(0), Report { running: SLOTS, waiting: 0, slots: SLOTS, factor: None });
     assert!(
         load.total(at(600), Usual::default()) >= f64::from(SLOTS) * 0.75,
         "{}",
--- a/crates/core/src/steering/tests/support.rs
+++ b/crates/core/src/steering/tests/support.rs
@@ -102,13 +102,13 @@
     running: u32,
     waiting: u32,
 ) {
-    let report = Report { running, waiting, slots: SLOTS };
+    let report = Report { running, waiting, slots: SLOTS, factor: None };
     fleet.end_request(now, choice, Outcome::Answered(Duration::from_millis(100)), Some(report));
 }
 
 /// Answers a request after this time, from an instance that runs nothing else.
 pub(super) fn answer_after(fleet: &mut Fleet, now: Duration, choice: &Choice, milliseconds: u64) {
-    let report = Report { running: 0, waiting: 0, slots: SLOTS };
+    let report = Report { running: 0, waiting: 0, slots: SLOTS, factor: None };
     let time = Duration::from_millis(milliseconds);
     fleet.end_request(now, choice, Outcome::Answered(time), Some(report));
 }
--- a/crates/scenario/src/bin/marjorampick-replay.rs
+++ b/crates/scenario/src/bin/marjorampick-replay.rs
@@ -4,6 +4,7 @@
 
 use bpaf::Bpaf;
 use marjorampick_scenario::steering::{
+    noise::{Selection, Summary, noisy_instances, summarize},
     pattern::{Fault, Pattern, Window, sixty_hosts, twelve_hosts},
     play,
 };
@@ -15,6 +16,9 @@
 struct Options {
     /// Replays 60 hosts and 138 instances in place of 12 and 28.
     large: bool,
+    /// Replays 113 hosts and 54 instances of which some are slow at any moment, and prints what the
+    /// callers got with and without the speed that instances report.
+    noise: bool,
     /// Requests per second in each of the three regions.
     #[bpaf(argument("NUMBER"))]
     rate: Option<f64>,
@@ -47,6 +51,10 @@
 fn main() -> ExitCode {
     let options = options().run();
     match check(&options) {
+        Ok(()) if options.noise => {
+            print_selections(&options);
+            ExitCode::SUCCESS
+        }
         Ok(()) => {
             print_windows(&play(&pattern(&options), options.seed));
             ExitCode::SUCCESS
@@ -92,6 +100,25 @@
     }
 }
 
+fn print_selections(options: &Options) {
+    let base = noisy_instances();
+    let pattern = Pattern {
+        rate: options.rate.unwrap_or(base.rate),
+        length: Duration::from_secs(options.length),
+        ..base
+    };
+    println!("selection  asked  p50 ms  p99 ms  answered  in time  worst region  loaded");
+    for (name, selection) in [("usual", Selection::Usual), ("reported", Selection::Reported)] {
+        let summary = summarize(&pattern, selection, options.seed);
+        let Summary { asked, p50, p99, answered, in_time, worst_region, loaded } = summary;
+        let (p50, p99) = (p50.as_millis(), p99.as_millis());
+        println!(
+            "{name:9}  {asked:5}  {p50:6}  {p99:6}  {answered:8.3}  {in_time:7.3}  {worst_region:12.3}  \
+             {loaded:6.3}"
+        );
+    }
+}
+
 fn print_windows(windows: &[Window]) {
     println!("second  worth  asked  on time   late    run  loaded");
     for (second, window) in windows.iter().enumerate() {
--- a/crates/scenario/src/steering.rs
+++ b/crates/scenario/src/steering.rs
@@ -4,11 +4,13 @@
 //! instances have cached can drift apart. The overloads that outlived their cause, and how the
 //! decisions were changed by these replays, are described in docs/steering-study.md.
 
+pub mod noise;
 pub mod pattern;
 mod world;
 
 use std::time::Duration;
 
+use noise::Selection;
 use pattern::{Pattern, Window};
 
 /// Length of the windows in which [`play`] sums up what the callers got.
@@ -16,7 +18,7 @@
 
 /// Plays a pattern and returns what the callers got in each window.
 pub fn play(pattern: &Pattern, seed: u64) -> Vec<Window> {
-    world::World::new(pattern.clone(), seed).run()
+    world::World::new(pattern.clone(), Selection::Reported, seed).run().windows
 }
 
 /// Mean worth of the windows from `from` to `to`.
--- a/crates/scenario/src/steering/pattern.rs
+++ b/crates/scenario/src/steering/pattern.rs
@@ -3,6 +3,8 @@
 
 use std::{ops::Range, time::Duration};
 
+use super::noise::Noise;
+
 /// Worth of an answer after the target latency, relative to one in time.
 const LATE_WORTH: f64 = 0.2;
 
@@ -53,7 +55,7 @@
     /// Number of instances in each region.
     pub instances: [u32; 3],
     /// Number of hosts in each region.
-    pub hosts_per_region: u32,
+    pub hosts: [u32; 3],
     /// Number of requests that an instance can run at the same time.
     pub slots: u32,
     /// Number of objects that an instance keeps cached.
@@ -66,6 +68,8 @@
     pub fault: Option<Fault>,
     /// When all hosts start anew, since the start of the load.
     pub hosts_restart_at: Option<Duration>,
+    /// Slow instances that change all the time, if any.
+    pub noise: Option<Noise>,
 }
 
 /// What the callers got in one window, by the time at which they sent the request.
@@ -118,13 +122,14 @@
     Pattern {
         kinds: vec![short, long],
         instances: [2, 12, 14],
-        hosts_per_region: 4,
+        hosts: [4; 3],
         slots: 9,
         cached_objects: 60,
         rate: 280.0,
         length: Duration::from_secs(24),
         fault: None,
         hosts_restart_at: None,
+        noise: None,
     }
 }
 
@@ -137,11 +142,5 @@
         kind.deadline = millis(2500);
         kind.objects = objects;
     }
-    Pattern {
-        instances: [14, 56, 68],
-        hosts_per_region: 20,
-        cached_objects: 31,
-        rate: 600.0,
-        ..pattern
-    }
+    Pattern { instances: [14, 56, 68], hosts: [20; 3], cached_objects: 31, rate: 600.0, ..pattern }
 }
--- a/crates/scenario/src/steering/world.rs
+++ b/crates/scenario/src/steering/world.rs
@@ -15,10 +15,12 @@
     instance::{Endpoint, Outcome},
     load::Report,
     retry,
+    speed::Factor,
 };
 
 use super::{
     WINDOW,
+    noise::{self, Selection},
     pattern::{Fault, Kind, Pattern, Window},
 };
 
@@ -66,6 +68,7 @@
     tried: Vec<Arc<str>>,
     choice: Option<Choice>,
     backend: usize,
+    answered_at: Option<Duration>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -73,11 +76,18 @@
     Arrival,
     Return(usize),
     Finish(usize),
-    Answer(usize, bool, u32, u32),
+    Answer(usize, bool, u32, u32, u32),
+}
+
+/// What the callers got.
+pub(super) struct Results {
+    pub(super) windows: Vec<Window>,
+    pub(super) outcomes: Vec<noise::Outcome>,
 }
 
 pub(super) struct World {
     pattern: Pattern,
+    selection: Selection,
     now: Duration,
     random: u64,
     events: BinaryHeap<Reverse<(Duration, u64, Event)>>,
@@ -90,7 +100,7 @@
 }
 
 impl World {
-    pub(super) fn new(pattern: Pattern, seed: u64) -> Self {
+    pub(super) fn new(pattern: Pattern, selection: Selection, seed: u64) -> Self {
         let mut world = Self {
             now: START,
             random: seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1,
@@ -102,6 +112,7 @@
             requests: Vec::new(),
             windows: BTreeMap::new(),
             pattern,
+            selection,
         };
         for (region, count) in world.pattern.instances.into_iter().enumerate() {
             for _ in 0..count {
@@ -119,9 +130,9 @@
 
     fn start_hosts(&mut self) {
         let regions = 0..REGIONS.len();
-        let numbers = 0..self.pattern.hosts_per_region;
+        let hosts = self.pattern.hosts;
         let places: Vec<(usize, u32)> =
-            regions.flat_map(|region| numbers.clone().map(move |n| (region, n))).collect();
+            regions.flat_map(|region| (0..hosts[region]).map(move |n| (region, n))).collect();
         self.hosts = places
             .into_iter()
             .map(|(region, number)| Host {
@@ -143,7 +154,7 @@
             domain_regions: domains.collect(),
         });
         fleet.set_warmup(self.now, &Arc::from(SERVICE), Duration::from_secs(3), 16.0);
-        fleet.set_region_hosts((0..self.pattern.hosts_per_region).map(host_name).collect());
+        fleet.set_region_hosts((0..self.pattern.hosts[region]).map(host_name).collect());
         for (index, backend) in self.backends.iter().enumerate() {
             fleet.register(
                 self.now,
@@ -163,8 +174,8 @@
         fleet
     }
 
-    /// Plays the whole pattern and returns what the callers got in each window.
-    pub(super) fn run(mut self) -> Vec<Window> {
+    /// Plays the whole pattern and returns what the callers got.
+    pub(super) fn run(mut self) -> Results {
         let end = START + self.pattern.length;
         let mut restart_at = self.pattern.hosts_restart_at.map(|at| START + at);
         while let Some(Reverse((at, _, event))) = self.events.pop() {
@@ -178,16 +189,25 @@
                 Event::Arrival => {}
                 Event::Return(request) => self.attempt(request),
                 Event::Finish(request) => self.finish(request),
-                Event::Answer(request, is_shed, running, waiting) => {
-                    self.answer(
-                        request,
-                        is_shed,
-                        Report { running, waiting, slots: self.pattern.slots },
-                    );
+                Event::Answer(request, is_shed, running, waiting, percent) => {
+                    let slots = self.pattern.slots;
+                    let factor = Factor::from_percent(f64::from(percent));
+                    let report = Report { running, waiting, slots, factor };
+                    self.answer(request, is_shed, report);
                 }
             }
         }
-        self.windows.into_values().collect()
+        let outcome = |request: &Request| {
+            let kind = self.pattern.kinds[request.kind];
+            let latency = request.answered_at.map(|at| at - request.asked_at);
+            noise::Outcome {
+                region: self.hosts[request.host].region,
+                target: kind.target,
+                latency: latency.filter(|latency| *latency <= kind.deadline),
+            }
+        };
+        let outcomes = self.requests.iter().map(outcome).collect();
+        Results { windows: self.windows.into_values().collect(), outcomes }
     }
 
     fn arrive(&mut self) {
@@ -214,6 +234,7 @@
             tried: Vec::new(),
             choice: None,
             backend: 0,
+            answered_at: None,
         });
         self.window(self.now).asked += 1;
         self.attempt(self.requests.len() - 1);
@@ -322,7 +343,10 @@
         let backend = &self.backends[request.backend];
         let is_remote = backend.region != self.hosts[request.host].region;
         let latency = if is_remote { REMOTE_LATENCY } else { Duration::from_millis(2) };
-        let event = Event::Answer(id, is_shed, backend.running, backend.waiting.len() as u32);
+        let is_reported = self.pattern.noise.is_some() && self.selection == Selection::Reported;
+        let percent = if is_reported { 100.0 * self.slowness(request.backend) } else { 0.0 };
+        let (running, waiting) = (backend.running, backend.waiting.len() as u32);
+        let event = Event::Answer(id, is_shed, running, waiting, percent as u32);
         self.schedule(self.now + latency, event);
     }
 
@@ -347,6 +371,7 @@
         }
         let kind = self.pattern.kinds[request.kind];
         let asked_at = request.asked_at;
+        self.requests[id].answered_at = Some(self.now);
         let total = self.now - asked_at;
         let window = self.window(asked_at);
         if total <= kind.target {
@@ -364,14 +389,14 @@
             | Rejection::Unreached { retry_after }
             | Rejection::ShiftLimited { retry_after } => retry_after,
         };
-        let hosts = self.hosts.len() as u64 / REGIONS.len() as u64;
-        let other = self.below(hosts) as usize;
+        let region = self.hosts[self.requests[id].host].region;
+        let first: u32 = self.pattern.hosts[..region].iter().sum();
+        let other = self.below(u64::from(self.pattern.hosts[region])) as usize;
         let request = &mut self.requests[id];
         if !request.has_returned {
             request.has_returned = true;
             request.tried.clear();
-            let region = self.hosts[request.host].region;
-            request.host = region * hosts as usize + other;
+            request.host = first as usize + other;
             self.schedule(self.now + retry_after, Event::Return(id));
         }
     }
@@ -388,7 +413,19 @@
 
     /// Factor by which the instance's work takes longer now.
     fn slowness(&self, index: usize) -> f64 {
-        self.active_fault(index).map_or(1.0, |fault| fault.slowness)
+        let fault = self.active_fault(index).map_or(1.0, |fault| fault.slowness);
+        fault * self.noise(index)
+    }
+
+    /// Factor of the noise at the instance now. The instances change at different times.
+    fn noise(&self, index: usize) -> f64 {
+        let Some(noise) = self.pattern.noise else {
+            return 1.0;
+        };
+        let phase = hash(index as u64 + 1) % noise.period.as_nanos() as u64;
+        let step = (self.now.as_nanos() as u64 + phase) / noise.period.as_nanos() as u64;
+        let draw = hash(step.wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ hash(index as u64 + 1));
+        if (draw >> 11) as f64 / (1_u64 << 53) as f64 >= noise.share { 1.0 } else { noise.factor }
     }
 
     fn active_fault(&self, index: usize) -> Option<&Fault> {
