intake: bodies take memory from a budget; those of refused requests are discarded piece by piece

Cause: the body of a refused request was collected in order to be dropped, and accepted bodies had no common limit: 60 connections with 15.9 MB each raised a host from 6 to 948 MB, and the allocator kept 1,183 MB.

Change: crates/steer/src/intake divides the memory of the machine (settings limits.memory_mb and limits.descriptors, by default the limits of the process) into parts for bodies, connections and responses. A ledger reserves memory for each piece of a body before it is kept; owners above an equal share (address, workspace) are refused first, then large bodies. Without memory: 503 no_memory, not run. Bodies over 64 KiB are kept in mappings of their own (new crate memmap2), which return to the system when the body is dropped. A refused request gets its response at once, and its body is skipped beside it, up to 16 MiB and 3 s, or 256 KiB and 0.5 s while more than 8 are skipped. An announced length over the limit gets 413 without reading; a chunked body over the limit gets 413 instead of 400.

--- a/crates/steer/src/callers.rs
+++ b/crates/steer/src/callers.rs
@@ -7,6 +7,7 @@
 mod encode;
 mod forward;
 mod handle;
+mod receive;
 mod refusal;
 pub(crate) mod routing;
 mod statement;
--- a/crates/steer/src/callers/accept.rs
+++ b/crates/steer/src/callers/accept.rs
@@ -144,7 +144,7 @@
         (Side::Hosts, Ok(address)) => Sender::Host(address),
         // A connection that has ended brings no request.
         (Side::Hosts, Err(_)) => return,
-        (Side::Callers, _) => Sender::Caller,
+        (Side::Callers, address) => Sender::Caller(address.ok().map(|address| address.ip())),
     };
     let has_ambiguous_framing = Arc::new(AtomicBool::new(false));
     let stream =
--- a/crates/steer/src/callers/handle.rs
+++ b/crates/steer/src/callers/handle.rs
@@ -1,29 +1,33 @@
 //! Handles one request of a caller.
 
-use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, header};
-use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::body::{Body as _, Incoming};
+use http_body_util::Full;
+use hyper::body::Incoming;
 use marjorampick_core::steering::fleet::Choice;
 use marjorampick_link::wire::headers::strip_hop_by_hop;
-use tokio::time::timeout;
 
 use super::{
     carry::REASON_HEADER,
     forward,
+    receive::{self, discard_body},
     refusal::{Reason, Refusal},
     routing::{self, Call},
 };
 use crate::{
     backend::answer::Answer,
     clock,
-    constants::{BUSY_RETRY_AFTER, DEFAULT_REQUEST_TIMEOUT, MAX_REQUEST_BODY_BYTES},
     events::{Event, Rank},
     lending::Lending,
     metrics, peers,
-    state::{CarriedRequest, State},
+    state::State,
 };
 
 /// Counts a request as in flight until it is dropped.
@@ -45,12 +49,19 @@
 /// Who sent a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Sender {
-    /// A caller.
-    Caller,
+    /// A caller with this address, if its connection is still open.
+    Caller(Option<IpAddr>),
     /// A host at this address, if it is registered.
     Host(SocketAddr),
 }
 
+/// Sender of a request whose right to send is checked.
+struct From {
+    ip: Option<IpAddr>,
+    /// Name of the host that passed the request on; `None` if a caller sent it.
+    peer: Option<Arc<str>>,
+}
+
 /// Returns the response to a request, which is refused if its framing is ambiguous.
 pub(crate) async fn respond(
     state: &Rc<State>,
@@ -60,12 +71,19 @@
     has_ambiguous_framing: bool,
 ) -> Response<Full<Bytes>> {
     let _in_flight = InFlight::start(state);
-    let Sender::Host(address) = sender else {
-        return respond_to(state, lending, None, request, has_ambiguous_framing).await;
+    let address = match sender {
+        Sender::Host(address) => address,
+        Sender::Caller(ip) => {
+            let from = From { ip, peer: None };
+            return respond_to(state, lending, from, request, has_ambiguous_framing).await;
+        }
     };
     let id = request.headers().get(&state.codec.headers.request_id).cloned();
     let response = match state.peer_at(address.ip()) {
-        Some(name) => respond_to(state, lending, Some(name), request, has_ambiguous_framing).await,
+        Some(name) => {
+            let from = From { ip: Some(address.ip()), peer: Some(name) };
+            respond_to(state, lending, from, request, has_ambiguous_framing).await
+        }
         None => {
             peers::record_dropped(state, address, Reason::Stranger.name());
             refuse(state, None, Refusal::new(Reason::Stranger), clock::now())
@@ -95,11 +113,11 @@
     response
 }
 
-/// Returns the response to a request of a caller, or of the host with the name `peer`.
+/// Returns the response to a request of a caller or host.
 async fn respond_to(
     state: &Rc<State>,
     lending: &Lending,
-    peer: Option<Arc<str>>,
+    from: From,
     request: Request<Incoming>,
     has_ambiguous_framing: bool,
 ) -> Response<Full<Bytes>> {
@@ -109,11 +127,10 @@
     let mut response = if has_ambiguous_framing {
         refuse(state, None, Refusal::new(Reason::BadRequest), arrived_at)
     } else {
-        match routing::resolve(state, parts, arrived_at, peer) {
-            Ok(call) => handle(state, lending, &call, body).await,
+        match routing::resolve(state, parts, arrived_at, from.peer) {
+            Ok(call) => handle(state, lending, &call, from.ip, body).await,
             Err(refusal) => {
-                // Closing a connection with unread bytes resets it, and the response could be lost.
-                discard_body(body).await;
+                discard_body(state, body);
                 refuse(state, None, refusal, arrived_at)
             }
         }
@@ -129,24 +146,34 @@
     state: &Rc<State>,
     lending: &Lending,
     call: &Call,
-    body: Incoming,
+    ip: Option<IpAddr>,
+    mut body: Incoming,
 ) -> Response<Full<Bytes>> {
-    let _room = match take_room(state, call, &body) {
+    if receive::is_too_long(call, &body) {
+        return refuse(state, Some(call), Refusal::new(Reason::TooLong), call.arrived_at);
+    }
+    let _room = match receive::take_room(state, call, &body) {
         Ok(room) => room,
         Err(refusal) => {
-            discard_body(body).await;
+            discard_body(state, body);
             return refuse(state, Some(call), refusal, call.arrived_at);
         }
     };
     if let Err(refusal) = acquire_token(state, lending, call).await {
-        discard_body(body).await;
+        discard_body(state, body);
         return refuse(state, Some(call), refusal, call.arrived_at);
     }
-    let body = match read_body(call, body).await {
-        Ok(body) => body,
-        Err(refusal) => return refuse(state, Some(call), refusal, call.arrived_at),
+    let received = match receive::read_body(state, call, ip, &mut body).await {
+        Ok(received) => received,
+        Err(refusal) => {
+            if refusal.reason == Reason::NoMemory {
+                refund_token(state, call);
+                discard_body(state, body);
+            }
+            return refuse(state, Some(call), refusal, call.arrived_at);
+        }
     };
-    let outcome = forward::forward(state, call, &body).await;
+    let outcome = forward::forward(state, call, &received.body).await;
     let (choice, helper) = (outcome.choice, outcome.helper);
     let end =
         End { choice: choice.as_ref(), attempts: outcome.attempts, helper: helper.as_deref() };
@@ -171,20 +198,6 @@
     response
 }
 
-/// Takes room for a request of another host, with as much of the body as its length says.
-fn take_room<'a>(
-    state: &'a State,
-    call: &Call,
-    body: &Incoming,
-) -> Result<Option<CarriedRequest<'a>>, Refusal> {
-    if !call.is_carried() {
-        return Ok(None);
-    }
-    let body_bytes = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
-    let room = state.carried.reserve(body_bytes);
-    room.map(Some).ok_or(Refusal::with_retry_after(Reason::Busy, BUSY_RETRY_AFTER))
-}
-
 /// Takes a token of the workspace's rate limit. If there is none, waits for other hosts to lend
 /// some.
 async fn acquire_token(state: &State, lending: &Lending, call: &Call) -> Result<(), Refusal> {
@@ -207,31 +220,6 @@
     }
 }
 
-/// Reads the complete body, up to the size limit and the deadline.
-async fn read_body(call: &Call, body: Incoming) -> Result<Bytes, Refusal> {
-    let max_bytes = MAX_REQUEST_BODY_BYTES.min(call.plan.limits.max_body_bytes);
-    if body.size_hint().lower() > max_bytes as u64 {
-        return Err(Refusal::new(Reason::TooLong));
-    }
-    let remaining = call.deadline.saturating_sub(clock::now());
-    match timeout(remaining, Limited::new(body, max_bytes).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(_)) => Err(Refusal::new(Reason::BadRequest)),
-        Err(_) => Err(Refusal::new(Reason::LateUnsent)),
-    }
-}
-
-/// Reads and drops the body of a refused request, up to a size and a time limit.
-async fn discard_body(body: Incoming) {
-    if body.is_end_stream() {
-        return;
-    }
-    let read = Limited::new(body, MAX_REQUEST_BODY_BYTES).collect();
-    if !matches!(timeout(DEFAULT_REQUEST_TIMEOUT, read).await, Ok(Ok(_))) {
-        log::debug!("callers: cannot read the rest of a refused request's body");
-    }
-}
-
 /// Converts an instance's answer to the response for the caller.
 fn into_response(answer: Answer) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(answer.body));
--- a/crates/steer/src/callers/refusal.rs
+++ b/crates/steer/src/callers/refusal.rs
@@ -29,6 +29,8 @@
     Unreached,
     /// The host to which the request was passed on refused it.
     HelperRefused,
+    /// The memory for request bodies is in use.
+    NoMemory,
     /// This host runs as many requests of other hosts as it may.
     Busy,
     /// The request came to the listener for other hosts, but not from one.
@@ -64,6 +66,7 @@
             Self::Full => "full",
             Self::Unreached => "unreached",
             Self::HelperRefused => "helper_refused",
+            Self::NoMemory => "no_memory",
             Self::Busy => "busy",
             Self::Stranger => "stranger",
             Self::Shift => "shift",
@@ -93,6 +96,7 @@
             | Self::Full
             | Self::Unreached
             | Self::HelperRefused
+            | Self::NoMemory
             | Self::Busy
             | Self::Stranger
             | Self::Shift
--- /dev/null
+++ b/crates/steer/src/intake/tests.rs
@@ -0,0 +1,103 @@
+//! Tests of the decisions, without a network.
+
+use std::{net::IpAddr, sync::Arc};
+
+use super::{
+    budget::{Budget, Machine},
+    buffer::Buffer,
+    ledger::{Ledger, Owner, SMALL_BYTES},
+};
+
+const MIB: usize = 1024 * 1024;
+
+fn owner(host: u8, workspace: Option<&str>) -> Owner {
+    Owner::new(Some(IpAddr::from([127, 0, 0, host])), workspace.map(Arc::from))
+}
+
+/// Guards against parts that exceed the memory together, or in which the largest legal body does not fit.
+#[test]
+fn the_parts_fit_the_machine_and_the_largest_body_fits_its_part() {
+    for memory_bytes in [32_000_000, 112_000_000, 160_000_000, 512_000_000, 64_000_000_000] {
+        let machine = Machine { memory_bytes, descriptors: 2870, limits_address_space: false };
+        let budget = Budget::new(machine);
+        let parts = budget.body_bytes() + budget.connection_bytes() + budget.response_bytes();
+        assert!(parts < memory_bytes - memory_bytes.min(80_000_000) / 2, "{budget:?}");
+        assert!(budget.connections() < 2870 - 200, "{budget:?}");
+        if memory_bytes >= 112_000_000 {
+            let mut ledger = Ledger::new(budget.body_bytes());
+            ledger.reserve(&owner(1, Some("a")), 0, 16 * MIB).unwrap();
+        }
+    }
+}
+
+/// Guards against one address or workspace that takes all of the memory, so that the others find none.
+#[test]
+fn who_holds_more_than_a_share_is_refused_first() {
+    for crowd in [owner(1, None), owner(1, Some("large"))] {
+        let mut ledger = Ledger::new(64 * MIB);
+        while ledger.reserve(&crowd, MIB, MIB).is_ok() {}
+        while ledger.reserve(&crowd, 0, 1024).is_ok() {}
+        assert!(ledger.used_bytes() >= 48 * MIB);
+        for other in 2..10 {
+            let other = owner(other, Some("small"));
+            ledger.reserve(&other, 0, SMALL_BYTES / 2).unwrap();
+        }
+        ledger.reserve(&owner(20, Some("other")), MIB, 2 * MIB).unwrap();
+    }
+}
+
+/// Guards against a crowd of many addresses whose large bodies leave no room for small ones.
+#[test]
+fn large_bodies_leave_room_for_small_ones() {
+    let mut ledger = Ledger::new(64 * MIB);
+    for host in (0..200).cycle().take(1000) {
+        ledger.reserve(&owner(host, None), MIB, MIB).ok();
+    }
+    assert!(ledger.used_bytes() <= 56 * MIB);
+    for host in 0..50 {
+        ledger.reserve(&owner(host, Some("ordinary")), 0, SMALL_BYTES).unwrap();
+    }
+}
+
+/// Guards against memory that is counted twice or never returned.
+#[test]
+fn what_is_reserved_and_released_adds_up() {
+    arbtest::arbtest(|input| {
+        let mut ledger = Ledger::new(MIB);
+        let mut held: Vec<(Owner, usize)> = Vec::new();
+        for _ in 0..input.int_in_range(0..=100)? {
+            if input.arbitrary()? && !held.is_empty() {
+                let (owner, bytes) = held.swap_remove(input.choose_index(held.len())?);
+                ledger.release(&owner, bytes);
+            } else {
+                let workspace = *input.choose(&[None, Some("a"), Some("b")])?;
+                let owner = owner(input.int_in_range(0..=3)?, workspace);
+                let bytes = input.int_in_range(0..=MIB / 2)?;
+                if ledger.reserve(&owner, 0, bytes).is_ok() {
+                    held.push((owner, bytes));
+                }
+            }
+            let total: usize = held.iter().map(|(_, bytes)| bytes).sum();
+            assert_eq!(ledger.used_bytes(), total);
+            assert!(total <= MIB);
+        }
+        Ok(())
+    });
+}
+
+/// Guards against bytes that are lost where a body outgrows its storage, and against storage that exceeds
+/// what was reserved for it.
+#[test]
+fn a_buffer_returns_what_was_appended() {
+    for announced_bytes in [0, 10, SMALL_BYTES, SMALL_BYTES + 1, 3 * MIB] {
+        let mut buffer = Buffer::new(announced_bytes).unwrap();
+        let mut expected = Vec::new();
+        for number in 0..60_usize {
+            let piece = vec![number as u8; number * 997];
+            assert!(buffer.bytes_with(piece.len()) >= expected.len() + piece.len());
+            buffer.append(&piece).unwrap();
+            expected.extend_from_slice(&piece);
+        }
+        assert_eq!(buffer.into_bytes(), expected);
+    }
+}
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -13,6 +13,7 @@
 mod departures;
 pub mod events;
 pub mod feed;
+pub mod intake;
 pub mod lending;
 pub mod limits;
 pub mod listeners;
--- a/crates/steer/src/settings.rs
+++ b/crates/steer/src/settings.rs
@@ -1,6 +1,9 @@
 //! Settings of the entry host, read from a TOML file. See docs/platform.md for the keys.
 
-use std::{collections::HashMap, net::SocketAddr, path::Path, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap, net::SocketAddr, ops::RangeInclusive, path::Path, sync::Arc,
+    time::Duration,
+};
 
 use marjorampick_core::{
     finding::Findings,
@@ -11,6 +14,12 @@
 
 use crate::constants::MAX_LOOKUP_LIFETIME;
 
+/// Accepted values of `limits.memory_mb`. With less, the host itself does not fit.
+const MEMORY_MB: RangeInclusive<f64> = 32.0..=1e7;
+
+/// Accepted values of `limits.descriptors`. With fewer, none is left beside the 200 for files.
+const DESCRIPTORS: RangeInclusive<f64> = 256.0..=1e7;
+
 /// Identity and location of the host.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Host {
@@ -46,6 +55,15 @@
     pub propagation: Duration,
 }
 
+/// Limits of the machine; those that are absent come from the limits of the process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Limits {
+    /// Memory in bytes.
+    pub memory_bytes: Option<usize>,
+    /// Open files, connections among them.
+    pub descriptors: Option<usize>,
+}
+
 /// All settings of an entry host, fixed while the process runs.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -57,6 +75,8 @@
     pub listeners: Listeners,
     /// Settings of the platform's store.
     pub store: Store,
+    /// Limits of the machine.
+    pub limits: Limits,
     /// Time between the termination signal and the kill of the process by the platform.
     pub grace_period: Duration,
     /// Time to live of look-up responses.
@@ -103,6 +123,7 @@
                 "drain_time",
             )),
         },
+        limits: limits(table, findings),
         grace_period: duration(&mut stop, findings, "grace"),
         lookup_lifetime: duration(&mut lookup, findings, "longest_lifetime")
             .min(MAX_LOOKUP_LIFETIME),
@@ -129,6 +150,20 @@
     domains
 }
 
+fn limits(table: &mut Table<'_>, findings: &mut Findings) -> Limits {
+    const BYTES_PER_MB: f64 = 1e6;
+    let mut limits = table.table(findings, "limits");
+    let mut number =
+        |key, range| limits.has(key).then(|| limits.number(findings, key, range, None));
+    let memory_mb = number("memory_mb", MEMORY_MB);
+    let descriptors = number("descriptors", DESCRIPTORS);
+    limits.finish(findings);
+    Limits {
+        memory_bytes: memory_mb.map(|megabytes| (megabytes * BYTES_PER_MB) as usize),
+        descriptors: descriptors.map(|count| count as usize),
+    }
+}
+
 fn rate_tolerance(table: &mut Table<'_>, findings: &mut Findings) -> Tolerance {
     let mut rates = table.table(findings, "rates");
     let tolerance = Tolerance {
--- a/crates/steer/src/state.rs
+++ b/crates/steer/src/state.rs
@@ -36,6 +36,7 @@
         STARTUP_WAIT,
     },
     events::{Event, Log, Rank},
+    intake::{self, budget::Budget, machine},
     peers::Message,
     reach::Silence,
     settings::Settings,
@@ -207,6 +208,12 @@
     pub helpers: RefCell<helper::Book>,
     /// Requests of other hosts that run here.
     pub carried: Carried,
+    /// Resources of the machine that callers may use.
+    pub(crate) budget: Budget,
+    /// Memory for request bodies.
+    pub(crate) body_memory: intake::Pool,
+    /// Bodies of refused requests that are being discarded.
+    pub(crate) discarded_bodies: Cell<usize>,
     /// Memory for answers of backend servers.
     pub answer_memory: Memory,
     /// Data for the look-up and readiness listeners.
@@ -248,6 +255,7 @@
             domain: settings.host.failure_domain.clone(),
             domain_regions: settings.failure_domains.clone(),
         };
+        let budget = Budget::new(machine::read(settings.limits));
         let snapshot = Snapshot { is_ready: AtomicBool::new(false), hosts: ArcSwap::default() };
         let state = Rc::new(Self {
             plan: RefCell::new(None),
@@ -267,6 +275,9 @@
             helper_pool: RefCell::default(),
             helpers: RefCell::default(),
             carried: Carried::default(),
+            budget,
+            body_memory: intake::Pool::new(budget.body_bytes()),
+            discarded_bodies: Cell::new(0),
             answer_memory: Memory::default(),
             snapshot: Arc::new(snapshot),
             store_last_response_at: Cell::new(Duration::ZERO),
