intake: connections are counted, and closed when they make no progress or others need them

Cause: no listener limited its connections. Heads had only the idle time as a limit, trickled bodies and unread responses none that their callers could not renew, and gotham's accept loop had no limits at all.

Change: each kind of listener (callers 0.8, other hosts 0.15, look-ups with readiness and metrics 0.05) has a gate with its part of the connections and their memory. Connections are limited by the file descriptors less 200 for files and 0.3 for connections that this host opens. Above three quarters, an address that holds more than an equal share replaces only its own connections; when all are in use, those with the least progress are closed, never one whose request runs. Heads reserve memory as they grow, and requests while they are handled; an unread response reserves 16 KiB. The listeners of gotham's routers use the same loop. Counter marjorampick_closed_connections_total by listener and cause, and the event connections_closed, at most one for each pair every 2 s.

--- a/crates/core/src/steering/plan.rs
+++ b/crates/core/src/steering/plan.rs
@@ -78,6 +78,8 @@
     pub max_header_bytes: usize,
     /// Largest request body, in bytes.
     pub max_body_bytes: usize,
+    /// Longest time for sending a request head.
+    pub header_timeout: Duration,
     /// Longest time that a connection may be idle.
     pub idle_timeout: Duration,
 }
--- a/crates/core/src/steering/tests/plan.rs
+++ b/crates/core/src/steering/tests/plan.rs
@@ -28,6 +28,7 @@
     let limits = Limits {
         max_header_bytes: 16_384,
         max_body_bytes: 1 << 20,
+        header_timeout: Duration::from_secs(3),
         idle_timeout: Duration::from_secs(15),
     };
     Plan::new(1, routes, HashMap::new(), HashMap::new(), HashMap::new(), limits)
--- a/crates/link/src/wire/framing.rs
+++ b/crates/link/src/wire/framing.rs
@@ -25,6 +25,17 @@
     Trailers,
 }
 
+/// Which part of a request comes next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Position {
+    /// The first byte of a request.
+    Start,
+    /// The rest of a request head.
+    Head,
+    /// The rest of a body.
+    Body,
+}
+
 /// Parts of a request head that determine the framing of the body.
 #[derive(Debug, Default)]
 struct Head {
@@ -57,6 +68,15 @@
         Ok(())
     }
 
+    /// Which part of a request comes next.
+    pub fn position(&self) -> Position {
+        match self.state {
+            State::Head if self.head.line_count == 0 && self.line.is_empty() => Position::Start,
+            State::Head => Position::Head,
+            State::Body(_) | State::ChunkSize | State::Chunk(_) | State::Trailers => Position::Body,
+        }
+    }
+
     /// Skips up to `remaining` bytes and returns the rest of `bytes`. The next state is `current`
     /// with the remaining number, or `next` after the last byte.
     fn skip<'a>(
--- a/crates/link/src/wire/stream.rs
+++ b/crates/link/src/wire/stream.rs
@@ -17,7 +17,7 @@
     time::{Sleep, sleep},
 };
 
-use super::framing::Scanner;
+use super::framing::{Position, Scanner};
 
 /// Stream of a caller's connection.
 pub struct Stream<S> {
@@ -49,6 +49,11 @@
         }
     }
 
+    /// Which part of a request the connection brings next.
+    pub fn position(&self) -> Position {
+        self.scanner.position()
+    }
+
     /// Returns the result of a write, or a timeout error if no write has made progress for the
     /// write timeout.
     fn check_stall(
--- a/crates/steer/src/callers/accept.rs
+++ b/crates/steer/src/callers/accept.rs
@@ -8,14 +8,12 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
-    time::Duration,
 };
 
 use eyre::WrapErr as _;
 use http::Request;
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
-use marjorampick_link::{socket::accept_queued, wire::stream::Stream};
+use hyper::{body::Incoming, service::service_fn};
+use marjorampick_link::socket::accept_queued;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Notify, watch},
@@ -24,21 +22,17 @@
 
 use super::handle::{self, Sender};
 use crate::{
-    constants::{ACCEPT_RETRY_DELAY, FIRST_REQUEST_TIME, WRITE_TIMEOUT},
+    constants::{ACCEPT_RETRY_DELAY, FIRST_REQUEST_TIME},
+    intake::{
+        connection,
+        gate::{Admitted, Gate},
+        progress::Progress,
+    },
     lending::Lending,
     state::State,
     tasks,
 };
 
-/// Largest request head until a configuration is in force, in bytes.
-const DEFAULT_MAX_HEADER_BYTES: usize = 32 * 1024;
-
-/// Smallest buffer size that the HTTP library accepts, in bytes.
-const MIN_BUFFER_BYTES: usize = 8 * 1024;
-
-/// Idle timeout of connections until a configuration is in force.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-
 /// Who connects to a listener.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Side {
@@ -93,7 +87,7 @@
     }
 }
 
-/// Serves a connection on a task of its own.
+/// Serves a connection on a task of its own, if there is room for it.
 fn spawn_connection(
     state: &Rc<State>,
     lending: &Rc<Lending>,
@@ -101,8 +95,15 @@
     stream: TcpStream,
     closing: &watch::Receiver<bool>,
 ) {
+    let gate = match side {
+        Side::Callers => &state.caller_gate,
+        Side::Hosts => &state.host_gate,
+    };
+    let Some(admitted) = gate.admit(&stream) else {
+        return;
+    };
     let open = OpenConnection::start(state);
-    let serving = serve(state.clone(), lending.clone(), side, stream, closing.clone());
+    let serving = serve(state.clone(), lending.clone(), side, admitted, stream, closing.clone());
     tokio::task::spawn_local(async move {
         tasks::contain_task(&open.0, "connection", serving).await;
     });
@@ -130,60 +131,46 @@
     state: Rc<State>,
     lending: Rc<Lending>,
     side: Side,
+    admitted: Admitted,
     stream: TcpStream,
     mut closing: watch::Receiver<bool>,
 ) {
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!("callers: cannot set TCP_NODELAY: {error}");
-    }
-    let (max_header_bytes, idle_timeout) = match state.plan.borrow().as_ref() {
-        Some(plan) => (plan.limits.max_header_bytes, plan.limits.idle_timeout),
-        None => (DEFAULT_MAX_HEADER_BYTES, DEFAULT_IDLE_TIMEOUT),
-    };
     let sender = match (side, stream.peer_addr()) {
         (Side::Hosts, Ok(address)) => Sender::Host(address),
         // A connection that has ended brings no request.
         (Side::Hosts, Err(_)) => return,
         (Side::Callers, address) => Sender::Caller(address.ok().map(|address| address.ip())),
     };
+    let max_header_bytes = state.max_header_bytes();
     let has_ambiguous_framing = Arc::new(AtomicBool::new(false));
-    let stream =
-        Stream::new(stream, max_header_bytes, WRITE_TIMEOUT, has_ambiguous_framing.clone());
     let first_request = Rc::new(FirstRequest::default());
     let started = first_request.clone();
-    let service = service_fn(move |request: Request<Incoming>| {
-        started.record();
-        let state = state.clone();
-        let lending = lending.clone();
-        let is_ambiguous = has_ambiguous_framing.load(Ordering::Acquire);
-        async move {
-            let responding = handle::respond(&state, &lending, sender, request, is_ambiguous);
-            Ok::<_, Infallible>(responding.await)
-        }
-    });
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        // The library's timeout for a head includes the idle time before the request.
-        .header_read_timeout(idle_timeout)
-        .max_buf_size(max_header_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
+    let is_ambiguous = has_ambiguous_framing.clone();
+    let service = |gate: Rc<Gate>, progress: Rc<Progress>| {
+        service_fn(move |request: Request<Incoming>| {
+            started.record();
+            let state = state.clone();
+            let lending = lending.clone();
+            let (gate, progress) = (gate.clone(), progress.clone());
+            let is_ambiguous = is_ambiguous.load(Ordering::Acquire);
+            async move {
+                let (parts, body) = request.into_parts();
+                let Some(_memory) = gate.reserve_request(progress.address(), &parts) else {
+                    return Ok(handle::refuse_for_memory(&state, body));
+                };
+                let request = Request::from_parts(parts, body);
+                let responding = handle::respond(&state, &lending, sender, request, is_ambiguous);
+                Ok::<_, Infallible>(responding.await)
+            }
+        })
+    };
     let stopping = async {
         // A closed channel means that the host stops, too.
         closing.wait_for(|closing| *closing).await.ok();
         first_request.wait().await;
     };
-    let result = tokio::select! {
-        biased;
-        result = connection.as_mut() => result,
-        () = stopping => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
-    if let Err(error) = result {
-        log::debug!("callers: connection failed: {error}");
-    }
+    connection::serve(admitted, stream, max_header_bytes, has_ambiguous_framing, service, stopping)
+        .await;
 }
 
 /// Whether a connection has brought a request yet. The HTTP library closes a connection without one
--- a/crates/steer/src/callers/handle.rs
+++ b/crates/steer/src/callers/handle.rs
@@ -24,6 +24,7 @@
 use crate::{
     backend::answer::Answer,
     clock,
+    constants::BUSY_RETRY_AFTER,
     events::{Event, Rank},
     lending::Lending,
     metrics, peers,
@@ -92,6 +93,13 @@
     mark_for_host(state, response, id)
 }
 
+/// Returns the response to a request for whose head there is no memory.
+pub(crate) fn refuse_for_memory(state: &Rc<State>, body: Incoming) -> Response<Full<Bytes>> {
+    discard_body(state, body);
+    let refusal = Refusal::with_retry_after(Reason::NoMemory, BUSY_RETRY_AFTER);
+    refuse(state, None, refusal, clock::now())
+}
+
 /// Adds the request's id, without which the other host would take a refusal for an answer to another
 /// request, and the reason of a refusal.
 fn mark_for_host(
@@ -167,6 +175,7 @@
         Ok(received) => received,
         Err(refusal) => {
             if refusal.reason == Reason::NoMemory {
+                state.caller_gate.close_stalled_bodies();
                 refund_token(state, call);
                 discard_body(state, body);
             }
--- a/crates/steer/src/events.rs
+++ b/crates/steer/src/events.rs
@@ -266,6 +266,15 @@
         /// This host's share of each budget, as a fraction.
         part: f64,
     },
+    /// Connections were refused, or closed before their end, to protect the host.
+    ConnectionsClosed {
+        /// Kind of the listener.
+        listener: &'a str,
+        /// Why they were closed.
+        cause: &'a str,
+        /// Number of such connections since the previous event of this listener and cause.
+        count: u64,
+    },
     /// An attempt to run a request at an instance gave no answer for the caller.
     Attempt {
         /// Id of the request.
--- a/crates/steer/src/intake/budget.rs
+++ b/crates/steer/src/intake/budget.rs
@@ -34,7 +34,16 @@
 const FILE_DESCRIPTORS: usize = 200;
 
 /// Part of the other file descriptors for connections to instances, hosts and the store.
-const OUTBOUND_FRACTION: f64 = 0.35;
+const OUTBOUND_FRACTION: f64 = 0.3;
+
+/// Part of the connections and their memory for callers.
+const CALLER_FRACTION: f64 = 0.8;
+
+/// Part of the connections and their memory for other hosts. The rest is for look-ups, readiness and metrics.
+const HOST_FRACTION: f64 = 0.15;
+
+/// Most connections for look-ups, readiness and metrics. A response with all metrics has some 100 KB.
+const MAX_SERVICE_CONNECTIONS: usize = 64;
 
 /// Fewest connections of callers, on machines with very few file descriptors.
 const MIN_CONNECTIONS: usize = 16;
@@ -98,6 +107,26 @@
         self.connections
     }
 
+    /// Connections of callers, and their memory in bytes.
+    pub fn caller_share(&self) -> (usize, usize) {
+        self.share(CALLER_FRACTION)
+    }
+
+    /// Connections of other hosts, and their memory in bytes.
+    pub fn host_share(&self) -> (usize, usize) {
+        self.share(HOST_FRACTION)
+    }
+
+    /// Connections for look-ups, readiness and metrics, and their memory in bytes.
+    pub fn service_share(&self) -> (usize, usize) {
+        let (connections, bytes) = self.share(1.0 - CALLER_FRACTION - HOST_FRACTION);
+        (connections.clamp(MIN_CONNECTIONS, MAX_SERVICE_CONNECTIONS), bytes)
+    }
+
+    fn share(&self, fraction: f64) -> (usize, usize) {
+        (fraction_of(self.connections, fraction), fraction_of(self.connection_bytes, fraction))
+    }
+
     /// Whether a mapping counts with its whole size, also where it is not used.
     pub fn limits_address_space(&self) -> bool {
         self.limits_address_space
--- /dev/null
+++ b/crates/steer/src/intake/connection.rs
@@ -0,0 +1,101 @@
+//! Serves one connection under the limits, at any listener.
+
+use std::{
+    error::Error,
+    rc::Rc,
+    sync::{Arc, atomic::AtomicBool},
+};
+
+use http::{Request, Response};
+use hyper::{
+    body::{Body, Incoming},
+    server::conn::http1,
+    service::{Service, service_fn},
+};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+use super::{
+    connections::Cause,
+    gate::{Admitted, Gate},
+    progress::Progress,
+};
+
+/// Smallest buffer size that the HTTP library accepts, in bytes.
+const MIN_BUFFER_BYTES: usize = 8 * 1024;
+
+/// Serves the requests of a connection one by one until it ends, is closed by the gate, or, after the
+/// current request, `stopping` returns. `service` makes the service from the gate and the progress.
+pub(crate) async fn serve<S, B>(
+    mut admitted: Admitted,
+    stream: TcpStream,
+    max_header_bytes: usize,
+    has_ambiguous_framing: Arc<AtomicBool>,
+    service: impl FnOnce(Rc<Gate>, Rc<Progress>) -> S,
+    stopping: impl Future<Output = ()>,
+) where
+    S: Service<Request<Incoming>, Response = Response<B>>,
+    S::Error: Into<Box<dyn Error + Send + Sync>>,
+    B: Body + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("callers: cannot set TCP_NODELAY: {error}");
+    }
+    let progress = admitted.progress().clone();
+    let inner = service(admitted.gate().clone(), progress.clone());
+    let handled = progress.clone();
+    // The HTTP library keeps room for a future in each connection, also while it is idle, so it is boxed.
+    let service = service_fn(move |request: Request<Incoming>| {
+        let handling = Handling::start(&handled);
+        let responding = inner.call(request);
+        Box::pin(async move {
+            let response = responding.await;
+            drop(handling);
+            response
+        })
+    });
+    let Some(stream) = admitted.wrap(stream, max_header_bytes, has_ambiguous_framing) else {
+        return;
+    };
+    // The gate ends heads that take too long, without a timer for each request.
+    let connection = http1::Builder::new()
+        .header_read_timeout(None)
+        .max_buf_size(max_header_bytes.max(MIN_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection, stopping);
+    let mut is_stopping = false;
+    let result = loop {
+        tokio::select! {
+            biased;
+            result = connection.as_mut() => break result,
+            () = progress.closed() => return,
+            () = &mut stopping, if !is_stopping => {
+                is_stopping = true;
+                connection.as_mut().graceful_shutdown();
+            }
+        }
+    };
+    if let Err(error) = result {
+        if error.is_parse_too_large() {
+            admitted.gate().count(Cause::LargeHead);
+        }
+        log::debug!("callers: connection failed: {error}");
+    }
+}
+
+/// Records that a request is being handled, until it is dropped.
+struct Handling(Rc<Progress>);
+
+impl Handling {
+    fn start(progress: &Rc<Progress>) -> Self {
+        progress.start_request();
+        Self(progress.clone())
+    }
+}
+
+impl Drop for Handling {
+    fn drop(&mut self) {
+        self.0.end_request();
+    }
+}
--- /dev/null
+++ b/crates/steer/src/intake/progress.rs
@@ -0,0 +1,142 @@
+//! What one connection is doing, recorded by its stream and read by the sweep.
+
+use std::{cell::Cell, net::IpAddr, time::Duration};
+
+use marjorampick_link::wire::framing::Position;
+use tokio::sync::Notify;
+
+use super::connections::{Cause, Phase, View};
+use crate::clock;
+
+/// Progress of one connection.
+#[derive(Debug)]
+pub(crate) struct Progress {
+    id: u64,
+    address: IpAddr,
+    position: Cell<Position>,
+    is_serving: Cell<bool>,
+    is_blocked: Cell<bool>,
+    has_served: Cell<bool>,
+    phase: Cell<Phase>,
+    since: Cell<Duration>,
+    bytes: Cell<u64>,
+    moved_at: Cell<Duration>,
+    cause: Cell<Option<Cause>>,
+    closed: Notify,
+}
+
+impl Progress {
+    pub(super) fn new(id: u64, address: IpAddr) -> Self {
+        let now = clock::now();
+        Self {
+            id,
+            address,
+            position: Cell::new(Position::Start),
+            is_serving: Cell::new(false),
+            is_blocked: Cell::new(false),
+            has_served: Cell::new(false),
+            phase: Cell::new(Phase::Idle),
+            since: Cell::new(now),
+            bytes: Cell::new(0),
+            moved_at: Cell::new(now),
+            cause: Cell::new(None),
+            closed: Notify::new(),
+        }
+    }
+
+    /// Network address by which the connection is counted.
+    pub(crate) fn address(&self) -> IpAddr {
+        self.address
+    }
+
+    /// Records that bytes of requests were read.
+    pub(super) fn record_read(&self, length: usize, position: Position) {
+        self.position.set(position);
+        self.record_bytes(length);
+    }
+
+    /// Records that the caller took bytes of a response.
+    pub(super) fn record_written(&self, length: usize) {
+        if self.is_blocked.get() {
+            self.record_bytes(length);
+        }
+    }
+
+    /// Records whether the caller takes the response slower than it could be sent.
+    pub(super) fn set_blocked(&self, is_blocked: bool) {
+        if self.is_blocked.replace(is_blocked) != is_blocked {
+            self.update_phase(clock::now());
+        }
+    }
+
+    /// Records that a request is being handled, until the guard is dropped.
+    pub(crate) fn start_request(&self) {
+        self.is_serving.set(true);
+        self.update_phase(clock::now());
+    }
+
+    /// Records that a request has its response.
+    pub(crate) fn end_request(&self) {
+        self.is_serving.set(false);
+        self.has_served.set(true);
+        self.update_phase(clock::now());
+    }
+
+    /// Closes the connection. The first cause counts.
+    pub(super) fn close(&self, cause: Cause) {
+        if self.cause.get().is_none() {
+            self.cause.set(Some(cause));
+            self.closed.notify_one();
+        }
+    }
+
+    /// Whether the connection is being closed.
+    pub(super) fn is_closing(&self) -> bool {
+        self.cause.get().is_some()
+    }
+
+    /// Why the connection is being closed.
+    pub(super) fn cause(&self) -> Option<Cause> {
+        self.cause.get()
+    }
+
+    /// Waits until the connection is to be closed.
+    pub(crate) async fn closed(&self) {
+        self.closed.notified().await;
+    }
+
+    pub(super) fn view(&self) -> View {
+        View {
+            id: self.id,
+            address: self.address,
+            phase: self.phase.get(),
+            since: self.since.get(),
+            bytes: self.bytes.get(),
+            moved_at: self.moved_at.get(),
+            has_served: self.has_served.get(),
+        }
+    }
+
+    fn record_bytes(&self, length: usize) {
+        let now = clock::now();
+        self.update_phase(now);
+        self.bytes.set(self.bytes.get().saturating_add(length as u64));
+        self.moved_at.set(now);
+    }
+
+    fn update_phase(&self, now: Duration) {
+        let phase = match (self.is_blocked.get(), self.is_serving.get(), self.position.get()) {
+            (true, _, _) => Phase::Writing,
+            (false, true, Position::Body) => Phase::Body,
+            (false, true, _) => Phase::Running,
+            (false, false, Position::Body) => Phase::Rest,
+            (false, false, Position::Head) => Phase::Head,
+            (false, false, Position::Start) => Phase::Idle,
+        };
+        if self.phase.replace(phase) != phase {
+            self.since.set(now);
+            self.moved_at.set(now);
+            self.bytes.set(0);
+        }
+    }
+}
--- a/crates/steer/src/intake/tests.rs
+++ b/crates/steer/src/intake/tests.rs
@@ -1,10 +1,11 @@
 //! Tests of the decisions, without a network.
 
-use std::{net::IpAddr, sync::Arc};
+use std::{net::IpAddr, sync::Arc, time::Duration};
 
 use super::{
     budget::{Budget, Machine},
     buffer::Buffer,
+    connections::{Cause, Phase, Table, Times, Verdict, View, overdue},
     ledger::{Ledger, Owner, SMALL_BYTES},
 };
 
@@ -101,3 +102,73 @@
         assert_eq!(buffer.into_bytes(), expected);
     }
 }
+
+fn view(id: u64, host: u8, phase: Phase, bytes: u64, moved_ms: u64) -> View {
+    let address = IpAddr::from([127, 0, 0, host]);
+    let moved_at = Duration::from_millis(moved_ms);
+    View { id, address, phase, since: Duration::ZERO, bytes, moved_at, has_served: false }
+}
+
+/// Guards against time limits that cut off an honest slow caller, or let one that trickles bytes stay.
+#[test]
+fn slow_callers_are_told_from_stalled_ones() {
+    let times = Times { head: Duration::from_secs(3), idle: Duration::from_secs(15) };
+    let cause = |phase, bytes, moved_ms, now_ms| {
+        overdue(&view(1, 1, phase, bytes, moved_ms), Duration::from_millis(now_ms), times)
+    };
+    assert_eq!(cause(Phase::Head, 900, 2900, 2950), None);
+    assert_eq!(cause(Phase::Head, 900, 3400, 3500), Some(Cause::SlowHead));
+    // 16 MiB on a link of 1 Mbit/s.
+    assert_eq!(cause(Phase::Body, 16 << 20, 134_000, 134_000), None);
+    assert_eq!(cause(Phase::Body, 30, 29_900, 30_000), Some(Cause::SlowBody));
+    assert_eq!(cause(Phase::Body, 16 << 20, 4_000, 9_500), Some(Cause::SlowBody));
+    assert_eq!(cause(Phase::Writing, 100, 29_900, 30_000), Some(Cause::SlowReader));
+    assert_eq!(cause(Phase::Writing, 540_000, 29_900, 30_000), None);
+    assert_eq!(cause(Phase::Running, 0, 0, 600_000), None);
+    assert_eq!(cause(Phase::Idle, 0, 0, 14_000), None);
+    assert_eq!(cause(Phase::Idle, 0, 0, 15_500), Some(Cause::Idle));
+}
+
+/// Guards against closing a connection whose request runs, or that makes progress, for the sake of another.
+#[test]
+fn those_with_the_least_progress_are_closed_first() {
+    let mut table = Table::new(64);
+    (0..20).for_each(|_| table.open(IpAddr::from([127, 0, 0, 1])));
+    let mut used = view(5, 2, Phase::Idle, 0, 0);
+    used.has_served = true;
+    let views = [
+        view(1, 2, Phase::Running, 0, 0),
+        view(2, 2, Phase::Body, 1000, 9_900),
+        view(3, 2, Phase::Head, 10, 1_000),
+        view(4, 2, Phase::Idle, 0, 0),
+        used,
+        view(6, 1, Phase::Idle, 0, 5_000),
+    ];
+    let now = Duration::from_secs(10);
+    let ranked = |eligible: &[u64]| {
+        let views = views.into_iter();
+        table.victims(views, now, |view| eligible.contains(&view.id))
+    };
+    assert!(ranked(&[1, 2]).is_empty());
+    assert_eq!(ranked(&[1, 2, 3, 4, 5]), [3, 4]);
+    assert_eq!(ranked(&[4, 5]), [4, 5]);
+}
+
+/// Guards against one address that takes all connections.
+#[test]
+fn an_address_over_its_share_replaces_only_its_own() {
+    let [crowd, other] = [1, 2].map(|host| IpAddr::from([127, 0, 0, host]));
+    let mut table = Table::new(100);
+    while table.admit(crowd) == Verdict::Accept {
+        table.open(crowd);
+    }
+    assert_eq!(table.count(), 75);
+    assert_eq!(table.admit(crowd), Verdict::ReplaceOwn);
+    (0..25).for_each(|_| {
+        assert_eq!(table.admit(other), Verdict::Accept);
+        table.open(other);
+    });
+    assert_eq!(table.admit(other), Verdict::Replace);
+    (0..100).for_each(|_| table.close(crowd));
+    assert_eq!(table.admit(crowd), Verdict::Accept);
+}
--- a/crates/steer/src/listeners.rs
+++ b/crates/steer/src/listeners.rs
@@ -6,7 +6,11 @@
 use std::{
     net::SocketAddr,
     panic::AssertUnwindSafe,
-    sync::{Arc, atomic::Ordering},
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -18,19 +22,29 @@
     pipeline::{single_middleware, single_pipeline},
     prelude::*,
     router::{Router, build_router},
+    service::call_handler,
     state::{State as Exchange, StateData},
 };
-use http::{Response, StatusCode, Uri};
+use http::{Request, Response, StatusCode, Uri};
+use hyper::{body::Incoming, service::service_fn};
 use marjorampick_core::rendezvous;
 use metrics_exporter_prometheus::PrometheusHandle;
-use tokio::net::TcpListener;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::sleep,
+};
 
 use crate::{
     codec::{Codec, Query},
-    constants::MAX_LOOKUP_ADDRESSES,
-    state::{Registration, Snapshot},
+    constants::{ACCEPT_RETRY_DELAY, MAX_LOOKUP_ADDRESSES},
+    intake::connection,
+    state::{Registration, Snapshot, State},
+    tasks,
 };
 
+/// Largest request head at these listeners, in bytes.
+const MAX_HEADER_BYTES: usize = 8 * 1024;
+
 /// Shared context of the handlers.
 #[derive(Clone)]
 pub struct Context(Arc<AssertUnwindSafe<Inner>>);
@@ -75,14 +89,60 @@
 }
 
 /// Listens on `address`. The returned future serves `router`.
-pub async fn serve(address: SocketAddr, router: Router) -> eyre::Result<impl Future<Output = ()>> {
+///
+/// Gotham's own loop accepts connections without limits and waits for requests without end.
+pub async fn serve(
+    state: &Rc<State>,
+    address: SocketAddr,
+    router: Router,
+) -> eyre::Result<impl Future<Output = ()> + use<>> {
     let listener = TcpListener::bind(address).await;
     let listener = listener.wrap_err_with(|| format!("cannot listen on {address}"))?;
+    let (state, router) = (state.clone(), Arc::new(router));
     Ok(async move {
-        gotham::bind_server(listener, router, future::ok).await;
+        loop {
+            match listener.accept().await {
+                Ok((stream, address)) => spawn_connection(&state, &router, stream, address),
+                Err(error) => {
+                    log::warn!("listeners: accept failed: {error}");
+                    sleep(ACCEPT_RETRY_DELAY).await;
+                }
+            }
+        }
     })
 }
 
+/// Serves a connection on a task of its own, if there is room for it.
+fn spawn_connection(
+    state: &Rc<State>,
+    router: &Arc<Router>,
+    stream: TcpStream,
+    address: SocketAddr,
+) {
+    let Some(admitted) = state.service_gate.admit(&stream) else {
+        return;
+    };
+    let (state, router) = (state.clone(), router.clone());
+    tokio::task::spawn_local(async move {
+        let service = |_, _| {
+            service_fn(move |request: Request<Incoming>| {
+                let exchange = Exchange::from_request(request, address);
+                call_handler(router.clone(), AssertUnwindSafe(exchange))
+            })
+        };
+        let never = future::pending();
+        let serving = connection::serve(
+            admitted,
+            stream,
+            MAX_HEADER_BYTES,
+            Arc::new(AtomicBool::new(false)),
+            service,
+            never,
+        );
+        tasks::contain_task(&state, "connection", serving).await;
+    });
+}
+
 fn single_route(
     context: Context,
     path: &str,
--- a/crates/steer/src/metrics.rs
+++ b/crates/steer/src/metrics.rs
@@ -20,6 +20,7 @@
 const CARRIED_REQUESTS_TOTAL: &str = "marjorampick_carried_requests_total";
 const LOST_SERVICES: &str = "marjorampick_lost_services";
 const QUARANTINED_REQUESTS: &str = "marjorampick_quarantined_requests";
+const CLOSED_CONNECTIONS_TOTAL: &str = "marjorampick_closed_connections_total";
 const OMITTED_ENTRIES: &str = "marjorampick_omitted_configuration_entries";
 
 /// Upper bounds of the histogram buckets, in seconds.
@@ -69,6 +70,11 @@
         Unit::Count,
         "Entries of the configuration in force that this version of the program cannot use."
     );
+    describe_counter!(
+        CLOSED_CONNECTIONS_TOTAL,
+        Unit::Count,
+        "Connections that the host refused or closed to protect itself, by listener and cause."
+    );
     Ok(handle)
 }
 
@@ -115,6 +121,11 @@
     counter!(RELAY_MESSAGES_TOTAL, "outcome" => outcome).increment(1);
 }
 
+/// Records a connection that was refused, or closed before its end.
+pub(crate) fn record_closed_connection(listener: &'static str, cause: &'static str) {
+    counter!(CLOSED_CONNECTIONS_TOTAL, "listener" => listener, "cause" => cause).increment(1);
+}
+
 /// Sets the number of requests in flight.
 pub(crate) fn set_in_flight(count: u32) {
     gauge!(REQUESTS_IN_FLIGHT).set(count);
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -33,6 +33,9 @@
 /// Interval at which a drain checks whether requests are still in flight.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Maintenance ticks between two log events about closed connections, at most one for each listener and cause.
+const REPORT_TICKS: u32 = 4;
+
 /// Maximum time to wait at shutdown for the removal of the registration.
 const DEREGISTRATION_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -113,11 +116,11 @@
         Context::new(state.snapshot.clone(), state.codec.clone(), lifetime, metrics_handle);
     let addresses = &state.settings.listeners;
     let lookup = listeners::lookup_router(context.clone());
-    supervisor.spawn("lookup", listeners::serve(addresses.lookup, lookup).await?);
+    supervisor.spawn("lookup", listeners::serve(state, addresses.lookup, lookup).await?);
     let readiness = listeners::readiness_router(context.clone());
-    supervisor.spawn("readiness", listeners::serve(addresses.readiness, readiness).await?);
+    supervisor.spawn("readiness", listeners::serve(state, addresses.readiness, readiness).await?);
     let metrics = listeners::metrics_router(context);
-    supervisor.spawn("metrics", listeners::serve(addresses.metrics, metrics).await?);
+    supervisor.spawn("metrics", listeners::serve(state, addresses.metrics, metrics).await?);
     Ok(())
 }
 
@@ -171,6 +174,7 @@
         state.helper_pool.borrow_mut().remove_expired(now);
         state.helpers.borrow_mut().remove_expired(now);
         limits::update(&state);
+        sweep_connections(&state, tick_count.is_multiple_of(REPORT_TICKS));
         metrics::set_in_flight(state.in_flight.get());
         if tick_count.is_multiple_of(10) {
             metrics_handle.run_upkeep();
@@ -179,6 +183,20 @@
     }
 }
 
+/// Closes connections that are overdue. With `is_report`, logs how many were closed or refused.
+fn sweep_connections(state: &State, is_report: bool) {
+    let times = state.connection_times();
+    for gate in [&state.caller_gate, &state.host_gate, &state.service_gate] {
+        gate.sweep(times);
+        let closed = if is_report { gate.take_closed() } else { Vec::new() };
+        for (cause, count) in closed {
+            let (listener, cause) = (gate.name(), cause.name());
+            let event = Event::ConnectionsClosed { listener, cause, count };
+            state.log.write(Rank::Notice, event);
+        }
+    }
+}
+
 /// Validates the settings file again on SIGHUP. Changed settings take effect only at a restart.
 async fn validate_on_hang_up(state: Rc<State>, file: std::path::PathBuf, mut hang_up: Signal) {
     while hang_up.recv().await.is_some() {
--- a/crates/steer/src/state.rs
+++ b/crates/steer/src/state.rs
@@ -36,12 +36,18 @@
         STARTUP_WAIT,
     },
     events::{Event, Log, Rank},
-    intake::{self, budget::Budget, machine},
+    intake::{self, budget::Budget, connections::Times, gate::Gate, machine},
     peers::Message,
     reach::Silence,
     settings::Settings,
 };
 
+/// Largest request head until a configuration is in force, in bytes.
+const DEFAULT_MAX_HEADER_BYTES: usize = 32 * 1024;
+
+/// Time limits of connections until a configuration is in force.
+const DEFAULT_TIMES: Times = Times { head: Duration::from_secs(5), idle: Duration::from_secs(30) };
+
 /// Registration of an entry host in the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Registration {
@@ -212,6 +218,12 @@
     pub(crate) budget: Budget,
     /// Memory for request bodies.
     pub(crate) body_memory: intake::Pool,
+    /// Connections of callers.
+    pub(crate) caller_gate: Rc<Gate>,
+    /// Connections of other hosts.
+    pub(crate) host_gate: Rc<Gate>,
+    /// Connections for look-ups, readiness and metrics.
+    pub(crate) service_gate: Rc<Gate>,
     /// Bodies of refused requests that are being discarded.
     pub(crate) discarded_bodies: Cell<usize>,
     /// Memory for answers of backend servers.
@@ -277,6 +289,9 @@
             carried: Carried::default(),
             budget,
             body_memory: intake::Pool::new(budget.body_bytes()),
+            caller_gate: Gate::new("callers", budget.caller_share()),
+            host_gate: Gate::new("hosts", budget.host_share()),
+            service_gate: Gate::new("services", budget.service_share()),
             discarded_bodies: Cell::new(0),
             answer_memory: Memory::default(),
             snapshot: Arc::new(snapshot),
@@ -299,6 +314,21 @@
         (state, waiting)
     }
 
+    /// Largest request head, in bytes.
+    pub(crate) fn max_header_bytes(&self) -> usize {
+        let plan = self.plan.borrow();
+        plan.as_ref().map_or(DEFAULT_MAX_HEADER_BYTES, |plan| plan.limits.max_header_bytes)
+    }
+
+    /// Time limits of connections.
+    pub(crate) fn connection_times(&self) -> Times {
+        let plan = self.plan.borrow();
+        plan.as_ref().map_or(DEFAULT_TIMES, |plan| Times {
+            head: plan.limits.header_timeout,
+            idle: plan.limits.idle_timeout,
+        })
+    }
+
     /// Sends a message to all other hosts. One too many is dropped, as if it were lost on the way.
     pub fn announce(&self, message: Message) {
         if self.announcements.try_send(message).is_err() {
