--- a/crates/steer/src/callers/handle.rs
+++ b/crates/steer/src/callers/handle.rs
@@ -1,19 +1,24 @@
 //! Handles one request of a caller.
 
-use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::body::{Body as _, Incoming};
+use http_body_util::Full;
+use hyper::body::Incoming;
 use marjorampick_core::steering::fleet::Choice;
 use marjorampick_link::wire::headers::strip_hop_by_hop;
-use tokio::time::timeout;
 
 use super::{
     body::{self, Body, Sink},
     carry::REASON_HEADER,
     forward::{self, Reply},
+    receive::{self, discard_body},
     refusal::{Reason, Refusal},
     routing::{self, Call},
     stream::{BROKEN_OFF, CALLER_LEFT},
@@ -21,11 +26,11 @@
 use crate::{
     backend::answer::Answer,
     clock,
-    constants::{BUSY_RETRY_AFTER, DEFAULT_REQUEST_TIMEOUT, MAX_REQUEST_BODY_BYTES},
+    constants::BUSY_RETRY_AFTER,
     events::{Event, Rank},
     lending::Lending,
     metrics, peers,
-    state::{CarriedRequest, State},
+    state::State,
     tasks,
 };
 
@@ -48,12 +53,19 @@
 /// Who sent a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Sender {
-    /// A caller.
-    Caller,
+    /// A caller with this address, if its connection is still open.
+    Caller(Option<IpAddr>),
     /// A host at this address, if it is registered.
     Host(SocketAddr),
 }
 
+/// Sender of a request whose right to send is checked.
+struct From {
+    ip: Option<IpAddr>,
+    /// Name of the host that passed the request on; `None` if a caller sent it.
+    peer: Option<Arc<str>>,
+}
+
 /// Returns the response to a request, which is refused if its framing is ambiguous.
 ///
 /// If the response is streamed, a task handles the request to its end, and ends early if the body is
@@ -104,13 +116,17 @@
     sink: &Sink,
 ) -> Option<Response<Full<Bytes>>> {
     let _in_flight = InFlight::start(state);
-    let Sender::Host(address) = sender else {
-        return respond_to(state, lending, None, request, has_ambiguous_framing, sink).await;
+    let address = match sender {
+        Sender::Host(address) => address,
+        Sender::Caller(ip) => {
+            let from = From { ip, peer: None };
+            return respond_to(state, lending, from, request, has_ambiguous_framing, sink).await;
+        }
     };
     let id = request.headers().get(&state.codec.headers.request_id).cloned();
-    let peer = state.peer_at(address.ip());
-    let response = if peer.is_some() {
-        respond_to(state, lending, peer, request, has_ambiguous_framing, sink).await
+    let response = if let Some(name) = state.peer_at(address.ip()) {
+        let from = From { ip: Some(address.ip()), peer: Some(name) };
+        respond_to(state, lending, from, request, has_ambiguous_framing, sink).await
     } else {
         peers::record_dropped(state, address, Reason::Stranger.name());
         Some(refuse(state, None, Refusal::new(Reason::Stranger), clock::now()))
@@ -118,6 +134,13 @@
     response.map(|response| mark_for_host(state, response, id))
 }
 
+/// Returns the response to a request for whose head there is no memory.
+pub(crate) fn refuse_for_memory(state: &Rc<State>, body: Incoming) -> Response<Full<Bytes>> {
+    discard_body(state, body);
+    let refusal = Refusal::with_retry_after(Reason::NoMemory, BUSY_RETRY_AFTER);
+    refuse(state, None, refusal, clock::now())
+}
+
 /// Adds the request's id, without which the other host would take a refusal for an answer to another
 /// request, and the reason of a refusal.
 fn mark_for_host(
@@ -139,12 +162,11 @@
     response
 }
 
-/// Returns the response to a request of a caller, or of the host with the name `peer`; `None` if it was
-/// passed to the sink.
+/// Returns the response to a request of a caller or host; `None` if it was passed to the sink.
 async fn respond_to(
     state: &Rc<State>,
     lending: &Lending,
-    peer: Option<Arc<str>>,
+    from: From,
     request: Request<Incoming>,
     has_ambiguous_framing: bool,
     sink: &Sink,
@@ -155,11 +177,10 @@
     let mut response = if has_ambiguous_framing {
         refuse(state, None, Refusal::new(Reason::BadRequest), arrived_at)
     } else {
-        match routing::resolve(state, parts, arrived_at, peer) {
-            Ok(call) => handle(state, lending, &call, body, sink).await?,
+        match routing::resolve(state, parts, arrived_at, from.peer) {
+            Ok(call) => handle(state, lending, &call, from.ip, body, sink).await?,
             Err(refusal) => {
-                // Closing a connection with unread bytes resets it, and the response could be lost.
-                discard_body(body).await;
+                discard_body(state, body);
                 refuse(state, None, refusal, arrived_at)
             }
         }
@@ -181,25 +202,36 @@
     state: &Rc<State>,
     lending: &Lending,
     call: &Call,
-    body: Incoming,
+    ip: Option<IpAddr>,
+    mut body: Incoming,
     sink: &Sink,
 ) -> Option<Response<Full<Bytes>>> {
-    let _room = match take_room(state, call, &body) {
+    if receive::is_too_long(call, &body) {
+        return Some(refuse(state, Some(call), Refusal::new(Reason::TooLong), call.arrived_at));
+    }
+    let _room = match receive::take_room(state, call, &body) {
         Ok(room) => room,
         Err(refusal) => {
-            discard_body(body).await;
+            discard_body(state, body);
             return Some(refuse(state, Some(call), refusal, call.arrived_at));
         }
     };
     if let Err(refusal) = acquire_token(state, lending, call).await {
-        discard_body(body).await;
+        discard_body(state, body);
         return Some(refuse(state, Some(call), refusal, call.arrived_at));
     }
-    let body = match read_body(call, body).await {
-        Ok(body) => body,
-        Err(refusal) => return Some(refuse(state, Some(call), refusal, call.arrived_at)),
+    let received = match receive::read_body(state, call, ip, &mut body).await {
+        Ok(received) => received,
+        Err(refusal) => {
+            if refusal.reason == Reason::NoMemory {
+                state.caller_gate.close_stalled_bodies();
+                refund_token(state, call);
+                discard_body(state, body);
+            }
+            return Some(refuse(state, Some(call), refusal, call.arrived_at));
+        }
     };
-    let outcome = forward::forward(state, call, &body, sink).await;
+    let outcome = forward::forward(state, call, &received.body, sink).await;
     let (choice, helper) = (outcome.choice, outcome.helper);
     let end =
         End { choice: choice.as_ref(), attempts: outcome.attempts, helper: helper.as_deref() };
@@ -230,20 +262,6 @@
     }
 }
 
-/// Takes room for a request of another host, with as much of the body as its length says.
-fn take_room<'a>(
-    state: &'a State,
-    call: &Call,
-    body: &Incoming,
-) -> Result<Option<CarriedRequest<'a>>, Refusal> {
-    if !call.is_carried() {
-        return Ok(None);
-    }
-    let body_bytes = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
-    let room = state.carried.reserve(body_bytes);
-    room.map(Some).ok_or(Refusal::with_retry_after(Reason::Busy, BUSY_RETRY_AFTER))
-}
-
 /// Takes a token of the workspace's rate limit. If there is none, waits for other hosts to lend
 /// some.
 async fn acquire_token(state: &State, lending: &Lending, call: &Call) -> Result<(), Refusal> {
@@ -266,31 +284,6 @@
     }
 }
 
-/// Reads the complete body, up to the size limit and the deadline.
-async fn read_body(call: &Call, body: Incoming) -> Result<Bytes, Refusal> {
-    let max_bytes = MAX_REQUEST_BODY_BYTES.min(call.plan.limits.max_body_bytes);
-    if body.size_hint().lower() > max_bytes as u64 {
-        return Err(Refusal::new(Reason::TooLong));
-    }
-    let remaining = call.deadline.saturating_sub(clock::now());
-    match timeout(remaining, Limited::new(body, max_bytes).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(_)) => Err(Refusal::new(Reason::BadRequest)),
-        Err(_) => Err(Refusal::new(Reason::LateUnsent)),
-    }
-}
-
-/// Reads and drops the body of a refused request, up to a size and a time limit.
-async fn discard_body(body: Incoming) {
-    if body.is_end_stream() {
-        return;
-    }
-    let read = Limited::new(body, MAX_REQUEST_BODY_BYTES).collect();
-    if !matches!(timeout(DEFAULT_REQUEST_TIMEOUT, read).await, Ok(Ok(_))) {
-        log::debug!("callers: cannot read the rest of a refused request's body");
-    }
-}
-
 /// Converts an instance's answer to the response for the caller.
 fn into_response(answer: Answer) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(answer.body));
--- a/crates/steer/src/constants.rs
+++ b/crates/steer/src/constants.rs
@@ -70,10 +70,7 @@
 /// Largest head of an answer of a backend server, in bytes.
 pub(crate) const MAX_ANSWER_HEAD_BYTES: usize = 32 * 1024;
 
-/// Memory of all answers that are being received together, in bytes.
-pub(crate) const ANSWER_MEMORY_BYTES: usize = 16 * 1024 * 1024;
-
-/// Bytes of an answer that need no share of [`ANSWER_MEMORY_BYTES`].
+/// Bytes of an answer that need no share of the memory for responses ([`crate::intake::budget`]).
 pub(crate) const UNRESERVED_ANSWER_BYTES: usize = 64 * 1024;
 
 /// Largest body of an answer that is received completely before any of it is sent to the caller, in
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod directory;
 pub mod events;
 pub mod feed;
+pub mod intake;
 pub mod lending;
 pub mod limits;
 pub mod listeners;
--- a/crates/steer/src/settings.rs
+++ b/crates/steer/src/settings.rs
@@ -1,6 +1,9 @@
 //! Settings of the entry host, read from a TOML file. See docs/platform.md for the keys.
 
-use std::{collections::HashMap, net::SocketAddr, path::Path, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap, net::SocketAddr, ops::RangeInclusive, path::Path, sync::Arc,
+    time::Duration,
+};
 
 use marjorampick_core::{
     finding::Findings,
@@ -11,8 +14,14 @@
 
 use crate::constants::MAX_LOOKUP_LIFETIME;
 
-/// Largest bandwidth of a link, in Mbit/s.
-const MAX_LINK_MBPS: f64 = 10_000_000.0;
+/// Accepted values of `limits.link_mbps`.
+const LINK_MBPS: RangeInclusive<f64> = 0.0..=1e7;
+
+/// Accepted values of `limits.memory_mb`. With less, the host itself does not fit.
+const MEMORY_MB: RangeInclusive<f64> = 32.0..=1e7;
+
+/// Accepted values of `limits.descriptors`. With fewer, none is left beside the 200 for files.
+const DESCRIPTORS: RangeInclusive<f64> = 256.0..=1e7;
 
 /// Identity and location of the host.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -49,6 +58,17 @@
     pub propagation: Duration,
 }
 
+/// Limits of the machine; those that are absent come from the limits of the process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Limits {
+    /// Memory in bytes.
+    pub memory_bytes: Option<usize>,
+    /// Open files, connections among them.
+    pub descriptors: Option<usize>,
+    /// Bandwidth of its link in Mbit/s.
+    pub link_mbps: Option<u32>,
+}
+
 /// All settings of an entry host, fixed while the process runs.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -60,6 +80,8 @@
     pub listeners: Listeners,
     /// Settings of the platform's store.
     pub store: Store,
+    /// Limits of the machine.
+    pub limits: Limits,
     /// Time between the termination signal and the kill of the process by the platform.
     pub grace_period: Duration,
     /// Time to live of look-up responses.
@@ -70,8 +92,6 @@
     pub retry_limit: retry::Limit,
     /// Maximum number of log lines about requests and failures per second.
     pub log_lines_per_second: u32,
-    /// Bandwidth of the machine's link in Mbit/s; `None` if it is not known.
-    pub link_mbps: Option<u32>,
 }
 
 /// Reads and validates a settings file. The error contains all faults of the file.
@@ -86,7 +106,6 @@
     let mut stop = table.table(findings, "stop");
     let mut lookup = table.table(findings, "lookup");
     let mut log = table.table(findings, "log");
-    let mut limits = table.table(findings, "limits");
     let settings = Settings {
         host: Host {
             name: host.string(findings, "name"),
@@ -109,6 +128,7 @@
                 "drain_time",
             )),
         },
+        limits: limits(table, findings),
         grace_period: duration(&mut stop, findings, "grace"),
         lookup_lifetime: duration(&mut lookup, findings, "longest_lifetime")
             .min(MAX_LOOKUP_LIFETIME),
@@ -118,11 +138,8 @@
             .integer(findings, "lines_per_second", 0..=100_000, Some(200))
             .try_into()
             .unwrap_or(u32::MAX),
-        link_mbps: limits
-            .has("link_mbps")
-            .then(|| limits.number(findings, "link_mbps", 0.0..=MAX_LINK_MBPS, None) as u32),
     };
-    for section in [host, listen, store, stop, lookup, log, limits] {
+    for section in [host, listen, store, stop, lookup, log] {
         section.finish(findings);
     }
     settings
@@ -138,6 +155,22 @@
     domains
 }
 
+fn limits(table: &mut Table<'_>, findings: &mut Findings) -> Limits {
+    const BYTES_PER_MB: f64 = 1e6;
+    let mut limits = table.table(findings, "limits");
+    let mut number =
+        |key, range| limits.has(key).then(|| limits.number(findings, key, range, None));
+    let memory_mb = number("memory_mb", MEMORY_MB);
+    let descriptors = number("descriptors", DESCRIPTORS);
+    let link_mbps = number("link_mbps", LINK_MBPS);
+    limits.finish(findings);
+    Limits {
+        memory_bytes: memory_mb.map(|megabytes| (megabytes * BYTES_PER_MB) as usize),
+        descriptors: descriptors.map(|count| count as usize),
+        link_mbps: link_mbps.map(|bandwidth| bandwidth as u32),
+    }
+}
+
 fn rate_tolerance(table: &mut Table<'_>, findings: &mut Findings) -> Tolerance {
     let mut rates = table.table(findings, "rates");
     let tolerance = Tolerance {
--- a/crates/steer/tests/connection.rs
+++ b/crates/steer/tests/connection.rs
@@ -17,6 +17,9 @@
 /// More than the kernel of a peer with a small buffer takes.
 const BODY_BYTES: usize = 1 << 20;
 
+/// Memory for answers, in bytes.
+const ANSWER_BYTES: usize = 1 << 20;
+
 /// Listener whose connections have small receive buffers.
 fn listen() -> (TcpListener, SocketAddr) {
     let socket = TcpSocket::new_v4().unwrap();
@@ -51,9 +54,9 @@
     let (listener, address) = listen();
     let mut connection = Connection::open(address).await.unwrap();
     let (peer, _) = listener.accept().await.unwrap();
-    let (request, memory) = (request(BODY_BYTES), Memory::default());
-    let mut ignore_head = |_: &_, _| {};
-    let exchange = connection.exchange(&request, &memory, &mut ignore_head);
+    let (request, memory) = (request(BODY_BYTES), Memory::new(ANSWER_BYTES));
+    let mut buffer_all = |_: &_, _| false;
+    let exchange = connection.exchange(&request, &memory, &mut buffer_all);
     timeout(Duration::from_millis(300), exchange).await.expect_err("no answer was sent");
     assert!(connection.may_have_sent());
     drop(connection);
@@ -73,9 +76,9 @@
         if is_used {
             let answer = "HTTP/1.1 200 OK\r\nrequest-id: 1\r\ncontent-length: 0\r\n\r\n";
             peer.write_all(answer.as_bytes()).await.unwrap();
-            let (request, memory) = (request(5), Memory::default());
-            let mut ignore_head = |_: &_, _| {};
-            connection.exchange(&request, &memory, &mut ignore_head).await.unwrap();
+            let (request, memory) = (request(5), Memory::new(ANSWER_BYTES));
+            let mut buffer_all = |_: &_, _| false;
+            connection.exchange(&request, &memory, &mut buffer_all).await.unwrap();
         }
         drop(connection);
         let (_, error) = read_all(peer).await;
