--- a/crates/link/src/wire/framing.rs
+++ b/crates/link/src/wire/framing.rs
@@ -77,6 +77,11 @@
         }
     }
 
+    /// Lines of the request head that is being scanned.
+    pub fn head_lines(&self) -> usize {
+        self.head.line_count
+    }
+
     /// Skips up to `remaining` bytes and returns the rest of `bytes`. The next state is `current`
     /// with the remaining number, or `next` after the last byte.
     fn skip<'a>(
--- a/crates/link/src/wire/stream.rs
+++ b/crates/link/src/wire/stream.rs
@@ -54,6 +54,11 @@
         self.scanner.position()
     }
 
+    /// Lines of the request head that is being read.
+    pub fn head_lines(&self) -> usize {
+        self.scanner.head_lines()
+    }
+
     /// Returns the result of a write, or a timeout error if no write has made progress for the
     /// write timeout.
     fn check_stall(
--- a/crates/steer/src/callers/accept.rs
+++ b/crates/steer/src/callers/accept.rs
@@ -103,7 +103,9 @@
         return;
     };
     let open = OpenConnection::start(state);
+    // A future that is passed on by value takes its size again at each step.
     let serving = serve(state.clone(), lending.clone(), side, admitted, stream, closing.clone());
+    let serving = Box::pin(serving);
     tokio::task::spawn_local(async move {
         tasks::contain_task(&open.0, "connection", serving).await;
     });
--- a/crates/steer/src/callers/receive.rs
+++ b/crates/steer/src/callers/receive.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use hyper::body::{Body as _, Incoming};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::{
     refusal::{Reason, Refusal},
@@ -34,6 +34,16 @@
 /// Bodies that are discarded at the same time, from which on there are many.
 const CROWD: usize = 8;
 
+/// Size below which a piece is small, in bytes.
+const SMALL_PIECE_BYTES: usize = 4096;
+
+/// Small pieces of a body that are read as they come. Ordinary bodies have fewer.
+const MAX_SMALL_PIECES: usize = 8;
+
+/// Pause after each further small piece, in which more bytes arrive. Reading each of 100 bytes alone took all
+/// of the processor time from the ordinary callers.
+const SMALL_PIECE_PAUSE: Duration = Duration::from_millis(10);
+
 /// Body of an accepted request, with the memory that it uses.
 pub(super) struct Received {
     pub(super) body: Bytes,
@@ -87,17 +97,26 @@
 ) -> Result<Received, Refusal> {
     let max_bytes = max_body_bytes(call);
     let announced_bytes = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    // A body that would not fit now is refused before it is read. It is not reserved as a whole, as callers
+    // that send nothing could then hold all of the memory.
+    if !reservation.has_room(announced_bytes) {
+        return Err(out_of_memory());
+    }
     if state.budget.limits_address_space() {
         reservation.grow_to(announced_bytes).map_err(|_| out_of_memory())?;
     }
     let mut buffer = Buffer::new(announced_bytes.min(max_bytes)).map_err(|_| out_of_memory())?;
-    let mut length = 0;
+    let (mut length, mut small_pieces) = (0, 0);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| Refusal::new(Reason::BadRequest))?;
         let Ok(piece) = frame.into_data() else {
             continue;
         };
         length += piece.len();
+        small_pieces += usize::from(piece.len() < SMALL_PIECE_BYTES);
+        if small_pieces > MAX_SMALL_PIECES && piece.len() < SMALL_PIECE_BYTES {
+            sleep(SMALL_PIECE_PAUSE).await;
+        }
         if length > max_bytes {
             return Err(Refusal::new(Reason::TooLong));
         }
@@ -123,16 +142,20 @@
         true => (MAX_DISCARDED_BYTES_IN_CROWD, DISCARD_TIME_IN_CROWD),
     };
     tokio::task::spawn_local(async move {
-        let _discarding = discarding;
-        if timeout(time, skip(body, max_bytes)).await.is_err() {
+        let skipping = skip(&discarding.0, body, max_bytes);
+        if timeout(time, skipping).await.is_err() {
             log::debug!("callers: cannot read the rest of a refused request's body");
         }
     });
 }
 
-async fn skip(mut body: Incoming, max_bytes: usize) {
+async fn skip(state: &State, mut body: Incoming, max_bytes: usize) {
     let mut length = 0;
     while let Some(Ok(frame)) = body.frame().await {
+        let wait = state.discard_pace.borrow_mut().take(clock::now());
+        if !wait.is_zero() {
+            sleep(wait).await;
+        }
         length += frame.data_ref().map_or(0, Bytes::len);
         if length > max_bytes {
             return;
--- a/crates/steer/src/intake/connection.rs
+++ b/crates/steer/src/intake/connection.rs
@@ -44,12 +44,17 @@
     }
     let progress = admitted.progress().clone();
     let inner = service(admitted.gate().clone(), progress.clone());
-    let handled = progress.clone();
+    let (handled, gate) = (progress.clone(), admitted.gate().clone());
     // The HTTP library keeps room for a future in each connection, also while it is idle, so it is boxed.
     let service = service_fn(move |request: Request<Incoming>| {
-        let handling = Handling::start(&handled);
+        let is_pipelined = handled.start_request();
+        let handling = Handling(handled.clone());
+        let gate = gate.clone();
         let responding = inner.call(request);
         Box::pin(async move {
+            if is_pipelined {
+                gate.pace_pipelined().await;
+            }
             let response = responding.await;
             drop(handling);
             response
@@ -84,16 +89,9 @@
     }
 }
 
-/// Records that a request is being handled, until it is dropped.
+/// Records the end of a request when it is dropped.
 struct Handling(Rc<Progress>);
 
-impl Handling {
-    fn start(progress: &Rc<Progress>) -> Self {
-        progress.start_request();
-        Self(progress.clone())
-    }
-}
-
 impl Drop for Handling {
     fn drop(&mut self) {
         self.0.end_request();
--- a/crates/steer/src/intake/gate.rs
+++ b/crates/steer/src/intake/gate.rs
@@ -10,12 +10,13 @@
 };
 
 use marjorampick_link::wire::stream::Stream;
-use tokio::net::TcpStream;
+use tokio::{net::TcpStream, time::sleep};
 
 use super::{
     CONNECTION_BYTES,
     connections::{Cause, Phase, Table, Times, Verdict, View, overdue},
     ledger::{Owner, network},
+    pace::Pace,
     pool::{Pool, Reservation},
     progress::Progress,
     stream::Metered,
@@ -32,6 +33,13 @@
 /// for each of them would take the processor time of the ordinary callers.
 const SCAN_PAUSE: Duration = Duration::from_millis(50);
 
+/// Pipelined requests per second at one kind of listener. A crowd of callers that send thousands of them
+/// without reading a response would take all of the processor time.
+const PIPELINED_PER_SECOND: u32 = 500;
+
+/// Pipelined requests that are handled at once.
+const PIPELINED_BURST: u32 = 50;
+
 /// Connections of one kind of listener.
 pub(crate) struct Gate {
     name: &'static str,
@@ -41,6 +49,7 @@
     next_id: Cell<u64>,
     /// Time before which no connection is looked for that could be closed.
     scan_after: Cell<Duration>,
+    pipelined: RefCell<Pace>,
     /// Connections that were closed or refused since the last report.
     closed: RefCell<HashMap<Cause, u64>>,
 }
@@ -55,6 +64,7 @@
             open: RefCell::default(),
             next_id: Cell::new(0),
             scan_after: Cell::new(Duration::ZERO),
+            pipelined: RefCell::new(Pace::new(PIPELINED_PER_SECOND, PIPELINED_BURST)),
             closed: RefCell::default(),
         })
     }
@@ -111,6 +121,14 @@
         Some(reservation)
     }
 
+    /// Waits until the next pipelined request may be handled.
+    pub(crate) async fn pace_pipelined(&self) {
+        let wait = self.pipelined.borrow_mut().take(clock::now());
+        if !wait.is_zero() {
+            sleep(wait).await;
+        }
+    }
+
     /// Closes the connections that are overdue.
     pub(crate) fn sweep(&self, times: Times) {
         let now = clock::now();
--- a/crates/steer/src/intake/ledger.rs
+++ b/crates/steer/src/intake/ledger.rs
@@ -74,9 +74,12 @@
         self.used_bytes
     }
 
-    /// Reserves `bytes` more for an owner, whose reservation for the same thing has `held_bytes` already.
-    pub fn reserve(&mut self, owner: &Owner, held_bytes: usize, bytes: usize) -> Result<(), Short> {
-        let used_bytes = self.used_bytes.checked_add(bytes).ok_or(Short)?;
+    /// Whether `bytes` more can be reserved for an owner, whose reservation for the same thing has
+    /// `held_bytes` already.
+    pub fn has_room(&self, owner: &Owner, held_bytes: usize, bytes: usize) -> bool {
+        let Some(used_bytes) = self.used_bytes.checked_add(bytes) else {
+            return false;
+        };
         let is_small = held_bytes.saturating_add(bytes) <= SMALL_BYTES;
         let fraction = match (is_small, self.is_over_share(owner, bytes)) {
             (true, false) => 1.0,
@@ -84,10 +87,15 @@
             (false, false) => LARGE_FRACTION,
             (false, true) => OVER_SHARE_FRACTION,
         };
-        if used_bytes as f64 > self.limit_bytes as f64 * fraction {
+        used_bytes as f64 <= self.limit_bytes as f64 * fraction
+    }
+
+    /// Reserves memory if [`Self::has_room`] says so.
+    pub fn reserve(&mut self, owner: &Owner, held_bytes: usize, bytes: usize) -> Result<(), Short> {
+        if !self.has_room(owner, held_bytes, bytes) {
             return Err(Short);
         }
-        self.used_bytes = used_bytes;
+        self.used_bytes += bytes;
         if let Some(address) = owner.address {
             *self.addresses.entry(address).or_default() += bytes;
         }
--- a/crates/steer/src/intake/pool.rs
+++ b/crates/steer/src/intake/pool.rs
@@ -29,6 +29,12 @@
 }
 
 impl Reservation {
+    /// Whether the reservation could be enlarged to `bytes` now.
+    pub(crate) fn has_room(&self, bytes: usize) -> bool {
+        let missing = bytes.saturating_sub(self.bytes);
+        self.pool.0.borrow().has_room(&self.owner, self.bytes, missing)
+    }
+
     /// Enlarges the reservation to at least `bytes`.
     pub(crate) fn grow_to(&mut self, bytes: usize) -> Result<(), Short> {
         let Some(missing) = bytes.checked_sub(self.bytes).filter(|missing| *missing > 0) else {
--- a/crates/steer/src/intake/progress.rs
+++ b/crates/steer/src/intake/progress.rs
@@ -17,6 +17,8 @@
     is_serving: Cell<bool>,
     is_blocked: Cell<bool>,
     has_served: Cell<bool>,
+    /// Whether bytes were read since the last request started.
+    has_read: Cell<bool>,
     phase: Cell<Phase>,
     since: Cell<Duration>,
     bytes: Cell<u64>,
@@ -35,6 +37,7 @@
             is_serving: Cell::new(false),
             is_blocked: Cell::new(false),
             has_served: Cell::new(false),
+            has_read: Cell::new(false),
             phase: Cell::new(Phase::Idle),
             since: Cell::new(now),
             bytes: Cell::new(0),
@@ -52,6 +55,7 @@
     /// Records that bytes of requests were read.
     pub(super) fn record_read(&self, length: usize, position: Position) {
         self.position.set(position);
+        self.has_read.set(true);
         self.record_bytes(length);
     }
 
@@ -69,10 +73,12 @@
         }
     }
 
-    /// Records that a request is being handled, until the guard is dropped.
-    pub(crate) fn start_request(&self) {
+    /// Records that a request is being handled. Returns whether it was read together with an earlier one.
+    pub(crate) fn start_request(&self) -> bool {
+        let is_pipelined = !self.has_read.replace(false);
         self.is_serving.set(true);
         self.update_phase(clock::now());
+        is_pipelined
     }
 
     /// Records that a request has its response.
--- a/crates/steer/src/intake/stream.rs
+++ b/crates/steer/src/intake/stream.rs
@@ -25,11 +25,20 @@
 /// being scanned.
 const BYTES_PER_HEAD_BYTE: usize = 3;
 
+/// Bytes that a connection may read before the others have their turn.
+const TURN_BYTES: usize = 64 * 1024;
+
+/// Most lines of a request head. The HTTP library accepts 100 fields, and would read the rest of the head
+/// before it refuses it.
+const MAX_HEAD_LINES: usize = 102;
+
 /// Stream of one connection.
 pub(crate) struct Metered {
     inner: Stream<TcpStream>,
     progress: Rc<Progress>,
     reservation: Reservation,
+    /// Bytes that were read in a row.
+    turn_bytes: usize,
     /// Bytes of the current head.
     head_bytes: usize,
 }
@@ -40,7 +49,7 @@
         progress: Rc<Progress>,
         reservation: Reservation,
     ) -> Self {
-        Self { inner, progress, reservation, head_bytes: 0 }
+        Self { inner, progress, reservation, turn_bytes: 0, head_bytes: 0 }
     }
 
     /// Reserves memory for `extra` bytes, or closes the connection.
@@ -72,10 +81,24 @@
     ) -> Poll<io::Result<()>> {
         let this = self.get_mut();
         let filled_before = buffer.filled().len();
-        ready!(Pin::new(&mut this.inner).poll_read(context, buffer))?;
+        if this.turn_bytes >= TURN_BYTES {
+            this.turn_bytes = 0;
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let read = Pin::new(&mut this.inner).poll_read(context, buffer);
+        if read.is_pending() {
+            this.turn_bytes = 0;
+        }
+        ready!(read)?;
         let length = buffer.filled().len() - filled_before;
+        this.turn_bytes += length;
         let position = this.inner.position();
         if position == Position::Head {
+            if this.inner.head_lines() > MAX_HEAD_LINES {
+                this.progress.close(Cause::LargeHead);
+                return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+            }
             this.head_bytes += length;
             let extra = this.head_bytes.saturating_sub(FREE_HEAD_BYTES) * BYTES_PER_HEAD_BYTE;
             this.reserve(extra)?;
--- a/crates/steer/src/intake/tests.rs
+++ b/crates/steer/src/intake/tests.rs
@@ -7,6 +7,7 @@
     buffer::Buffer,
     connections::{Cause, Phase, Table, Times, Verdict, View, overdue},
     ledger::{Ledger, Owner, SMALL_BYTES},
+    pace::Pace,
 };
 
 const MIB: usize = 1024 * 1024;
@@ -103,6 +104,16 @@
     }
 }
 
+/// Guards against turns that are granted faster than the rate, or saved up without end.
+#[test]
+fn turns_are_granted_at_their_rate() {
+    let mut pace = Pace::new(100, 5);
+    let now = Duration::from_secs(1000);
+    let waits: Vec<u128> = (0..8).map(|_| pace.take(now).as_millis()).collect();
+    assert_eq!(waits, [0, 0, 0, 0, 0, 0, 10, 20]);
+    assert_eq!(pace.take(now + Duration::from_secs(60)), Duration::ZERO);
+}
+
 fn view(id: u64, host: u8, phase: Phase, bytes: u64, moved_ms: u64) -> View {
     let address = IpAddr::from([127, 0, 0, host]);
     let moved_at = Duration::from_millis(moved_ms);
--- a/crates/steer/src/listeners.rs
+++ b/crates/steer/src/listeners.rs
@@ -131,14 +131,14 @@
             })
         };
         let never = future::pending();
-        let serving = connection::serve(
+        let serving = Box::pin(connection::serve(
             admitted,
             stream,
             MAX_HEADER_BYTES,
             Arc::new(AtomicBool::new(false)),
             service,
             never,
-        );
+        ));
         tasks::contain_task(&state, "connection", serving).await;
     });
 }
--- a/crates/steer/src/state.rs
+++ b/crates/steer/src/state.rs
@@ -36,7 +36,7 @@
         STARTUP_WAIT,
     },
     events::{Event, Log, Rank},
-    intake::{self, budget::Budget, connections::Times, gate::Gate, machine},
+    intake::{self, budget::Budget, connections::Times, gate::Gate, machine, pace::Pace},
     peers::Message,
     reach::Silence,
     settings::Settings,
@@ -48,6 +48,13 @@
 /// Time limits of connections until a configuration is in force.
 const DEFAULT_TIMES: Times = Times { head: Duration::from_secs(5), idle: Duration::from_secs(30) };
 
+/// Pieces of refused requests' bodies that are read per second. With 32 KiB each, they fill the largest link
+/// of the deployments half; more would take the processor time of the ordinary callers.
+const DISCARDED_PIECES_PER_SECOND: u32 = 400;
+
+/// Such pieces that are read at once.
+const DISCARDED_BURST: u32 = 100;
+
 /// Registration of an entry host in the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Registration {
@@ -224,6 +231,8 @@
     pub(crate) host_gate: Rc<Gate>,
     /// Connections for look-ups, readiness and metrics.
     pub(crate) service_gate: Rc<Gate>,
+    /// Turns for reading pieces of them.
+    pub(crate) discard_pace: RefCell<Pace>,
     /// Bodies of refused requests that are being discarded.
     pub(crate) discarded_bodies: Cell<usize>,
     /// Memory for answers of backend servers.
@@ -292,6 +301,7 @@
             caller_gate: Gate::new("callers", budget.caller_share()),
             host_gate: Gate::new("hosts", budget.host_share()),
             service_gate: Gate::new("services", budget.service_share()),
+            discard_pace: RefCell::new(Pace::new(DISCARDED_PIECES_PER_SECOND, DISCARDED_BURST)),
             discarded_bodies: Cell::new(0),
             answer_memory: Memory::default(),
             snapshot: Arc::new(snapshot),
