steering: less urgent classes yield the slots of a service to more urgent ones

Cause: admission compared a request only with its own target. A class with 1,200 ms of work and a target of 1,500 ms filled slots and queues, and a more urgent one with 236 ms of work and a target of 200 ms was expected to be late and was refused. Change: core::steering::contention keeps the demand of each priority level. A less urgent request waits at an instance only half as long as more urgent ones could wait there, and leaves the variation of their number free. The most urgent level is refused only where its wait exceeds its target. A replay plays both classes on one service with 9 to 300 hosts.

--- a/crates/core/src/steering/fleet/admission.rs
+++ b/crates/core/src/steering/fleet/admission.rs
@@ -9,7 +9,11 @@
     Criteria, Fleet,
     upstream::{BUSY_RATIO, Upstream},
 };
-use crate::steering::{cold, instance::Instance};
+use crate::steering::{
+    cold,
+    contention::{MAX_PRIORITY, Standing},
+    instance::Instance,
+};
 
 /// Expected response time at an instance without free slots up to which the most urgent requests
 /// are admitted, relative to the target latency. Requests beyond it would miss their target and
@@ -23,16 +27,13 @@
 /// Reduction of [`MAX_TARGET_FRACTION`] per priority level below the most urgent one.
 const TARGET_FRACTION_PER_LEVEL: f64 = 0.1;
 
-/// Least urgent priority level; larger numbers are treated as this one.
-const MAX_PRIORITY: u8 = 4;
-
 /// Part of the longest wait over which the chance of a refusal rises from none to all. Hosts hear of
 /// a queue late, so that a fixed limit would make all of them send and refuse in turn. See Floyd and
 /// Jacobson, "Random early detection gateways for congestion avoidance", 1993.
 const EARLY_REFUSAL_RANGE: f64 = 0.5;
 
 /// Target latency of routes without one, in seconds.
-const DEFAULT_TARGET_SECONDS: f64 = 1.0;
+pub(super) const DEFAULT_TARGET_SECONDS: f64 = 1.0;
 
 impl Fleet {
     /// Whether the instance is warm, or cold with a rate that allows a request of this host now.
@@ -84,26 +85,32 @@
 /// Whether the instance has capacity for one more request with this expected response time.
 ///
 /// Any request may take a free slot, except that in a busy region only a fraction of the slots is
-/// open to requests that are expected to miss their target. An instance without a free slot admits
-/// requests that are expected to meet their target, the less urgent ones with a margin.
+/// open to requests that are expected to miss their target, and that requests yield to more urgent
+/// ones. An instance without a free slot admits requests that are expected to meet their target, the
+/// less urgent ones with a margin. A request that goes before others may be late by its own work, as
+/// it would otherwise be refused whenever its object is not cached.
 pub(super) fn has_capacity(
     upstream: &Upstream,
     instance: &Instance,
     criteria: &Criteria<'_>,
+    standing: Standing,
     work_seconds: f64,
     expected_seconds: f64,
 ) -> bool {
     let target =
         criteria.target_latency.map_or(DEFAULT_TARGET_SECONDS, |target| target.as_secs_f64());
     let slots = f64::from(instance.endpoint.slots.max(1));
-    let is_late = expected_seconds > target;
-    let open_slots =
-        if is_late { slots * late_slot_fraction(upstream.busy_ratio(instance)) } else { slots };
+    let busy_ratio = upstream.busy_ratio(instance);
+    let is_late = expected_seconds > target && !standing.is_preferred();
+    let open_slots = if is_late { slots * late_slot_fraction(busy_ratio) } else { slots };
     let has_slot = instance.requests + 1.0 <= open_slots;
     let level = f64::from(criteria.priority.min(MAX_PRIORITY));
     let limit = target * (MAX_TARGET_FRACTION - level * TARGET_FRACTION_PER_LEVEL);
-    let slack = (limit - work_seconds) * (1.0 - EARLY_REFUSAL_RANGE * criteria.admission_draw);
-    has_slot || expected_seconds - work_seconds <= slack
+    let longest_wait = if standing.is_preferred() { limit } else { limit - work_seconds };
+    let slack =
+        standing.limit_wait(longest_wait) * (1.0 - EARLY_REFUSAL_RANGE * criteria.admission_draw);
+    let has_place = has_slot || expected_seconds - work_seconds <= slack;
+    has_place && standing.allows(upstream.side(instance).busy_ratio_with_one_more())
 }
 
 /// Fraction of an instance's slots that are open to requests which are expected to miss their target.
--- a/crates/core/src/steering/fleet/candidate.rs
+++ b/crates/core/src/steering/fleet/candidate.rs
@@ -62,6 +62,7 @@
         key: Option<rendezvous::Key>,
     ) -> Option<Choice> {
         let times = upstream.work.times(criteria.route);
+        let standing = self.standing(now, upstream, criteria.priority);
         let weight = |instance: &&Instance| match key {
             Some(key) => key.weight(&instance.endpoint.id),
             None => u64::MAX - instance.last_request_at().as_nanos() as u64,
@@ -92,7 +93,7 @@
                 && within_limit[index]
                 && self.is_within_unreported_share(instance)
                 && !(position == cache::Position::Later && upstream.is_busy(instance))
-                && has_capacity(upstream, instance, criteria, work, expected);
+                && has_capacity(upstream, instance, criteria, standing, work, expected);
             if !is_admitted {
                 continue;
             }
--- a/crates/core/src/steering/fleet/choice.rs
+++ b/crates/core/src/steering/fleet/choice.rs
@@ -98,6 +98,7 @@
     /// traffic too fast.
     pub fn choose(&mut self, now: Duration, criteria: &Criteria<'_>) -> Result<Choice, Rejection> {
         self.update_sides(now, criteria.service);
+        self.record_demand(now, criteria);
         let upstream = self.upstreams.get(criteria.service).ok_or(Rejection::NoInstance)?;
         let eligible =
             upstream.instances.iter().filter(|instance| self.is_eligible(now, instance, criteria));
--- a/crates/core/src/steering/fleet/side.rs
+++ b/crates/core/src/steering/fleet/side.rs
@@ -5,7 +5,13 @@
 
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
-use super::{Fleet, admission::is_serving, choice::DEFAULT_RESPONSE_SECONDS};
+use super::{
+    Criteria, Fleet,
+    admission::{DEFAULT_TARGET_SECONDS, is_serving},
+    choice::DEFAULT_RESPONSE_SECONDS,
+    upstream::Upstream,
+};
+use crate::steering::contention::Standing;
 
 /// Initial local share of a service's requests, relative to the share that the slots of the own
 /// region can serve if all regions receive the same number of requests.
@@ -37,6 +43,11 @@
         if self.slots > 0.0 { self.requests / self.slots } else { 1.0 }
     }
 
+    /// Fraction of the slots that are busy if one more request takes one; 1 without instances.
+    pub(super) fn busy_ratio_with_one_more(&self) -> f64 {
+        if self.slots > 0.0 { (self.busy_slots + 1.0) / self.slots } else { 1.0 }
+    }
+
     /// Fraction of the slots that are busy; 1 without instances.
     pub(super) fn busy_ratio(&self) -> f64 {
         if self.slots > 0.0 { self.busy_slots / self.slots } else { 1.0 }
@@ -44,6 +55,28 @@
 }
 
 impl Fleet {
+    /// Counts a request in the demand of its priority level.
+    pub(super) fn record_demand(&mut self, now: Duration, criteria: &Criteria<'_>) {
+        // A request that returns from an instance has been counted.
+        if !criteria.excluded.is_empty() {
+            return;
+        }
+        if let Some(upstream) = self.upstreams.get_mut(criteria.service) {
+            let seconds = upstream.work.times(criteria.route).cached;
+            let target =
+                criteria.target_latency.map_or(DEFAULT_TARGET_SECONDS, |t| t.as_secs_f64());
+            upstream.demand.record_request(now, criteria.priority, criteria.route, seconds, target);
+        }
+    }
+
+    /// How a request of this priority stands to the other levels.
+    pub(super) fn standing(&self, now: Duration, upstream: &Upstream, priority: u8) -> Standing {
+        let regions: BTreeSet<&Arc<str>> = self.locality.domain_regions.values().collect();
+        let hosts = self.region_hosts.len().max(1) * regions.len().max(1);
+        let slots = upstream.local_side.slots() + upstream.remote_side.slots();
+        upstream.demand.standing(now, priority, hosts as f64, slots)
+    }
+
     /// Updates the load of both sides and the local share of the service's requests.
     pub(super) fn update_sides(&mut self, now: Duration, service: &str) {
         let hosts = self.region_hosts.len().max(1) as f64;
--- a/crates/core/src/steering/fleet/upstream.rs
+++ b/crates/core/src/steering/fleet/upstream.rs
@@ -4,7 +4,7 @@
 
 use super::{choice::Choice, side::Side};
 use crate::steering::{
-    cache,
+    cache, contention,
     instance::{self, Instance, Outcome},
     load::{self, Report},
     reach::Reach,
@@ -41,6 +41,8 @@
     pub(super) local_side: Side,
     /// Load of the instances of other regions.
     pub(super) remote_side: Side,
+    /// Demand of each priority level.
+    pub(super) demand: contention::Demand,
     /// Learned work on each kind of request.
     pub(super) work: work::Model,
     /// Median over the instances of the slowness.
@@ -69,6 +71,7 @@
             others_share: 0.0,
             local_side: Side::default(),
             remote_side: Side::default(),
+            demand: contention::Demand::default(),
             work: work::Model::default(),
             usual_slowness: 1.0,
             residence: cache::Residence::new(now),
@@ -98,8 +101,12 @@
 
     /// Fraction of the slots that are busy on the instance's side.
     pub(super) fn busy_ratio(&self, instance: &Instance) -> f64 {
-        let side = if instance.is_local { &self.local_side } else { &self.remote_side };
-        side.busy_ratio()
+        self.side(instance).busy_ratio()
+    }
+
+    /// Load of the instances on the instance's side.
+    pub(super) fn side(&self, instance: &Instance) -> &Side {
+        if instance.is_local { &self.local_side } else { &self.remote_side }
     }
 
     /// Whether there are few free slots on the instance's side.
@@ -172,6 +179,7 @@
     pub(super) fn record_answer(&mut self, seconds: f64, choice: &Choice, report: Option<Report>) {
         update_average(&mut self.response_seconds, seconds);
         let work_seconds = report.map_or(seconds, |report| report.work_seconds(seconds));
+        self.demand.record_answer(&choice.route, work_seconds);
         self.work.record(&choice.route, work_seconds, choice.is_cached);
     }
 }
--- a/crates/scenario/src/steering.rs
+++ b/crates/scenario/src/steering.rs
@@ -4,6 +4,7 @@
 //! instances have cached can drift apart. The overloads that outlived their cause, and how the
 //! decisions were changed by these replays, are described in docs/steering-study.md.
 
+pub mod competition;
 pub mod pattern;
 mod world;
 
@@ -16,7 +17,12 @@
 
 /// Plays a pattern and returns what the callers got in each window.
 pub fn play(pattern: &Pattern, seed: u64) -> Vec<Window> {
-    world::World::new(pattern.clone(), seed).run()
+    world::World::new(pattern.clone(), seed).run().0
+}
+
+/// Plays a pattern and returns what the callers got by class and second, and how busy the slots were.
+pub fn play_classes(pattern: &Pattern, seed: u64) -> competition::Outcomes {
+    world::World::new(pattern.clone(), seed).run().1
 }
 
 /// Mean worth of the windows from `from` to `to`.
--- a/crates/scenario/src/steering/pattern.rs
+++ b/crates/scenario/src/steering/pattern.rs
@@ -66,6 +66,9 @@
     pub fault: Option<Fault>,
     /// When all hosts start anew, since the start of the load.
     pub hosts_restart_at: Option<Duration>,
+    /// Part of its remaining time up to which a caller waits for as long as a refusal says. Without
+    /// it, callers wait as long as they are told.
+    pub patience: Option<f64>,
 }
 
 /// What the callers got in one window, by the time at which they sent the request.
@@ -125,6 +128,7 @@
         length: Duration::from_secs(24),
         fault: None,
         hosts_restart_at: None,
+        patience: None,
     }
 }
 
--- a/crates/scenario/src/steering/world.rs
+++ b/crates/scenario/src/steering/world.rs
@@ -19,6 +19,7 @@
 
 use super::{
     WINDOW,
+    competition::{Class, Outcomes},
     pattern::{Fault, Kind, Pattern, Window},
 };
 
@@ -87,6 +88,7 @@
     backend_by_id: HashMap<Arc<str>, usize>,
     requests: Vec<Request>,
     windows: BTreeMap<u64, Window>,
+    outcomes: Outcomes,
 }
 
 impl World {
@@ -101,6 +103,7 @@
             backend_by_id: HashMap::new(),
             requests: Vec::new(),
             windows: BTreeMap::new(),
+            outcomes: Outcomes::new(pattern.kinds.len()),
             pattern,
         };
         for (region, count) in world.pattern.instances.into_iter().enumerate() {
@@ -163,8 +166,8 @@
         fleet
     }
 
-    /// Plays the whole pattern and returns what the callers got in each window.
-    pub(super) fn run(mut self) -> Vec<Window> {
+    /// Plays the whole pattern and returns what the callers got in each window, and by class.
+    pub(super) fn run(mut self) -> (Vec<Window>, Outcomes) {
         let end = START + self.pattern.length;
         let mut restart_at = self.pattern.hosts_restart_at.map(|at| START + at);
         while let Some(Reverse((at, _, event))) = self.events.pop() {
@@ -187,7 +190,7 @@
                 }
             }
         }
-        self.windows.into_values().collect()
+        (self.windows.into_values().collect(), self.outcomes)
     }
 
     fn arrive(&mut self) {
@@ -216,6 +219,7 @@
             backend: 0,
         });
         self.window(self.now).asked += 1;
+        self.class(kind, self.now).asked += 1;
         self.attempt(self.requests.len() - 1);
     }
 
@@ -285,6 +289,7 @@
         window.loaded += u32::from(position.is_none());
         let spread = 0.85 + 0.3 * self.draw();
         let work = kind.work.as_secs_f64() * ratio * slowness * spread;
+        self.outcomes.record_work(self.now - START, work);
         self.schedule(self.now + Duration::from_secs_f64(work), Event::Finish(id));
     }
 
@@ -354,6 +359,12 @@
         } else if total <= kind.deadline {
             window.late += 1;
         }
+        let class = self.class(self.requests[id].kind, asked_at);
+        if total <= kind.target {
+            class.on_time += 1;
+        } else if total <= kind.deadline {
+            class.late += 1;
+        }
     }
 
     /// Refuses a request, which the caller sends once more after the suggested delay.
@@ -367,7 +378,15 @@
         let hosts = self.hosts.len() as u64 / REGIONS.len() as u64;
         let other = self.below(hosts) as usize;
         let request = &mut self.requests[id];
-        if !request.has_returned {
+        let kind = request.kind;
+        let time_left =
+            (request.asked_at + self.pattern.kinds[kind].deadline).saturating_sub(self.now);
+        let longest = self.pattern.patience.map(|part| time_left.mul_f64(part));
+        let retry_after = longest.map_or(retry_after, |longest| retry_after.min(longest));
+        if request.has_returned {
+            let asked_at = request.asked_at;
+            self.class(kind, asked_at).refused += 1;
+        } else {
             request.has_returned = true;
             request.tried.clear();
             let region = self.hosts[request.host].region;
@@ -381,6 +400,10 @@
         self.windows.entry(index).or_default()
     }
 
+    fn class(&mut self, kind: usize, at: Duration) -> &mut Class {
+        self.outcomes.class(kind, at - START)
+    }
+
     /// Fraction of the requests that the instance rejects now although it has free slots.
     fn rejected_share(&self, index: usize) -> f64 {
         self.active_fault(index).map_or(0.0, |fault| fault.rejected)
