--- a/crates/scenario/src/steering.rs
+++ b/crates/scenario/src/steering.rs
@@ -4,6 +4,7 @@
 //! instances have cached can drift apart. The overloads that outlived their cause, and how the
 //! decisions were changed by these replays, are described in docs/steering-study.md.
 
+pub mod competition;
 pub mod noise;
 pub mod pattern;
 mod world;
@@ -21,6 +22,11 @@
     world::World::new(pattern.clone(), Selection::Reported, seed).run().windows
 }
 
+/// Plays a pattern and returns what the callers got by class and second, and how busy the slots were.
+pub fn play_classes(pattern: &Pattern, seed: u64) -> competition::Outcomes {
+    world::World::new(pattern.clone(), Selection::Reported, seed).run().classes
+}
+
 /// Mean worth of the windows from `from` to `to`.
 pub fn mean_worth(windows: &[Window], from: usize, to: usize) -> f64 {
     let part = &windows[from..to];
--- a/crates/scenario/src/steering/noise.rs
+++ b/crates/scenario/src/steering/noise.rs
@@ -97,6 +97,7 @@
     };
     Pattern {
         kinds: vec![read],
+        patience: None,
         instances: [24, 15, 15],
         hosts: [38, 38, 37],
         slots: 6,
--- a/crates/scenario/src/steering/pattern.rs
+++ b/crates/scenario/src/steering/pattern.rs
@@ -70,6 +70,9 @@
     pub hosts_restart_at: Option<Duration>,
     /// Slow instances that change all the time, if any.
     pub noise: Option<Noise>,
+    /// Part of its remaining time up to which a caller waits for as long as a refusal says. Without
+    /// it, callers wait as long as they are told.
+    pub patience: Option<f64>,
 }
 
 /// What the callers got in one window, by the time at which they sent the request.
@@ -130,6 +133,7 @@
         fault: None,
         hosts_restart_at: None,
         noise: None,
+        patience: None,
     }
 }
 
--- a/crates/scenario/src/steering/world.rs
+++ b/crates/scenario/src/steering/world.rs
@@ -20,6 +20,7 @@
 
 use super::{
     WINDOW,
+    competition::{Class, Outcomes},
     noise::{self, Selection},
     pattern::{Fault, Kind, Pattern, Window},
 };
@@ -83,6 +84,7 @@
 pub(super) struct Results {
     pub(super) windows: Vec<Window>,
     pub(super) outcomes: Vec<noise::Outcome>,
+    pub(super) classes: Outcomes,
 }
 
 pub(super) struct World {
@@ -97,6 +99,7 @@
     backend_by_id: HashMap<Arc<str>, usize>,
     requests: Vec<Request>,
     windows: BTreeMap<u64, Window>,
+    outcomes: Outcomes,
 }
 
 impl World {
@@ -111,6 +114,7 @@
             backend_by_id: HashMap::new(),
             requests: Vec::new(),
             windows: BTreeMap::new(),
+            outcomes: Outcomes::new(pattern.kinds.len()),
             pattern,
             selection,
         };
@@ -207,7 +211,8 @@
             }
         };
         let outcomes = self.requests.iter().map(outcome).collect();
-        Results { windows: self.windows.into_values().collect(), outcomes }
+        let windows = self.windows.into_values().collect();
+        Results { windows, outcomes, classes: self.outcomes }
     }
 
     fn arrive(&mut self) {
@@ -237,6 +242,7 @@
             answered_at: None,
         });
         self.window(self.now).asked += 1;
+        self.class(kind, self.now).asked += 1;
         self.attempt(self.requests.len() - 1);
     }
 
@@ -307,6 +313,7 @@
         window.loaded += u32::from(position.is_none());
         let spread = 0.85 + 0.3 * self.draw();
         let work = kind.work.as_secs_f64() * ratio * slowness * spread;
+        self.outcomes.record_work(self.now - START, work);
         self.schedule(self.now + Duration::from_secs_f64(work), Event::Finish(id));
     }
 
@@ -380,6 +387,12 @@
         } else if total <= kind.deadline {
             window.late += 1;
         }
+        let class = self.class(self.requests[id].kind, asked_at);
+        if total <= kind.target {
+            class.on_time += 1;
+        } else if total <= kind.deadline {
+            class.late += 1;
+        }
     }
 
     /// Refuses a request, which the caller sends once more after the suggested delay.
@@ -394,7 +407,15 @@
         let first: u32 = self.pattern.hosts[..region].iter().sum();
         let other = self.below(u64::from(self.pattern.hosts[region])) as usize;
         let request = &mut self.requests[id];
-        if !request.has_returned {
+        let kind = request.kind;
+        let time_left =
+            (request.asked_at + self.pattern.kinds[kind].deadline).saturating_sub(self.now);
+        let longest = self.pattern.patience.map(|part| time_left.mul_f64(part));
+        let retry_after = longest.map_or(retry_after, |longest| retry_after.min(longest));
+        if request.has_returned {
+            let asked_at = request.asked_at;
+            self.class(kind, asked_at).refused += 1;
+        } else {
             request.has_returned = true;
             request.tried.clear();
             request.host = first as usize + other;
@@ -407,6 +428,10 @@
         self.windows.entry(index).or_default()
     }
 
+    fn class(&mut self, kind: usize, at: Duration) -> &mut Class {
+        self.outcomes.class(kind, at - START)
+    }
+
     /// Fraction of the requests that the instance rejects now although it has free slots.
     fn rejected_share(&self, index: usize) -> f64 {
         self.active_fault(index).map_or(0.0, |fault| fault.rejected)
