steering: the cost of requests is learned as distributions

Cause: the host learns one time for cached and one for uncached objects of a route. Where 3 in 100 requests take 7 times the work, neither tells when a request that is running will end: one that has run for twice its usual time counts like a new one.

Change: `steering::cost` counts the ratios of work to the usual time in 48 logarithmic buckets, four for each doubling, for each route and belief about the cache, for each route, and for the service. All samples lose half of their weight when they reach 512. From it come the mean residual life, and whether a route has a tail (99th percentile at least three times the median). Displaced objects are told from the tail. Answers that found a queue, or come from a slow instance, are not counted. No choice depends on it yet. hdrhistogram was weighed: its counts are integers without decay, and the mean residual life would need a pass over all buckets for each running request.

Measured: with a tail of 3 in 100 at 7 times, a request of usually 100 ms has 0.10 to 0.14 s to go at its start, under 0.06 s after 80 ms, and 0.4 to 0.6 s after 200 ms (test). State: 1,944 bytes for one route at 10,000 objects, at most 128 routes for each service.

--- a/crates/core/src/steering.rs
+++ b/crates/core/src/steering.rs
@@ -7,6 +7,7 @@
 
 pub mod cache;
 pub mod cold;
+pub mod cost;
 pub mod departure;
 pub mod fleet;
 pub mod helper;
--- a/crates/core/src/steering/fleet/upstream.rs
+++ b/crates/core/src/steering/fleet/upstream.rs
@@ -4,7 +4,7 @@
 
 use super::{choice::Choice, side::Side};
 use crate::steering::{
-    cache,
+    cache, cost,
     instance::{self, Instance, Outcome},
     load::{self, Report},
     reach::Reach,
@@ -43,6 +43,8 @@
     pub(super) remote_side: Side,
     /// Learned work on each kind of request.
     pub(super) work: work::Model,
+    /// Distributions of the work on each kind of request.
+    pub(super) cost: cost::Model,
     /// How the reported speeds of the instances change.
     pub(super) speed: speed::Model,
     /// Median over the instances of the slowness.
@@ -72,6 +74,7 @@
             local_side: Side::default(),
             remote_side: Side::default(),
             work: work::Model::default(),
+            cost: cost::Model::default(),
             speed: speed::Model::default(),
             usual_slowness: 1.0,
             residence: cache::Residence::new(now),
@@ -157,6 +160,15 @@
         if let Some(reading) = factor.map(|factor| speed::Reading { factor, at: now }) {
             self.speed.record(instance.speed.replace(reading), reading);
         }
+        if let (Outcome::Answered(time), Some(report)) = (outcome, report) {
+            // A wait or a slow instance must not count as work.
+            let has_waited = report.waiting > 0;
+            if !has_waited && instance.slowdown(now, self.usual_slowness) <= 1.0 {
+                let (route, is_cached) = (&choice.route, choice.is_cached);
+                let class = cost::Class { route, is_cached, times };
+                self.cost.record(route, class, report.work_seconds(time.as_secs_f64()));
+            }
+        }
         let mut expected_seconds = times.cached;
         if let (Outcome::Answered(time), Some(object)) = (outcome, choice.object_hash) {
             let factor = report.map_or(1.0, Report::factor);
--- a/crates/core/src/steering/tests.rs
+++ b/crates/core/src/steering/tests.rs
@@ -2,6 +2,7 @@
 
 mod cache;
 mod cold;
+mod cost;
 mod departure;
 mod fleet;
 mod helper;
