--- a/crates/core/src/steering.rs
+++ b/crates/core/src/steering.rs
@@ -8,6 +8,7 @@
 pub mod cache;
 pub mod cold;
 pub mod contention;
+pub mod cost;
 pub mod departure;
 pub mod fleet;
 pub mod helper;
--- a/crates/core/src/steering/tests.rs
+++ b/crates/core/src/steering/tests.rs
@@ -3,6 +3,7 @@
 mod cache;
 mod cold;
 mod contention;
+mod cost;
 mod departure;
 mod fleet;
 mod helper;
