steer: the report of a lost service does not wait for connections that hang

Cause of cuts::requests_are_refused_at_once_when_all_hosts_are_cut, from the logs of two failed runs: all hosts noticed the loss 1.4 s after the cut, but 3.05 s after it (1.65 s after the loss) one host had not read the reports of one or three others, so that its look-ups named only these. The task that reports a loss also opens connections to lost services, one round after the other. A report is due 0.3 s after the loss, but the next round hung for the connect timeout of 0.6 s first, and the others read the store only once in 1.1 s.

Change: probes and reports go on side by side; whether a report is due is checked each 0.1 s, as the tests of reach::Reporter assume.

--- a/crates/steer/src/constants.rs
+++ b/crates/steer/src/constants.rs
@@ -177,6 +177,9 @@
 /// Shortest pause between two rounds of such connections.
 pub(crate) const MIN_PROBE_PAUSE: Duration = Duration::from_millis(100);
 
+/// Interval at which a host checks whether the others should know of a change of the services that it reaches.
+pub(crate) const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Time since the last answer of any instance before which a connection that failed says nothing of the network.
 pub(crate) const CONTACT_TIME: Duration = Duration::from_millis(300);
 
--- a/crates/steer/src/reach.rs
+++ b/crates/steer/src/reach.rs
@@ -22,7 +22,7 @@
 use crate::{
     backend::connection::Connection,
     clock,
-    constants::{CONTACT_TIME, MIN_PROBE_PAUSE, PROBE_INTERVAL, SILENCE_TIME},
+    constants::{CONTACT_TIME, MIN_PROBE_PAUSE, PROBE_INTERVAL, REPORT_INTERVAL, SILENCE_TIME},
     events::{Event, Rank},
     metrics,
     state::State,
@@ -125,23 +125,34 @@
     }
 }
 
-/// Opens connections to instances of lost services, and to some of all services while no instance answers,
-/// until the process ends.
+/// Finds out which services are reached, and tells the other hosts, until the process ends. Both go on side by
+/// side: a connection that hangs must not hold back the report.
 pub async fn run(state: Rc<State>) {
-    let mut reporter = Reporter::default();
+    tokio::join!(run_probes(&state), report_changes(&state));
+}
+
+/// Opens connections to instances of lost services, and to some of all services while no instance answers.
+async fn run_probes(state: &Rc<State>) {
     loop {
         // A timeout means that it is time for the next probes.
         timeout(PROBE_INTERVAL, state.silence.failed.notified()).await.ok();
         let lost = state.fleet.borrow().lost_services();
-        future::join_all(lost.iter().map(|service| probe(&state, service, 1))).await;
+        future::join_all(lost.iter().map(|service| probe(state, service, 1))).await;
         if state.silence.is_suspicious(clock::now()) {
-            probe_all(&state).await;
+            probe_all(state).await;
         }
-        report(&state, &mut reporter);
         sleep(MIN_PROBE_PAUSE).await;
     }
 }
 
+async fn report_changes(state: &State) {
+    let mut reporter = Reporter::default();
+    loop {
+        report(state, &mut reporter);
+        sleep(REPORT_INTERVAL).await;
+    }
+}
+
 /// Has the registration written again when others should know of a change.
 fn report(state: &State, reporter: &mut Reporter) {
     let fleet = state.fleet.borrow();
