steering: the remaining work of this host's requests, switched off

Cause: the wait at an instance counts each request there with the mean work. A request that has run for twice its usual time counts like a new one, so that the host queues further requests behind it.

Change: each instance has the host's requests with their start and class. The wait is the time until as many requests have ended as must end first: those of this host at their mean residual life, the others evenly at the mean. It is scaled by the speed as before. The requests and the speed are forgotten with the incarnation, and when an instance is marked cold. It is computed where a route has a tail or the instances report their speed. If it predicts worse than the mean over some 200 answers, the mean is used.

Not measured: the time of a choice.

--- a/crates/core/src/steering/cost.rs
+++ b/crates/core/src/steering/cost.rs
@@ -29,12 +29,34 @@
 /// Weight from which a 99th percentile counts.
 const MIN_TAIL_WEIGHT: f32 = 100.0;
 
+/// Weight of a route from which its usual times have settled. With earlier ones, the ratios of the
+/// same work differ by as much as a tail.
+const MIN_SETTLED_WEIGHT: f32 = 64.0;
+
 /// Ratio of the 99th percentile to the median from which a route has a tail.
 const TAIL_RATIO: f64 = 3.0;
 
 /// Ratio of a time to the work on an uncached object up to which loading explains the time.
 const MAX_LOAD_RATIO: f64 = 1.8;
 
+/// Requests of this host at one instance whose remaining work is estimated. Further ones count like
+/// those of other hosts.
+const MAX_ESTIMATED: usize = 16;
+
+/// Weight of the newest answer in the mean errors of the predictions.
+const ERROR_SMOOTHING: f64 = 0.005;
+
+/// Answers before which the errors of the predictions are not compared.
+const MIN_COMPARED: u32 = 200;
+
+/// Error relative to that of the mean from which the prediction is not used, and from which it is used
+/// again.
+const ERROR_RATIOS: (f64, f64) = (1.1, 1.0);
+
+/// Least work on an uncached object relative to a cached one, for the detection of tails. Short waits
+/// that were not noticed lower the learned ratio, and loads would look like a tail.
+const MIN_LOAD_WORK_RATIO: f64 = 3.0;
+
 /// Routes of a service with distributions of their own. Further ones use that of the service.
 const MAX_ROUTES: usize = 128;
 
@@ -117,10 +139,13 @@
     /// Ratio of the work to the usual time of what it was probably spent on. An object that was
     /// displaced must not count as a tail of the work on cached ones.
     fn tail_ratio(&self, seconds: f64) -> f64 {
-        let is_load = seconds < self.times.uncached * MAX_LOAD_RATIO;
+        let work::Times { cached, uncached } = self.times;
+        let has_loads = uncached > cached;
+        let load = if has_loads { uncached.max(cached * MIN_LOAD_WORK_RATIO) } else { cached };
+        let is_load = seconds < load * MAX_LOAD_RATIO;
         let usual = match (self.times.is_uncached(seconds), is_load) {
-            (false, _) => self.times.cached,
-            (true, true) => self.times.uncached,
+            (false, _) => cached,
+            (true, true) => load,
             (true, false) => self.usual_seconds(),
         };
         seconds / usual.max(f64::MIN_POSITIVE)
@@ -159,7 +184,9 @@
         let costs = self.routes.entry(route.clone()).or_default();
         costs.all.record(ratio);
         if class.is_cached { &mut costs.cached } else { &mut costs.uncached }.record(ratio);
-        costs.tail.record(class.tail_ratio(seconds));
+        if costs.all.weight() >= MIN_SETTLED_WEIGHT {
+            costs.tail.record(class.tail_ratio(seconds));
+        }
         self.tailed_routes -= usize::from(costs.has_tail);
         costs.has_tail = costs.tail.has_tail();
         self.tailed_routes += usize::from(costs.has_tail);
@@ -190,6 +217,115 @@
     }
 }
 
+/// Request of this host that an instance runs.
+#[derive(Clone, Debug)]
+pub struct Running {
+    /// Number of the choice that sent it there.
+    pub number: u64,
+    /// When it is expected to have got a slot.
+    pub started_at: Duration,
+    /// Name of its route.
+    pub route: Arc<str>,
+    /// Whether the instance was believed to have its object cached.
+    pub is_cached: bool,
+}
+
+/// Work in the slots of an instance.
+#[derive(Clone, Copy, Debug)]
+pub struct Slots {
+    count: f64,
+    mean_seconds: f64,
+    /// Remaining work of requests of this host, in seconds.
+    left: [f64; MAX_ESTIMATED],
+    left_count: usize,
+}
+
+impl Slots {
+    /// Slots that run requests with this mean work.
+    pub fn new(count: u32, mean_seconds: f64) -> Self {
+        let mean_seconds = mean_seconds.max(f64::EPSILON);
+        Self {
+            count: f64::from(count.max(1)),
+            mean_seconds,
+            left: [0.0; MAX_ESTIMATED],
+            left_count: 0,
+        }
+    }
+
+    /// Adds a running request whose remaining work is known better than the mean.
+    pub fn add(&mut self, left_seconds: f64) {
+        if self.left_count < MAX_ESTIMATED && (self.left_count as f64) < self.count {
+            self.left[self.left_count] = left_seconds.max(f64::EPSILON);
+            self.left_count += 1;
+        }
+    }
+
+    /// Time until this many requests have ended, if a slot takes the next request as soon as it is
+    /// free. Requests of which only the mean is known end evenly over time.
+    pub fn wait_seconds(mut self, ends: f64) -> f64 {
+        let left = &mut self.left[..self.left_count];
+        left.sort_unstable_by(f64::total_cmp);
+        let mean_rate = 1.0 / self.mean_seconds;
+        let others = (self.count - left.len() as f64) * mean_rate;
+        let mut rate = others + left.iter().map(|left| 1.0 / left).sum::<f64>();
+        let (mut ended, mut time) = (0.0, 0.0);
+        for (index, end) in left.iter().enumerate() {
+            let ended_then = ended + (end - time) * rate;
+            if ended_then >= ends {
+                break;
+            }
+            (ended, time) = (ended_then, *end);
+            let later: f64 = left[index + 1..].iter().map(|left| 1.0 / left).sum();
+            rate = others + (index + 1) as f64 * mean_rate + later;
+        }
+        time + (ends - ended) / rate
+    }
+}
+
+/// Expected response time of a request, in seconds.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Prediction {
+    /// With the remaining work of this host's requests at the instance.
+    pub by_remaining: f64,
+    /// With the mean work of all requests there.
+    pub by_mean: f64,
+    /// Part of the one in use that is spent in the instance's queue.
+    pub wait: f64,
+}
+
+/// Errors of the predictions, as moving averages over the answers.
+#[derive(Clone, Debug, Default)]
+pub struct Accuracy {
+    by_remaining: f64,
+    by_mean: f64,
+    answers: u32,
+    is_off: bool,
+}
+
+impl Accuracy {
+    /// Records an answer after this time. Returns whether the remaining work may be used from now on,
+    /// if that is a change.
+    pub fn record(&mut self, prediction: Prediction, seconds: f64) -> Option<bool> {
+        self.answers = self.answers.saturating_add(1);
+        let smooth = |mean: &mut f64, predicted: f64| {
+            *mean += ERROR_SMOOTHING * ((seconds - predicted).abs() - *mean);
+        };
+        smooth(&mut self.by_remaining, prediction.by_remaining);
+        smooth(&mut self.by_mean, prediction.by_mean);
+        let (off, on) = ERROR_RATIOS;
+        let limit = self.by_mean * if self.is_off { on } else { off };
+        let is_off = self.answers >= MIN_COMPARED && self.by_remaining > limit;
+        let is_changed = is_off != self.is_off;
+        self.is_off = is_off;
+        is_changed.then_some(!is_off)
+    }
+
+    /// Whether the remaining work predicts worse than the mean, and is not used.
+    pub fn is_off(&self) -> bool {
+        self.is_off
+    }
+}
+
 /// Lower bound of the ratios in a bucket.
 fn bound(index: usize) -> f64 {
     MIN_RATIO * (index as f64 / BUCKETS_PER_DOUBLING).exp2()
--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -22,7 +22,7 @@
 use upstream::Upstream;
 
 use super::{
-    departure,
+    cost, departure,
     instance::{Endpoint, Instance, Outcome},
     limit,
     load::Report,
@@ -66,6 +66,10 @@
     /// Whether the initial list of instances is complete. Instances that register later are treated
     /// as cold.
     is_synced: bool,
+    /// Number of choices so far.
+    choices: u64,
+    /// Whether choices depend on the remaining work of requests.
+    uses_remaining_work: bool,
 }
 
 impl Fleet {
@@ -86,6 +90,8 @@
             shift_limiter: shift::Limiter::default(),
             region_hosts,
             is_synced: false,
+            choices: 0,
+            uses_remaining_work: false,
         }
     }
 
@@ -118,6 +124,12 @@
         upstream.cold_rate = cold_rate;
     }
 
+    /// Sets whether choices depend on the remaining work of this host's requests at an instance. It
+    /// is off by default, see docs/design/request-cost.md.
+    pub fn set_uses_remaining_work(&mut self, uses_remaining_work: bool) {
+        self.uses_remaining_work = uses_remaining_work;
+    }
+
     /// Marks the initial list of instances as complete. Instances that register later are treated
     /// as cold.
     pub fn finish_initial_sync(&mut self) {
@@ -254,23 +266,28 @@
         let host_rate = if is_cold { self.cold_host_rate(&choice.id, cold_rate) } else { 0.0 };
         if let Some(instance) = self.instance(&choice.id) {
             instance.start_request(now, host_rate);
+            if instance.endpoint.incarnation == choice.incarnation {
+                instance.running.push(cost::Running {
+                    number: choice.number,
+                    started_at: now + Duration::from_secs_f64(choice.prediction.wait),
+                    route: choice.route.clone(),
+                    is_cached: choice.is_cached,
+                });
+            }
         }
     }
 
-    /// Records the end of a request to an instance, with the load report of its response.
+    /// Records the end of a request to an instance, with the load report of its response. Returns
+    /// whether the remaining work of requests may be used from now on, if that is a change.
     pub fn end_request(
         &mut self,
         now: Duration,
         choice: &Choice,
         outcome: Outcome,
         report: Option<Report>,
-    ) {
-        let Some(service) = self.service_by_id.get(&choice.id).cloned() else {
-            return;
-        };
-        let Some(upstream) = self.upstreams.get_mut(&service) else {
-            return;
-        };
+    ) -> Option<bool> {
+        let service = self.service_by_id.get(&choice.id)?;
+        let upstream = self.upstreams.get_mut(service)?;
         if let Some(report) = report {
             upstream.record_report(now, choice, report);
         }
@@ -278,8 +295,14 @@
         if let Outcome::Answered(time) = outcome {
             upstream.record_answer(time.as_secs_f64(), choice, report);
         }
+        let mut change = None;
+        if let Outcome::Answered(time) = outcome {
+            change = upstream.accuracy.record(choice.prediction, time.as_secs_f64());
+            change = change.filter(|_| self.uses_remaining_work);
+        }
         upstream.end_request(now, choice, outcome, report, times);
         upstream.update_usual();
+        change
     }
 
     /// Removes an instance whose registration is out of date, because another instance answers at
--- a/crates/core/src/steering/fleet/candidate.rs
+++ b/crates/core/src/steering/fleet/candidate.rs
@@ -17,7 +17,7 @@
 };
 use crate::{
     rendezvous,
-    steering::{cache, instance::Instance, work},
+    steering::{cache, cost, instance::Instance, work},
 };
 
 /// Cost of an instance whose slots are all taken, relative to the work on a cached object. It is
@@ -38,6 +38,7 @@
     instance: &'a Instance,
     position: cache::Position,
     is_cached: bool,
+    prediction: cost::Prediction,
     /// Expected response time plus the other costs, in seconds.
     cost: f64,
     /// Larger for instances that come first among those with equal costs.
@@ -62,6 +63,8 @@
         key: Option<rendezvous::Key>,
     ) -> Option<Choice> {
         let times = upstream.work.times(criteria.route);
+        let knows_remaining = upstream.cost.has_tail() || upstream.speed.is_reported();
+        let uses_remaining = self.uses_remaining_work && upstream.knows_remaining();
         let weight = |instance: &&Instance| match key {
             Some(key) => key.weight(&instance.endpoint.id),
             None => u64::MAX - instance.last_request_at().as_nanos() as u64,
@@ -85,7 +88,9 @@
             };
             let is_cached = matches!(position, cache::Position::Known | cache::Position::First);
             let work = if is_cached { times.cached } else { times.uncached };
-            let expected = expected_seconds(now, upstream, instance, work);
+            let prediction = upstream.predict(now, instance, work, knows_remaining);
+            let expected =
+                if uses_remaining { prediction.by_remaining } else { prediction.by_mean };
             let is_admitted = !criteria.excluded.contains(&instance.endpoint.id)
                 && instance.is_available(now)
                 && self.is_warm_or_paced(now, upstream, instance)
@@ -100,6 +105,7 @@
                 instance,
                 position,
                 is_cached,
+                prediction,
                 cost: expected + self.other_costs_seconds(upstream, instance, times),
                 weight: weights[index],
             };
@@ -127,6 +133,8 @@
             position: best.position,
             is_cached: best.is_cached,
             cost_seconds: best.cost,
+            prediction: best.prediction,
+            number: 0,
         })
     }
 
@@ -149,12 +157,3 @@
         busy + distance + FAILURE_COST * times.uncached * upstream.excess_failure_rate(instance)
     }
 }
-
-/// Expected response time of the instance for a request with this work, in seconds.
-fn expected_seconds(now: Duration, upstream: &Upstream, instance: &Instance, work: f64) -> f64 {
-    let slots = f64::from(instance.endpoint.slots.max(1));
-    let waiting_per_slot = (instance.requests + 1.0 - slots).max(0.0) / slots;
-    let wait = waiting_per_slot * upstream.work.mean_seconds();
-    let factor = upstream.speed.expected(now, instance.speed);
-    (work + wait) * factor * instance.slowdown(now, upstream.usual_slowness)
-}
--- a/crates/core/src/steering/fleet/choice.rs
+++ b/crates/core/src/steering/fleet/choice.rs
@@ -9,7 +9,7 @@
 use super::{Fleet, admission::is_serving, upstream::Upstream};
 use crate::{
     rendezvous,
-    steering::{cache, instance::Instance},
+    steering::{cache, cost, instance::Instance},
 };
 
 /// Assumed response time until the first answer, in seconds.
@@ -63,6 +63,10 @@
     pub is_cached: bool,
     /// Expected response time plus the other costs of the instance, in seconds.
     pub cost_seconds: f64,
+    /// Expected response time.
+    pub prediction: cost::Prediction,
+    /// Distinguishes the choices of this host.
+    pub number: u64,
 }
 
 /// Why no instance can get a request.
@@ -108,11 +112,14 @@
         }
         let retry_after = retry_after(upstream).max(Self::pause_left(now, &candidates));
         let choice = self.choose_by_draw(now, upstream, &candidates, criteria);
-        let choice = choice.ok_or_else(|| match Self::are_unreached(upstream, &candidates) {
-            true => Rejection::Unreached { retry_after },
-            false => Rejection::NoCapacity { retry_after },
-        })?;
+        let mut choice =
+            choice.ok_or_else(|| match Self::are_unreached(upstream, &candidates) {
+                true => Rejection::Unreached { retry_after },
+                false => Rejection::NoCapacity { retry_after },
+            })?;
+        choice.number = self.choices;
         let is_limited = self.is_shift_limited(now, upstream, &candidates);
+        self.choices += 1;
         let is_allowed = !is_limited || self.shift_limiter.allows_remote(now);
         self.shift_limiter.record_demand(now, choice.is_remote);
         if is_allowed { Ok(choice) } else { Err(Rejection::ShiftLimited { retry_after }) }
--- a/crates/core/src/steering/fleet/upstream.rs
+++ b/crates/core/src/steering/fleet/upstream.rs
@@ -45,6 +45,8 @@
     pub(super) work: work::Model,
     /// Distributions of the work on each kind of request.
     pub(super) cost: cost::Model,
+    /// How well the remaining work predicts the time of answers.
+    pub(super) accuracy: cost::Accuracy,
     /// How the reported speeds of the instances change.
     pub(super) speed: speed::Model,
     /// Median over the instances of the slowness.
@@ -75,6 +77,7 @@
             remote_side: Side::default(),
             work: work::Model::default(),
             cost: cost::Model::default(),
+            accuracy: cost::Accuracy::default(),
             speed: speed::Model::default(),
             usual_slowness: 1.0,
             residence: cache::Residence::new(now),
@@ -102,6 +105,46 @@
         self.usual_slowness = median(&mut slowness.collect::<Vec<_>>()).unwrap_or(1.0);
     }
 
+    /// Whether the remaining work of requests says more than the mean: the service has a tail or
+    /// reports its speed, and the prediction has not been worse than the mean.
+    pub(super) fn knows_remaining(&self) -> bool {
+        (self.cost.has_tail() || self.speed.is_reported()) && !self.accuracy.is_off()
+    }
+
+    /// Expected response time of the instance for a request with this work. `needs_remaining` says
+    /// whether the remaining work of this host's requests there counts.
+    pub(super) fn predict(
+        &self,
+        now: Duration,
+        instance: &Instance,
+        work: f64,
+        needs_remaining: bool,
+    ) -> cost::Prediction {
+        let slots = f64::from(instance.endpoint.slots.max(1));
+        let ends = (instance.requests + 1.0 - slots).max(0.0);
+        let mean = self.work.mean_seconds();
+        let factor = self.speed.expected(now, instance.speed);
+        let slowdown = instance.slowdown(now, self.usual_slowness);
+        let mean_wait = ends / slots * mean;
+        let mut wait = mean_wait;
+        if needs_remaining && ends > 0.0 && !instance.running.is_empty() {
+            let mut slots = cost::Slots::new(instance.endpoint.slots, mean);
+            for request in instance.running.iter().filter(|request| request.started_at <= now) {
+                let times = self.work.times(&request.route);
+                let is_cached = request.is_cached;
+                let class = cost::Class { route: &request.route, is_cached, times };
+                let elapsed = (now - request.started_at).div_f64(factor * slowdown);
+                slots.add(self.cost.remaining_seconds(class, elapsed));
+            }
+            wait = slots.wait_seconds(ends);
+        }
+        cost::Prediction {
+            by_remaining: (work + wait) * factor * slowdown,
+            by_mean: (work + mean_wait) * factor * slowdown,
+            wait: wait * factor * slowdown,
+        }
+    }
+
     /// Fraction of the slots that are busy on the instance's side.
     pub(super) fn busy_ratio(&self, instance: &Instance) -> f64 {
         let side = if instance.is_local { &self.local_side } else { &self.remote_side };
@@ -156,15 +199,23 @@
         let Some(instance) = self.instances.iter_mut().find(is_chosen) else {
             return;
         };
+        instance.running.retain(|request| request.number != choice.number);
         let factor = report.and_then(|report| report.factor);
         if let Some(reading) = factor.map(|factor| speed::Reading { factor, at: now }) {
             self.speed.record(instance.speed.replace(reading), reading);
         }
         if let (Outcome::Answered(time), Some(report)) = (outcome, report) {
-            // A wait or a slow instance must not count as work.
-            let has_waited = report.waiting > 0;
+            // A wait or a slow instance must not count as work. An instance with a free slot beside
+            // the one of this request has probably made it wait for none.
+            let had_free_slot =
+                report.waiting == 0 && report.running.saturating_add(1) < report.slots;
+            let has_waited = choice.prediction.wait > 0.0 || !had_free_slot;
             if !has_waited && instance.slowdown(now, self.usual_slowness) <= 1.0 {
                 let (route, is_cached) = (&choice.route, choice.is_cached);
+                // Without an object, a long time does not come from loading one.
+                let has_object = choice.object_hash.is_some();
+                let uncached = if has_object { times.uncached } else { times.cached };
+                let times = work::Times { uncached, ..times };
                 let class = cost::Class { route, is_cached, times };
                 self.cost.record(route, class, report.work_seconds(time.as_secs_f64()));
             }
--- a/crates/core/src/steering/instance.rs
+++ b/crates/core/src/steering/instance.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use super::{
-    cache, cold,
+    cache, cold, cost,
     load::{self, Estimate, Report},
     notice::Notice,
     samples::Samples,
@@ -110,6 +110,8 @@
     pub(super) objects: cache::Contents,
     /// Latest report of the time that work takes; `None` without one.
     pub(super) speed: Option<speed::Reading>,
+    /// Requests of this host that the instance runs.
+    pub(super) running: Vec<cost::Running>,
     last_request_at: Duration,
     /// When this host last opened a connection, or failed to; `None` before the first one.
     connection_tried_at: Option<Duration>,
@@ -140,6 +142,7 @@
             slowness: None,
             objects: cache::Contents::default(),
             speed: None,
+            running: Vec::new(),
             last_request_at: Duration::ZERO,
             connection_tried_at: None,
             is_unreached: false,
@@ -182,6 +185,8 @@
     pub fn mark_cold(&mut self, now: Duration, time: Duration) {
         self.cold_until = self.cold_until.max(now.saturating_add(time));
         self.objects.clear();
+        self.speed = None;
+        self.running.clear();
     }
 
     /// Whether the instance is warming up and tolerates only a low rate.
--- a/crates/core/src/steering/speed.rs
+++ b/crates/core/src/steering/speed.rs
@@ -89,6 +89,11 @@
         evidence.squares += before * before - EVIDENCE_DECAY * evidence.squares;
     }
 
+    /// Whether instances of the service report their factors.
+    pub fn is_reported(&self) -> bool {
+        self.usual.is_some()
+    }
+
     /// Expected factor of an instance with this latest report, or of one without a report: 1 if the
     /// service does not report it.
     pub fn expected(&self, now: Duration, reading: Option<Reading>) -> f64 {
