replay: selections compared at uneven costs and speeds

Cause: there was no replay with requests that take several times the work of their kind, and the arrivals of a replay depended on the choices.

Change: arrivals, objects and work have random numbers of their own. `--compare` plays tails of 0, 3 and 10 in 100 with 7 times the work at 0.5 to 1.3 of the capacity with today's choice, the remaining work, least requests, two random choices, two choices by hash of the object, and perfect knowledge.

A test plays the same seed with and without the remaining work: without a tail and reported speeds, what the callers get is the same; with a tail it differs.

--- a/crates/scenario/src/bin/marjorampick-replay.rs
+++ b/crates/scenario/src/bin/marjorampick-replay.rs
@@ -4,11 +4,14 @@
 
 use bpaf::Bpaf;
 use marjorampick_scenario::steering::{
-    noise::{Selection, Summary, noisy_instances, summarize},
+    noise::{Selection, Summary, noisy_instances, summarize, uneven_costs},
     pattern::{Fault, Pattern, Window, sixty_hosts, twelve_hosts},
     play,
 };
 
+/// Time after which the caches are filled in a comparison. Requests before it are not counted.
+const CACHES_FILLED_AFTER: Duration = Duration::from_secs(12);
+
 /// Replays a load pattern on the decisions of the entry host for the users' platform, in virtual
 /// time, and prints what the callers got in each second. See docs/steering-study.md.
 #[derive(Bpaf, Clone, Debug)]
@@ -19,6 +22,12 @@
     /// Replays 113 hosts and 54 instances of which some are slow at any moment, and prints what the
     /// callers got with and without the speed that instances report.
     noise: bool,
+    /// Replays uneven costs and speeds at several loads and tails with each selection, and prints what
+    /// the callers got.
+    compare: bool,
+    /// Number of hosts with `--compare`.
+    #[bpaf(argument("COUNT"), fallback(113))]
+    hosts: u32,
     /// Requests per second in each of the three regions.
     #[bpaf(argument("NUMBER"))]
     rate: Option<f64>,
@@ -51,6 +60,10 @@
 fn main() -> ExitCode {
     let options = options().run();
     match check(&options) {
+        Ok(()) if options.compare => {
+            print_comparison(&options);
+            ExitCode::SUCCESS
+        }
         Ok(()) if options.noise => {
             print_selections(&options);
             ExitCode::SUCCESS
@@ -74,6 +87,9 @@
     if !options.slowness.is_finite() || options.slowness <= 0.0 {
         return Err("--slowness must be a positive number");
     }
+    if options.hosts < 3 {
+        return Err("--hosts must be at least 3");
+    }
     if options.one_in == 0 {
         return Err("--one-in must be at least 1");
     }
@@ -109,7 +125,7 @@
     };
     println!("selection  asked  p50 ms  p99 ms  answered  in time  worst region  loaded");
     for (name, selection) in [("usual", Selection::Usual), ("reported", Selection::Reported)] {
-        let summary = summarize(&pattern, selection, options.seed);
+        let summary = summarize(&pattern, selection, options.seed, Duration::ZERO);
         let Summary { asked, p50, p99, answered, in_time, worst_region, loaded } = summary;
         let (p50, p99) = (p50.as_millis(), p99.as_millis());
         println!(
@@ -119,6 +135,25 @@
     }
 }
 
+fn print_comparison(options: &Options) {
+    println!("hosts  load  tail  selection  p50 ms  p99 ms  in time  worst region");
+    for tail in [0.0, 0.03, 0.1] {
+        for load in [0.5, 0.8, 1.0, 1.3] {
+            let pattern = uneven_costs(options.hosts, load, tail);
+            let pattern = Pattern { length: Duration::from_secs(options.length), ..pattern };
+            let selections = Selection::ALL.into_iter().filter(|(_, s)| *s != Selection::Usual);
+            for (name, selection) in selections {
+                let summary = summarize(&pattern, selection, options.seed, CACHES_FILLED_AFTER);
+                let (p50, p99) = (summary.p50.as_millis(), summary.p99.as_millis());
+                println!(
+                    "{:5}  {load:4.1}  {tail:4.2}  {name:9}  {p50:6}  {p99:6}  {:7.3}  {:12.3}",
+                    options.hosts, summary.in_time, summary.worst_region
+                );
+            }
+        }
+    }
+}
+
 fn print_windows(windows: &[Window]) {
     println!("second  worth  asked  on time   late    run  loaded");
     for (second, window) in windows.iter().enumerate() {
--- a/crates/scenario/src/steering.rs
+++ b/crates/scenario/src/steering.rs
@@ -4,6 +4,7 @@
 //! instances have cached can drift apart. The overloads that outlived their cause, and how the
 //! decisions were changed by these replays, are described in docs/steering-study.md.
 
+mod direct;
 pub mod noise;
 pub mod pattern;
 mod world;
--- a/crates/scenario/src/steering/noise.rs
+++ b/crates/scenario/src/steering/noise.rs
@@ -4,7 +4,7 @@
 
 use super::{
     pattern::{Kind, Pattern, Window},
-    world::{Results, World},
+    world::{CACHED_WORK_RATIO, Results, World},
 };
 
 /// Work that takes longer at some instances at any moment.
@@ -25,6 +25,43 @@
     Usual,
     /// The fleet's choice with all that instances report.
     Reported,
+    /// The same with the remaining work of the host's requests at each instance.
+    Remaining,
+    /// The instance with the fewest requests of the host.
+    LeastRequests,
+    /// Of two random instances, the one with fewer requests of the host.
+    TwoChoices,
+    /// Of the two instances that come first for the object by rendezvous hash, the one with fewer
+    /// requests of the host.
+    TwoHashed,
+    /// The instance that will answer first, with perfect knowledge of all requests, caches and speeds.
+    Perfect,
+}
+
+impl Selection {
+    /// All selections, in the order of the tables.
+    pub const ALL: [(&str, Self); 7] = [
+        ("usual", Self::Usual),
+        ("reported", Self::Reported),
+        ("remaining", Self::Remaining),
+        ("least", Self::LeastRequests),
+        ("two", Self::TwoChoices),
+        ("hashed", Self::TwoHashed),
+        ("perfect", Self::Perfect),
+    ];
+
+    pub(super) fn uses_fleet(self) -> bool {
+        matches!(self, Self::Usual | Self::Reported | Self::Remaining)
+    }
+}
+
+/// Requests that take several times the work of their kind.
+#[derive(Clone, Copy, Debug)]
+pub struct Tail {
+    /// Part of the requests, 0 to 1.
+    pub share: f64,
+    /// Factor of their work.
+    pub factor: f64,
 }
 
 /// Outcome of one request of a caller.
@@ -32,12 +69,14 @@
 pub(super) struct Outcome {
     pub(super) region: usize,
     pub(super) target: Duration,
+    /// When the caller sent it, since the start of the load.
+    pub(super) asked_at: Duration,
     /// Time until the answer; `None` without one before the deadline.
     pub(super) latency: Option<Duration>,
 }
 
 /// What the callers of a whole replay got.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Summary {
     /// Requests of callers.
     pub asked: usize,
@@ -56,8 +95,9 @@
 }
 
 impl Summary {
-    fn new(results: &Results) -> Self {
-        let outcomes = &results.outcomes;
+    fn new(results: &Results, from: Duration) -> Self {
+        let outcomes = results.outcomes.iter().filter(|outcome| outcome.asked_at >= from);
+        let outcomes: Vec<Outcome> = outcomes.copied().collect();
         let sum = |count: fn(&Window) -> u32| -> f64 {
             results.windows.iter().map(count).map(f64::from).sum()
         };
@@ -105,11 +145,31 @@
         length: Duration::from_secs(20),
         fault: None,
         hosts_restart_at: None,
+        tail: Tail { share: 0.0, factor: 7.0 },
         noise: Some(Noise { share: 0.15, factor: 2.5, period: Duration::from_millis(600) }),
     }
 }
 
-/// Plays a pattern with this selection and returns what the callers got.
-pub fn summarize(pattern: &Pattern, selection: Selection, seed: u64) -> Summary {
-    Summary::new(&World::new(pattern.clone(), selection, seed).run())
+/// The same with so many hosts, requests with a tail, and a load relative to the capacity if a fifth
+/// of the requests load their object.
+pub fn uneven_costs(hosts: u32, load: f64, tail_share: f64) -> Pattern {
+    const LOADED_SHARE: f64 = 0.2;
+    let base = noisy_instances();
+    let noise = base.noise.map_or(1.0, |noise| 1.0 + noise.share * (noise.factor - 1.0));
+    let tail = Tail { share: tail_share, ..base.tail };
+    let ratio = CACHED_WORK_RATIO * (1.0 - LOADED_SHARE) + LOADED_SHARE;
+    let work = base.kinds[0].work.as_secs_f64() * ratio * noise;
+    let work = work * (1.0 + tail.share * (tail.factor - 1.0));
+    let slots = f64::from(base.instances.iter().sum::<u32>() * base.slots);
+    Pattern {
+        hosts: [hosts.div_ceil(3), (hosts + 1) / 3, hosts / 3],
+        rate: load * slots / work / 3.0,
+        tail,
+        ..base
+    }
+}
+
+/// Plays a pattern with this selection and returns what the callers got who asked after this time.
+pub fn summarize(pattern: &Pattern, selection: Selection, seed: u64, from: Duration) -> Summary {
+    Summary::new(&World::new(pattern.clone(), selection, seed).run(), from)
 }
--- a/crates/scenario/src/steering/pattern.rs
+++ b/crates/scenario/src/steering/pattern.rs
@@ -3,7 +3,7 @@
 
 use std::{ops::Range, time::Duration};
 
-use super::noise::Noise;
+use super::noise::{Noise, Tail};
 
 /// Worth of an answer after the target latency, relative to one in time.
 const LATE_WORTH: f64 = 0.2;
@@ -68,6 +68,8 @@
     pub fault: Option<Fault>,
     /// When all hosts start anew, since the start of the load.
     pub hosts_restart_at: Option<Duration>,
+    /// Requests that take several times the work.
+    pub tail: Tail,
     /// Slow instances that change all the time, if any.
     pub noise: Option<Noise>,
 }
@@ -129,6 +131,7 @@
         length: Duration::from_secs(24),
         fault: None,
         hosts_restart_at: None,
+        tail: Tail { share: 0.0, factor: 1.0 },
         noise: None,
     }
 }
--- a/crates/scenario/src/steering/world.rs
+++ b/crates/scenario/src/steering/world.rs
@@ -28,10 +28,10 @@
 const REGIONS: [&str; 3] = ["north", "south", "west"];
 
 /// Work on a cached object relative to the work on one that the instance must load.
-const CACHED_WORK_RATIO: f64 = 0.3;
+pub(super) const CACHED_WORK_RATIO: f64 = 0.3;
 
 /// Network latency of a response from another region, both ways.
-const REMOTE_LATENCY: Duration = Duration::from_millis(40);
+pub(super) const REMOTE_LATENCY: Duration = Duration::from_millis(40);
 
 /// Retries of the hosts per request.
 const RETRY_RATIO: f64 = 0.14;
@@ -39,25 +39,31 @@
 /// Virtual time at which the traffic starts, as hosts reserve zero for "never".
 const START: Duration = Duration::from_secs(1000);
 
-struct Host {
-    region: usize,
-    fleet: Fleet,
+pub(super) struct Host {
+    pub(super) region: usize,
+    pub(super) fleet: Fleet,
     requests: f64,
     retries: f64,
+    /// Requests of the host at each instance.
+    pub(super) at_instances: Vec<u32>,
 }
 
-struct Backend {
-    region: usize,
-    running: u32,
-    waiting: VecDeque<usize>,
+pub(super) struct Backend {
+    pub(super) region: usize,
+    pub(super) running: u32,
+    /// When each running request will end.
+    pub(super) ends: Vec<Duration>,
+    pub(super) waiting: VecDeque<usize>,
     /// Objects that the instance has cached, the oldest one first.
-    cache: Vec<u64>,
+    pub(super) cache: Vec<u64>,
 }
 
-struct Request {
-    host: usize,
-    kind: usize,
-    object: u64,
+pub(super) struct Request {
+    pub(super) host: usize,
+    pub(super) kind: usize,
+    pub(super) object: u64,
+    /// Work on it relative to the usual work on its kind.
+    pub(super) work_ratio: f64,
     /// When the caller first sent it.
     asked_at: Duration,
     /// When this caller's attempt reached the host.
@@ -65,7 +71,7 @@
     /// When the present attempt was sent to an instance.
     sent_at: Duration,
     has_returned: bool,
-    tried: Vec<Arc<str>>,
+    pub(super) tried: Vec<Arc<str>>,
     choice: Option<Choice>,
     backend: usize,
     answered_at: Option<Duration>,
@@ -86,16 +92,18 @@
 }
 
 pub(super) struct World {
-    pattern: Pattern,
-    selection: Selection,
-    now: Duration,
+    pub(super) pattern: Pattern,
+    pub(super) selection: Selection,
+    pub(super) now: Duration,
     random: u64,
+    /// State of the random numbers for arrivals, so that they are the same for each selection.
+    arrival_random: u64,
     events: BinaryHeap<Reverse<(Duration, u64, Event)>>,
     sequence: u64,
-    hosts: Vec<Host>,
-    backends: Vec<Backend>,
+    pub(super) hosts: Vec<Host>,
+    pub(super) backends: Vec<Backend>,
     backend_by_id: HashMap<Arc<str>, usize>,
-    requests: Vec<Request>,
+    pub(super) requests: Vec<Request>,
     windows: BTreeMap<u64, Window>,
 }
 
@@ -104,6 +112,7 @@
         let mut world = Self {
             now: START,
             random: seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1,
+            arrival_random: hash(seed.wrapping_add(1)),
             events: BinaryHeap::new(),
             sequence: 0,
             hosts: Vec::new(),
@@ -116,8 +125,13 @@
         };
         for (region, count) in world.pattern.instances.into_iter().enumerate() {
             for _ in 0..count {
-                let backend =
-                    Backend { region, running: 0, waiting: VecDeque::new(), cache: Vec::new() };
+                let backend = Backend {
+                    region,
+                    running: 0,
+                    ends: Vec::new(),
+                    waiting: VecDeque::new(),
+                    cache: Vec::new(),
+                };
                 let id = instance_id(world.backends.len());
                 world.backend_by_id.insert(id, world.backends.len());
                 world.backends.push(backend);
@@ -140,6 +154,7 @@
                 fleet: self.new_fleet(region, number),
                 requests: 0.0,
                 retries: 0.0,
+                at_instances: vec![0; self.backends.len()],
             })
             .collect();
     }
@@ -154,6 +169,7 @@
             domain_regions: domains.collect(),
         });
         fleet.set_warmup(self.now, &Arc::from(SERVICE), Duration::from_secs(3), 16.0);
+        fleet.set_uses_remaining_work(self.selection == Selection::Remaining);
         fleet.set_region_hosts((0..self.pattern.hosts[region]).map(host_name).collect());
         for (index, backend) in self.backends.iter().enumerate() {
             fleet.register(
@@ -203,6 +219,7 @@
             noise::Outcome {
                 region: self.hosts[request.host].region,
                 target: kind.target,
+                asked_at: request.asked_at - START,
                 latency: latency.filter(|latency| *latency <= kind.deadline),
             }
         };
@@ -212,21 +229,25 @@
 
     fn arrive(&mut self) {
         let total = self.pattern.rate * REGIONS.len() as f64;
-        let wait = -(1.0 - self.draw()).ln() / total;
+        let wait = -(1.0 - self.arrival_draw()).ln() / total;
         self.schedule(self.now + Duration::from_secs_f64(wait), Event::Arrival);
-        let host = self.below(self.hosts.len() as u64) as usize;
-        let mut draw = self.draw();
+        let host = (self.arrival_draw() * self.hosts.len() as f64) as usize;
+        let mut draw = self.arrival_draw();
         let is_kind = |kind: &Kind| {
             draw -= kind.share;
             draw < 0.0
         };
         let kind = self.pattern.kinds.iter().position(is_kind).unwrap_or(0);
-        let number = self.below(self.pattern.kinds[kind].objects);
+        let number = (self.arrival_draw() * self.pattern.kinds[kind].objects as f64) as u64;
         let object = hash(number + 1000 * (kind as u64 + 10 * self.hosts[host].region as u64));
+        let spread = 0.85 + 0.3 * self.arrival_draw();
+        let is_long = self.arrival_draw() < self.pattern.tail.share;
+        let work_ratio = spread * if is_long { self.pattern.tail.factor } else { 1.0 };
         self.requests.push(Request {
             host,
             kind,
             object,
+            work_ratio,
             asked_at: self.now,
             arrived_at: self.now,
             sent_at: self.now,
@@ -263,9 +284,19 @@
             locality_draw: (request.object >> 11) as f64 / (1_u64 << 53) as f64,
             admission_draw,
         };
-        match host.fleet.choose(self.now, &criteria) {
+        let chosen = if self.selection.uses_fleet() {
+            host.fleet.choose(self.now, &criteria)
+        } else {
+            self.choose_directly(id)
+        };
+        let request = &mut self.requests[id];
+        let host = &mut self.hosts[request.host];
+        match chosen {
             Ok(choice) => {
-                host.fleet.start_request(self.now, &choice);
+                if self.selection.uses_fleet() {
+                    host.fleet.start_request(self.now, &choice);
+                }
+                host.at_instances[self.backend_by_id[&choice.id]] += 1;
                 request.sent_at = self.now;
                 request.tried.push(choice.id.clone());
                 request.backend = self.backend_by_id[&choice.id];
@@ -304,9 +335,10 @@
         let window = self.window(asked_at);
         window.run += 1;
         window.loaded += u32::from(position.is_none());
-        let spread = 0.85 + 0.3 * self.draw();
-        let work = kind.work.as_secs_f64() * ratio * slowness * spread;
-        self.schedule(self.now + Duration::from_secs_f64(work), Event::Finish(id));
+        let work = kind.work.as_secs_f64() * ratio * slowness * self.requests[id].work_ratio;
+        let end = self.now + Duration::from_secs_f64(work);
+        self.backends[self.requests[id].backend].ends.push(end);
+        self.schedule(end, Event::Finish(id));
     }
 
     fn finish(&mut self, id: usize) {
@@ -319,6 +351,10 @@
             backend.cache.remove(0);
         }
         backend.running -= 1;
+        let now = self.now;
+        if let Some(index) = backend.ends.iter().position(|end| *end == now) {
+            backend.ends.swap_remove(index);
+        }
         self.respond(id, false);
         self.start_next(self.requests[id].backend);
     }
@@ -343,7 +379,7 @@
         let backend = &self.backends[request.backend];
         let is_remote = backend.region != self.hosts[request.host].region;
         let latency = if is_remote { REMOTE_LATENCY } else { Duration::from_millis(2) };
-        let is_reported = self.pattern.noise.is_some() && self.selection == Selection::Reported;
+        let is_reported = self.pattern.noise.is_some() && self.selection != Selection::Usual;
         let percent = if is_reported { 100.0 * self.slowness(request.backend) } else { 0.0 };
         let (running, waiting) = (backend.running, backend.waiting.len() as u32);
         let event = Event::Answer(id, is_shed, running, waiting, percent as u32);
@@ -358,7 +394,11 @@
         };
         let elapsed = self.now - request.sent_at;
         let outcome = if is_shed { Outcome::Shed } else { Outcome::Answered(elapsed) };
-        host.fleet.end_request(self.now, choice, outcome, Some(report));
+        let at_instance = &mut host.at_instances[request.backend];
+        *at_instance = at_instance.saturating_sub(1);
+        if self.selection.uses_fleet() {
+            host.fleet.end_request(self.now, choice, outcome, Some(report));
+        }
         if is_shed {
             if request.tried.len() < 2 && host.retries < host.requests * RETRY_RATIO {
                 host.retries += 1.0;
@@ -412,7 +452,7 @@
     }
 
     /// Factor by which the instance's work takes longer now.
-    fn slowness(&self, index: usize) -> f64 {
+    pub(super) fn slowness(&self, index: usize) -> f64 {
         let fault = self.active_fault(index).map_or(1.0, |fault| fault.slowness);
         fault * self.noise(index)
     }
@@ -438,11 +478,16 @@
         self.events.push(Reverse((at, self.sequence, event)));
     }
 
-    fn below(&mut self, limit: u64) -> u64 {
+    pub(super) fn below(&mut self, limit: u64) -> u64 {
         self.random = self.random.wrapping_add(0x9E37_79B9_7F4A_7C15);
         hash(self.random) % limit.max(1)
     }
 
+    fn arrival_draw(&mut self) -> f64 {
+        self.arrival_random = self.arrival_random.wrapping_add(0x9E37_79B9_7F4A_7C15);
+        (hash(self.arrival_random) >> 11) as f64 / (1_u64 << 53) as f64
+    }
+
     fn draw(&mut self) -> f64 {
         self.below(1 << 53) as f64 / (1_u64 << 53) as f64
     }
@@ -455,7 +500,7 @@
     mixed ^ (mixed >> 31)
 }
 
-fn instance_id(index: usize) -> Arc<str> {
+pub(super) fn instance_id(index: usize) -> Arc<str> {
     Arc::from(format!("i-{:08x}", hash(index as u64 + 7) >> 32).as_str())
 }
 
--- a/crates/scenario/tests/load_patterns.rs
+++ b/crates/scenario/tests/load_patterns.rs
@@ -5,6 +5,7 @@
 
 use marjorampick_scenario::steering::{
     mean_worth,
+    noise::{Selection, Tail, summarize, uneven_costs},
     pattern::{Fault, Pattern, Window, sixty_hosts, twelve_hosts},
     play,
 };
@@ -134,3 +135,18 @@
     let worth = mean_worth(&windows, 12, 16);
     assert!(worth >= RECOVERED_SHARE, "worth {worth:.2}\n{}", describe(&windows));
 }
+
+/// Without a tail and reported speeds, the remaining work of requests must change no choice. Displaced
+/// objects and queues must not be taken for a tail.
+#[test]
+fn choices_are_the_same_without_a_tail() {
+    let length = Duration::from_secs(20);
+    let even = Pattern { noise: None, length, ..uneven_costs(8, 1.0, 0.0) };
+    let tailed = Pattern { tail: Tail { share: 0.05, factor: 7.0 }, ..even.clone() };
+    let play = |pattern, selection| summarize(pattern, selection, 1, Duration::ZERO);
+    let both = |pattern| [Selection::Reported, Selection::Remaining].map(|s| play(pattern, s));
+    let [without, with] = both(&even);
+    assert_eq!(without, with);
+    let [without, with] = both(&tailed);
+    assert_ne!(without, with, "the tail is not noticed");
+}
