steer: predicted against real times of answers

Cause: nothing shows whether the expected time of a request is right.

Change: the histogram marjorampick_answer_time_ratio (by service and model, the mean and the remaining work) has the time of each answer relative to its prediction. The event cost_prediction says when the remaining work predicts worse than the mean and is no longer used, or is used again.

No process was run with it.

--- a/crates/steer/src/callers/attempt.rs
+++ b/crates/steer/src/callers/attempt.rs
@@ -1,6 +1,6 @@
 //! Attempt to run a request at one instance.
 
-use std::{io::ErrorKind, rc::Rc, time::Duration};
+use std::{io::ErrorKind, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderValue, StatusCode, header};
@@ -83,21 +83,29 @@
 /// [`Self::end`], because the caller left, records the request as cancelled.
 struct Guard<'a> {
     state: &'a Rc<State>,
+    service: &'a Arc<str>,
     choice: &'a Choice,
     has_ended: bool,
 }
 
 impl<'a> Guard<'a> {
-    fn start(state: &'a Rc<State>, choice: &'a Choice) -> Self {
+    fn start(state: &'a Rc<State>, service: &'a Arc<str>, choice: &'a Choice) -> Self {
         let now = clock::now();
         state.fleet.borrow_mut().start_request(now, choice);
         state.silence.record_sent(now);
-        Self { state, choice, has_ended: false }
+        Self { state, service, choice, has_ended: false }
     }
 
     fn end(mut self, outcome: Outcome, report: Option<Report>) {
         self.has_ended = true;
-        self.state.fleet.borrow_mut().end_request(clock::now(), self.choice, outcome, report);
+        if let Outcome::Answered(time) = outcome {
+            metrics::record_prediction(self.service, self.choice.prediction, time);
+        }
+        let mut fleet = self.state.fleet.borrow_mut();
+        if let Some(is_used) = fleet.end_request(clock::now(), self.choice, outcome, report) {
+            let event = Event::CostPrediction { service: self.service, is_used };
+            self.state.log.write(Rank::Notice, event);
+        }
     }
 }
 
@@ -129,7 +137,7 @@
         let reason = "no instance of the service is reached".to_owned();
         return Err(Failure::unreached(reason));
     }
-    let guard = Guard::start(state, choice);
+    let guard = Guard::start(state, &call.service, choice);
     let opened = match pooled {
         Some(connection) => Ok(connection),
         None => Connection::open(choice.address).await,
--- a/crates/steer/src/events.rs
+++ b/crates/steer/src/events.rs
@@ -281,6 +281,14 @@
         /// Expected response time plus the other costs of the chosen instance, in seconds.
         cost: f64,
     },
+    /// The remaining work of requests predicts the answers of a service worse than the mean, and is
+    /// no longer used, or it is used again.
+    CostPrediction {
+        /// Service of the instances.
+        service: &'a str,
+        /// Whether the remaining work is used from now on.
+        is_used: bool,
+    },
     /// A request finished.
     Request {
         /// Id of the request.
--- a/crates/steer/src/metrics.rs
+++ b/crates/steer/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use marjorampick_core::steering::cost::Prediction;
 use metrics::{
     Unit, counter, describe_counter, describe_gauge, describe_histogram, gauge, histogram,
 };
@@ -21,6 +22,13 @@
 const LOST_SERVICES: &str = "marjorampick_lost_services";
 const QUARANTINED_REQUESTS: &str = "marjorampick_quarantined_requests";
 const OMITTED_ENTRIES: &str = "marjorampick_omitted_configuration_entries";
+const ANSWER_TIME_RATIO: &str = "marjorampick_answer_time_ratio";
+
+/// Upper bounds of the histogram buckets of [`ANSWER_TIME_RATIO`].
+const BUCKET_BOUNDS_RATIO: [f64; 6] = [0.25, 0.5, 0.8, 1.25, 2.0, 4.0];
+
+/// Smallest predicted time that counts in [`ANSWER_TIME_RATIO`].
+const MIN_PREDICTED_SECONDS: f64 = 0.001;
 
 /// Upper bounds of the histogram buckets, in seconds.
 const BUCKET_BOUNDS_SECONDS: [f64; 10] = [0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.2, 2.0, 4.0, 8.0];
@@ -28,14 +36,21 @@
 /// Installs the global metrics recorder of the process. Fails if there is one already.
 pub(crate) fn install() -> Result<PrometheusHandle, BuildError> {
     let seconds = Matcher::Suffix("_seconds".to_owned());
+    let ratio = Matcher::Full(ANSWER_TIME_RATIO.to_owned());
     let handle = PrometheusBuilder::new()
         .set_buckets_for_metric(seconds, &BUCKET_BOUNDS_SECONDS)?
+        .set_buckets_for_metric(ratio, &BUCKET_BOUNDS_RATIO)?
         .install_recorder()?;
     describe_histogram!(
         REQUEST_SECONDS,
         Unit::Seconds,
         "Time from a request's arrival to its answer."
     );
+    describe_histogram!(
+        ANSWER_TIME_RATIO,
+        Unit::Count,
+        "Time of an instance's answer relative to the predicted time."
+    );
     describe_counter!(REFUSALS_TOTAL, Unit::Count, "Requests that the host refused, by reason.");
     describe_counter!(ATTEMPTS_TOTAL, Unit::Count, "Requests sent to backend servers, by outcome.");
     describe_counter!(STORE_CALLS_TOTAL, Unit::Count, "Calls to the store, by kind and outcome.");
@@ -99,6 +114,15 @@
     counter!(REFUSALS_TOTAL, "reason" => reason).increment(1);
 }
 
+/// Records the time of an answer against the times that were predicted for it.
+pub(crate) fn record_prediction(service: &Arc<str>, prediction: Prediction, elapsed: Duration) {
+    let models = [("mean", prediction.by_mean), ("remaining", prediction.by_remaining)];
+    for (model, predicted) in models {
+        let ratio = elapsed.as_secs_f64() / predicted.max(MIN_PREDICTED_SECONDS);
+        histogram!(ANSWER_TIME_RATIO, "service" => service.clone(), "model" => model).record(ratio);
+    }
+}
+
 /// Records the outcome of an attempt to send a request to a backend server.
 pub(crate) fn record_attempt(service: &Arc<str>, outcome: &'static str) {
     counter!(ATTEMPTS_TOTAL, "service" => service.clone(), "outcome" => outcome).increment(1);
