--- a/crates/scenario/src/steering.rs
+++ b/crates/scenario/src/steering.rs
@@ -5,6 +5,7 @@
 //! decisions were changed by these replays, are described in docs/steering-study.md.
 
 pub mod competition;
+mod direct;
 pub mod noise;
 pub mod pattern;
 mod world;
--- a/crates/scenario/src/steering/competition.rs
+++ b/crates/scenario/src/steering/competition.rs
@@ -123,6 +123,7 @@
         instances: INSTANCES.map(|count| scaled(u64::from(count), size) as u32),
         hosts: [hosts_per_region; 3],
         noise: None,
+        tail: None,
         slots: 3,
         cached_objects: 15,
         rate: (URGENT_RATE + BACKGROUND_RATE) / 3.0 * size * multiple,
