--- a/crates/scenario/src/steering/competition.rs
+++ b/crates/scenario/src/steering/competition.rs
@@ -5,7 +5,10 @@
 
 use std::{ops::Range, time::Duration};
 
-use super::pattern::{Kind, Pattern};
+use super::{
+    noise::Tail,
+    pattern::{Kind, Pattern},
+};
 
 /// Worth of an answer after the target latency, relative to one in time.
 const LATE_WORTH: f64 = 0.2;
@@ -123,7 +126,7 @@
         instances: INSTANCES.map(|count| scaled(u64::from(count), size) as u32),
         hosts: [hosts_per_region; 3],
         noise: None,
-        tail: None,
+        tail: Tail { share: 0.0, factor: 1.0 },
         slots: 3,
         cached_objects: 15,
         rate: (URGENT_RATE + BACKGROUND_RATE) / 3.0 * size * multiple,
