steering: classes compete by the priority of their route

Cause: with the priority of workspaces as the level of competition, workspaces of one class yielded to each other. Change: the level is the priority of the route. That of the workspace goes on to move the limit of the wait.

--- a/crates/core/benches/choice.rs
+++ b/crates/core/benches/choice.rs
@@ -65,6 +65,7 @@
                     object_hash: Some(object),
                     excluded: &[],
                     priority: 1,
+                    route_priority: 1,
                     target_latency: Some(Duration::from_millis(400)),
                     locality_draw: 0.1,
                     admission_draw: 0.5,
--- a/crates/core/src/steering/fleet/candidate.rs
+++ b/crates/core/src/steering/fleet/candidate.rs
@@ -63,7 +63,7 @@
         key: Option<rendezvous::Key>,
     ) -> Option<Choice> {
         let times = upstream.work.times(criteria.route);
-        let standing = self.standing(now, upstream, criteria.priority);
+        let standing = self.standing(now, upstream, criteria.route_priority);
         let knows_remaining = upstream.cost.has_tail() || upstream.speed.is_reported();
         let uses_remaining = self.uses_remaining_work && upstream.knows_remaining();
         let weight = |instance: &&Instance| match key {
--- a/crates/core/src/steering/fleet/choice.rs
+++ b/crates/core/src/steering/fleet/choice.rs
@@ -33,8 +33,10 @@
     pub object_hash: Option<u64>,
     /// Ids of instances that must not get the request, because it was already sent to them.
     pub excluded: &'a [Arc<str>],
-    /// Priority level, where 0 is the most urgent.
+    /// Priority level, where 0 is the most urgent. That of the workspace goes before that of the route.
     pub priority: u8,
+    /// Priority level of the route, by which the classes of a service compete for its slots.
+    pub route_priority: u8,
     /// Latency up to which an answer is on time.
     pub target_latency: Option<Duration>,
     /// Number from 0 to below 1. The own region is preferred if the number is below the local share
--- a/crates/core/src/steering/fleet/side.rs
+++ b/crates/core/src/steering/fleet/side.rs
@@ -65,7 +65,13 @@
             let seconds = upstream.work.times(criteria.route).cached;
             let target =
                 criteria.target_latency.map_or(DEFAULT_TARGET_SECONDS, |t| t.as_secs_f64());
-            upstream.demand.record_request(now, criteria.priority, criteria.route, seconds, target);
+            upstream.demand.record_request(
+                now,
+                criteria.route_priority,
+                criteria.route,
+                seconds,
+                target,
+            );
         }
     }
 
--- a/crates/core/src/steering/tests/contention.rs
+++ b/crates/core/src/steering/tests/contention.rs
@@ -20,11 +20,21 @@
 }
 
 fn urgent() -> Criteria<'static> {
-    Criteria { priority: 0, target_latency: Some(Duration::from_millis(80)), ..criteria() }
+    Criteria {
+        priority: 0,
+        route_priority: 0,
+        target_latency: Some(Duration::from_millis(80)),
+        ..criteria()
+    }
 }
 
 fn background() -> Criteria<'static> {
-    Criteria { priority: 2, target_latency: Some(Duration::from_secs(2)), ..criteria() }
+    Criteria {
+        priority: 2,
+        route_priority: 2,
+        target_latency: Some(Duration::from_secs(2)),
+        ..criteria()
+    }
 }
 
 fn admitted(fleet: &mut Fleet, now: Duration, criteria: &Criteria<'_>) -> usize {
--- a/crates/core/src/steering/tests/support.rs
+++ b/crates/core/src/steering/tests/support.rs
@@ -78,6 +78,7 @@
         object_hash: None,
         excluded: &[],
         priority: 1,
+        route_priority: 1,
         target_latency: Some(Duration::from_millis(400)),
         locality_draw: 0.0,
         admission_draw: 0.0,
--- a/crates/scenario/src/steering/world.rs
+++ b/crates/scenario/src/steering/world.rs
@@ -286,6 +286,7 @@
             object_hash: Some(request.object),
             excluded: &request.tried,
             priority: kind.priority,
+            route_priority: kind.priority,
             target_latency: Some(kind.target),
             locality_draw: (request.object >> 11) as f64 / (1_u64 << 53) as f64,
             admission_draw,
--- a/crates/steer/src/callers/forward.rs
+++ b/crates/steer/src/callers/forward.rs
@@ -228,6 +228,7 @@
         object_hash: call.object_hash,
         excluded: tried_ids,
         priority: call.priority(),
+        route_priority: call.route.priority,
         target_latency: call.route.target_latency,
         locality_draw: locality_draw(call),
         admission_draw: unit_interval(Key::new([call.id_text()]).weight("admission")),
