--- a/crates/steer/src/callers/handle.rs
+++ b/crates/steer/src/callers/handle.rs
@@ -252,6 +252,9 @@
         }
         Err(refusal) => {
             metrics::record_refusal(refusal.reason.name());
+            if refusal.reason == Reason::Full {
+                metrics::record_full(&call.service, call.route.priority);
+            }
             if refusal.reason.is_not_run() && helper.is_none() {
                 refund_token(state, call);
             }
--- a/crates/steer/src/metrics.rs
+++ b/crates/steer/src/metrics.rs
@@ -22,6 +22,7 @@
 const LOST_SERVICES: &str = "marjorampick_lost_services";
 const QUARANTINED_REQUESTS: &str = "marjorampick_quarantined_requests";
 const CLOSED_CONNECTIONS_TOTAL: &str = "marjorampick_closed_connections_total";
+const FULL_REFUSALS_TOTAL: &str = "marjorampick_full_refusals_total";
 const OMITTED_ENTRIES: &str = "marjorampick_omitted_configuration_entries";
 const ANSWER_TIME_RATIO: &str = "marjorampick_answer_time_ratio";
 
@@ -53,6 +54,11 @@
         "Time of an instance's answer relative to the predicted time."
     );
     describe_counter!(REFUSALS_TOTAL, Unit::Count, "Requests that the host refused, by reason.");
+    describe_counter!(
+        FULL_REFUSALS_TOTAL,
+        Unit::Count,
+        "Requests refused for lack of free slots, by service and priority of the route."
+    );
     describe_counter!(ATTEMPTS_TOTAL, Unit::Count, "Requests sent to backend servers, by outcome.");
     describe_counter!(STORE_CALLS_TOTAL, Unit::Count, "Calls to the store, by kind and outcome.");
     describe_counter!(TOKENS_LENT_TOTAL, Unit::Count, "Tokens of workspaces lent to other hosts.");
@@ -134,6 +140,13 @@
     }
 }
 
+/// Records a request that was refused for lack of free slots.
+pub(crate) fn record_full(service: &Arc<str>, route_priority: u8) {
+    let priority = route_priority.to_string();
+    counter!(FULL_REFUSALS_TOTAL, "service" => service.clone(), "priority" => priority)
+        .increment(1);
+}
+
 /// Records the outcome of an attempt to send a request to a backend server.
 pub(crate) fn record_attempt(service: &Arc<str>, outcome: &'static str) {
     counter!(ATTEMPTS_TOTAL, "service" => service.clone(), "outcome" => outcome).increment(1);
