directory: look-ups are narrowed down only to hosts with most of the bandwidth

Cause: three hosts with fast links would have got the large responses of a region in which many others carried them. Change: the hosts with fast links must have more than half of the bandwidth of the region. A private type of the plan is named after what it holds, as a slot means room for a request elsewhere.

--- a/crates/core/src/steering/plan.rs
+++ b/crates/core/src/steering/plan.rs
@@ -146,7 +146,7 @@
 
 /// Route, or `None` for one that is omitted.
 #[derive(Clone, Debug)]
-struct Slot {
+struct Entry {
     prefix: Arc<str>,
     route: Option<Arc<Route>>,
 }
@@ -165,7 +165,7 @@
     /// Entries that this version of the program cannot use.
     pub omissions: Vec<Omission>,
     /// Routes by host name, longest prefix first.
-    routes: HashMap<Arc<str>, Vec<Slot>>,
+    routes: HashMap<Arc<str>, Vec<Entry>>,
     /// Workspace of each API key.
     keys: HashMap<Arc<str>, Arc<str>>,
 }
@@ -180,10 +180,10 @@
         keys: HashMap<Arc<str>, Arc<str>>,
         limits: Limits,
     ) -> Self {
-        let mut by_host: HashMap<Arc<str>, Vec<Slot>> = HashMap::new();
+        let mut by_host: HashMap<Arc<str>, Vec<Entry>> = HashMap::new();
         for route in routes {
             let (host, prefix) = (route.host.clone(), route.prefix.clone());
-            by_host.entry(host).or_default().push(Slot { prefix, route: Some(Arc::new(route)) });
+            by_host.entry(host).or_default().push(Entry { prefix, route: Some(Arc::new(route)) });
         }
         let omissions = Vec::new();
         let mut plan =
@@ -195,8 +195,8 @@
     /// Adds the entries that this version of the program cannot use.
     pub fn with_omissions(mut self, omissions: Vec<Omission>) -> Self {
         for scope in omissions.iter().filter_map(|omission| omission.scope.as_ref()) {
-            let slot = Slot { prefix: scope.prefix.clone(), route: None };
-            self.routes.entry(scope.host.clone()).or_default().push(slot);
+            let entry = Entry { prefix: scope.prefix.clone(), route: None };
+            self.routes.entry(scope.host.clone()).or_default().push(entry);
         }
         self.omissions = omissions;
         self.sort_routes();
@@ -207,9 +207,9 @@
     /// `path` starts with. A shorter one does not stand in for an omitted route, as it may lead to
     /// another service.
     pub fn find(&self, host: &str, path: &str) -> Match<'_> {
-        let slots = self.routes.get(host).map_or(&[][..], Vec::as_slice);
-        match slots.iter().find(|slot| path.starts_with(slot.prefix.as_ref())) {
-            Some(Slot { route: Some(route), .. }) => Match::Route(route),
+        let entries = self.routes.get(host).map_or(&[][..], Vec::as_slice);
+        match entries.iter().find(|entry| path.starts_with(entry.prefix.as_ref())) {
+            Some(Entry { route: Some(route), .. }) => Match::Route(route),
             Some(_) => Match::Omitted,
             None => Match::Nothing,
         }
@@ -241,13 +241,13 @@
 
     /// Routes with large answers.
     pub fn large_answer_routes(&self) -> impl Iterator<Item = &Arc<Route>> {
-        let routes = self.routes.values().flatten().filter_map(|slot| slot.route.as_ref());
+        let routes = self.routes.values().flatten().filter_map(|entry| entry.route.as_ref());
         routes.filter(|route| route.has_large_answers)
     }
 
     /// Number of routes in force.
     pub fn route_count(&self) -> usize {
-        self.routes.values().flatten().filter(|slot| slot.route.is_some()).count()
+        self.routes.values().flatten().filter(|entry| entry.route.is_some()).count()
     }
 
     fn omits(&self, is_such: impl Fn(&Omission) -> bool) -> bool {
@@ -255,8 +255,8 @@
     }
 
     fn sort_routes(&mut self) {
-        for slots in self.routes.values_mut() {
-            slots.sort_by_key(|slot| std::cmp::Reverse(slot.prefix.len()));
+        for entries in self.routes.values_mut() {
+            entries.sort_by_key(|entry| std::cmp::Reverse(entry.prefix.len()));
         }
     }
 }
--- a/crates/steer/src/directory.rs
+++ b/crates/steer/src/directory.rs
@@ -18,6 +18,9 @@
 /// when one of them fails.
 const MIN_FAST_HOSTS: usize = 3;
 
+/// Least part of the bandwidth of all hosts that the hosts with fast links have.
+const MIN_BANDWIDTH_RATIO: f64 = 0.5;
+
 /// Returns the addresses of the hosts in the caller's region, or of all hosts if there are none in
 /// it. Hosts that reach no instance are left out, unless all hosts are such. If there are too many
 /// for one response, rendezvous hashing chooses the same ones for all callers in a failure domain that
@@ -50,12 +53,18 @@
     addresses
 }
 
-/// Keeps the hosts with fast links if there are enough of them.
+/// Keeps the hosts with fast links if there are enough of them, and they have most of the bandwidth, so
+/// that they carry what all of them carried.
 fn retain_fast_links(hosts: &mut Vec<&Registration>) {
-    let fastest = hosts.iter().filter_map(|host| host.link_mbps).max().unwrap_or_default();
-    let least = f64::from(fastest) * FAST_LINK_RATIO;
-    let is_fast = |host: &&Registration| f64::from(host.link_mbps.unwrap_or_default()) >= least;
-    if fastest > 0 && hosts.iter().filter(|host| is_fast(host)).count() >= MIN_FAST_HOSTS {
+    let bandwidth = |host: &&Registration| f64::from(host.link_mbps.unwrap_or_default());
+    let fastest = hosts.iter().map(bandwidth).fold(0.0, f64::max);
+    let is_fast = |host: &&Registration| bandwidth(host) >= fastest * FAST_LINK_RATIO;
+    let (count, fast_mbps) = hosts
+        .iter()
+        .filter(|host| is_fast(host))
+        .fold((0, 0.0), |(count, sum), host| (count + 1, sum + bandwidth(host)));
+    let all_mbps: f64 = hosts.iter().map(bandwidth).sum();
+    if count >= MIN_FAST_HOSTS && fast_mbps > all_mbps * MIN_BANDWIDTH_RATIO {
         hosts.retain(is_fast);
     }
 }
--- a/crates/steer/tests/directory.rs
+++ b/crates/steer/tests/directory.rs
@@ -52,6 +52,15 @@
     assert_eq!(ports(&hosts, true), [2, 3, 10]);
 }
 
+/// A few hosts with faster links must not get the load of many whose links carried it.
+#[test]
+fn fast_links_with_little_of_the_bandwidth_narrow_nothing_down() {
+    let mut hosts: Vec<Registration> =
+        (1..=3).map(|number| host(number, "north", Some(200))).collect();
+    hosts.extend((4..=20).map(|number| host(number, "north", Some(90))));
+    assert_eq!(ports(&hosts, true).len(), 20);
+}
+
 /// Hosts of an earlier version do not tell the bandwidth, and must stay reachable while no host does.
 #[test]
 fn hosts_that_tell_no_bandwidth_are_all_named() {
