steering: classes compete for slots only where the settings ask for it

Earlier deployments must be served as before. Change: setting steering.class_competition, off by default and not set in the template.

--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -67,6 +67,8 @@
     region_hosts: Vec<Arc<str>>,
     /// Names of the routes with large answers.
     large_answer_routes: HashSet<Arc<str>>,
+    /// Whether classes of different priority compete for the slots of a service.
+    has_class_competition: bool,
     /// Whether the initial list of instances is complete. Instances that register later are treated
     /// as cold.
     is_synced: bool,
@@ -95,6 +97,7 @@
             shift_limiter: shift::Limiter::default(),
             region_hosts,
             large_answer_routes: HashSet::new(),
+            has_class_competition: false,
             is_synced: false,
             choices: 0,
             uses_remaining_work: false,
@@ -116,6 +119,12 @@
         &self.region_hosts
     }
 
+    /// Sets whether classes of different priority compete for the slots of a service. Without it, the
+    /// priority of a request only moves the limit of its own wait.
+    pub fn set_class_competition(&mut self, is_on: bool) {
+        self.has_class_competition = is_on;
+    }
+
     /// Sets the names of the routes with large answers, which come from instances nearby if possible.
     pub fn set_large_answer_routes(&mut self, routes: impl Iterator<Item = Arc<str>>) {
         self.large_answer_routes = routes.collect();
--- a/crates/core/src/steering/fleet/side.rs
+++ b/crates/core/src/steering/fleet/side.rs
@@ -77,6 +77,9 @@
 
     /// How a request of this priority stands to the other levels.
     pub(super) fn standing(&self, now: Duration, upstream: &Upstream, priority: u8) -> Standing {
+        if !self.has_class_competition {
+            return Standing::default();
+        }
         let regions: BTreeSet<&Arc<str>> = self.locality.domain_regions.values().collect();
         let hosts = self.region_hosts.len().max(1) * regions.len().max(1);
         let slots = upstream.local_side.slots() + upstream.remote_side.slots();
--- a/crates/core/src/steering/tests/contention.rs
+++ b/crates/core/src/steering/tests/contention.rs
@@ -10,6 +10,7 @@
 /// One instance, and an average demand of the urgent class for some of its slots.
 fn fleet_with_urgent_demand() -> Fleet {
     let mut fleet = fleet();
+    fleet.set_class_competition(true);
     fleet.register(at(0), endpoint("n1", "north-a"));
     fleet.finish_initial_sync();
     for step in 0..60 {
@@ -80,3 +81,12 @@
     let background = Criteria { service: "other", ..background() };
     assert!(admitted(&mut fleet, at(6_000), &background) >= SLOTS as usize);
 }
+
+/// Deployments whose settings do not ask for it are served as before: a class may fill the slots whatever a more
+/// urgent one needs.
+#[test]
+fn without_the_setting_classes_do_not_compete() {
+    let mut fleet = fleet_with_urgent_demand();
+    fleet.set_class_competition(false);
+    assert!(admitted(&mut fleet, at(6_000), &background()) >= SLOTS as usize);
+}
--- a/crates/scenario/src/steering/world.rs
+++ b/crates/scenario/src/steering/world.rs
@@ -174,6 +174,7 @@
         });
         fleet.set_warmup(self.now, &Arc::from(SERVICE), Duration::from_secs(3), 16.0);
         fleet.set_uses_remaining_work(self.selection == Selection::Remaining);
+        fleet.set_class_competition(true);
         fleet.set_region_hosts((0..self.pattern.hosts[region]).map(host_name).collect());
         for (index, backend) in self.backends.iter().enumerate() {
             fleet.register(
--- a/crates/steer/src/settings.rs
+++ b/crates/steer/src/settings.rs
@@ -82,6 +82,8 @@
     pub store: Store,
     /// Limits of the machine.
     pub limits: Limits,
+    /// Whether classes of different priority compete for the slots of a service.
+    pub class_competition: bool,
     /// Time between the termination signal and the kill of the process by the platform.
     pub grace_period: Duration,
     /// Time to live of look-up responses.
@@ -106,6 +108,7 @@
     let mut stop = table.table(findings, "stop");
     let mut lookup = table.table(findings, "lookup");
     let mut log = table.table(findings, "log");
+    let mut steering = table.table(findings, "steering");
     let settings = Settings {
         host: Host {
             name: host.string(findings, "name"),
@@ -129,6 +132,7 @@
             )),
         },
         limits: limits(table, findings),
+        class_competition: steering.boolean(findings, "class_competition", false),
         grace_period: duration(&mut stop, findings, "grace"),
         lookup_lifetime: duration(&mut lookup, findings, "longest_lifetime")
             .min(MAX_LOOKUP_LIFETIME),
@@ -139,7 +143,7 @@
             .try_into()
             .unwrap_or(u32::MAX),
     };
-    for section in [host, listen, store, stop, lookup, log] {
+    for section in [host, listen, store, stop, lookup, log, steering] {
         section.finish(findings);
     }
     settings
--- a/crates/steer/src/state.rs
+++ b/crates/steer/src/state.rs
@@ -281,6 +281,8 @@
             domain: settings.host.failure_domain.clone(),
             domain_regions: settings.failure_domains.clone(),
         };
+        let mut fleet = Fleet::new(locality);
+        fleet.set_class_competition(settings.class_competition);
         let budget = Budget::new(machine::read(settings.limits));
         let snapshot = Snapshot {
             is_ready: AtomicBool::new(false),
@@ -289,7 +291,7 @@
         };
         let state = Rc::new(Self {
             plan: RefCell::new(None),
-            fleet: RefCell::new(Fleet::new(locality)),
+            fleet: RefCell::new(fleet),
             rate_limiter: RefCell::new(rate::Limiter::new(
                 settings.rate_tolerance,
                 settings.host.name.clone(),
