--- a/review/standin/src/host.rs
+++ b/review/standin/src/host.rs
@@ -36,9 +36,13 @@
         grace_s: u32,
     ) -> io::Result<Self> {
         let ip = address(number);
-        let free = || TcpListener::bind((ip, 0))?.local_addr();
-        let (callers, lookup, readiness) = (free()?, free()?, free()?);
-        let (peers, metrics) = (free()?, free()?);
+        // All ports are taken before the first one is free again, so that they differ.
+        let taken = [(); 5].map(|()| TcpListener::bind((ip, 0)));
+        let mut ports = taken.iter().flatten().filter_map(|listener| listener.local_addr().ok());
+        let mut next = || ports.next().ok_or_else(|| io::Error::other("no free port"));
+        let (callers, lookup, readiness, peers, metrics) =
+            (next()?, next()?, next()?, next()?, next()?);
+        drop(taken);
         let region = ZONES.iter().find(|(name, _)| *name == zone).map_or("", |(_, region)| region);
         let mut text = format!(
             "[host]\nname = \"edge-{zone}-{number}\"\nregion = \"{region}\"\n\
@@ -85,9 +89,10 @@
     }
 }
 
-/// Address of host number `number`.
+/// Address of host number `number`, which no other run uses at the same time.
 pub fn address(number: u8) -> IpAddr {
-    IpAddr::V4(Ipv4Addr::new(127, 0, 7, 10 + number))
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    IpAddr::V4(Ipv4Addr::new(127, 64 + high % 128, low, 10 + number))
 }
 
 /// Path of the program of the deploy file, from the folder that the script starts in.
