--- a/review/standin/src/host.rs
+++ b/review/standin/src/host.rs
@@ -72,8 +72,8 @@
 
     /// Sends the process a signal by its name, such as `TERM`.
     pub fn signal(&self, name: &str) -> io::Result<()> {
-        let pid = self.child.id().to_string();
-        Command::new("kill").args([&format!("-{name}"), &pid]).status().map(drop)
+        let command = format!("kill -{name} {}", self.child.id());
+        Command::new("bash").args(["-c", &command]).status().map(drop)
     }
 
     /// Whether the process has ended.
