store: a restore to an earlier copy is noticed by its era

Cause: a host asks for the changes after its revision. The store gave revisions out again and had passed the host's before its next question, so there was no 410, and the changes at lower revisions were never read. The same holds for questions to relays, ids of leases, the seat (taken once), the revisions of announced departures, and for evacuations that a full read after 410 ended at once. Ruled out: lost watch calls and ignored entries (no such log lines), relays (three hosts follow none).

Change: the store's responses tell their era, which rises with each restore. core::steering::history decides what a response counts for: one that spans a restore is not used. On a restore everything is read anew; what is in force stays until its writer has written it again, with stated times; the host takes a new lease and verifies its seat. Messages between hosts carry the era.

--- a/crates/core/src/steering.rs
+++ b/crates/core/src/steering.rs
@@ -12,6 +12,7 @@
 pub mod departure;
 pub mod fleet;
 pub mod helper;
+pub mod history;
 pub mod instance;
 pub mod lenders;
 pub mod limit;
--- a/crates/core/src/steering/departure.rs
+++ b/crates/core/src/steering/departure.rs
@@ -10,6 +10,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::history::Era;
+
 /// Longest time for which an announcement counts at a host that does not hear from the store.
 pub const MAX_TIME: Duration = Duration::from_secs(60);
 
@@ -25,20 +27,30 @@
     pub incarnation: u64,
     /// Revision of the store's change that says so.
     pub revision: u64,
+    /// Era of that revision.
+    #[serde(default, skip_serializing_if = "Era::is_untold")]
+    pub era: Era,
+}
+
+impl Departure {
+    /// Position of the change, across the restores of the store.
+    fn position(&self) -> (Era, u64) {
+        (self.era, self.revision)
+    }
 }
 
 /// Announcements that the store has not confirmed yet.
 #[derive(Clone, Debug, Default)]
 pub struct Book {
     departures: HashMap<Arc<str>, Entry>,
-    /// Revision up to which this host has read the store.
-    revision: u64,
+    /// Era and revision up to which this host has read the store.
+    position: (Era, u64),
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Entry {
     incarnation: u64,
-    revision: u64,
+    position: (Era, u64),
     expires_at: Duration,
 }
 
@@ -46,14 +58,15 @@
     /// Records an announcement. Returns whether it tells something new: one that is older than what
     /// this host has read itself does not.
     pub fn record(&mut self, now: Duration, departure: &Departure) -> bool {
-        let Departure { id, incarnation, revision } = departure;
-        let known = self.departures.get(id).map(|entry| entry.revision);
+        let Departure { id, incarnation, .. } = departure;
+        let position = departure.position();
+        let known = self.departures.get(id).map(|entry| entry.position);
         let is_full = known.is_none() && self.departures.len() >= MAX_DEPARTURES;
-        if *revision <= self.revision || known >= Some(*revision) || is_full {
+        if position <= self.position || known >= Some(position) || is_full {
             return false;
         }
         let expires_at = now + MAX_TIME;
-        let entry = Entry { incarnation: *incarnation, revision: *revision, expires_at };
+        let entry = Entry { incarnation: *incarnation, position, expires_at };
         self.departures.insert(id.clone(), entry);
         true
     }
@@ -64,15 +77,20 @@
         entry.is_some_and(|entry| incarnation <= entry.incarnation && now < entry.expires_at)
     }
 
-    /// Whether a departure at this revision has been announced.
-    pub fn is_announced(&self, id: &str, revision: u64) -> bool {
-        self.departures.get(id).is_some_and(|entry| entry.revision >= revision)
+    /// Whether this departure has been announced.
+    pub fn is_announced(&self, departure: &Departure) -> bool {
+        let entry = self.departures.get(&departure.id);
+        entry.is_some_and(|entry| entry.position >= departure.position())
     }
 
-    /// Forgets what the store has confirmed or refuted up to this revision.
-    pub fn reach(&mut self, revision: u64) {
-        self.revision = revision;
-        self.departures.retain(|_, entry| entry.revision > revision);
+    /// Forgets what the store has confirmed or refuted up to this revision. A store that has been restored
+    /// says nothing of what it held before.
+    pub fn reach(&mut self, era: Era, revision: u64) {
+        self.position = (era, revision);
+        self.departures.retain(|_, entry| {
+            let (announced_in, announced_at) = entry.position;
+            announced_in != era || announced_at > revision
+        });
     }
 
     /// Forgets the announcements that are too old.
--- a/crates/core/src/steering/fleet/departures.rs
+++ b/crates/core/src/steering/fleet/departures.rs
@@ -5,6 +5,7 @@
 use super::Fleet;
 use crate::steering::{
     departure::Departure,
+    history::Era,
     instance::{Endpoint, Instance},
 };
 
@@ -14,13 +15,13 @@
         self.departures.record(now, departure)
     }
 
-    /// The departure of an instance at `revision`, if the instance is known and its departure has not
-    /// been announced.
-    pub fn unannounced_departure(&self, id: &str, revision: u64) -> Option<Departure> {
+    /// The departure of an instance at `revision` of `era`, if the instance is known and its departure has
+    /// not been announced.
+    pub fn unannounced_departure(&self, id: &str, era: Era, revision: u64) -> Option<Departure> {
         let endpoint = self.endpoint(id)?;
         let (id, incarnation) = (endpoint.id.clone(), endpoint.incarnation);
-        let is_announced = self.departures.is_announced(&id, revision);
-        (!is_announced).then_some(Departure { id, incarnation, revision })
+        let departure = Departure { id, incarnation, revision, era };
+        (!self.departures.is_announced(&departure)).then_some(departure)
     }
 
     /// Whether an instance with this id is known.
@@ -39,9 +40,9 @@
         endpoints.find(|endpoint| *endpoint.id == *id)
     }
 
-    /// Records the revision up to which this host has read the store.
-    pub fn reach_revision(&mut self, revision: u64) {
-        self.departures.reach(revision);
+    /// Records the revision of `era` up to which this host has read the store.
+    pub fn reach_revision(&mut self, era: Era, revision: u64) {
+        self.departures.reach(era, revision);
     }
 
     /// Whether the instance takes no more requests: it drains, another host has heard that it leaves,
--- a/crates/core/src/steering/fleet/limits.rs
+++ b/crates/core/src/steering/fleet/limits.rs
@@ -75,6 +75,12 @@
         self.refresh_limit(now, id)
     }
 
+    /// Records that a restore of the store has lost a record about an instance's limit.
+    pub fn lose_limit_record(&mut self, now: Duration, id: &Arc<str>) -> Option<Change> {
+        self.limits.lose_record(now, id);
+        self.refresh_limit(now, id)
+    }
+
     /// Number of instances with a limit that applies.
     pub fn limited_count(&self) -> usize {
         self.limits.limited_count()
--- a/crates/core/src/steering/limit/book.rs
+++ b/crates/core/src/steering/limit/book.rs
@@ -111,6 +111,13 @@
         }
     }
 
+    /// Records that a restore of the store has lost a record.
+    pub fn lose_record(&mut self, now: Duration, id: &str) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.lose_record(now);
+        }
+    }
+
     /// Ids of the instances with a record in the store.
     pub fn recorded_ids(&self) -> impl Iterator<Item = &Arc<str>> {
         self.entries.iter().filter(|(_, entry)| entry.revision > 0).map(|(id, _)| id)
--- a/crates/core/src/steering/limit/entry.rs
+++ b/crates/core/src/steering/limit/entry.rs
@@ -155,6 +155,17 @@
         self.is_recorded = is_same || (self.is_recorded && !self.is_fresh(now));
     }
 
+    /// Records that the store has lost the record. What it said counts like a message until a host that
+    /// knows the limit first-hand has written it again.
+    pub(super) fn lose_record(&mut self, now: Duration) {
+        if let Some(record) = self.record.take() {
+            let lowest = self.applicable(now).lower(record.statement);
+            self.set_message(now, lowest);
+        }
+        self.revision = 0;
+        self.is_recorded = false;
+    }
+
     fn recorded(&self) -> Statement {
         self.record.map_or(Statement::Unlimited, |record| record.statement)
     }
--- a/crates/core/src/steering/outage.rs
+++ b/crates/core/src/steering/outage.rs
@@ -49,6 +49,12 @@
         }
     }
 
+    /// Records that the store has been restored to an earlier copy, which may lack entries until their
+    /// holders write them again.
+    pub fn record_restore(&mut self, now: Duration) {
+        self.recovered_at = Some(now);
+    }
+
     /// Time until which an entry that is missing now may be written again; `None` if it is gone.
     pub fn reregistration_deadline(&self, now: Duration) -> Option<Duration> {
         let deadline = self.recovered_at? + REREGISTRATION_GRACE;
--- a/crates/core/src/steering/quarantine/book.rs
+++ b/crates/core/src/steering/quarantine/book.rs
@@ -220,6 +220,16 @@
         is_recorded && self.sentences.remove(&request).is_some()
     }
 
+    /// Records that a restore of the store has lost a record. The request stays condemned, and the record
+    /// is written again.
+    pub fn lose_record(&mut self, now: Duration, request: Fingerprint) {
+        if let Some(entry) = self.sentences.get_mut(&request) {
+            entry.revision = 0;
+            entry.learned_at = now;
+            entry.published_at = None;
+        }
+    }
+
     /// Requests with a record in the store.
     pub fn recorded(&self) -> impl Iterator<Item = Fingerprint> {
         self.sentences.iter().filter(|(_, entry)| entry.revision > 0).map(|(request, _)| *request)
--- a/crates/core/src/steering/tests.rs
+++ b/crates/core/src/steering/tests.rs
@@ -7,6 +7,7 @@
 mod departure;
 mod fleet;
 mod helper;
+mod history;
 mod instance;
 mod lenders;
 mod limit;
--- a/crates/core/src/steering/tests/departure.rs
+++ b/crates/core/src/steering/tests/departure.rs
@@ -11,22 +11,26 @@
     super::{
         departure::{Departure, MAX_TIME},
         fleet::Criteria,
+        history::Era,
         instance::Endpoint,
     },
     support::{at, criteria, endpoint, four_instances, name},
 };
 
+/// Era of the store before any restore.
+const ERA: Era = Era(1);
+
 fn departure(incarnation: u64, revision: u64) -> Departure {
-    Departure { id: name("n1"), incarnation, revision }
+    Departure { id: name("n1"), incarnation, revision, era: ERA }
 }
 
 /// A host that the store refuses went on sending to an instance of whose leaving the others had heard.
 #[test]
 fn an_announced_departure_stops_requests_at_once() {
     let mut fleet = four_instances();
-    fleet.reach_revision(5);
+    fleet.reach_revision(ERA, 5);
     let choice = fleet.choose(at(0), &criteria()).unwrap();
-    let departure = Departure { id: choice.id.clone(), incarnation: 1, revision: 9 };
+    let departure = Departure { id: choice.id.clone(), incarnation: 1, revision: 9, era: ERA };
     assert!(fleet.record_departure(at(0), &departure));
     assert!(!fleet.record_departure(at(1), &departure), "told twice");
     assert!(!fleet.may_send(at(1), &choice), "a connection was being opened");
@@ -39,14 +43,14 @@
 fn an_announcement_counts_until_the_store_is_read() {
     let mut fleet = four_instances();
     let choice = fleet.choose(at(0), &criteria()).unwrap();
-    let departure = Departure { id: choice.id.clone(), incarnation: 1, revision: 9 };
-    fleet.reach_revision(9);
+    let departure = Departure { id: choice.id.clone(), incarnation: 1, revision: 9, era: ERA };
+    fleet.reach_revision(ERA, 9);
     assert!(!fleet.record_departure(at(0), &departure), "this host has read further");
     let later = Departure { revision: 12, ..departure };
     assert!(fleet.record_departure(at(0), &later));
-    fleet.reach_revision(11);
+    fleet.reach_revision(ERA, 11);
     assert!(!fleet.may_send(at(1), &choice));
-    fleet.reach_revision(12);
+    fleet.reach_revision(ERA, 12);
     assert!(fleet.may_send(at(1), &choice));
     let wrong = Departure { revision: u64::MAX, ..later };
     assert!(fleet.record_departure(at(2), &wrong));
@@ -54,22 +58,40 @@
     assert!(fleet.may_send(at(2) + MAX_TIME, &choice), "a wrong announcement never ends");
 }
 
+/// A restored store knows nothing of what it had accepted last, and counts its revisions anew: a departure
+/// must neither be forgotten with the restore nor be held to be old news after it.
+#[test]
+fn a_departure_outlasts_a_restore_of_the_store() {
+    let mut fleet = four_instances();
+    let choice = fleet.choose(at(0), &criteria()).unwrap();
+    fleet.reach_revision(ERA, 300);
+    let before = Departure { id: choice.id.clone(), incarnation: 1, revision: 308, era: ERA };
+    assert!(fleet.record_departure(at(0), &before));
+    fleet.reach_revision(Era(2), 310);
+    assert!(!fleet.may_send(at(1), &choice), "forgotten with the restore");
+    let mut other = four_instances();
+    other.reach_revision(ERA, 308);
+    let after = Departure { revision: 252, era: Era(2), ..before };
+    assert!(other.record_departure(at(0), &after), "held to be old news");
+    assert!(!other.may_send(at(1), &choice));
+}
+
 /// A later start under the same id is another instance.
 #[test]
 fn a_later_start_is_not_announced() {
     let mut fleet = four_instances();
     assert!(fleet.record_departure(at(0), &departure(1, 9)));
     fleet.register(at(0), Endpoint { incarnation: 2, ..endpoint("n1", "north-a") });
-    let announced = fleet.unannounced_departure("n1", 10).unwrap();
+    let announced = fleet.unannounced_departure("n1", ERA, 10).unwrap();
     assert_eq!(announced, departure(2, 10));
-    assert_eq!(fleet.unannounced_departure("n1", 9), None, "it was announced");
-    assert_eq!(fleet.unannounced_departure("unknown", 10), None);
+    assert_eq!(fleet.unannounced_departure("n1", ERA, 9), None, "it was announced");
+    assert_eq!(fleet.unannounced_departure("unknown", ERA, 10), None);
     // A start of which this host has not read yet.
     let others = [name("n2"), name("s1"), name("s2")];
     let criteria = Criteria { excluded: &others, ..criteria() };
     assert!(fleet.record_departure(at(0), &departure(3, 11)));
     fleet.register(at(0), Endpoint { incarnation: 3, ..endpoint("n1", "north-a") });
-    fleet.reach_revision(10);
+    fleet.reach_revision(ERA, 10);
     assert!(fleet.choose(at(10_000), &criteria).is_err(), "the announced start");
     fleet.register(at(0), Endpoint { incarnation: 4, ..endpoint("n1", "north-a") });
     assert!(fleet.choose(at(10_000), &criteria).is_ok(), "a later one");
--- a/crates/steer/src/departures.rs
+++ b/crates/steer/src/departures.rs
@@ -6,7 +6,7 @@
 
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
-use marjorampick_core::steering::departure::Departure;
+use marjorampick_core::steering::{departure::Departure, history::Era};
 use tokio::time::sleep;
 
 use crate::{
@@ -28,9 +28,9 @@
 pub(crate) struct Outbox(RefCell<Vec<Departure>>);
 
 impl Outbox {
-    /// Adds the departure of an instance at `revision`, unless another host has announced it.
-    pub(crate) fn add(&self, state: &State, id: &str, revision: u64) {
-        let departure = state.fleet.borrow().unannounced_departure(id, revision);
+    /// Adds the departure of an instance at `revision` of `era`, unless another host has announced it.
+    pub(crate) fn add(&self, state: &State, id: &str, era: Era, revision: u64) {
+        let departure = state.fleet.borrow().unannounced_departure(id, era, revision);
         self.0.borrow_mut().extend(departure);
     }
 
--- a/crates/steer/src/events.rs
+++ b/crates/steer/src/events.rs
@@ -92,6 +92,24 @@
         /// Revision up to which changes have been applied.
         revision: u64,
     },
+    /// The store has been restored to an earlier copy, and everything is read anew.
+    StoreRestored {
+        /// Era in which the host last read.
+        era_before: u64,
+        /// Era of the store by now.
+        era: u64,
+        /// Revision up to which changes of the earlier era have been applied.
+        revision_before: u64,
+    },
+    /// Everything has been read anew after a restore of the store.
+    StoreReread {
+        /// Era of the store.
+        era: u64,
+        /// Revision up to which its items were read.
+        revision: u64,
+        /// Entries in force that the store lacks.
+        missing: usize,
+    },
     /// Any other failed call to the store.
     StoreFault {
         /// Kind of the call.
--- a/crates/steer/src/feed.rs
+++ b/crates/steer/src/feed.rs
@@ -2,7 +2,8 @@
 //!
 //! Starts with a full read, and then applies each change after its revision, from watch calls of its own
 //! or from the answers of another host. A failed watch call is repeated from the same revision. If the
-//! store has compacted that history, everything is read again. See docs/platform.md.
+//! store has compacted that history, or has been restored to an earlier copy, everything is read again.
+//! See docs/platform.md.
 
 mod contact;
 mod entries;
@@ -10,10 +11,13 @@
 mod questions;
 mod read;
 pub mod relay;
+mod restore;
 
 use std::{collections::BTreeSet, rc::Rc, time::Duration};
 
+use entries::Entry;
 use marjorampick_core::steering::{
+    history::Era,
     outage::Recovery,
     read_ahead::ReadAhead,
     relay::{Hosts, Schedule, Step},
@@ -22,6 +26,7 @@
 use probe::Probe;
 use read::Snapshot;
 use relay::{Inbox, Outstanding};
+use restore::Unconfirmed;
 use tokio::time::timeout;
 
 use crate::{
@@ -51,8 +56,11 @@
         socket,
         inbox,
         outstanding: Vec::new(),
+        era: Era::UNTOLD,
         revision: 0,
         progress: Progress::Unread,
+        is_restored: false,
+        unconfirmed: Unconfirmed::default(),
         is_reachable: false,
         last_response_at: clock::now(),
         recovery: Recovery::default(),
@@ -86,9 +94,15 @@
     schedule: Schedule,
     /// Questions to relays without an answer, the oldest first.
     outstanding: Vec<Outstanding>,
+    /// Era of the store in which [`Self::revision`] was read.
+    era: Era,
     /// Revision up to which changes have been applied.
     revision: u64,
     progress: Progress,
+    /// Whether the store has been restored since the last full read.
+    is_restored: bool,
+    /// Entries in force that a restored store lacks.
+    unconfirmed: Unconfirmed,
     is_reachable: bool,
     /// When the store last responded; at first, when the watch started.
     last_response_at: Duration,
@@ -107,6 +121,12 @@
 impl Feed {
     /// Does the next thing that is due.
     async fn step(&mut self) {
+        let is_other_era = self.client.check_era(self.era).is_err();
+        if is_other_era && self.progress != Progress::Unread && !self.is_restored {
+            // Another call has heard of the restore.
+            self.record_restore();
+        }
+        self.drop_unconfirmed();
         for received in self.inbox.take_answers() {
             self.apply_answer(received);
         }
@@ -187,6 +207,7 @@
     async fn start(&mut self) -> Result<(), Fault> {
         let snapshot = self.read_all(true).await?;
         let batch = self.read_batch(snapshot.revision, RELAY_WATCH_WAIT).await?;
+        self.client.check_era(snapshot.era)?;
         self.apply_snapshot(&snapshot);
         self.record_response(clock::now(), self.others_after(&batch.changes));
         self.apply_changes(batch.changes, batch.until);
@@ -195,7 +216,7 @@
 
     /// Waits for changes, applies them and passes them on to the hosts that have asked for them.
     async fn watch(&mut self, wait: Duration) -> Result<(), Fault> {
-        let questions = self.inbox.take_questions(self.revision);
+        let questions = self.inbox.take_questions(self.era, self.revision);
         let asked = questions.iter().map(|(_, question)| question.revision);
         let oldest = asked.fold(self.revision, u64::min);
         let wait = if questions.is_empty() { wait } else { RELAY_WATCH_WAIT };
@@ -206,6 +227,7 @@
             }
             result => result?,
         };
+        self.client.check_era(self.era)?;
         self.record_response(clock::now(), self.others_after(&batch.changes));
         self.answer(&questions, &batch);
         self.apply_changes(batch.changes, batch.until);
@@ -219,31 +241,44 @@
                 continue;
             }
             match change {
-                Change::Written(item) => self.apply(&item),
+                Change::Written(item) => {
+                    self.unconfirmed.confirm(&item.key);
+                    self.apply(&item);
+                }
                 Change::Removed { key, revision } => self.remove_key(&key, revision),
             }
         }
         self.revision = self.revision.max(revision);
         self.read_ahead.reach(self.revision);
-        self.state.fleet.borrow_mut().reach_revision(self.revision);
+        self.state.fleet.borrow_mut().reach_revision(self.era, self.revision);
         self.departures.flush(&self.state, true);
     }
 
     /// Applies all items, and removes the entries of [`Self::known_entries`] that are no longer in the
-    /// store.
+    /// store. Of those that a restored store lacks, none is removed at once.
     fn apply_snapshot(&mut self, snapshot: &Snapshot) {
-        let Snapshot { items, revision } = snapshot;
+        let Snapshot { items, revision, era } = snapshot;
         let keys: BTreeSet<&str> = items.iter().map(|item| item.key.as_str()).collect();
-        let unchanged = items.iter().filter(|item| item.revision <= self.revision);
+        // Revisions of an earlier era say nothing about those of this one.
+        let unchanged =
+            items.iter().filter(|item| !self.is_restored && item.revision <= self.revision);
         let unchanged: BTreeSet<&str> = unchanged.map(|item| item.key.as_str()).collect();
         let others = self.count_others(|key| unchanged.contains(key));
         self.record_response(clock::now(), others);
         // Before the first read, the host knows only its own registration, which may be later.
         let is_first = self.progress == Progress::Unread;
         let entries = self.known_entries().into_iter().filter(|_| !is_first);
-        for entry in entries.filter(|entry| !keys.contains(entry.key.as_str())) {
-            self.remove_entry(&entry.kind, *revision);
+        let is_missing = |entry: &Entry| {
+            let is_unconfirmed = !self.is_restored && self.unconfirmed.contains(&entry.key);
+            !keys.contains(entry.key.as_str()) && !is_unconfirmed
+        };
+        let missing: Vec<Entry> = entries.filter(is_missing).collect();
+        if self.is_restored {
+            self.start_era(*era, *revision, missing);
+        } else {
+            missing.iter().for_each(|entry| self.remove_entry(&entry.kind, *revision));
         }
+        self.era = *era;
         self.read_ahead.clear();
         for item in items {
             self.apply(item);
@@ -251,9 +286,10 @@
         }
         self.state.fleet.borrow_mut().finish_initial_sync();
         self.revision = *revision;
-        self.state.fleet.borrow_mut().reach_revision(self.revision);
+        self.state.fleet.borrow_mut().reach_revision(self.era, self.revision);
         self.departures.flush(&self.state, false);
         self.progress = Progress::Complete;
+        self.is_restored = false;
     }
 
     fn publish(&self) {
--- a/crates/steer/src/feed/contact.rs
+++ b/crates/steer/src/feed/contact.rs
@@ -59,6 +59,10 @@
 
     pub(super) fn record_failure(&mut self, fault: &Fault) {
         let reason = fault.to_string();
+        if *fault == Fault::Restored && self.progress != Progress::Unread {
+            self.record_restore();
+            return;
+        }
         if *fault == Fault::Compacted {
             self.progress = Progress::Incomplete;
             self.schedule.record_gap();
--- a/crates/steer/src/feed/entries.rs
+++ b/crates/steer/src/feed/entries.rs
@@ -164,7 +164,7 @@
     fn apply_instance(&self, endpoint: &Endpoint, revision: u64) {
         let is_changed = self.state.fleet.borrow_mut().register(clock::now(), endpoint.clone());
         if is_changed && endpoint.is_draining {
-            self.departures.add(&self.state, &endpoint.id, revision);
+            self.departures.add(&self.state, &endpoint.id, self.era, revision);
         }
         if is_changed {
             let event = Event::Instance {
@@ -232,7 +232,7 @@
             Kind::Platform(Subject::Instance(id)) => {
                 let is_known = self.state.fleet.borrow().contains(id);
                 if expires_at.is_none() && !self.state.fleet.borrow().is_draining(id) {
-                    self.departures.add(&self.state, id, revision);
+                    self.departures.add(&self.state, id, self.era, revision);
                 }
                 self.state.fleet.borrow_mut().deregister(id, expires_at);
                 let reason =
--- a/crates/steer/src/feed/questions.rs
+++ b/crates/steer/src/feed/questions.rs
@@ -23,7 +23,7 @@
         else {
             return;
         };
-        let question = Question { id: rand::random(), revision: self.revision };
+        let question = Question { id: rand::random(), revision: self.revision, era: self.era };
         self.socket.send(&Message::Follow(question.clone()), address);
         if self.outstanding.len() >= MAX_OUTSTANDING {
             self.outstanding.remove(0);
@@ -38,11 +38,11 @@
         let is_answerable =
             |asked: &Question| (batch.after..=batch.until).contains(&asked.revision);
         for (host, question) in questions.iter().filter(|(_, asked)| is_answerable(asked)) {
-            let Question { id, revision: after } = *question;
+            let Question { id, revision: after, .. } = *question;
             let payload = payloads
                 .entry(after)
                 .or_insert_with(|| relay::encode(&batch.changes, after).unwrap_or_default());
-            let answer = Answer { id, after, until: batch.until };
+            let answer = Answer { id, after, until: batch.until, era: self.era };
             let message = Message::Changes(answer);
             let is_sent = self.socket.send_with_payload(&message, payload, *host);
             metrics::record_relay(if is_sent { "answered" } else { "unanswered" });
@@ -63,7 +63,11 @@
             self.schedule.record_gap();
             return;
         }
-        if self.progress != Progress::Complete {
+        // A relay of an earlier version tells no era. This host hears of a restore when it renews its
+        // lease, and then reads everything anew.
+        let era = received.answer.era;
+        let is_other_era = era != self.era && !era.is_untold();
+        if self.progress != Progress::Complete || is_other_era {
             return;
         }
         metrics::record_relay("followed");
--- a/crates/steer/src/feed/read.rs
+++ b/crates/steer/src/feed/read.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use futures_util::future::try_join_all;
+use marjorampick_core::steering::history::Era;
 
 use super::{ALL_KEYS_PREFIX, Feed};
 use crate::{
@@ -17,6 +18,8 @@
     pub(super) items: Vec<Item>,
     /// Revision up to which they are complete. Some may be of a later one, as they come in pages.
     pub(super) revision: u64,
+    /// Era of the store that holds them.
+    pub(super) era: Era,
 }
 
 /// All changes from one revision to another.
@@ -62,8 +65,10 @@
         }
     }
 
-    /// Reads all items. `may_be_stale` allows items of an earlier revision.
+    /// Reads all items. `may_be_stale` allows items of an earlier revision. Fails if the store is restored
+    /// between two pages.
     pub(super) async fn read_all(&self, may_be_stale: bool) -> Result<Snapshot, Fault> {
+        let asked_in = self.client.era();
         let mut items = Vec::new();
         let mut revision = u64::MAX;
         let prefixes: Vec<&str> =
@@ -73,7 +78,12 @@
             items.extend(page);
             revision = revision.min(page_revision);
         }
-        Ok(Snapshot { items, revision })
+        let era = self.client.era();
+        // The first response of all tells the era.
+        if !asked_in.is_untold() {
+            self.client.check_era(asked_in)?;
+        }
+        Ok(Snapshot { items, revision, era })
     }
 
     /// Reads all pages of the items under a prefix. Returns the lowest revision of the pages, as
--- a/crates/steer/src/feed/relay.rs
+++ b/crates/steer/src/feed/relay.rs
@@ -13,6 +13,7 @@
 
 use base64::{Engine as _, engine::general_purpose::STANDARD};
 use flate2::{Compression, read::ZlibDecoder, write::ZlibEncoder};
+use marjorampick_core::steering::history::Era;
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
@@ -48,6 +49,9 @@
     pub id: u64,
     /// Revision up to which that host has all changes.
     pub revision: u64,
+    /// Era of that revision; untold by earlier versions.
+    #[serde(default, skip_serializing_if = "Era::is_untold")]
+    pub era: Era,
 }
 
 /// Answers a question. The changes follow as the payload of the message, see [`encode`].
@@ -60,6 +64,9 @@
     pub after: u64,
     /// Revision up to which the changes are complete.
     pub until: u64,
+    /// Era of the changes; untold by earlier versions.
+    #[serde(default, skip_serializing_if = "Era::is_untold")]
+    pub era: Era,
 }
 
 /// Change of one key in a payload.
@@ -210,11 +217,15 @@
         self.asked_at.take()
     }
 
-    /// Takes the questions of hosts that have most changes up to `revision`, and still wait.
-    pub(super) fn take_questions(&self, revision: u64) -> Vec<(SocketAddr, Question)> {
+    /// Takes the questions of hosts that have most changes up to `revision` of `era`, and still wait.
+    pub(super) fn take_questions(&self, era: Era, revision: u64) -> Vec<(SocketAddr, Question)> {
         let oldest = clock::now().saturating_sub(MAX_QUESTION_AGE);
         let is_answerable = |waiting: &Waiting| {
-            waiting.since >= oldest && waiting.question.revision.saturating_add(MAX_LAG) >= revision
+            let asked = &waiting.question;
+            // An earlier version asks without an era.
+            let is_same_era = asked.era == era || asked.era.is_untold();
+            let is_recent = asked.revision.saturating_add(MAX_LAG) >= revision;
+            waiting.since >= oldest && is_same_era && is_recent
         };
         let waiting = self.questions.take().into_iter().filter(is_answerable);
         waiting.map(|waiting| (waiting.sender, waiting.question)).collect()
--- a/crates/steer/src/limits.rs
+++ b/crates/steer/src/limits.rs
@@ -82,6 +82,12 @@
     log_changes(state, Source::Record(revision), change);
 }
 
+/// Records that a restore of the store has lost a record.
+pub(crate) fn lose_record(state: &State, id: &Arc<str>) {
+    let change = state.fleet.borrow_mut().lose_limit_record(clock::now(), id);
+    log_changes(state, Source::Time, change);
+}
+
 /// Applies what has changed with time.
 pub(crate) fn update(state: &State) {
     let changes = state.fleet.borrow_mut().update_limits(clock::now());
--- a/crates/steer/src/metrics.rs
+++ b/crates/steer/src/metrics.rs
@@ -11,6 +11,7 @@
 const REQUEST_SECONDS: &str = "marjorampick_request_seconds";
 const REFUSALS_TOTAL: &str = "marjorampick_refusals_total";
 const ATTEMPTS_TOTAL: &str = "marjorampick_attempts_total";
+const STORE_RESTORES_TOTAL: &str = "marjorampick_store_restores_total";
 const STORE_CALLS_TOTAL: &str = "marjorampick_store_calls_total";
 const TOKENS_LENT_TOTAL: &str = "marjorampick_tokens_lent_total";
 const REQUESTS_IN_FLIGHT: &str = "marjorampick_requests_in_flight";
@@ -60,6 +61,11 @@
         "Requests refused for lack of free slots, by service and priority of the route."
     );
     describe_counter!(ATTEMPTS_TOTAL, Unit::Count, "Requests sent to backend servers, by outcome.");
+    describe_counter!(
+        STORE_RESTORES_TOTAL,
+        Unit::Count,
+        "Restores of the store to an earlier copy that the host has heard of."
+    );
     describe_counter!(STORE_CALLS_TOTAL, Unit::Count, "Calls to the store, by kind and outcome.");
     describe_counter!(TOKENS_LENT_TOTAL, Unit::Count, "Tokens of workspaces lent to other hosts.");
     describe_counter!(
@@ -158,6 +164,11 @@
     counter!(STORE_CALLS_TOTAL, "kind" => kind, "outcome" => outcome).increment(1);
 }
 
+/// Records that the store has been restored to an earlier copy.
+pub(crate) fn record_restore() {
+    counter!(STORE_RESTORES_TOTAL).increment(1);
+}
+
 /// Records a message with changes of the store.
 pub(crate) fn record_relay(outcome: &'static str) {
     counter!(RELAY_MESSAGES_TOTAL, "outcome" => outcome).increment(1);
--- a/crates/steer/src/quarantine.rs
+++ b/crates/steer/src/quarantine.rs
@@ -156,6 +156,11 @@
     }
 }
 
+/// Records that a restore of the store has lost a record.
+pub(crate) fn lose_record(state: &State, request: Fingerprint) {
+    state.quarantine.borrow_mut().lose_record(clock::now(), request);
+}
+
 /// Judges after each crash, as soon as all hosts have told what was on the instance, until the process
 /// ends. A host that has just registered does not judge, as it may not hear of the request to blame.
 pub async fn judge(state: Rc<State>) {
--- a/crates/steer/src/registration.rs
+++ b/crates/steer/src/registration.rs
@@ -5,7 +5,7 @@
 
 use std::{rc::Rc, sync::Arc};
 
-use marjorampick_core::steering::seats::SEAT_PROPAGATION_TIME;
+use marjorampick_core::steering::{history::Era, seats::SEAT_PROPAGATION_TIME};
 use serde::{Deserialize, Serialize};
 use tokio::{
     sync::watch,
@@ -47,13 +47,22 @@
         () = keep_registered(&state, &client, &mut lease) => {}
         _ = stopping.wait_for(|stopping| *stopping) => {}
     }
-    if let Some(lease) = lease {
-        call(&state, &client, &Call::Revoke(lease)).await.ok();
+    if let Some(Lease { id, .. }) = lease.filter(|lease| client.check_era(lease.era).is_ok()) {
+        call(&state, &client, &Call::Revoke(id)).await.ok();
     }
 }
 
-/// Obtains a seat and then a lease, and renews the lease. `lease` is the id of the current lease.
-async fn keep_registered(state: &Rc<State>, client: &Client, lease: &mut Option<u64>) {
+/// Lease of the registration. A restored store may have given its id to another host.
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+    id: u64,
+    /// Era of the store in which it was granted.
+    era: Era,
+}
+
+/// Obtains a seat and then a lease, and renews the lease. `lease` is the current lease. After a restore of
+/// the store, both are obtained again.
+async fn keep_registered(state: &Rc<State>, client: &Client, lease: &mut Option<Lease>) {
     let mut retry_delay = MIN_STORE_RETRY_DELAY;
     let mut seat = Seat::Missing;
     loop {
@@ -69,8 +78,8 @@
             (Seat::Held, None) => {
                 register(state, client).await.map(|granted| *lease = Some(granted))
             }
-            (Seat::Held, Some(id)) if must_report => write(state, client, id).await,
-            (Seat::Held, Some(id)) => call(state, client, &Call::Renew(id)).await.map(drop),
+            (Seat::Held, Some(held)) if must_report => write(state, client, held).await,
+            (Seat::Held, Some(held)) => renew(state, client, held).await,
         };
         match result {
             Ok(()) => {
@@ -81,6 +90,11 @@
                 }
             }
             Err(Fault::LeaseNotFound) => *lease = None,
+            Err(Fault::Restored) => {
+                seat = Seat::Missing;
+                *lease = None;
+                sleep(retry_delay).await;
+            }
             Err(_) => {
                 if must_report {
                     state.lost_entries.record_report();
@@ -118,23 +132,33 @@
         Err(Fault::Conflict) => state.started_at,
         Err(fault) => return Err(fault),
     };
+    // The others have counted the seat all the while if only the store has lost it.
+    let valid_from = state.seat_valid_from.get().unwrap_or(valid_from);
     state.seat_valid_from.set(Some(valid_from));
     state.publish_hosts();
     Ok(Seat::Held)
 }
 
-/// Writes the registration under a new lease, and returns the id of the lease.
-async fn register(state: &Rc<State>, client: &Client) -> Result<u64, Fault> {
-    let Reply::Lease(lease) = call(state, client, &Call::Grant(REGISTRATION_LEASE)).await? else {
+/// Writes the registration under a new lease, and returns the lease.
+async fn register(state: &Rc<State>, client: &Client) -> Result<Lease, Fault> {
+    let Reply::Lease(id) = call(state, client, &Call::Grant(REGISTRATION_LEASE)).await? else {
         return Err(Fault::Malformed("the response has no lease".to_owned()));
     };
+    let lease = Lease { id, era: client.era() };
     write(state, client, lease).await?;
     state.registered_at.set(Some(clock::now()));
     Ok(lease)
 }
 
+/// Renews the lease.
+async fn renew(state: &Rc<State>, client: &Client, lease: Lease) -> Result<(), Fault> {
+    client.check_era(lease.era)?;
+    call(state, client, &Call::Renew(lease.id)).await.map(drop)
+}
+
 /// Writes the registration under its lease.
-async fn write(state: &Rc<State>, client: &Client, lease: u64) -> Result<(), Fault> {
+async fn write(state: &Rc<State>, client: &Client, lease: Lease) -> Result<(), Fault> {
+    client.check_era(lease.era)?;
     let host = &state.settings.host;
     let registration = Registration {
         callers: state.settings.listeners.callers,
@@ -146,7 +170,7 @@
     };
     let value = serde_json::to_vec(&registration)
         .map_err(|error| Fault::Refused(format!("cannot encode the registration: {error}")))?;
-    let write = Write { key: format!("{HOSTS_PREFIX}{}", host.name), value, lease };
+    let write = Write { key: format!("{HOSTS_PREFIX}{}", host.name), value, lease: lease.id };
     let transaction = Transaction { writes: vec![write], ..Transaction::default() };
     call(state, client, &Call::Write(transaction)).await?;
     // Otherwise this host would see its own registration only with the next response to a watch.
--- a/crates/steer/src/state.rs
+++ b/crates/steer/src/state.rs
@@ -126,6 +126,12 @@
         self.changed.notify_one();
     }
 
+    /// Records that the store has been restored, which may have lost the seat and has ended the lease.
+    pub fn record_restore(&self) {
+        self.record_seat();
+        self.record_registration();
+    }
+
     /// Records that the registration has to be written again as it says something else.
     pub fn record_report(&self) {
         self.report.set(true);
--- a/crates/steer/src/store.rs
+++ b/crates/steer/src/store.rs
@@ -3,10 +3,11 @@
 //! Each call opens a new connection, because a reused one may be dead without notice and calls are
 //! rare. A call that gets no response may or may not have been executed.
 
-use std::{fmt, net::SocketAddr, time::Duration};
+use std::{cell::RefCell, fmt, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
-use http::{Request, StatusCode};
+use http::{HeaderMap, Request, StatusCode};
+use marjorampick_core::steering::history::{Era, History, Verdict};
 use marjorampick_link::http_client;
 
 use crate::constants::STORE_CALL_TIMEOUT;
@@ -150,6 +151,9 @@
     /// The store does not have the requested revision: it has compacted its history past it, or not
     /// reached it.
     Compacted,
+    /// The store has been restored to an earlier copy since the call was made, or since the caller's
+    /// revisions and leases were read. It is unknown whether the call was executed.
+    Restored,
     /// A condition of the transaction does not hold.
     Conflict,
     /// The lease does not exist.
@@ -164,6 +168,7 @@
             Self::Refused(reason) => write!(f, "the call was not executed: {reason}"),
             Self::Unknown(reason) => write!(f, "no usable answer: {reason}"),
             Self::Compacted => write!(f, "the store does not have the revision"),
+            Self::Restored => write!(f, "the store has been restored to an earlier copy"),
             Self::Conflict => write!(f, "a condition of the transaction does not hold"),
             Self::LeaseNotFound => write!(f, "the lease does not exist"),
             Self::Malformed(reason) => write!(f, "malformed response: {reason}"),
@@ -180,6 +185,8 @@
     pub encode: fn(&Call) -> Request<Bytes>,
     /// Decodes the status and body of the response to a call.
     pub decode: fn(&Call, StatusCode, &[u8]) -> Result<Reply, Fault>,
+    /// Decodes the era of the store from the headers of a response.
+    pub decode_era: fn(&HeaderMap) -> Era,
 }
 
 /// Client of the store.
@@ -187,17 +194,30 @@
 pub struct Client {
     address: SocketAddr,
     codec: Codec,
+    /// Shared by all clients of the process, so that each learns of a restore from any response.
+    history: Rc<RefCell<History>>,
 }
 
 impl Client {
     /// Creates a client of the store at `address`.
     pub fn new(address: SocketAddr, codec: Codec) -> Self {
-        Self { address, codec }
+        Self { address, codec, history: Rc::default() }
+    }
+
+    /// Era of the store's latest history that any response has told.
+    pub fn era(&self) -> Era {
+        self.history.borrow().era()
+    }
+
+    /// Fails if the store has been restored since `era`.
+    pub fn check_era(&self, era: Era) -> Result<(), Fault> {
+        if self.era() == era { Ok(()) } else { Err(Fault::Restored) }
     }
 
     /// Makes one call. The connection attempt and the exchange each have the timeout of a call,
     /// plus the wait time of a watch.
     pub async fn call(&self, call: &Call) -> Result<Reply, Fault> {
+        let asked_in = self.era();
         let mut request = (self.codec.encode)(call);
         let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
         let uri = format!("http://{}{path}", self.address);
@@ -212,6 +232,14 @@
             true => Fault::Refused(fault.to_string()),
             false => Fault::Unknown(fault.to_string()),
         })?;
-        (self.codec.decode)(call, response.status(), response.body())
+        let answered_in = (self.codec.decode_era)(response.headers());
+        match self.history.borrow_mut().record(asked_in, answered_in) {
+            Verdict::Usable => (self.codec.decode)(call, response.status(), response.body()),
+            Verdict::Restored => Err(Fault::Restored),
+            Verdict::Outdated => Err(Fault::Unknown(format!(
+                "a late response of era {}, before era {}",
+                answered_in.0, asked_in.0
+            ))),
+        }
     }
 }
