steer: a host that stops refuses requests that may outlast it

Cause: nothing compared the time that a request may take with what is left of the grace period. Ruled out: closing connections earlier (a request that crosses the close is lost as well) and the kernel's queue of new connections.

The question is asked before the body and again before each attempt. What is refused gets 503 with a promise that it has not run.

--- a/crates/core/src/steering.rs
+++ b/crates/core/src/steering.rs
@@ -11,6 +11,7 @@
 pub mod cost;
 pub mod departure;
 pub mod fleet;
+pub mod grace;
 pub mod helper;
 pub mod history;
 pub mod instance;
--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -156,6 +156,15 @@
         self.is_synced = true;
     }
 
+    /// Time that requests of the route usually take, with the wait for a slot; `None` before the first
+    /// answer.
+    pub fn usual_time(&self, service: &str, route: &str) -> Option<Duration> {
+        let upstream = self.upstreams.get(service)?;
+        let response_seconds = upstream.response_seconds?;
+        let seconds = upstream.work.times(route).uncached.max(response_seconds);
+        Duration::try_from_secs_f64(seconds).ok()
+    }
+
     /// Number of instances.
     pub fn len(&self) -> usize {
         self.service_by_id.len()
--- a/crates/core/src/steering/tests.rs
+++ b/crates/core/src/steering/tests.rs
@@ -6,6 +6,7 @@
 mod cost;
 mod departure;
 mod fleet;
+mod grace;
 mod helper;
 mod history;
 mod instance;
--- a/crates/steer/src/callers/carry.rs
+++ b/crates/steer/src/callers/carry.rs
@@ -271,7 +271,7 @@
     let reason = answer.head.headers.get(REASON_HEADER)?.to_str().ok()?;
     let outcome = match reason {
         name if name == Reason::Unreached.name() => Outcome::Unreached,
-        name if name == Reason::Busy.name() => Outcome::Busy,
+        name if name == Reason::Busy.name() || name == Reason::Stopping.name() => Outcome::Busy,
         name if name == Reason::Stranger.name() => Outcome::Failed,
         _ => Outcome::Answered,
     };
--- a/crates/steer/src/callers/forward.rs
+++ b/crates/steer/src/callers/forward.rs
@@ -220,6 +220,7 @@
     if remaining < MIN_ATTEMPT_TIME {
         return Err(Refusal::with_retry_after(Reason::LateUnsent, NO_INSTANCE_RETRY_AFTER));
     }
+    check_grace(state, call)?;
     let criteria = Criteria {
         service: &call.service,
         route: &call.route.name,
@@ -251,6 +252,19 @@
     })
 }
 
+/// Refuses a request that may last longer than this process, which has been asked to stop. The caller may
+/// go to another host at once.
+pub(super) fn check_grace(state: &State, call: &Call) -> Result<(), Refusal> {
+    let Some(grace) = state.grace.get() else {
+        return Ok(());
+    };
+    let usual = state.fleet.borrow().usual_time(&call.service, &call.route.name);
+    match grace.allows(clock::now(), call.deadline, usual) {
+        true => Ok(()),
+        false => Err(Refusal::with_retry_after(Reason::Stopping, Duration::ZERO)),
+    }
+}
+
 /// Refuses a request that crashes instances.
 async fn admit(state: &Rc<State>, call: &Call, body: &Bytes) -> Result<Admitted, Refusal> {
     let admitted = quarantine::admit(state, call, body).await;
--- a/crates/steer/src/callers/handle.rs
+++ b/crates/steer/src/callers/handle.rs
@@ -155,7 +155,7 @@
         headers.insert(REASON_HEADER, HeaderValue::from_static(reason.name()));
         let name = &state.codec.headers.request_id;
         id.and_then(|id| headers.insert(name, id));
-        if !state.is_draining.get() && reason != Reason::Stranger {
+        if !state.is_draining() && reason != Reason::Stranger {
             headers.remove(header::CONNECTION);
         }
     }
@@ -191,7 +191,7 @@
 
 /// Makes the response of a host that stops the last one of its connection.
 fn close_if_draining<T>(state: &State, response: &mut Response<T>) {
-    if state.is_draining.get() {
+    if state.is_draining() {
         response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
 }
@@ -209,7 +209,10 @@
     if receive::is_too_long(call, &body) {
         return Some(refuse(state, Some(call), Refusal::new(Reason::TooLong), call.arrived_at));
     }
-    let _room = match receive::take_room(state, call, &body) {
+    // Before the body, which may take long to arrive.
+    let room =
+        forward::check_grace(state, call).and_then(|()| receive::take_room(state, call, &body));
+    let _room = match room {
         Ok(room) => room,
         Err(refusal) => {
             discard_body(state, body);
--- a/crates/steer/src/callers/refusal.rs
+++ b/crates/steer/src/callers/refusal.rs
@@ -21,6 +21,8 @@
     OverRate,
     /// The host has no configuration yet.
     Starting,
+    /// The host stops, and might not live to see the end of the request.
+    Stopping,
     /// No registered instance may run the request.
     NoInstance,
     /// No instance has capacity for the request.
@@ -62,6 +64,7 @@
             Self::NoRoute => "no_route",
             Self::OverRate => "over_rate",
             Self::Starting => "starting",
+            Self::Stopping => "stopping",
             Self::NoInstance => "no_instance",
             Self::Full => "full",
             Self::Unreached => "unreached",
@@ -92,6 +95,7 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::OverRate => StatusCode::TOO_MANY_REQUESTS,
             Self::Starting
+            | Self::Stopping
             | Self::NoInstance
             | Self::Full
             | Self::Unreached
--- a/crates/steer/src/feed/entries.rs
+++ b/crates/steer/src/feed/entries.rs
@@ -103,7 +103,7 @@
 
     fn apply_host(&self, name: Arc<str>, item: &Item) {
         let is_own = name == self.state.settings.host.name;
-        if is_own && self.state.is_draining.get() {
+        if is_own && self.state.is_draining() {
             return;
         }
         match serde_json::from_slice::<Registration>(&item.value) {
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -2,6 +2,7 @@
 
 use std::{path::Path, rc::Rc, time::Duration};
 
+use marjorampick_core::steering::grace::Period;
 use marjorampick_link::exit::Exit;
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::{
@@ -132,21 +133,21 @@
     closing_sender: &watch::Sender<bool>,
 ) {
     let started_at = clock::now();
-    state.is_draining.set(true);
+    let grace_period = state.settings.grace_period;
+    let period = Period::start(started_at, grace_period.saturating_sub(GRACE_MARGIN));
+    state.grace.set(Some(period));
     state.publish_readiness();
     state.hosts.borrow_mut().remove(&state.settings.host.name);
     state.publish_hosts();
     stopping_sender.send_replace(true);
     state.log.write(Rank::Notice, Event::Stopping { in_flight: state.in_flight.get() });
-    let grace_period = state.settings.grace_period;
     sleep(grace_period.mul_f64(CLOSE_DELAY_RATIO)).await;
     closing_sender.send_replace(true);
-    let end = started_at + grace_period.saturating_sub(GRACE_MARGIN);
     // Lets the listener and the connections see that they are to close.
     sleep(DRAIN_CHECK_INTERVAL * 4).await;
     // A connection ends when its last answer is sent, which takes a slow caller longer than the request.
     let is_open = || state.in_flight.get() > 0 || state.open_connections.get() > 0;
-    while is_open() && clock::now() < end {
+    while is_open() && clock::now() < period.end() {
         sleep(DRAIN_CHECK_INTERVAL).await;
     }
     let in_flight = state.in_flight.get();
--- a/crates/steer/src/state.rs
+++ b/crates/steer/src/state.rs
@@ -15,7 +15,7 @@
 use arc_swap::ArcSwap;
 use marjorampick_core::steering::{
     fleet::{Fleet, Locality},
-    helper,
+    grace, helper,
     plan::Plan,
     quarantine, rate, reach, retry,
     seats::{CUT_OFF_TIME, SEAT_PROPAGATION_TIME, Seats},
@@ -266,8 +266,8 @@
     pub in_flight: Cell<u32>,
     /// Number of open connections of callers.
     pub open_connections: Cell<u32>,
-    /// Whether the process was asked to stop.
-    pub is_draining: Cell<bool>,
+    /// Time in which the host ends what it has taken; `None` until the process was asked to stop.
+    pub grace: Cell<Option<grace::Period>>,
     /// Announcements that wait until they are sent to the other hosts.
     announcements: mpsc::Sender<Message>,
     /// Retry budget of each service.
@@ -330,7 +330,7 @@
             became_ready: Notify::new(),
             in_flight: Cell::new(0),
             open_connections: Cell::new(0),
-            is_draining: Cell::new(false),
+            grace: Cell::new(None),
             retry_budgets: RefCell::default(),
             balancers: RefCell::default(),
             announcements,
@@ -356,6 +356,11 @@
         })
     }
 
+    /// Whether the process was asked to stop.
+    pub fn is_draining(&self) -> bool {
+        self.grace.get().is_some()
+    }
+
     /// Sends a message to all other hosts. One too many is dropped, as if it were lost on the way.
     pub fn announce(&self, message: Message) {
         if self.announcements.try_send(message).is_err() {
@@ -451,9 +456,8 @@
     /// Publishes whether the host is ready: it is not draining, has a configuration and knows at
     /// least one instance.
     pub fn publish_readiness(&self) {
-        let is_ready = !self.is_draining.get()
-            && self.plan.borrow().is_some()
-            && !self.fleet.borrow().is_empty();
+        let is_ready =
+            !self.is_draining() && self.plan.borrow().is_some() && !self.fleet.borrow().is_empty();
         self.snapshot.is_ready.store(is_ready, Ordering::Release);
         if is_ready {
             self.became_ready.notify_waiters();
