steer: the homes in force when a request is sent bind

Cause: a request kept the home regions of the configuration at its arrival until its end, through a slow body, waits, failed attempts and the opening of a connection.

Change: each attempt, each host that a request is passed on to, and each opened connection is judged by the homes in force at that moment (callers::homes). Besides, an instance whose entry names another failure domain gets its region.

--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -213,8 +213,10 @@
                 let has_moved = instance.endpoint.address != endpoint.address;
                 let is_changed = has_moved
                     || instance.endpoint.is_draining != endpoint.is_draining
+                    || instance.region != region
                     || instance.expires_at.is_some();
                 instance.update(now, endpoint);
+                instance.place(region, is_local);
                 is_changed
             }
             position => {
--- a/crates/core/src/steering/fleet/candidate.rs
+++ b/crates/core/src/steering/fleet/candidate.rs
@@ -129,6 +129,7 @@
             id: best.instance.endpoint.id.clone(),
             incarnation: best.instance.endpoint.incarnation,
             address: best.instance.endpoint.address,
+            region: best.instance.region.clone(),
             route: criteria.route.clone(),
             object_hash: criteria.object_hash,
             is_remote: !best.instance.is_local,
--- a/crates/core/src/steering/fleet/choice.rs
+++ b/crates/core/src/steering/fleet/choice.rs
@@ -9,7 +9,7 @@
 use super::{Fleet, admission::is_serving, upstream::Upstream};
 use crate::{
     rendezvous,
-    steering::{cache, cost, instance::Instance},
+    steering::{cache, cost, instance::Instance, plan::is_home},
 };
 
 /// Assumed response time until the first answer, in seconds.
@@ -57,6 +57,8 @@
     pub incarnation: u64,
     /// Address of the instance.
     pub address: std::net::SocketAddr,
+    /// Region of the instance; `None` if its failure domain is unknown.
+    pub region: Option<Arc<str>>,
     /// Name of the request's route.
     pub route: Arc<str>,
     /// Hash of the request's object.
@@ -202,14 +204,11 @@
 
     /// Whether the request may run at the instance, regardless of load, failures and earlier attempts.
     fn is_eligible(&self, now: Duration, instance: &Instance, criteria: &Criteria<'_>) -> bool {
-        let allows = |regions: &[Arc<str>]| {
-            regions.is_empty()
-                || instance.region.as_ref().is_some_and(|region| regions.contains(region))
-        };
+        let region = instance.region.as_ref();
         !self.is_leaving(now, instance)
             && !self.evacuated_domains.contains(&instance.endpoint.domain)
-            && allows(criteria.route_regions)
-            && allows(criteria.workspace_regions)
+            && is_home(criteria.route_regions, region)
+            && is_home(criteria.workspace_regions, region)
     }
 }
 
--- a/crates/core/src/steering/helper.rs
+++ b/crates/core/src/steering/helper.rs
@@ -13,7 +13,7 @@
     time::Duration,
 };
 
-use super::fleet::Locality;
+use super::{fleet::Locality, plan::is_home};
 use crate::rendezvous;
 
 /// Time for which a helper is not asked again about a service that it does not reach either.
@@ -125,14 +125,13 @@
         candidates: impl Iterator<Item = Candidate<'a>>,
         criteria: &Criteria<'_>,
     ) -> Option<Arc<str>> {
-        let allows = |regions: &[Arc<str>], region| regions.is_empty() || regions.contains(region);
         let key = rendezvous::Key::new([criteria.id]);
         let eligible = candidates.filter(|candidate| {
             let helper = self.helpers.get(candidate.name);
             !candidate.is_lost
                 && *candidate.name != locality.host
-                && allows(criteria.route_regions, candidate.region)
-                && allows(criteria.workspace_regions, candidate.region)
+                && is_home(criteria.route_regions, Some(candidate.region))
+                && is_home(criteria.workspace_regions, Some(candidate.region))
                 && !criteria.excluded.contains(candidate.name)
                 && !helper.is_some_and(|helper| helper.is_avoided(now, criteria.service))
                 && !self.is_doubtful(now, criteria.service, candidate.domain)
--- a/crates/core/src/steering/instance.rs
+++ b/crates/core/src/steering/instance.rs
@@ -161,6 +161,12 @@
         self.expires_at = None;
     }
 
+    /// Applies where the instance stands; `region` is that of its failure domain.
+    pub fn place(&mut self, region: Option<Arc<str>>, is_local: bool) {
+        self.region = region;
+        self.is_local = is_local;
+    }
+
     /// Applies what the instance asked for in its answers. An instance that leaves counts as draining.
     pub fn apply_notice(&mut self, notice: Notice) {
         self.endpoint.is_draining |= notice.is_leaving;
--- a/crates/core/src/steering/plan.rs
+++ b/crates/core/src/steering/plan.rs
@@ -73,6 +73,12 @@
     pub home_regions: Vec<Arc<str>>,
 }
 
+/// Whether `region` is among these home regions, of which none allows any region. A region that is not
+/// known is no home.
+pub fn is_home(home_regions: &[Arc<str>], region: Option<&Arc<str>>) -> bool {
+    home_regions.is_empty() || region.is_some_and(|region| home_regions.contains(region))
+}
+
 /// Limits on callers' requests and connections.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Limits {
--- a/crates/core/src/steering/tests/fleet.rs
+++ b/crates/core/src/steering/tests/fleet.rs
@@ -213,6 +213,20 @@
     assert_eq!(fleet.choose(at(0), &nowhere), Err(Rejection::NoInstance));
 }
 
+/// An instance whose entry named another failure domain kept the region of the former one, and got requests
+/// that must not leave that region.
+#[test]
+fn an_instance_that_moves_to_another_domain_is_in_its_region() {
+    let mut fleet = fleet();
+    fleet.register(at(0), endpoint("n1", "north-a"));
+    let north = [name("north")];
+    let north_only = Criteria { route_regions: &north, ..criteria() };
+    assert!(fleet.choose(at(0), &north_only).is_ok());
+    assert!(fleet.register(at(10), endpoint("n1", "south-a")));
+    assert_eq!(fleet.choose(at(10), &north_only), Err(Rejection::NoInstance));
+    assert!(fleet.choose(at(10), &criteria()).unwrap().is_remote);
+}
+
 /// A region with few of the slots must not keep more requests than it can serve until it is
 /// overloaded.
 #[test]
--- a/crates/scenario/src/steering/direct.rs
+++ b/crates/scenario/src/steering/direct.rs
@@ -56,6 +56,7 @@
             id: instance_id(index),
             incarnation: 1,
             address: "127.0.0.1:9000".parse().expect("an address"),
+            region: None,
             route: Arc::from(self.pattern.kinds[request.kind].name),
             object_hash: Some(request.object),
             is_remote: self.backends[index].region != self.hosts[host].region,
--- a/crates/steer/src/callers.rs
+++ b/crates/steer/src/callers.rs
@@ -8,6 +8,7 @@
 mod encode;
 mod forward;
 mod handle;
+mod homes;
 mod receive;
 mod refusal;
 pub(crate) mod routing;
--- a/crates/steer/src/callers/carry.rs
+++ b/crates/steer/src/callers/carry.rs
@@ -16,6 +16,7 @@
     body::Sink,
     encode::encode,
     forward,
+    homes::Homes,
     refusal::{Reason, Refusal},
     routing::{Call, milliseconds},
     stream::{self, End},
@@ -237,11 +238,12 @@
         domain: &host.registration.failure_domain,
         is_lost: host.registration.reach.lost.contains(&call.service),
     });
+    let homes = Homes::in_force(state, call);
     let criteria = Criteria {
         id: call.id_text(),
         service: &call.service,
-        route_regions: &call.route.home_regions,
-        workspace_regions: call.workspace().map_or(&[], |workspace| &workspace.home_regions),
+        route_regions: homes.of_route(),
+        workspace_regions: homes.of_workspace(),
         excluded: asked,
     };
     let helpers = state.helpers.borrow();
--- a/crates/steer/src/callers/forward.rs
+++ b/crates/steer/src/callers/forward.rs
@@ -13,6 +13,7 @@
     attempt::{self, Failure},
     body::Sink,
     carry::{self, Carried},
+    homes::Homes,
     refusal::{Reason, Refusal},
     routing::Call,
 };
@@ -221,11 +222,12 @@
         return Err(Refusal::with_retry_after(Reason::LateUnsent, NO_INSTANCE_RETRY_AFTER));
     }
     check_grace(state, call)?;
+    let homes = Homes::in_force(state, call);
     let criteria = Criteria {
         service: &call.service,
         route: &call.route.name,
-        route_regions: &call.route.home_regions,
-        workspace_regions: call.workspace().map_or(&[], |workspace| &workspace.home_regions),
+        route_regions: homes.of_route(),
+        workspace_regions: homes.of_workspace(),
         object_hash: call.object_hash,
         excluded: tried_ids,
         priority: call.priority(),
