steer: failures of instances are bounded, and answers take the memory of their buffers

What was reported: an instance that answers without end fills the memory of the host that called it, and the requests of all its callers end with the process.

Cause: answers that fail are collected to their end, up to 16 MB each, and the shared memory was taken for the bytes that had come, not for the buffers that hold them.

Change: the reservation follows the capacity of the buffers, and a failure of more than 256 KiB is no answer.

--- a/crates/steer/src/backend/answer.rs
+++ b/crates/steer/src/backend/answer.rs
@@ -9,7 +9,7 @@
 
 use crate::constants::{
     MAX_ANSWER_BYTES, MAX_ANSWER_HEAD_BYTES, MAX_ANSWER_HEADERS, MAX_BUFFERED_ANSWER_BYTES,
-    MAX_CHUNK_LINE_BYTES, MAX_INTERIM_ANSWERS,
+    MAX_CHUNK_LINE_BYTES, MAX_FAILURE_BYTES, MAX_INTERIM_ANSWERS,
 };
 
 /// Head of an answer.
@@ -130,15 +130,24 @@
         self.head.as_ref().map(|(head, _)| head)
     }
 
-    /// Whether the current answer is too large to be buffered: by its length, or because more than
-    /// that has come without one.
+    /// Whether the current answer is too large to be buffered.
     pub fn is_large(&self) -> bool {
-        let known_bytes = match self.head {
+        self.known_bytes() > MAX_BUFFERED_ANSWER_BYTES
+    }
+
+    /// Whether the current answer is a failure that is too large to be buffered.
+    pub fn is_large_failure(&self) -> bool {
+        let is_failure = self.head().is_some_and(|head| !head.status.is_success());
+        is_failure && self.known_bytes() > MAX_FAILURE_BYTES
+    }
+
+    /// Length of the current body: the announced one, or as much as has come without one.
+    fn known_bytes(&self) -> usize {
+        match self.head {
             Some((_, Framing::Length(length))) => length,
             Some(_) => self.body.len(),
             None => 0,
-        };
-        known_bytes > MAX_BUFFERED_ANSWER_BYTES
+        }
     }
 
     /// Takes what has been received of the current body, up to a size. The answer that [`Self::next`]
@@ -149,9 +158,9 @@
         taken.freeze()
     }
 
-    /// Number of body bytes that the parser holds.
+    /// Memory that the parser holds for the body, in bytes.
     pub fn held_bytes(&self) -> usize {
-        self.body.len()
+        self.body.capacity()
     }
 
     fn take_answer(&mut self, is_ended_by_close: bool) -> Option<Answer> {
--- a/crates/steer/src/backend/connection.rs
+++ b/crates/steer/src/backend/connection.rs
@@ -402,9 +402,11 @@
             }
             if kind == Kind::Other {
                 drop(parser.take_body(usize::MAX));
+            } else if parser.is_large_failure() {
+                return Err(Fault::Malformed("the body of a failure exceeds the size limit"));
             }
         }
-        reservation.resize(buffer.len() + parser.held_bytes())?;
+        reservation.resize(buffer.capacity() + parser.held_bytes())?;
         buffer.reserve(READ_BUFFER_BYTES);
         if read_half.read_buf(buffer).await? == 0 {
             let answer = parser.end_of_stream().ok_or(Fault::Closed)?;
--- a/crates/steer/src/constants.rs
+++ b/crates/steer/src/constants.rs
@@ -77,6 +77,10 @@
 /// bytes. Larger ones are streamed.
 pub(crate) const MAX_BUFFERED_ANSWER_BYTES: usize = 16 * 1024;
 
+/// Largest body of a failure that is not streamed, in bytes. The request may go to another instance
+/// instead, so that the caller gets none of it before it is complete.
+pub(crate) const MAX_FAILURE_BYTES: usize = 256 * 1024;
+
 /// Most bytes of a streamed answer that the host holds.
 pub(crate) const STREAM_WINDOW_BYTES: usize = 64 * 1024;
 
