store: a response without an era that spans a restore is not used, and departures of an earlier era count

A response that tells no era, to a call from before a restore that the host has heard of, was used with its former revision. And a host that had read anew held the announcement of a host that had not to be old news, as its era was lower: the departure would have been lost with the restore.

Measured: the added lines of responses_without_an_era_are_used and a_departure_outlasts_a_restore_of_the_store fail without the change, by reading; they pass with it, as do the four tests of restore.rs.

--- a/crates/core/src/steering/departure.rs
+++ b/crates/core/src/steering/departure.rs
@@ -62,7 +62,9 @@
         let position = departure.position();
         let known = self.departures.get(id).map(|entry| entry.position);
         let is_full = known.is_none() && self.departures.len() >= MAX_DEPARTURES;
-        if position <= self.position || known >= Some(position) || is_full {
+        let (era, revision) = self.position;
+        let is_read = departure.era == era && departure.revision <= revision;
+        if is_read || known >= Some(position) || is_full {
             return false;
         }
         let expires_at = now + MAX_TIME;
--- a/crates/core/src/steering/history.rs
+++ b/crates/core/src/steering/history.rs
@@ -64,9 +64,13 @@
             self.era = Some(answered_in);
             return Verdict::Usable;
         };
-        if answered_in.is_untold() || (answered_in == known && asked_in == known) {
+        let is_of_known = answered_in == known || answered_in.is_untold();
+        if is_of_known && asked_in == known {
             return Verdict::Usable;
         }
+        if answered_in.is_untold() {
+            return Verdict::Restored;
+        }
         if answered_in < known && asked_in != known {
             return Verdict::Outdated;
         }
--- a/crates/core/src/steering/tests/departure.rs
+++ b/crates/core/src/steering/tests/departure.rs
@@ -71,9 +71,13 @@
     assert!(!fleet.may_send(at(1), &choice), "forgotten with the restore");
     let mut other = four_instances();
     other.reach_revision(ERA, 308);
-    let after = Departure { revision: 252, era: Era(2), ..before };
+    let after = Departure { revision: 252, era: Era(2), ..before.clone() };
     assert!(other.record_departure(at(0), &after), "held to be old news");
     assert!(!other.may_send(at(1), &choice));
+    let mut third = four_instances();
+    third.reach_revision(Era(2), 400);
+    assert!(third.record_departure(at(0), &before), "told late by a host that has not read anew");
+    assert!(!third.may_send(at(1), &choice));
 }
 
 /// A later start under the same id is another instance.
--- a/crates/core/src/steering/tests/history.rs
+++ b/crates/core/src/steering/tests/history.rs
@@ -55,6 +55,12 @@
     assert_eq!(silent.record(Era::UNTOLD, Era(3)), Verdict::Restored);
     assert_eq!(silent.record(Era(3), Era::UNTOLD), Verdict::Usable);
     assert_eq!(silent.era(), Era(3));
+    silent.record(Era(3), Era(4));
+    assert_eq!(
+        silent.record(Era(3), Era::UNTOLD),
+        Verdict::Restored,
+        "a call that spans a restore"
+    );
 }
 
 /// Guards against calls that are made together at the start and of which all but the first are refused.
