--- a/crates/steer/src/callers/attempt.rs
+++ b/crates/steer/src/callers/attempt.rs
@@ -14,7 +14,7 @@
     crash,
     encode::encode,
     forward,
-    homes::Homes,
+    homes::{Homes, Target},
     routing::{Call, milliseconds},
     statement,
     stream::{self, End},
@@ -167,12 +167,15 @@
         let failure = Failure::not_run(reason.to_owned(), false);
         return Err(record_failure(state, call, choice, failure));
     }
-    if !Homes::in_force(state, call).allow(choice.region.as_ref()) {
+    let homes = Homes::in_force(state, call);
+    if !homes.allow(choice.region.as_ref()) {
         guard.end(Outcome::Cancelled, None);
         let reason = "the request's homes have moved while the connection was opened";
         let failure = Failure::not_run(reason.to_owned(), false);
         return Err(record_failure(state, call, choice, failure));
     }
+    let region = choice.region.as_deref().unwrap_or_default();
+    homes.record(state, call, &Target::Instance(&choice.id), region);
     let request = encode_request(state, call, body, choice);
     let sent_at = clock::now();
     let remaining = limit.saturating_sub(clock::now().saturating_sub(started_at));
--- a/crates/steer/src/callers/carry.rs
+++ b/crates/steer/src/callers/carry.rs
@@ -16,7 +16,7 @@
     body::Sink,
     encode::encode,
     forward,
-    homes::Homes,
+    homes::{Homes, Target},
     refusal::{Reason, Refusal},
     routing::{Call, milliseconds},
     stream::{self, End},
@@ -67,6 +67,7 @@
 #[derive(Clone, Debug)]
 struct Helper {
     name: Arc<str>,
+    region: Arc<str>,
     domain: Arc<str>,
     address: SocketAddr,
 }
@@ -147,6 +148,8 @@
             guard.end(Outcome::Failed);
             continue;
         };
+        let target = Target::Helper(&helper);
+        Homes::in_force(state, call).record(state, call, &target, &chosen.region);
         let request = encode_request(state, call, body, attempts);
         let limit = call.deadline.saturating_sub(clock::now()) + HELPER_ANSWER_MARGIN;
         let mut on_head = |head: &Head, is_own| {
@@ -250,8 +253,8 @@
     let fleet = state.fleet.borrow();
     let name = helpers.choose(clock::now(), fleet.locality(), candidates, &criteria)?;
     let registration = &hosts.get(&name)?.registration;
-    let (domain, address) = (registration.failure_domain.clone(), registration.peers);
-    Some(Helper { name, domain, address })
+    let (region, domain) = (registration.region.clone(), registration.failure_domain.clone());
+    Some(Helper { name, region, domain, address: registration.peers })
 }
 
 /// Encodes the request as the caller would send it.
--- a/crates/steer/src/callers/homes.rs
+++ b/crates/steer/src/callers/homes.rs
@@ -9,7 +9,19 @@
 use marjorampick_core::steering::plan::{self, Plan, Route, Workspace};
 
 use super::routing::Call;
-use crate::state::State;
+use crate::{
+    clock,
+    events::{Event, Rank},
+    state::State,
+};
+
+/// Where a request is sent.
+pub(super) enum Target<'a> {
+    /// The instance with this id.
+    Instance(&'a str),
+    /// The host with this name.
+    Helper(&'a str),
+}
 
 /// The route and workspace of a request, by the configuration in force.
 pub(super) struct Homes {
@@ -51,6 +63,33 @@
         plan::is_home(self.of_route(), region) && plan::is_home(self.of_workspace(), region)
     }
 
+    /// Writes to the log where a request with homes is sent.
+    pub(super) fn record(&self, state: &State, call: &Call, target: &Target<'_>, region: &str) {
+        if self.of_route().is_empty() && self.of_workspace().is_empty() {
+            return;
+        }
+        let (instance, helper) = match *target {
+            Target::Instance(id) => (id, ""),
+            Target::Helper(name) => ("", name),
+        };
+        let event = Event::Placement {
+            id: call.id_text(),
+            route: &self.route.name,
+            workspace: self.workspace_name.as_deref().unwrap_or_default(),
+            instance,
+            helper,
+            carried_for: call.carried_for(),
+            region,
+            route_homes: self.of_route(),
+            workspace_homes: self.of_workspace(),
+            plan: self.plan.version,
+            plan_at_arrival: call.plan.version,
+            elapsed_ms: clock::now().saturating_sub(call.arrived_at).as_millis(),
+            store_age_ms: state.store_age_ms(),
+        };
+        state.log.write(Rank::Success, event);
+    }
+
     fn workspace(&self) -> Option<&Workspace> {
         self.plan.workspaces.get(self.workspace_name.as_ref()?)
     }
--- a/crates/steer/src/events.rs
+++ b/crates/steer/src/events.rs
@@ -308,6 +308,38 @@
         /// Expected response time plus the other costs of the chosen instance, in seconds.
         cost: f64,
     },
+    /// A request that may run only in some regions is being sent.
+    Placement {
+        /// Id of the request.
+        id: &'a str,
+        /// Route of the request.
+        route: &'a str,
+        /// Workspace of the caller's API key.
+        workspace: &'a str,
+        /// Id of the instance to which it is sent; empty if it is passed on to another host.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        instance: &'a str,
+        /// Name of the host to which it is passed on; empty if it is sent to an instance.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        helper: &'a str,
+        /// Name of the host from which the request came; empty if it came from a caller.
+        #[serde(skip_serializing_if = "str::is_empty")]
+        carried_for: &'a str,
+        /// Region of the instance or host; empty if it is not known.
+        region: &'a str,
+        /// Regions that the route allows; all if empty.
+        route_homes: &'a [Arc<str>],
+        /// Regions that the workspace allows; all if empty.
+        workspace_homes: &'a [Arc<str>],
+        /// Version of the configuration whose regions these are.
+        plan: u64,
+        /// Version of the configuration in force when the request arrived.
+        plan_at_arrival: u64,
+        /// Milliseconds since the request arrived.
+        elapsed_ms: u128,
+        /// Milliseconds since the last response of the store.
+        store_age_ms: u128,
+    },
     /// The remaining work of requests predicts the answers of a service worse than the mean, and is
     /// no longer used, or it is used again.
     CostPrediction {
