core: a host knows that others have a later configuration

Cause: a host that misses configurations cannot tell it from an outage of the store, in which there are none. Change: `steering::lag` remembers the versions that other hosts have told and this one lacks, and since when. Nothing tells them yet; questions, answers and requests between hosts will.

--- a/crates/core/src/steering.rs
+++ b/crates/core/src/steering.rs
@@ -15,6 +15,7 @@
 pub mod helper;
 pub mod history;
 pub mod instance;
+pub mod lag;
 pub mod lenders;
 pub mod limit;
 pub mod load;
--- a/crates/core/src/steering/tests.rs
+++ b/crates/core/src/steering/tests.rs
@@ -10,6 +10,7 @@
 mod helper;
 mod history;
 mod instance;
+mod lag;
 mod lenders;
 mod limit;
 mod load;
--- a/crates/steer/src/state.rs
+++ b/crates/steer/src/state.rs
@@ -16,6 +16,7 @@
 use marjorampick_core::steering::{
     fleet::{Fleet, Locality},
     grace, helper,
+    lag::Lag,
     plan::Plan,
     quarantine, rate, reach, retry,
     seats::{CUT_OFF_TIME, SEAT_PROPAGATION_TIME, Seats},
@@ -32,8 +33,8 @@
     clock,
     codec::Codec,
     constants::{
-        FORMER_HOST_TIME, MAX_CARRIED_BODY_BYTES, MAX_CARRIED_REQUESTS, MAX_WAITING_ANNOUNCEMENTS,
-        STARTUP_WAIT,
+        BEHIND_RATIO, FORMER_HOST_TIME, MAX_CARRIED_BODY_BYTES, MAX_CARRIED_REQUESTS,
+        MAX_WAITING_ANNOUNCEMENTS, STARTUP_WAIT,
     },
     events::{Event, Log, Rank},
     intake::{self, budget::Budget, connections::Times, gate::Gate, machine, pace::Pace},
@@ -250,6 +251,8 @@
     pub answer_memory: Memory,
     /// Data for the look-up and readiness listeners.
     pub snapshot: Arc<Snapshot>,
+    /// Versions of the configuration that other hosts have in force, and this one does not.
+    pub lag: RefCell<Lag>,
     /// When the store last responded.
     pub store_last_response_at: Cell<Duration>,
     /// Time from which this host's share of the rate limits counts; `None` until it has a seat.
@@ -322,6 +325,7 @@
             discarded_bodies: Cell::new(0),
             answer_memory: Memory::new(budget.response_bytes()),
             snapshot: Arc::new(snapshot),
+            lag: RefCell::default(),
             store_last_response_at: Cell::new(Duration::ZERO),
             seat_valid_from: Cell::new(None),
             registered_at: Cell::new(None),
@@ -373,6 +377,28 @@
         clock::now().saturating_sub(self.store_last_response_at.get()).as_millis()
     }
 
+    /// Version of the configuration in force; 0 until the first one is read.
+    pub fn version(&self) -> u64 {
+        self.plan.borrow().as_ref().map_or(0, |plan| plan.version)
+    }
+
+    /// Records the version that another host has in force; 0 if it did not tell.
+    pub fn hear_version(&self, version: u64) {
+        self.lag.borrow_mut().hear(clock::now(), version, self.version());
+    }
+
+    /// The latest version that this host knows any host to have in force.
+    pub fn newest_version(&self) -> u64 {
+        self.lag.borrow().newest().unwrap_or_default().max(self.version())
+    }
+
+    /// Whether other hosts have had a later configuration in force for so long that this host may no longer
+    /// act on its own.
+    pub fn is_behind(&self) -> bool {
+        let allowed = self.settings.store.propagation.mul_f64(BEHIND_RATIO);
+        self.lag.borrow().time(clock::now()).is_some_and(|time| time >= allowed)
+    }
+
     /// Whether this host and the others have had time to learn of each other, so that they hear what each
     /// other tells.
     pub fn is_known_to_others(&self) -> bool {
