steer: a host that has missed much reads the state of the store, not its history

Cause: after an outage a host asks the store for all changes since its revision. Each version is a whole configuration of hundreds of kilobytes. On a link of 10 Mbit/s the answer takes longer than the 1.9 s of the call, each retry asks for more, and so the call never succeeds. The class: work that is repeated from the start with a fixed time, while it grows. Change: a read goes on while its response keeps coming (up to 6 s). Changes that take more than two configurations and 256 KiB are not read; the state is read instead, which holds one configuration. Evidence: homes::a_host_that_missed_many_configurations_runs_requests_at_their_homes fails before ("it ran outside its homes", 3 s after the store is back) and passes now.

--- a/crates/link/src/http_client.rs
+++ b/crates/link/src/http_client.rs
@@ -5,15 +5,39 @@
 
 use std::{fmt, net::SocketAddr, time::Duration};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Request, Response, Uri, header};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1::{self, SendRequest};
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    body::{Body, Incoming},
+    client::conn::http1::{self, SendRequest},
+};
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
 
 /// Largest accepted response body.
-const BODY_LIMIT_BYTES: usize = 8 * 1024 * 1024;
+pub const BODY_LIMIT_BYTES: usize = 8 * 1024 * 1024;
+
+/// What a request may take. A response that keeps coming is not ended before `total`, however large it is:
+/// a request that is repeated after its time on a slow link would never succeed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Longest time until the head of the response.
+    pub head: Duration,
+    /// Longest time without a byte of its body.
+    pub silence: Duration,
+    /// Longest time for all of it.
+    pub total: Duration,
+    /// Largest body in bytes.
+    pub body_bytes: usize,
+}
+
+impl Limits {
+    /// A response of any size that is accepted, within this time.
+    pub fn within(time: Duration) -> Self {
+        Self { head: time, silence: time, total: time, body_bytes: BODY_LIMIT_BYTES }
+    }
+}
 
 /// Why a request got no response.
 #[derive(Debug)]
@@ -26,9 +50,15 @@
     ConnectionFailed(String),
     /// No complete response arrived in time; the request may have been sent.
     TimedOut,
+    /// The body of the response is larger than the caller accepts; the request was executed.
+    TooLarge,
 }
 
 impl Fault {
+    fn failed(error: &hyper::Error) -> Self {
+        Self::ConnectionFailed(error.to_string())
+    }
+
     /// Whether it is certain that the server received nothing.
     pub fn is_not_sent(&self) -> bool {
         matches!(self, Self::InvalidUri(_) | Self::NotSent(_))
@@ -42,6 +72,7 @@
             Self::NotSent(error) => write!(f, "cannot connect: {error}"),
             Self::ConnectionFailed(error) => write!(f, "the connection failed: {error}"),
             Self::TimedOut => write!(f, "no response before the deadline"),
+            Self::TooLarge => write!(f, "the response is too large"),
         }
     }
 }
@@ -51,8 +82,18 @@
 /// Sends `request`, whose URI must be absolute, over a new connection and reads the whole response.
 /// Opening the connection may take up to `time_limit`, and so may the request.
 pub async fn send(request: Request<Bytes>, time_limit: Duration) -> Result<Response<Bytes>, Fault> {
-    let mut connection = Connection::open(request.uri(), time_limit).await?;
-    connection.send(request, time_limit).await
+    send_within(request, time_limit, Limits::within(time_limit)).await
+}
+
+/// Sends `request` like [`send`]. Opening the connection may take up to `connect_limit`, and the request
+/// what `limits` allow.
+pub async fn send_within(
+    request: Request<Bytes>,
+    connect_limit: Duration,
+    limits: Limits,
+) -> Result<Response<Bytes>, Fault> {
+    let mut connection = Connection::open(request.uri(), connect_limit).await?;
+    connection.send_within(request, limits).await
 }
 
 /// Connection for requests that are sent one after the other.
@@ -81,30 +122,63 @@
         request: Request<Bytes>,
         time_limit: Duration,
     ) -> Result<Response<Bytes>, Fault> {
-        match timeout(time_limit, self.exchange(request)).await {
-            Ok(result) => result.map_err(|error| Fault::ConnectionFailed(error.to_string())),
-            Err(_) => Err(Fault::TimedOut),
-        }
+        self.send_within(request, Limits::within(time_limit)).await
+    }
+
+    /// Sends `request` like [`Self::send`], within `limits`.
+    pub async fn send_within(
+        &mut self,
+        request: Request<Bytes>,
+        limits: Limits,
+    ) -> Result<Response<Bytes>, Fault> {
+        let exchange = self.exchange(request, limits);
+        timeout(limits.total, exchange).await.unwrap_or(Err(Fault::TimedOut))
     }
 
     async fn exchange(
         &mut self,
         mut request: Request<Bytes>,
-    ) -> Result<Response<Bytes>, ExchangeError> {
+        limits: Limits,
+    ) -> Result<Response<Bytes>, Fault> {
         let host = request.uri().authority().map(ToString::to_string);
         let target = request.uri().path_and_query().cloned();
         if let Some(host) = host {
-            request.headers_mut().insert(header::HOST, host.parse()?);
+            let host = host.parse().map_err(|_| Fault::InvalidUri(host))?;
+            request.headers_mut().insert(header::HOST, host);
         }
         *request.uri_mut() = target.map_or_else(|| Uri::from_static("/"), Uri::from);
-        self.sender.ready().await?;
-        let response = self.sender.send_request(request.map(Full::new)).await?;
-        let (parts, body) = response.into_parts();
-        let body = Limited::new(body, BODY_LIMIT_BYTES).collect().await?.to_bytes();
+        let sending = async {
+            self.sender.ready().await?;
+            self.sender.send_request(request.map(Full::new)).await
+        };
+        let sent = timeout(limits.head, sending).await.map_err(|_| Fault::TimedOut)?;
+        let (parts, body) = sent.map_err(|error| Fault::failed(&error))?.into_parts();
+        let body = read_body(body, limits).await?;
         Ok(Response::from_parts(parts, body))
     }
 }
 
+/// Reads a whole body, within `limits`.
+async fn read_body(mut body: Incoming, limits: Limits) -> Result<Bytes, Fault> {
+    let is_too_large = |bytes: u64| bytes > limits.body_bytes as u64;
+    if is_too_large(body.size_hint().lower()) {
+        return Err(Fault::TooLarge);
+    }
+    let mut collected = BytesMut::new();
+    loop {
+        let frame = timeout(limits.silence, body.frame()).await.map_err(|_| Fault::TimedOut)?;
+        let Some(frame) = frame.transpose().map_err(|error| Fault::failed(&error))? else {
+            return Ok(collected.freeze());
+        };
+        if let Ok(data) = frame.into_data() {
+            collected.extend_from_slice(&data);
+        }
+        if is_too_large(collected.len() as u64) {
+            return Err(Fault::TooLarge);
+        }
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
@@ -122,5 +196,3 @@
     let address = host.parse().map_err(|_| fault())?;
     Ok(SocketAddr::new(address, port))
 }
-
-type ExchangeError = Box<dyn std::error::Error + Send + Sync>;
--- a/crates/steer/src/constants.rs
+++ b/crates/steer/src/constants.rs
@@ -27,6 +27,14 @@
 /// Timeout of a store call, in addition to the time for which the store may hold it.
 pub(crate) const STORE_CALL_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Longest time for a read of the store whose response keeps coming. The largest value takes a second on a
+/// link of 10 Mbit/s that nothing else uses.
+pub(crate) const MAX_STORE_READ_TIME: Duration = Duration::from_secs(6);
+
+/// Largest response with changes that is read, without its configurations, in bytes. A host that has missed
+/// more reads the state of the store instead of its history.
+pub(crate) const MAX_HISTORY_BYTES: usize = 256 * 1024;
+
 /// Delay after the first failed store call; doubles up to [`MAX_STORE_RETRY_DELAY`].
 pub(crate) const MIN_STORE_RETRY_DELAY: Duration = Duration::from_millis(100);
 
--- a/crates/steer/src/feed.rs
+++ b/crates/steer/src/feed.rs
@@ -31,6 +31,7 @@
 
 use crate::{
     clock,
+    codec::Subject,
     constants::{
         MAX_STORE_RETRY_DELAY, MIN_STORE_RETRY_DELAY, RELAY_WATCH_WAIT, WATCH_INTERVAL_RATIO,
         WATCH_WAIT,
@@ -39,7 +40,7 @@
     events::{Event, Rank},
     peers::Socket,
     state::{Host, State},
-    store::{Change, Client, Fault},
+    store::{Change, Client, Fault, Item},
 };
 
 /// Prefix of all keys. A single watch covers the whole store, because each open watch call costs
@@ -58,6 +59,7 @@
         outstanding: Vec::new(),
         era: Era::UNTOLD,
         revision: 0,
+        configuration_bytes: 0,
         progress: Progress::Unread,
         is_restored: false,
         unconfirmed: Unconfirmed::default(),
@@ -98,6 +100,8 @@
     era: Era,
     /// Revision up to which changes have been applied.
     revision: u64,
+    /// Size of the configuration as it was last read, in bytes.
+    configuration_bytes: usize,
     progress: Progress,
     /// Whether the store has been restored since the last full read.
     is_restored: bool,
@@ -206,6 +210,7 @@
     /// after it are known too: instances may have left and keys been withdrawn since then.
     async fn start(&mut self) -> Result<(), Fault> {
         let snapshot = self.read_all(true).await?;
+        snapshot.items.iter().for_each(|item| self.measure(item));
         let batch = self.read_batch(snapshot.revision, RELAY_WATCH_WAIT).await?;
         self.client.check_era(snapshot.era)?;
         self.apply_snapshot(&snapshot);
@@ -222,7 +227,7 @@
         let wait = if questions.is_empty() { wait } else { RELAY_WATCH_WAIT };
         let batch = match self.read_batch(oldest, wait).await {
             // The changes that only other hosts are missing are gone. They have to ask the store.
-            Err(Fault::Compacted) if oldest < self.revision => {
+            Err(Fault::Compacted | Fault::TooManyChanges) if oldest < self.revision => {
                 self.read_batch(self.revision, wait).await?
             }
             result => result?,
@@ -236,13 +241,15 @@
 
     /// Applies the changes that are new, in the order of their revisions.
     fn apply_changes(&mut self, changes: Vec<Change>, revision: u64) {
-        for change in changes.into_iter().filter(|change| change.revision() > self.revision) {
+        let known = self.revision;
+        for change in changes.into_iter().filter(|change| change.revision() > known) {
             if self.read_ahead.is_over(change.key(), change.revision()) {
                 continue;
             }
             match change {
                 Change::Written(item) => {
                     self.unconfirmed.confirm(&item.key);
+                    self.measure(&item);
                     self.apply(&item);
                 }
                 Change::Removed { key, revision } => self.remove_key(&key, revision),
@@ -281,6 +288,7 @@
         self.era = *era;
         self.read_ahead.clear();
         for item in items {
+            self.measure(item);
             self.apply(item);
             self.read_ahead.record(&item.key, item.revision, *revision);
         }
@@ -292,6 +300,13 @@
         self.is_restored = false;
     }
 
+    /// Records the size of an item that holds the configuration.
+    fn measure(&mut self, item: &Item) {
+        if (self.state.codec.parse_key)(&item.key) == Subject::Plan {
+            self.configuration_bytes = item.value.len();
+        }
+    }
+
     fn publish(&self) {
         self.state.publish_hosts();
         self.state.publish_readiness();
--- a/crates/steer/src/feed/contact.rs
+++ b/crates/steer/src/feed/contact.rs
@@ -63,7 +63,7 @@
             self.record_restore();
             return;
         }
-        if *fault == Fault::Compacted {
+        if matches!(fault, Fault::Compacted | Fault::TooManyChanges) {
             self.progress = Progress::Incomplete;
             self.schedule.record_gap();
             // Changes were missed for an unknown time, in which entries may have expired and
--- a/crates/steer/src/feed/read.rs
+++ b/crates/steer/src/feed/read.rs
@@ -7,12 +7,15 @@
 
 use super::{ALL_KEYS_PREFIX, Feed};
 use crate::{
-    constants::{MAX_COMPLETE_BYTES, MAX_COMPLETE_CHANGES, RELAY_WATCH_WAIT},
+    constants::{MAX_COMPLETE_BYTES, MAX_COMPLETE_CHANGES, MAX_HISTORY_BYTES, RELAY_WATCH_WAIT},
     metrics,
     registration::KEY_PREFIX,
     store::{Call, Change, Fault, Item, Reply},
 };
 
+/// Size of the largest history that is read, relative to that of the configuration: two of them, in Base64.
+const CONFIGURATIONS_IN_HISTORY: usize = 3;
+
 /// All items of the store.
 pub(super) struct Snapshot {
     pub(super) items: Vec<Item>,
@@ -54,10 +57,11 @@
         Ok(batch)
     }
 
-    /// Returns the changes after a revision.
+    /// Returns the changes after a revision. Fails if they are larger than the state that they lead to.
     pub(super) async fn read_changes(&self, after: u64, wait: Duration) -> Result<Batch, Fault> {
         let prefix = ALL_KEYS_PREFIX.to_owned();
-        let reply = self.client.call(&Call::Watch { prefix, after, wait }).await;
+        let call = Call::Watch { prefix, after, wait };
+        let reply = self.client.call_up_to(&call, self.max_history_bytes()).await;
         metrics::record_store_call("watch", reply.is_ok());
         match reply? {
             Reply::Changes { changes, revision: until } => Ok(Batch { after, changes, until }),
@@ -65,6 +69,12 @@
         }
     }
 
+    /// Size of changes, as the store encodes them, from which on the state takes less. Most of it is the
+    /// configuration, which each change to it contains as a whole.
+    fn max_history_bytes(&self) -> usize {
+        MAX_HISTORY_BYTES + CONFIGURATIONS_IN_HISTORY * self.configuration_bytes
+    }
+
     /// Reads all items. `may_be_stale` allows items of an earlier revision. Fails if the store is restored
     /// between two pages.
     pub(super) async fn read_all(&self, may_be_stale: bool) -> Result<Snapshot, Fault> {
--- a/crates/steer/src/store.rs
+++ b/crates/steer/src/store.rs
@@ -8,9 +8,9 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, StatusCode};
 use marjorampick_core::steering::history::{Era, History, Verdict};
-use marjorampick_link::http_client;
+use marjorampick_link::http_client::{self, BODY_LIMIT_BYTES, Limits};
 
-use crate::constants::STORE_CALL_TIMEOUT;
+use crate::constants::{MAX_STORE_READ_TIME, STORE_CALL_TIMEOUT};
 
 /// Call to the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -43,6 +43,25 @@
     Revoke(u64),
 }
 
+impl Call {
+    /// What the call may take, with a response of up to `body_bytes`.
+    fn limits(&self, body_bytes: usize) -> Limits {
+        let wait = match self {
+            Self::Range { .. } => Duration::ZERO,
+            Self::Watch { wait, .. } => *wait,
+            Self::Write(_) | Self::Grant(_) | Self::Renew(_) | Self::Revoke(_) => {
+                return Limits::within(STORE_CALL_TIMEOUT);
+            }
+        };
+        Limits {
+            head: wait + STORE_CALL_TIMEOUT,
+            silence: STORE_CALL_TIMEOUT,
+            total: wait + MAX_STORE_READ_TIME,
+            body_bytes,
+        }
+    }
+}
+
 /// Writes and removals that are applied atomically if all conditions hold.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Transaction {
@@ -151,6 +170,8 @@
     /// The store does not have the requested revision: it has compacted its history past it, or not
     /// reached it.
     Compacted,
+    /// The changes that the caller has missed are more than it reads.
+    TooManyChanges,
     /// The store has been restored to an earlier copy since the call was made, or since the caller's
     /// revisions and leases were read. It is unknown whether the call was executed.
     Restored,
@@ -168,6 +189,7 @@
             Self::Refused(reason) => write!(f, "the call was not executed: {reason}"),
             Self::Unknown(reason) => write!(f, "no usable answer: {reason}"),
             Self::Compacted => write!(f, "the store does not have the revision"),
+            Self::TooManyChanges => write!(f, "the changes are larger than the state"),
             Self::Restored => write!(f, "the store has been restored to an earlier copy"),
             Self::Conflict => write!(f, "a condition of the transaction does not hold"),
             Self::LeaseNotFound => write!(f, "the lease does not exist"),
@@ -214,23 +236,26 @@
         if self.era() == era { Ok(()) } else { Err(Fault::Restored) }
     }
 
-    /// Makes one call. The connection attempt and the exchange each have the timeout of a call,
-    /// plus the wait time of a watch.
+    /// Makes one call. The connection attempt and the wait for a response each have the timeout of a call,
+    /// plus the wait time of a watch. Reads go on for as long as the response keeps coming.
     pub async fn call(&self, call: &Call) -> Result<Reply, Fault> {
+        self.call_up_to(call, BODY_LIMIT_BYTES).await
+    }
+
+    /// Makes one call whose response takes up to `body_bytes`. Changes that take more are not read.
+    pub async fn call_up_to(&self, call: &Call, body_bytes: usize) -> Result<Reply, Fault> {
         let asked_in = self.era();
         let mut request = (self.codec.encode)(call);
         let path = request.uri().path_and_query().map_or("/", |path| path.as_str());
         let uri = format!("http://{}{path}", self.address);
         *request.uri_mut() =
             uri.parse().map_err(|_| Fault::Refused("invalid request URI".to_owned()))?;
-        let wait_time = match call {
-            Call::Watch { wait, .. } => *wait,
-            _ => Duration::ZERO,
-        };
-        let sent = http_client::send(request, wait_time + STORE_CALL_TIMEOUT).await;
-        let response = sent.map_err(|fault| match fault.is_not_sent() {
-            true => Fault::Refused(fault.to_string()),
-            false => Fault::Unknown(fault.to_string()),
+        let sent =
+            http_client::send_within(request, STORE_CALL_TIMEOUT, call.limits(body_bytes)).await;
+        let response = sent.map_err(|fault| match (&fault, call) {
+            (http_client::Fault::TooLarge, Call::Watch { .. }) => Fault::TooManyChanges,
+            _ if fault.is_not_sent() => Fault::Refused(fault.to_string()),
+            _ => Fault::Unknown(fault.to_string()),
         })?;
         let answered_in = (self.codec.decode_era)(response.headers());
         match self.history.borrow_mut().record(asked_in, answered_in) {
