steer: a store that answers a probe but no read of the changes is asked for its state

Cause: the store may take longer to make the history that a host missed than the call may last, or report it in parts of which a later one fails; then the host began from the same revision again. Change: after a probe that succeeded, a read of changes without an answer is followed by one of the state. Parts that are larger than the state together are not read on.

--- a/crates/steer/src/feed.rs
+++ b/crates/steer/src/feed.rs
@@ -70,6 +70,7 @@
         read_ahead: ReadAhead::default(),
         departures: Outbox::default(),
         probe: Probe::default(),
+        is_probed: false,
     };
     loop {
         feed.step().await;
@@ -120,6 +121,8 @@
     departures: Outbox,
     /// Call of a store that did not serve this host.
     probe: Probe,
+    /// Whether the store has answered a probe since the last read.
+    is_probed: bool,
 }
 
 impl Feed {
@@ -138,7 +141,10 @@
             self.schedule.record_question(asked_at);
         }
         match self.probe.take() {
-            Some(Ok(())) => self.schedule.record_recovery(),
+            Some(Ok(())) => {
+                self.schedule.record_recovery();
+                self.is_probed = true;
+            }
             Some(Err(fault)) => self.record_call_failure(&fault),
             None => {}
         }
@@ -174,12 +180,19 @@
 
     /// Reads all items, or the changes since the last call.
     async fn call_store(&mut self) {
+        let is_probed = std::mem::take(&mut self.is_probed);
         match self.read().await {
             Ok(()) => {
                 self.retry_delay = MIN_STORE_RETRY_DELAY;
                 self.schedule.record_response(clock::now());
             }
-            Err(fault) => self.record_call_failure(&fault),
+            Err(fault) => {
+                self.record_call_failure(&fault);
+                if is_probed && matches!(fault, Fault::Unknown(_)) {
+                    // The store has just answered a probe: what was missed takes too long to read.
+                    self.progress = Progress::Incomplete;
+                }
+            }
         }
     }
 
@@ -191,6 +204,7 @@
 
     /// Reads what is missing.
     async fn read(&mut self) -> Result<(), Fault> {
+        let asked_at = clock::now();
         match self.progress {
             Progress::Unread => self.start().await,
             Progress::Incomplete => {
@@ -200,6 +214,7 @@
             }
             Progress::Complete => self.watch(WATCH_WAIT).await,
         }?;
+        self.state.lag.borrow_mut().read_all(asked_at);
         self.publish();
         Ok(())
     }
--- a/crates/steer/src/feed/read.rs
+++ b/crates/steer/src/feed/read.rs
@@ -38,17 +38,25 @@
     /// Whether the response surely holds all changes. The store reports many of them in parts, and does
     /// not say so.
     fn is_complete(&self) -> bool {
-        let bytes: usize = self.changes.iter().map(Change::value_bytes).sum();
-        self.changes.len() < MAX_COMPLETE_CHANGES && bytes < MAX_COMPLETE_BYTES
+        self.changes.len() < MAX_COMPLETE_CHANGES && self.value_bytes() < MAX_COMPLETE_BYTES
+    }
+
+    /// Size of the values.
+    fn value_bytes(&self) -> usize {
+        self.changes.iter().map(Change::value_bytes).sum()
     }
 }
 
 impl Feed {
-    /// Returns all changes after a revision, which the store may report in parts.
+    /// Returns all changes after a revision, which the store may report in parts. Fails if all parts together
+    /// are larger than the state: a failure in a later part would lose the earlier ones, time after time.
     pub(super) async fn read_batch(&self, after: u64, wait: Duration) -> Result<Batch, Fault> {
         let mut batch = self.read_changes(after, wait).await?;
         let mut is_complete = batch.is_complete();
         while !is_complete {
+            if batch.value_bytes() > self.max_history_bytes() {
+                return Err(Fault::TooManyChanges);
+            }
             let next = self.read_changes(batch.until, RELAY_WATCH_WAIT).await?;
             is_complete = next.is_complete();
             batch.until = batch.until.max(next.until);
