steer: a host with an older configuration does not run what others pass on

Change: `marjorampick-version` goes between hosts with the request. A sender with an earlier program names no version, and is served as before. A caller's header counts for nothing and reaches no instance.

--- a/crates/core/src/steering/helper.rs
+++ b/crates/core/src/steering/helper.rs
@@ -22,6 +22,9 @@
 /// Time for which a helper that carries all that it can is not asked again.
 const BUSY_TIME: Duration = Duration::from_millis(300);
 
+/// Time for which a helper whose configuration is older is not asked again.
+const BEHIND_TIME: Duration = Duration::from_millis(300);
+
 /// Time for which a helper is not asked again that did not answer, or refused the connection.
 const FAILED_TIME: Duration = Duration::from_secs(2);
 
@@ -76,6 +79,8 @@
     Unreached,
     /// The helper carries all that it can.
     Busy,
+    /// The helper has an older configuration in force than the request was judged by.
+    Behind,
     /// The helper could not be reached, or did not answer.
     Failed,
     /// The caller left.
@@ -172,6 +177,7 @@
                 helper.unreached_until.insert(service.clone(), now + UNREACHED_TIME);
             }
             Outcome::Busy => helper.avoided_until = now + BUSY_TIME,
+            Outcome::Behind => helper.avoided_until = now + BEHIND_TIME,
             Outcome::Failed => helper.avoided_until = now + FAILED_TIME,
         }
     }
--- a/crates/core/src/steering/tests/helper.rs
+++ b/crates/core/src/steering/tests/helper.rs
@@ -93,9 +93,12 @@
 /// A host that could not help must not be asked for each request, and must be asked again later.
 #[test]
 fn a_host_that_could_not_help_is_left_alone_for_a_while() {
-    for (outcome, time) in
-        [(Outcome::Unreached, 900), (Outcome::Busy, 200), (Outcome::Failed, 1900)]
-    {
+    for (outcome, time) in [
+        (Outcome::Unreached, 900),
+        (Outcome::Busy, 200),
+        (Outcome::Behind, 200),
+        (Outcome::Failed, 1900),
+    ] {
         let mut book = Book::default();
         book.start(&name("near"));
         book.end(at(0), &name("near"), &name("north-a"), &SERVICE, outcome);
--- a/crates/steer/src/callers/carry.rs
+++ b/crates/steer/src/callers/carry.rs
@@ -37,6 +37,10 @@
 /// Header with the number of instances that the request may have reached before it was passed on.
 pub(crate) const ATTEMPTS_HEADER: &str = "marjorampick-attempts";
 
+/// Header with the latest version of the configuration that the host which passes a request on knows to be in
+/// force.
+pub(crate) const VERSION_HEADER: &str = "marjorampick-version";
+
 /// Header with the reason of a refusal by the host to which a request was passed on.
 pub(crate) const REASON_HEADER: &str = "marjorampick-reason";
 
@@ -261,10 +265,12 @@
 fn encode_request(state: &State, call: &Call, body: &Bytes, attempts: u32) -> Request {
     let names = &state.codec.headers;
     let remaining = milliseconds(call.deadline.saturating_sub(clock::now()));
-    let attempts = HeaderValue::from(attempts);
+    let (attempts, version) =
+        (HeaderValue::from(attempts), HeaderValue::from(state.newest_version()));
     let mut headers = vec![
         (names.time_left.as_str(), remaining.as_bytes()),
         (ATTEMPTS_HEADER, attempts.as_bytes()),
+        (VERSION_HEADER, version.as_bytes()),
     ];
     headers.extend(call.api_key.as_ref().map(|key| (names.api_key.as_str(), key.as_bytes())));
     encode(call, body, &headers, &names.request_id)
@@ -277,11 +283,13 @@
     let outcome = match reason {
         name if name == Reason::Unreached.name() => Outcome::Unreached,
         name if name == Reason::Busy.name() || name == Reason::Stopping.name() => Outcome::Busy,
+        name if name == Reason::Behind.name() => Outcome::Behind,
         name if name == Reason::Stranger.name() => Outcome::Failed,
         _ => Outcome::Answered,
     };
     let reason = match answer.head.status {
         StatusCode::TOO_MANY_REQUESTS => Reason::OverRate,
+        StatusCode::SERVICE_UNAVAILABLE if outcome == Outcome::Behind => Reason::Behind,
         StatusCode::SERVICE_UNAVAILABLE => Reason::HelperRefused,
         _ => return None,
     };
@@ -302,6 +310,7 @@
         Outcome::Answered => "answered",
         Outcome::Unreached => "unreached",
         Outcome::Busy => "busy",
+        Outcome::Behind => "behind",
         Outcome::Failed => "failed",
         Outcome::Cancelled => "cancelled",
     }
--- a/crates/steer/src/callers/refusal.rs
+++ b/crates/steer/src/callers/refusal.rs
@@ -35,6 +35,8 @@
     NoMemory,
     /// This host runs as many requests of other hosts as it may.
     Busy,
+    /// This host has an older configuration in force than the host that passed the request on knows.
+    Behind,
     /// The request came to the listener for other hosts, but not from one.
     Stranger,
     /// The request can run only in other regions, and the share of requests that run there may rise
@@ -71,6 +73,7 @@
             Self::HelperRefused => "helper_refused",
             Self::NoMemory => "no_memory",
             Self::Busy => "busy",
+            Self::Behind => "behind",
             Self::Stranger => "stranger",
             Self::Shift => "shift",
             Self::Quarantined => "quarantined",
@@ -102,6 +105,7 @@
             | Self::HelperRefused
             | Self::NoMemory
             | Self::Busy
+            | Self::Behind
             | Self::Stranger
             | Self::Shift
             | Self::Quarantined
--- a/crates/steer/src/callers/routing.rs
+++ b/crates/steer/src/callers/routing.rs
@@ -1,6 +1,6 @@
 //! Finds the route, workspace and deadline of a request from its head.
 
-use std::{cell::OnceCell, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::OnceCell, rc::Rc, str::FromStr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Uri, header, request::Parts};
@@ -14,12 +14,14 @@
 use marjorampick_link::wire::headers::strip_hop_by_hop;
 
 use super::{
-    carry::{ATTEMPTS_HEADER, REASON_HEADER},
+    carry::{ATTEMPTS_HEADER, REASON_HEADER, VERSION_HEADER},
     refusal::{Reason, Refusal},
 };
 use crate::{
     codec::Headers,
-    constants::{DEFAULT_REQUEST_TIMEOUT, NO_INSTANCE_RETRY_AFTER, STARTUP_RETRY_AFTER},
+    constants::{
+        BEHIND_RETRY_AFTER, DEFAULT_REQUEST_TIMEOUT, NO_INSTANCE_RETRY_AFTER, STARTUP_RETRY_AFTER,
+    },
     state::State,
 };
 
@@ -139,6 +141,9 @@
     let plan = state.plan.borrow().clone();
     let plan =
         plan.ok_or_else(|| Refusal::with_retry_after(Reason::Starting, STARTUP_RETRY_AFTER))?;
+    if peer.is_some() {
+        check_version(state, &plan, &parts.headers)?;
+    }
     let target = parts.uri.path_and_query().map_or("/", |target| target.as_str());
     if target.len() > MAX_TARGET_BYTES || parts.uri.authority().is_some() {
         return Err(Refusal::new(Reason::BadRequest));
@@ -159,8 +164,7 @@
         requested_timeout(&parts.headers, &names.time_left).unwrap_or(DEFAULT_REQUEST_TIMEOUT);
     let timeout = route.timeout.map_or(requested, |timeout| timeout.min(requested));
     let origin = peer.map_or(Origin::Caller, |name| {
-        let attempts = parts.headers.get(ATTEMPTS_HEADER);
-        let attempts = attempts.and_then(|value| value.to_str().ok()?.parse().ok());
+        let attempts = number(&parts.headers, ATTEMPTS_HEADER);
         Origin::Host { name, attempts: attempts.unwrap_or_default() }
     });
     let api_key = parts.headers.get(&names.api_key).cloned();
@@ -182,6 +186,22 @@
     })
 }
 
+/// Refuses a request of a host that knows of a later configuration, by which it may have another route, key
+/// or home than here. An earlier version of the program does not tell.
+fn check_version(state: &State, plan: &Plan, headers: &HeaderMap) -> Result<(), Refusal> {
+    let version = number(headers, VERSION_HEADER).unwrap_or_default();
+    state.hear_version(version);
+    match version <= plan.version {
+        true => Ok(()),
+        false => Err(Refusal::with_retry_after(Reason::Behind, BEHIND_RETRY_AFTER)),
+    }
+}
+
+/// Number in a header between hosts.
+fn number<N: FromStr>(headers: &HeaderMap, name: &str) -> Option<N> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
 /// Host name from the `Host` header, in lower case and without a port; `None` unless there is
 /// exactly one.
 fn host_name(headers: &HeaderMap) -> Option<String> {
@@ -255,6 +275,7 @@
         names.expected_instance.as_str(),
         names.time_left.as_str(),
         ATTEMPTS_HEADER,
+        VERSION_HEADER,
         REASON_HEADER,
     ];
     for name in removed {
--- a/crates/steer/src/constants.rs
+++ b/crates/steer/src/constants.rs
@@ -193,6 +193,9 @@
 /// `Retry-After` of a host that carries all that it can.
 pub(crate) const BUSY_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// `Retry-After` of a host whose configuration is older than that of the others.
+pub(crate) const BEHIND_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// Interval at which a connection is opened to an instance of each service that is not reached.
 pub(crate) const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 
