steer: a host that knows it is behind places no request with homes

What callers saw: requests with homes reached instances in a region that had been left (HOME), sent by hosts that the store did not serve, up to 18 s after the change; and 404 for routes that they did not know yet (CONFIG). Cause: such a host acts on what it has read last, whatever others tell. Nothing asks whether it can know. Change: a host that has missed a later configuration for half of the propagation time passes requests with homes on within its region, or refuses them with `behind` (503, not run); the same in place of 404 and 401. Other requests go on: in an outage for all nobody tells of a later version, and a host that is behind serves what no change concerns. A version that a complete read of the store does not show is forgotten, so that a restored store keeps nobody behind. Until answers between hosts tell versions, only requests that are passed on do. A gauge, marjorampick_missing_configuration_seconds.

--- a/crates/steer/src/callers/attempt.rs
+++ b/crates/steer/src/callers/attempt.rs
@@ -167,13 +167,18 @@
         let failure = Failure::not_run(reason.to_owned(), false);
         return Err(record_failure(state, call, choice, failure));
     }
-    let homes = Homes::in_force(state, call);
-    if !homes.allow(choice.region.as_ref()) {
-        guard.end(Outcome::Cancelled, None);
-        let reason = "the request's homes have moved while the connection was opened";
-        let failure = Failure::not_run(reason.to_owned(), false);
-        return Err(record_failure(state, call, choice, failure));
-    }
+    let homes = match Homes::judge(state, call) {
+        Ok(homes) if homes.allow(choice.region.as_ref()) => homes,
+        judged => {
+            guard.end(Outcome::Cancelled, None);
+            let reason = match judged {
+                Ok(_) => "the request's homes have moved while the connection was opened",
+                Err(_) => "this host has fallen behind while the connection was opened",
+            };
+            let failure = Failure::not_run(reason.to_owned(), false);
+            return Err(record_failure(state, call, choice, failure));
+        }
+    };
     let region = choice.region.as_deref().unwrap_or_default();
     homes.record(state, call, &Target::Instance(&choice.id), region);
     let request = encode_request(state, call, body, choice);
--- a/crates/steer/src/callers/carry.rs
+++ b/crates/steer/src/callers/carry.rs
@@ -246,10 +246,13 @@
         is_lost: host.registration.reach.lost.contains(&call.service),
     });
     let homes = Homes::in_force(state, call);
+    // A host that cannot know the homes lets no body leave the region.
+    let own_region = [state.settings.host.region.clone()];
+    let is_behind = state.is_behind();
     let criteria = Criteria {
         id: call.id_text(),
         service: &call.service,
-        route_regions: homes.of_route(),
+        route_regions: if is_behind { &own_region } else { homes.of_route() },
         workspace_regions: homes.of_workspace(),
         excluded: asked,
     };
--- a/crates/steer/src/callers/forward.rs
+++ b/crates/steer/src/callers/forward.rs
@@ -159,7 +159,7 @@
     /// Whether the request, which this host would refuse for this reason, may be passed on.
     fn may_carry(&self, state: &State, call: &Call, reason: Reason) -> bool {
         let is_reason = match reason {
-            Reason::Unreached => true,
+            Reason::Unreached | Reason::Behind => true,
             Reason::NoInstance | Reason::Full | Reason::Shift => {
                 state.fleet.borrow().is_lost(&call.service)
             }
@@ -222,7 +222,7 @@
         return Err(Refusal::with_retry_after(Reason::LateUnsent, NO_INSTANCE_RETRY_AFTER));
     }
     check_grace(state, call)?;
-    let homes = Homes::in_force(state, call);
+    let homes = Homes::judge(state, call)?;
     let criteria = Criteria {
         service: &call.service,
         route: &call.route.name,
--- a/crates/steer/src/callers/homes.rs
+++ b/crates/steer/src/callers/homes.rs
@@ -2,13 +2,15 @@
 //!
 //! A request keeps the route that it was found to have when it arrived. Until it is sent, its body may take
 //! long to arrive, it may wait, and other instances may have failed it, while a later configuration moves
-//! its homes to another region. See docs/incidents/inc-homes-in-force.md.
+//! its homes to another region. A host that knows that it misses a later configuration cannot tell where such
+//! a request may run, and another host sends it. See docs/incidents/inc-homes-in-force.md and
+//! docs/incidents/inc-late-configuration.md.
 
 use std::{rc::Rc, sync::Arc};
 
 use marjorampick_core::steering::plan::{self, Plan, Route, Workspace};
 
-use super::routing::Call;
+use super::{refusal::Refusal, routing::Call};
 use crate::{
     clock,
     events::{Event, Rank},
@@ -31,6 +33,16 @@
 }
 
 impl Homes {
+    /// Those that bind a request which is sent now. A request with homes is refused if other hosts have had a
+    /// later configuration for a while.
+    pub(super) fn judge(state: &State, call: &Call) -> Result<Self, Refusal> {
+        let homes = Self::in_force(state, call);
+        if homes.bind() && state.is_behind() {
+            return Err(Refusal::behind());
+        }
+        Ok(homes)
+    }
+
     /// Those in force now. A route or workspace that has been dropped since the request arrived keeps the
     /// homes that it had then.
     pub(super) fn in_force(state: &State, call: &Call) -> Self {
@@ -58,6 +70,11 @@
         self.workspace().map_or(&[], |workspace| &workspace.home_regions)
     }
 
+    /// Whether the request may not run everywhere.
+    fn bind(&self) -> bool {
+        !self.of_route().is_empty() || !self.of_workspace().is_empty()
+    }
+
     /// Whether the request may run in this region.
     pub(super) fn allow(&self, region: Option<&Arc<str>>) -> bool {
         plan::is_home(self.of_route(), region) && plan::is_home(self.of_workspace(), region)
@@ -65,7 +82,7 @@
 
     /// Writes to the log where a request with homes is sent.
     pub(super) fn record(&self, state: &State, call: &Call, target: &Target<'_>, region: &str) {
-        if self.of_route().is_empty() && self.of_workspace().is_empty() {
+        if !self.bind() {
             return;
         }
         let (instance, helper) = match *target {
--- a/crates/steer/src/callers/refusal.rs
+++ b/crates/steer/src/callers/refusal.rs
@@ -6,6 +6,8 @@
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::Full;
 
+use crate::constants::BEHIND_RETRY_AFTER;
+
 /// Why the host refuses a request. The statuses 429 and 503 guarantee that the request has not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Reason {
@@ -35,7 +37,7 @@
     NoMemory,
     /// This host runs as many requests of other hosts as it may.
     Busy,
-    /// This host has an older configuration in force than the host that passed the request on knows.
+    /// Other hosts have a later configuration, without which this host cannot judge the request.
     Behind,
     /// The request came to the listener for other hosts, but not from one.
     Stranger,
@@ -135,6 +137,11 @@
         Self { reason, retry_after: Some(retry_after) }
     }
 
+    /// Refusal by a host that misses a later configuration.
+    pub(crate) fn behind() -> Self {
+        Self::with_retry_after(Reason::Behind, BEHIND_RETRY_AFTER)
+    }
+
     /// Whether the response closes the connection. Callers retry a refused request on a new
     /// connection, and the old one would hold memory and a file descriptor until its idle timeout.
     fn closes_connection(self) -> bool {
--- a/crates/steer/src/callers/routing.rs
+++ b/crates/steer/src/callers/routing.rs
@@ -19,9 +19,7 @@
 };
 use crate::{
     codec::Headers,
-    constants::{
-        BEHIND_RETRY_AFTER, DEFAULT_REQUEST_TIMEOUT, NO_INSTANCE_RETRY_AFTER, STARTUP_RETRY_AFTER,
-    },
+    constants::{DEFAULT_REQUEST_TIMEOUT, NO_INSTANCE_RETRY_AFTER, STARTUP_RETRY_AFTER},
     state::State,
 };
 
@@ -152,9 +150,10 @@
     let route = match plan.find(&host, parts.uri.path()) {
         Match::Route(route) => route.clone(),
         Match::Omitted => return Err(unsupported()),
-        Match::Nothing => return Err(Refusal::new(Reason::NoRoute)),
+        Match::Nothing => return Err(judge_denial(state, Refusal::new(Reason::NoRoute))),
     };
-    let workspace_name = authorize(&plan, &route, &parts.headers, &names.api_key)?;
+    let workspace_name = authorize(&plan, &route, &parts.headers, &names.api_key);
+    let workspace_name = workspace_name.map_err(|refusal| judge_denial(state, refusal))?;
     let destination = state.next_destination(&route);
     let service = route.destinations[destination].service.clone();
     let object =
@@ -193,7 +192,7 @@
     state.hear_version(version);
     match version <= plan.version {
         true => Ok(()),
-        false => Err(Refusal::with_retry_after(Reason::Behind, BEHIND_RETRY_AFTER)),
+        false => Err(Refusal::behind()),
     }
 }
 
@@ -237,6 +236,14 @@
     }
 }
 
+/// Refusal of a request that has no route or key here. A configuration that this host misses may have both.
+fn judge_denial(state: &State, denial: Refusal) -> Refusal {
+    match state.is_behind() {
+        true => Refusal::behind(),
+        false => denial,
+    }
+}
+
 /// Refusal of a request whose route or workspace is omitted from the configuration in force. Hosts with
 /// a newer version of the program may know it.
 fn unsupported() -> Refusal {
--- a/crates/steer/src/constants.rs
+++ b/crates/steer/src/constants.rs
@@ -21,8 +21,8 @@
 pub(crate) const WATCH_INTERVAL_RATIO: f64 = 0.45;
 
 /// Time after hearing of a later configuration from which on a host without it is behind, relative to the
-/// configured propagation time of changes. Other hosts may have heard of it half of that time earlier.
-pub(crate) const BEHIND_RATIO: f64 = 0.4;
+/// configured propagation time of changes. A host that reads as often as it should has it by then.
+pub(crate) const BEHIND_RATIO: f64 = 0.5;
 
 /// Timeout of a store call, in addition to the time for which the store may hold it.
 pub(crate) const STORE_CALL_TIMEOUT: Duration = Duration::from_millis(900);
--- a/crates/steer/src/feed/questions.rs
+++ b/crates/steer/src/feed/questions.rs
@@ -74,6 +74,7 @@
         self.schedule.record_answer(asked_at);
         self.record_knowledge(asked_at, self.others_after(&received.changes));
         self.apply_changes(received.changes, received.answer.until);
+        self.state.lag.borrow_mut().read_all(asked_at);
         self.publish();
     }
 }
--- a/crates/steer/src/metrics.rs
+++ b/crates/steer/src/metrics.rs
@@ -24,6 +24,7 @@
 const QUARANTINED_REQUESTS: &str = "marjorampick_quarantined_requests";
 const CLOSED_CONNECTIONS_TOTAL: &str = "marjorampick_closed_connections_total";
 const FULL_REFUSALS_TOTAL: &str = "marjorampick_full_refusals_total";
+const MISSING_CONFIGURATION: &str = "marjorampick_missing_configuration_seconds";
 const OMITTED_ENTRIES: &str = "marjorampick_omitted_configuration_entries";
 const ANSWER_TIME_RATIO: &str = "marjorampick_answer_time_ratio";
 
@@ -86,6 +87,11 @@
         Unit::Count,
         "Requests passed on to other hosts, by outcome."
     );
+    describe_gauge!(
+        MISSING_CONFIGURATION,
+        Unit::Seconds,
+        "Time for which other hosts have had a later configuration."
+    );
     describe_gauge!(LOST_SERVICES, Unit::Count, "Services of which the host reaches no instance.");
     describe_gauge!(
         QUARANTINED_REQUESTS,
@@ -219,6 +225,11 @@
     counter!(TOKENS_LENT_TOTAL).increment(tokens.into());
 }
 
+/// Sets the time for which other hosts have had a later configuration; zero if there is none.
+pub(crate) fn set_missing_configuration(time: Duration) {
+    gauge!(MISSING_CONFIGURATION).set(time.as_secs_f64());
+}
+
 /// Sets the number of entries of the configuration that are not used.
 pub(crate) fn set_omitted_entries(count: usize) {
     gauge!(OMITTED_ENTRIES).set(count as f64);
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -177,6 +177,7 @@
         limits::update(&state);
         sweep_connections(&state, tick_count.is_multiple_of(REPORT_TICKS));
         metrics::set_in_flight(state.in_flight.get());
+        metrics::set_missing_configuration(state.lag.borrow().time(now).unwrap_or_default());
         if tick_count.is_multiple_of(10) {
             metrics_handle.run_upkeep();
             registration::remove_expired_seats(&state, &client).await;
