steer: a request is not passed on to a region that stopped being a home

Only attempts at instances had a second look. Change: the homes in force are looked at once more when the connection is open.

--- a/crates/core/src/steering/helper.rs
+++ b/crates/core/src/steering/helper.rs
@@ -70,6 +70,13 @@
     pub excluded: &'a [Arc<str>],
 }
 
+impl Criteria<'_> {
+    /// Whether a helper in this region may get the request.
+    pub fn allow(&self, region: &Arc<str>) -> bool {
+        is_home(self.route_regions, Some(region)) && is_home(self.workspace_regions, Some(region))
+    }
+}
+
 /// How a request that was passed on ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -83,7 +90,7 @@
     Behind,
     /// The helper could not be reached, or did not answer.
     Failed,
-    /// The caller left.
+    /// The caller left, or nothing was sent as the request's homes had moved.
     Cancelled,
 }
 
@@ -135,8 +142,7 @@
             let helper = self.helpers.get(candidate.name);
             !candidate.is_lost
                 && *candidate.name != locality.host
-                && is_home(criteria.route_regions, Some(candidate.region))
-                && is_home(criteria.workspace_regions, Some(candidate.region))
+                && criteria.allow(candidate.region)
                 && !criteria.excluded.contains(candidate.name)
                 && !helper.is_some_and(|helper| helper.is_avoided(now, criteria.service))
                 && !self.is_doubtful(now, criteria.service, candidate.domain)
--- a/crates/core/src/steering/tests/helper.rs
+++ b/crates/core/src/steering/tests/helper.rs
@@ -74,6 +74,7 @@
     assert_eq!(choose(&book, 0, &remote).unwrap(), "far");
     let nowhere = Criteria { route_regions: &north, workspace_regions: &south, ..criteria() };
     assert_eq!(choose(&book, 0, &nowhere), None);
+    assert!(remote.allow(&south[0]) && !remote.allow(&north[0]) && !nowhere.allow(&south[0]));
 }
 
 /// Links of a failure domain fail together, so that hundreds of its hosts must not be asked one by one.
--- a/crates/steer/src/callers/carry.rs
+++ b/crates/steer/src/callers/carry.rs
@@ -152,8 +152,12 @@
             guard.end(Outcome::Failed);
             continue;
         };
-        let target = Target::Helper(&helper);
-        Homes::in_force(state, call).record(state, call, &target, &chosen.region);
+        let homes = Homes::in_force(state, call);
+        if !criteria(call, &homes, &asked).allow(&chosen.region) {
+            guard.end(Outcome::Cancelled);
+            continue;
+        }
+        homes.record(state, call, &Target::Helper(&helper), &chosen.region);
         let request = encode_request(state, call, body, attempts);
         let limit = call.deadline.saturating_sub(clock::now()) + HELPER_ANSWER_MARGIN;
         let mut on_head = |head: &Head, is_own| {
@@ -246,13 +250,7 @@
         is_lost: host.registration.reach.lost.contains(&call.service),
     });
     let homes = Homes::in_force(state, call);
-    let criteria = Criteria {
-        id: call.id_text(),
-        service: &call.service,
-        route_regions: homes.of_route(),
-        workspace_regions: homes.of_workspace(),
-        excluded: asked,
-    };
+    let criteria = criteria(call, &homes, asked);
     let helpers = state.helpers.borrow();
     let fleet = state.fleet.borrow();
     let name = helpers.choose(clock::now(), fleet.locality(), candidates, &criteria)?;
@@ -261,6 +259,17 @@
     Some(Helper { name, region, domain, address: registration.peers })
 }
 
+/// What decides which hosts may help; `asked` are those that were asked already.
+fn criteria<'a>(call: &'a Call, homes: &'a Homes, asked: &'a [Arc<str>]) -> Criteria<'a> {
+    Criteria {
+        id: call.id_text(),
+        service: &call.service,
+        route_regions: homes.of_route(),
+        workspace_regions: homes.of_workspace(),
+        excluded: asked,
+    }
+}
+
 /// Encodes the request as the caller would send it.
 fn encode_request(state: &State, call: &Call, body: &Bytes, attempts: u32) -> Request {
     let names = &state.codec.headers;
@@ -315,3 +324,6 @@
         Outcome::Cancelled => "cancelled",
     }
 }
+
+#[cfg(test)]
+mod tests;
