--- a/crates/steer/src/callers/homes.rs
+++ b/crates/steer/src/callers/homes.rs
@@ -30,6 +30,8 @@
     plan: Rc<Plan>,
     route: Arc<Route>,
     workspace_name: Option<Arc<str>>,
+    /// Region of this host if it misses a later configuration.
+    only_region: Option<[Arc<str>; 1]>,
 }
 
 impl Homes {
@@ -37,10 +39,10 @@
     /// later configuration for a while.
     pub(super) fn judge(state: &State, call: &Call) -> Result<Self, Refusal> {
         let homes = Self::in_force(state, call);
-        if homes.bind() && state.is_behind() {
-            return Err(Refusal::behind());
+        match homes.bind() && homes.only_region.is_some() {
+            true => Err(Refusal::behind()),
+            false => Ok(homes),
         }
-        Ok(homes)
     }
 
     /// Those in force now. A route or workspace that has been dropped since the request arrived keeps the
@@ -57,6 +59,7 @@
             plan: Some(current).filter(has_workspace).unwrap_or(&call.plan).clone(),
             route: route.clone(),
             workspace_name: call.workspace_name.clone(),
+            only_region: state.is_behind().then(|| [state.settings.host.region.clone()]),
         }
     }
 
@@ -70,6 +73,15 @@
         self.workspace().map_or(&[], |workspace| &workspace.home_regions)
     }
 
+    /// Regions of the hosts to which the route allows the request to be passed on; all if empty. A host that
+    /// cannot know its homes lets no body leave the region.
+    pub(super) fn of_helpers(&self) -> &[Arc<str>] {
+        match &self.only_region {
+            Some(region) if self.bind() => region,
+            _ => self.of_route(),
+        }
+    }
+
     /// Whether the request may not run everywhere.
     fn bind(&self) -> bool {
         !self.of_route().is_empty() || !self.of_workspace().is_empty()
