steer: a connection is busy until the last byte of its answer

Cause: the request ended for its connection when the service returned the response, which for a streamed one is at its head. Change: the body of the response holds the record of the request's end. While parts of a response are awaited the connection is `Running`, also when the next request begins to arrive. Write timeout and least rate as before.

--- a/crates/steer/src/intake/connection.rs
+++ b/crates/steer/src/intake/connection.rs
@@ -2,13 +2,15 @@
 
 use std::{
     error::Error,
+    pin::Pin,
     rc::Rc,
     sync::{Arc, atomic::AtomicBool},
+    task::{Context, Poll},
 };
 
 use http::{Request, Response};
 use hyper::{
-    body::{Body, Incoming},
+    body::{Body, Frame, Incoming, SizeHint},
     server::conn::http1,
     service::{Service, service_fn},
 };
@@ -36,7 +38,7 @@
 ) where
     S: Service<Request<Incoming>, Response = Response<B>>,
     S::Error: Into<Box<dyn Error + Send + Sync>>,
-    B: Body + 'static,
+    B: Body + Unpin + 'static,
     B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     if let Err(error) = stream.set_nodelay(true) {
@@ -56,8 +58,8 @@
                 gate.pace_pipelined().await;
             }
             let response = responding.await;
-            drop(handling);
-            response
+            handling.0.start_response();
+            response.map(|response| response.map(|body| Answer { body, _handling: handling }))
         })
     });
     let Some(stream) = admitted.wrap(stream, max_header_bytes, has_ambiguous_framing) else {
@@ -89,6 +91,35 @@
     }
 }
 
+/// Body of a response. The HTTP library drops it when it has taken the last byte; what it has not written by
+/// then is written before anything else, and [`Progress::set_blocked`] tells whether it waits for the caller.
+/// So the connection is busy until then, however long an answer that is streamed takes. See
+/// docs/incidents/inc-streamed-answer-cut.md.
+struct Answer<B> {
+    body: B,
+    _handling: Handling,
+}
+
+impl<B: Body + Unpin> Body for Answer<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        Pin::new(&mut self.get_mut().body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Records the end of a request when it is dropped.
 struct Handling(Rc<Progress>);
 
--- a/crates/steer/src/intake/connections.rs
+++ b/crates/steer/src/intake/connections.rs
@@ -36,7 +36,7 @@
     Body,
     /// The body of a request that has its response is arriving.
     Rest,
-    /// A request that has arrived is being handled.
+    /// A request that has arrived is being handled, or parts of its response are awaited.
     Running,
     /// The caller does not take the response as fast as it could be sent.
     Writing,
--- a/crates/steer/src/intake/progress.rs
+++ b/crates/steer/src/intake/progress.rs
@@ -14,7 +14,11 @@
     id: u64,
     address: IpAddr,
     position: Cell<Position>,
-    is_serving: Cell<bool>,
+    /// Requests whose responses are not at their end. The HTTP library may read the next request just before it
+    /// drops the body of a response that it has sent.
+    requests: Cell<u32>,
+    /// Whether the last request has its response, of which parts may still come.
+    is_responding: Cell<bool>,
     is_blocked: Cell<bool>,
     has_served: Cell<bool>,
     /// Whether bytes were read since the last request started.
@@ -34,7 +38,8 @@
             id,
             address,
             position: Cell::new(Position::Start),
-            is_serving: Cell::new(false),
+            requests: Cell::new(0),
+            is_responding: Cell::new(false),
             is_blocked: Cell::new(false),
             has_served: Cell::new(false),
             has_read: Cell::new(false),
@@ -76,14 +81,21 @@
     /// Records that a request is being handled. Returns whether it was read together with an earlier one.
     pub(crate) fn start_request(&self) -> bool {
         let is_pipelined = !self.has_read.replace(false);
-        self.is_serving.set(true);
+        self.requests.set(self.requests.get().saturating_add(1));
+        self.is_responding.set(false);
         self.update_phase(clock::now());
         is_pipelined
     }
 
-    /// Records that a request has its response.
-    pub(crate) fn end_request(&self) {
-        self.is_serving.set(false);
+    /// Records that the head of a response is there.
+    pub(super) fn start_response(&self) {
+        self.is_responding.set(true);
+        self.update_phase(clock::now());
+    }
+
+    /// Records that the last byte of a response was taken, or that there will be none.
+    pub(super) fn end_request(&self) {
+        self.requests.set(self.requests.get().saturating_sub(1));
         self.has_served.set(true);
         self.update_phase(clock::now());
     }
@@ -131,9 +143,11 @@
     }
 
     fn update_phase(&self, now: Duration) {
-        let phase = match (self.is_blocked.get(), self.is_serving.get(), self.position.get()) {
+        let is_serving = self.requests.get() > 0;
+        let phase = match (self.is_blocked.get(), is_serving, self.position.get()) {
             (true, _, _) => Phase::Writing,
-            (false, true, Position::Body) => Phase::Body,
+            // A body that arrives while parts of a response are awaited is that of the next request.
+            (false, true, Position::Body) if !self.is_responding.get() => Phase::Body,
             (false, true, _) => Phase::Running,
             (false, false, Position::Body) => Phase::Rest,
             (false, false, Position::Head) => Phase::Head,
--- a/crates/steer/src/intake/tests.rs
+++ b/crates/steer/src/intake/tests.rs
@@ -1,4 +1,6 @@
-//! Tests of the decisions, without a network.
+//! Tests of the decisions, without a network but in [`answer`].
+
+mod answer;
 
 use std::{net::IpAddr, sync::Arc, time::Duration};
 
