--- a/crates/steer/src/feed.rs
+++ b/crates/steer/src/feed.rs
@@ -7,9 +7,11 @@
 
 mod contact;
 mod entries;
+pub mod parts;
 mod probe;
 mod questions;
 mod read;
+pub mod recent;
 pub mod relay;
 mod restore;
 
@@ -25,12 +27,14 @@
 };
 use probe::Probe;
 use read::Snapshot;
+use recent::Recent;
 use relay::{Inbox, Outstanding};
 use restore::Unconfirmed;
 use tokio::time::timeout;
 
 use crate::{
     clock,
+    codec::Subject,
     constants::{
         MAX_STORE_RETRY_DELAY, MIN_STORE_RETRY_DELAY, RELAY_WATCH_WAIT, WATCH_INTERVAL_RATIO,
         WATCH_WAIT,
@@ -39,7 +43,7 @@
     events::{Event, Rank},
     peers::Socket,
     state::{Host, State},
-    store::{Change, Client, Fault},
+    store::{Change, Client, Fault, Item},
 };
 
 /// Prefix of all keys. A single watch covers the whole store, because each open watch call costs
@@ -66,6 +70,7 @@
         recovery: Recovery::default(),
         retry_delay: MIN_STORE_RETRY_DELAY,
         read_ahead: ReadAhead::default(),
+        recent: Recent::default(),
         departures: Outbox::default(),
         probe: Probe::default(),
     };
@@ -112,6 +117,8 @@
     retry_delay: Duration,
     /// Keys whose state is later than [`Self::revision`].
     read_ahead: ReadAhead,
+    /// Changes up to [`Self::revision`], from which this host answers others.
+    recent: Recent,
     /// Departures of instances that this host has just heard of.
     departures: Outbox,
     /// Call of a store that did not serve this host.
@@ -130,6 +137,12 @@
         for received in self.inbox.take_answers() {
             self.apply_answer(received);
         }
+        for (sender, decline) in self.inbox.take_declines() {
+            self.record_decline(sender, &decline);
+        }
+        if self.schedule.is_failing() {
+            self.decline(&self.inbox.decline_questions());
+        }
         if let Some(asked_at) = self.inbox.take_asked_at() {
             self.schedule.record_question(asked_at);
         }
@@ -216,44 +229,73 @@
 
     /// Waits for changes, applies them and passes them on to the hosts that have asked for them.
     async fn watch(&mut self, wait: Duration) -> Result<(), Fault> {
-        let questions = self.inbox.take_questions(self.era, self.revision);
-        let asked = questions.iter().map(|(_, question)| question.revision);
-        let oldest = asked.fold(self.revision, u64::min);
+        let questions = self.inbox.take_questions();
         let wait = if questions.is_empty() { wait } else { RELAY_WATCH_WAIT };
-        let batch = match self.read_batch(oldest, wait).await {
-            // The changes that only other hosts are missing are gone. They have to ask the store.
-            Err(Fault::Compacted) if oldest < self.revision => {
-                self.read_batch(self.revision, wait).await?
+        let read = self.read_batch(self.revision, wait).await;
+        let checked = read.and_then(|batch| self.client.check_era(self.era).map(|()| batch));
+        let batch = match checked {
+            Ok(batch) => batch,
+            Err(fault) => {
+                self.decline(&questions);
+                return Err(fault);
             }
-            result => result?,
         };
-        self.client.check_era(self.era)?;
         self.record_response(clock::now(), self.others_after(&batch.changes));
-        self.answer(&questions, &batch);
         self.apply_changes(batch.changes, batch.until);
+        self.answer(&questions);
         Ok(())
     }
 
     /// Applies the changes that are new, in the order of their revisions.
     fn apply_changes(&mut self, changes: Vec<Change>, revision: u64) {
-        for change in changes.into_iter().filter(|change| change.revision() > self.revision) {
-            if self.read_ahead.is_over(change.key(), change.revision()) {
-                continue;
-            }
-            match change {
-                Change::Written(item) => {
-                    self.unconfirmed.confirm(&item.key);
-                    self.apply(&item);
-                }
-                Change::Removed { key, revision } => self.remove_key(&key, revision),
+        let is_plan = |change: &Change| {
+            matches!(change, Change::Written(_))
+                && (self.state.codec.parse_key)(change.key()) == Subject::Plan
+        };
+        let is_new = |change: &Change| change.revision() > self.revision;
+        let (mut plans, others): (Vec<Change>, Vec<Change>) =
+            changes.into_iter().filter(is_new).partition(is_plan);
+        let plan_revision = plans.last().map(Change::revision);
+        let mut others = others.into_iter().peekable();
+        while let Some(change) = others.next_if(|change| Some(change.revision()) < plan_revision) {
+            self.apply_change(change);
+        }
+        // The latest configuration replaces the others, unless it is invalid or of an earlier version.
+        while let Some(Change::Written(item)) = plans.pop() {
+            if self.apply_plan_item(item) {
+                break;
             }
         }
+        others.for_each(|change| self.apply_change(change));
         self.revision = self.revision.max(revision);
         self.read_ahead.reach(self.revision);
         self.state.fleet.borrow_mut().reach_revision(self.era, self.revision);
         self.departures.flush(&self.state, true);
     }
 
+    /// Applies the write of a configuration, and returns whether it is in force now.
+    fn apply_plan_item(&mut self, item: Item) -> bool {
+        let version = self.apply_configuration(&item);
+        if let Some(version) = version {
+            self.recent.record_plan(item, version);
+        }
+        version == Some(self.state.version())
+    }
+
+    /// Applies any other change.
+    fn apply_change(&mut self, change: Change) {
+        if !self.read_ahead.is_over(change.key(), change.revision()) {
+            match &change {
+                Change::Written(item) => {
+                    self.unconfirmed.confirm(&item.key);
+                    self.apply(item);
+                }
+                Change::Removed { key, revision } => self.remove_key(key, *revision),
+            }
+        }
+        self.recent.record(change);
+    }
+
     /// Applies all items, and removes the entries of [`Self::known_entries`] that are no longer in the
     /// store. Of those that a restored store lacks, none is removed at once.
     fn apply_snapshot(&mut self, snapshot: &Snapshot) {
@@ -286,6 +328,7 @@
         }
         self.state.fleet.borrow_mut().finish_initial_sync();
         self.revision = *revision;
+        self.recent.restart(*revision);
         self.state.fleet.borrow_mut().reach_revision(self.era, self.revision);
         self.departures.flush(&self.state, false);
         self.progress = Progress::Complete;
--- a/crates/steer/src/feed/entries.rs
+++ b/crates/steer/src/feed/entries.rs
@@ -47,6 +47,23 @@
         }
     }
 
+    /// Applies a configuration, and returns its version; `None` if it is invalid.
+    pub(super) fn apply_configuration(&self, item: &Item) -> Option<u64> {
+        let applied = tasks::contain(|| match (self.state.codec.decode_item)(item) {
+            Ok(Record::Plan(plan)) => {
+                let version = plan.version;
+                self.apply_plan(*plan, item.revision);
+                Ok(Some(version))
+            }
+            Ok(_) => Ok(None),
+            Err(reason) => Err(reason.to_string()),
+        });
+        applied.and_then(|result| result).unwrap_or_else(|reason| {
+            self.ignore(item, &reason);
+            None
+        })
+    }
+
     fn apply_item(&self, item: &Item) {
         match self.entry_kind(&item.key) {
             Kind::Host(name) => self.apply_host(name, item),
--- a/crates/steer/src/feed/questions.rs
+++ b/crates/steer/src/feed/questions.rs
@@ -1,11 +1,11 @@
 //! Questions to other hosts for the changes of the store, and the answers to theirs.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, slice, time::Duration};
 
 use super::{
     Feed, Progress,
-    read::Batch,
-    relay::{self, Answer, Outstanding, Question, Received},
+    parts::{self, Assembly, MAX_PARTS, PART_BYTES},
+    relay::{self, Answer, Decline, MAX_REVISIONS_WITHOUT_CHANGE, Outstanding, Question, Received},
 };
 use crate::{
     metrics,
@@ -23,57 +23,130 @@
         else {
             return;
         };
-        let question = Question { id: rand::random(), revision: self.revision, era: self.era };
+        let question = Question {
+            id: rand::random(),
+            revision: self.revision,
+            era: self.era,
+            plan: self.state.version(),
+            takes_parts: true,
+        };
         self.socket.send(&Message::Follow(question.clone()), address);
         if self.outstanding.len() >= MAX_OUTSTANDING {
             self.outstanding.remove(0);
         }
-        self.outstanding.push(Outstanding { question, relay: address, asked_at: now });
+        self.outstanding.push(Outstanding {
+            question,
+            relay: address,
+            asked_at: now,
+            assembly: Assembly::default(),
+        });
     }
 
-    /// Answers the questions of other hosts from a batch. A host that has missed changes from before it, or
-    /// knows a revision that the store has not reached, gets no answer and asks the store.
-    pub(super) fn answer(&self, questions: &[(SocketAddr, Question)], batch: &Batch) {
-        let mut payloads: BTreeMap<u64, Vec<u8>> = BTreeMap::new();
-        let is_answerable =
-            |asked: &Question| (batch.after..=batch.until).contains(&asked.revision);
-        for (host, question) in questions.iter().filter(|(_, asked)| is_answerable(asked)) {
-            let Question { id, revision: after, .. } = *question;
+    /// Answers the questions of other hosts with what this host has just read of the store.
+    pub(super) fn answer(&self, questions: &[(SocketAddr, Question)]) {
+        let mut payloads = BTreeMap::new();
+        for asked in questions {
+            let (host, question) = asked;
             let payload = payloads
-                .entry(after)
-                .or_insert_with(|| relay::encode(&batch.changes, after).unwrap_or_default());
-            let answer = Answer { id, after, until: batch.until, era: self.era };
-            let message = Message::Changes(answer);
-            let is_sent = self.socket.send_with_payload(&message, payload, *host);
-            metrics::record_relay(if is_sent { "answered" } else { "unanswered" });
+                .entry((question.era, question.revision, question.takes_parts))
+                .or_insert_with(|| self.payload(question));
+            match payload {
+                Some(payload) => self.send_answer(question, payload, *host),
+                None => self.decline(slice::from_ref(asked)),
+            }
+        }
+    }
+
+    /// Payload of the answer to a question. `None` for a host that has missed changes which this one no
+    /// longer knows, or has read further than the store that this one reads.
+    fn payload(&self, question: &Question) -> Option<Vec<u8>> {
+        let after = question.revision;
+        // An earlier version asks without an era.
+        let is_same_era = question.era == self.era || question.era.is_untold();
+        // Its receiver would not believe an answer that goes further.
+        let last = self.recent.last_revision(after);
+        let believed = last.saturating_add(MAX_REVISIONS_WITHOUT_CHANGE);
+        if !is_same_era || after > self.revision || self.revision > believed {
+            return None;
+        }
+        let payload = self.recent.payload(after, question.takes_parts)?.ok()?;
+        let max_parts = if question.takes_parts { MAX_PARTS } else { 1 };
+        (payload.len() <= max_parts * PART_BYTES).then_some(payload)
+    }
+
+    fn send_answer(&self, question: &Question, payload: &[u8], host: SocketAddr) {
+        let mut parts = parts::split(payload);
+        // The other parts are of no use without one that cannot be sent.
+        let is_sent = parts.all(|(part, bytes)| {
+            let answer = Answer {
+                id: question.id,
+                after: question.revision,
+                until: self.revision,
+                era: self.era,
+                plan: self.state.version(),
+                part,
+            };
+            self.socket.send_with_payload(&Message::Changes(answer), bytes, host)
+        });
+        metrics::record_relay(if is_sent { "answered" } else { "unanswered" });
+    }
+
+    /// Tells hosts that they get no changes, and which configuration this host has in force. An earlier
+    /// version gets no answer.
+    pub(super) fn decline(&self, questions: &[(SocketAddr, Question)]) {
+        for (host, question) in questions {
+            let outcome = if question.takes_parts { "declined" } else { "unanswered" };
+            metrics::record_relay(outcome);
+            if question.takes_parts {
+                let decline = Decline { id: question.id, plan: self.state.version() };
+                self.socket.send(&Message::Decline(decline), *host);
+            }
         }
     }
 
-    /// Applies the answer of another host to a question of this process. One that claims more than the
-    /// store can have reached is not used; the host asks the store.
+    /// Records that another host has no changes for this one. Its answer may still follow.
+    pub(super) fn record_decline(&self, sender: SocketAddr, decline: &Decline) {
+        if self.outstanding.iter().any(|asked| asked.is_declined_by(sender, decline)) {
+            self.state.hear_version(decline.plan);
+        } else {
+            record_dropped(&self.state, sender, "unasked");
+        }
+    }
+
+    /// Applies the answer of another host to a question of this process, once all parts have arrived. One
+    /// that claims more than the store can have reached is not used; the host asks the store.
     pub(super) fn apply_answer(&mut self, received: Received) {
         let asked = self.outstanding.iter().position(|asked| asked.is_answered_by(&received));
         let Some(index) = asked else {
             record_dropped(&self.state, received.sender, "unasked");
             return;
         };
+        let Received { sender, answer, payload } = received;
+        let assembled = self.outstanding[index].assembly.add(&answer, payload);
+        let Some(payload) = assembled else {
+            self.state.hear_version(answer.plan);
+            return;
+        };
         let asked_at = self.outstanding.swap_remove(index).asked_at;
-        if !received.is_plausible() {
-            record_dropped(&self.state, received.sender, "implausible");
+        let Some(changes) = relay::decode(&payload) else {
+            record_dropped(&self.state, sender, "malformed");
+            return;
+        };
+        if !answer.is_plausible(&changes) {
+            record_dropped(&self.state, sender, "implausible");
             self.schedule.record_gap();
             return;
         }
         // A relay of an earlier version tells no era. This host hears of a restore when it renews its
         // lease, and then reads everything anew.
-        let era = received.answer.era;
-        let is_other_era = era != self.era && !era.is_untold();
-        if self.progress != Progress::Complete || is_other_era {
-            return;
+        let is_other_era = answer.era != self.era && !answer.era.is_untold();
+        if self.progress == Progress::Complete && !is_other_era {
+            metrics::record_relay("followed");
+            self.schedule.record_answer(asked_at);
+            self.record_knowledge(asked_at, self.others_after(&changes));
+            self.apply_changes(changes, answer.until);
+            self.publish();
         }
-        metrics::record_relay("followed");
-        self.schedule.record_answer(asked_at);
-        self.record_knowledge(asked_at, self.others_after(&received.changes));
-        self.apply_changes(received.changes, received.answer.until);
-        self.publish();
+        self.state.hear_version(answer.plan);
     }
 }
--- a/crates/steer/src/feed/read.rs
+++ b/crates/steer/src/feed/read.rs
@@ -22,10 +22,8 @@
     pub(super) era: Era,
 }
 
-/// All changes from one revision to another.
+/// All changes after a revision.
 pub(super) struct Batch {
-    /// Revision after which the changes begin.
-    pub(super) after: u64,
     pub(super) changes: Vec<Change>,
     /// Revision up to which they are complete.
     pub(super) until: u64,
@@ -60,7 +58,7 @@
         let reply = self.client.call(&Call::Watch { prefix, after, wait }).await;
         metrics::record_store_call("watch", reply.is_ok());
         match reply? {
-            Reply::Changes { changes, revision: until } => Ok(Batch { after, changes, until }),
+            Reply::Changes { changes, revision: until } => Ok(Batch { changes, until }),
             _ => Err(Fault::Malformed("the response has no changes".to_owned())),
         }
     }
--- a/crates/steer/src/feed/relay.rs
+++ b/crates/steer/src/feed/relay.rs
@@ -1,8 +1,8 @@
 //! Changes of the store that one host asks for and passes on to others.
 //!
 //! [`marjorampick_core::steering::relay`] decides who asks whom and when. A question says up to which
-//! revision its sender has all changes, so that an answer needs no state of its own at the relay: it holds
-//! what the store reports after that revision.
+//! revision its sender has all changes, and an answer holds those after it ([`super::recent`]). Each message
+//! also tells which configuration its sender has in force.
 
 use std::{
     cell::{Cell, RefCell},
@@ -12,11 +12,12 @@
 };
 
 use base64::{Engine as _, engine::general_purpose::STANDARD};
-use flate2::{Compression, read::ZlibDecoder, write::ZlibEncoder};
+use flate2::{Compression, bufread::ZlibDecoder, write::ZlibEncoder};
 use marjorampick_core::steering::history::Era;
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
+use super::parts::{Assembly, MAX_PARTS, Part};
 use crate::{
     clock,
     store::{Change, Item},
@@ -29,14 +30,11 @@
 /// after an outage all of them would answer with the same changes.
 const MAX_QUESTION_AGE: Duration = Duration::from_secs(2);
 
-/// Most answers that wait until the feed applies them; further ones are dropped.
-const MAX_ANSWERS: usize = 16;
-
-/// Revisions by which the sender of a question may be behind. One that is further behind asks the store.
-const MAX_LAG: u64 = 500;
+/// Most answers, and parts of them, that wait until the feed applies them; further ones are dropped.
+const MAX_ANSWERS: usize = 2 * MAX_PARTS;
 
 /// Revisions of the store that may come without a change, such as those of leases.
-const MAX_REVISIONS_WITHOUT_CHANGE: u64 = 1000;
+pub(super) const MAX_REVISIONS_WITHOUT_CHANGE: u64 = 1000;
 
 /// Largest decompressed payload, in bytes.
 const MAX_PAYLOAD_BYTES: u64 = 4 * 1024 * 1024;
@@ -52,6 +50,13 @@
     /// Era of that revision; untold by earlier versions.
     #[serde(default, skip_serializing_if = "Era::is_untold")]
     pub era: Era,
+    /// Version of the configuration in force; 0 without one, and of earlier versions.
+    #[serde(default)]
+    pub plan: u64,
+    /// Whether that host takes answers in parts, payloads of several streams, and [`Decline`]; earlier
+    /// versions do not.
+    #[serde(default)]
+    pub takes_parts: bool,
 }
 
 /// Answers a question. The changes follow as the payload of the message, see [`encode`].
@@ -67,6 +72,21 @@
     /// Era of the changes; untold by earlier versions.
     #[serde(default, skip_serializing_if = "Era::is_untold")]
     pub era: Era,
+    /// Version of the configuration in force; 0 without one, and of earlier versions.
+    #[serde(default)]
+    pub plan: u64,
+    /// Which part of the payload follows; `None` if all of it does.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub part: Option<Part>,
+}
+
+/// Tells the sender of a question that it gets no changes. It says nothing of what the store holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Decline {
+    /// [`Question::id`] of the question.
+    pub id: u64,
+    /// Version of the configuration in force; 0 without one.
+    pub plan: u64,
 }
 
 /// Change of one key in a payload.
@@ -109,29 +129,41 @@
     }
 }
 
-/// Encodes the changes after a revision as compressed JSON. A large configuration would take a slow link
-/// of the relay for a second otherwise.
-pub fn encode(changes: &[Change], after: u64) -> io::Result<Vec<u8>> {
-    let later = changes.iter().filter(|change| change.revision() > after);
-    let wire: Vec<WireChange> = later.map(WireChange::from).collect();
+/// Encodes changes as compressed JSON. A large configuration would take a slow link of the relay for a second
+/// otherwise.
+pub fn encode<'a>(changes: impl IntoIterator<Item = &'a Change>) -> io::Result<Vec<u8>> {
+    let wire: Vec<WireChange> = changes.into_iter().map(WireChange::from).collect();
     let mut encoder = ZlibEncoder::new(Vec::new(), Compression::fast());
     serde_json::to_writer(&mut encoder, &wire)?;
     encoder.finish()
 }
 
-/// Decodes what [`encode`] returned; `None` if it is malformed or too long.
+/// Decodes what [`encode`] returned, once or several times one after the other; `None` if it is malformed or
+/// too long. The changes are in the order of their revisions.
 pub fn decode(payload: &[u8]) -> Option<Vec<Change>> {
-    let reader = ZlibDecoder::new(payload).take(MAX_PAYLOAD_BYTES);
-    let wire: Vec<WireChange> = serde_json::from_reader(io::BufReader::new(reader)).ok()?;
-    Some(wire.into_iter().map(WireChange::into_change).collect())
+    let mut changes = Vec::new();
+    let (mut rest, mut allowed_bytes) = (payload, MAX_PAYLOAD_BYTES);
+    loop {
+        let mut decoder = ZlibDecoder::new(rest);
+        let reader = io::BufReader::new(decoder.by_ref().take(allowed_bytes));
+        let wire: Vec<WireChange> = serde_json::from_reader(reader).ok()?;
+        changes.extend(wire.into_iter().map(WireChange::into_change));
+        allowed_bytes = allowed_bytes.saturating_sub(decoder.total_out());
+        rest = rest.get(usize::try_from(decoder.total_in()).ok()?..)?;
+        if rest.is_empty() {
+            break;
+        }
+    }
+    changes.sort_by_key(Change::revision);
+    Some(changes)
 }
 
-/// Answer of another host.
+/// Answer of another host, or a part of it.
 #[derive(Debug)]
 pub(crate) struct Received {
     pub(crate) sender: SocketAddr,
     pub(crate) answer: Answer,
-    pub(crate) changes: Vec<Change>,
+    pub(crate) payload: Vec<u8>,
 }
 
 /// Question of this host that has no answer yet.
@@ -141,6 +173,8 @@
     /// Address of the host that was asked.
     pub(super) relay: SocketAddr,
     pub(super) asked_at: Duration,
+    /// Parts of the answer that have arrived.
+    pub(super) assembly: Assembly,
 }
 
 impl Outstanding {
@@ -151,14 +185,19 @@
             && self.question.id == answer.id
             && self.question.revision == answer.after
     }
+
+    /// Whether this question was declined.
+    pub(super) fn is_declined_by(&self, sender: SocketAddr, decline: &Decline) -> bool {
+        self.relay == sender && self.question.id == decline.id
+    }
 }
 
-impl Received {
-    /// Whether the store can have reached the revision up to which the changes are complete: it counts
+impl Answer {
+    /// Whether the store can have reached the revision up to which these changes are complete: it counts
     /// one revision for each change.
-    pub(super) fn is_plausible(&self) -> bool {
-        let last = self.changes.iter().map(Change::revision).fold(self.answer.after, u64::max);
-        self.answer.until <= last.saturating_add(MAX_REVISIONS_WITHOUT_CHANGE)
+    pub(super) fn is_plausible(&self, changes: &[Change]) -> bool {
+        let last = changes.iter().map(Change::revision).fold(self.after, u64::max);
+        self.until <= last.saturating_add(MAX_REVISIONS_WITHOUT_CHANGE)
     }
 }
 
@@ -168,6 +207,8 @@
     sender: SocketAddr,
     question: Question,
     since: Duration,
+    /// Whether its sender was told to ask another host.
+    is_declined: bool,
 }
 
 /// Messages of other hosts about changes of the store, until the feed takes them.
@@ -175,6 +216,7 @@
 pub struct Inbox {
     questions: RefCell<Vec<Waiting>>,
     answers: RefCell<Vec<Received>>,
+    declines: RefCell<Vec<(SocketAddr, Decline)>>,
     /// When the last question arrived.
     asked_at: Cell<Option<Duration>>,
     arrived: Notify,
@@ -187,7 +229,7 @@
         let now = clock::now();
         questions.retain(|other| other.sender != sender);
         if questions.len() < MAX_QUESTIONS {
-            questions.push(Waiting { sender, question, since: now });
+            questions.push(Waiting { sender, question, since: now, is_declined: false });
         }
         self.asked_at.set(Some(now));
         self.arrived.notify_one();
@@ -202,6 +244,15 @@
         self.arrived.notify_one();
     }
 
+    /// Adds a message that declines a question.
+    pub(crate) fn add_decline(&self, sender: SocketAddr, decline: Decline) {
+        let mut declines = self.declines.borrow_mut();
+        if declines.len() < MAX_ANSWERS {
+            declines.push((sender, decline));
+        }
+        self.arrived.notify_one();
+    }
+
     /// Wakes the feed.
     pub(super) fn wake(&self) {
         self.arrived.notify_one();
@@ -217,25 +268,34 @@
         self.asked_at.take()
     }
 
-    /// Takes the questions of hosts that have most changes up to `revision` of `era`, and still wait.
-    pub(super) fn take_questions(&self, era: Era, revision: u64) -> Vec<(SocketAddr, Question)> {
+    /// Takes the questions of hosts that still wait.
+    pub(super) fn take_questions(&self) -> Vec<(SocketAddr, Question)> {
         let oldest = clock::now().saturating_sub(MAX_QUESTION_AGE);
-        let is_answerable = |waiting: &Waiting| {
-            let asked = &waiting.question;
-            // An earlier version asks without an era.
-            let is_same_era = asked.era == era || asked.era.is_untold();
-            let is_recent = asked.revision.saturating_add(MAX_LAG) >= revision;
-            waiting.since >= oldest && is_same_era && is_recent
-        };
-        let waiting = self.questions.take().into_iter().filter(is_answerable);
+        let waiting = self.questions.take().into_iter().filter(|waiting| waiting.since >= oldest);
         waiting.map(|waiting| (waiting.sender, waiting.question)).collect()
     }
 
+    /// Questions that have not been declined yet. They go on waiting for an answer.
+    pub(super) fn decline_questions(&self) -> Vec<(SocketAddr, Question)> {
+        let mut questions = self.questions.borrow_mut();
+        let undeclined = questions.iter_mut().filter(|waiting| !waiting.is_declined);
+        let declined = undeclined.map(|waiting| {
+            waiting.is_declined = true;
+            (waiting.sender, waiting.question.clone())
+        });
+        declined.collect()
+    }
+
     /// Takes the answers.
     pub(super) fn take_answers(&self) -> Vec<Received> {
         self.answers.take()
     }
 
+    /// Takes the messages that decline questions of this host.
+    pub(super) fn take_declines(&self) -> Vec<(SocketAddr, Decline)> {
+        self.declines.take()
+    }
+
     /// Waits until a message arrives.
     pub(super) async fn arrived(&self) {
         self.arrived.notified().await;
--- a/crates/steer/src/peers.rs
+++ b/crates/steer/src/peers.rs
@@ -11,12 +11,13 @@
 use eyre::WrapErr as _;
 use marjorampick_core::steering::departure::Departure;
 use serde::{Deserialize, Serialize};
+use socket2::SockRef;
 use tokio::{net::UdpSocket, sync::mpsc};
 
 use crate::{
     departures,
     events::{Event, Rank},
-    feed::relay::{self, Answer, Inbox, Question, Received},
+    feed::relay::{Answer, Decline, Inbox, Question, Received},
     lending::Lending,
     limits, metrics,
     quarantine::{self, Notice},
@@ -27,6 +28,9 @@
 /// Largest datagram, in bytes.
 pub(crate) const MAX_DATAGRAM_BYTES: usize = 60_000;
 
+/// Datagrams that wait until this host reads them, in bytes. The kernel may allow less.
+const RECEIVE_BUFFER_BYTES: usize = 1024 * 1024;
+
 /// Message between two hosts, encoded as JSON. A payload follows after a line break.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -51,6 +55,8 @@
     Follow(Question),
     /// Answers [`Self::Follow`]. The payload holds the changes.
     Changes(Answer),
+    /// Declines [`Self::Follow`]. Earlier versions know no such message and get none.
+    Decline(Decline),
     /// Announces the limit that an instance has just stated.
     Limit(Limit),
     /// Tells of a request that crashes instances.
@@ -79,6 +85,9 @@
     pub async fn open(address: SocketAddr) -> eyre::Result<Self> {
         let socket = UdpSocket::bind(address).await;
         let socket = socket.wrap_err_with(|| format!("cannot bind the UDP socket to {address}"))?;
+        if let Err(error) = SockRef::from(&socket).set_recv_buffer_size(RECEIVE_BUFFER_BYTES) {
+            log::debug!("peers: cannot enlarge the receive buffer: {error}");
+        }
         Ok(Self(socket))
     }
 
@@ -165,11 +174,14 @@
             lending.lend(state, id, &workspace, tokens, *sender);
         }
         Ok(Message::Lend { id, tokens }) => lending.accept_loan(state, id, tokens),
-        Ok(Message::Follow(question)) => inbox.add_question(question, *sender),
-        Ok(Message::Changes(answer)) => match relay::decode(payload) {
-            Some(changes) => inbox.add_answer(Received { sender: *sender, answer, changes }),
-            None => record_dropped(state, *sender, "malformed"),
-        },
+        Ok(Message::Follow(question)) => {
+            state.hear_version(question.plan);
+            inbox.add_question(question, *sender);
+        }
+        Ok(Message::Changes(answer)) => {
+            inbox.add_answer(Received { sender: *sender, answer, payload: payload.to_vec() });
+        }
+        Ok(Message::Decline(decline)) => inbox.add_decline(*sender, decline),
         Ok(Message::Limit(limit)) => limits::apply_message(state, &limit, host),
         Ok(Message::Quarantine(notice)) => quarantine::apply_notice(state, &notice, host),
         Ok(Message::Leaving(instances)) => departures::apply(state, &instances, host),
--- a/crates/steer/tests/relay.rs
+++ b/crates/steer/tests/relay.rs
@@ -1,12 +1,19 @@
 //! Tests the encoding of changes that hosts pass on.
 
+use std::io::Read as _;
+
+use marjorampick_core::steering::history::Era;
 use marjorampick_steer::{
-    feed::relay,
+    feed::{
+        parts::{self, Assembly, MAX_PARTS, PART_BYTES, Part},
+        recent::Recent,
+        relay::{self, Answer, Question},
+    },
     store::{Change, Item},
 };
 
 fn written(key: &str, value: &[u8], revision: u64) -> Change {
-    Change::Written(Item { key: key.to_owned(), value: value.to_vec(), revision })
+    Change::Written(written_item(key, value, revision))
 }
 
 /// A value may be any bytes, as others write to the store, too; it must arrive as it was.
@@ -14,9 +21,9 @@
 fn changes_arrive_as_they_were() {
     let removed = Change::Removed { key: "c".to_owned(), revision: 9 };
     let changes = [written("a", b"old", 3), written("b", &[0xff, 0, b'\n'], 7), removed];
-    let payload = relay::encode(&changes, 3).unwrap();
+    let payload = relay::encode(&changes[1..]).unwrap();
     assert_eq!(relay::decode(&payload).unwrap(), changes[1..]);
-    assert_eq!(relay::decode(&relay::encode(&[], 0).unwrap()), Some(Vec::new()));
+    assert_eq!(relay::decode(&relay::encode(&[]).unwrap()), Some(Vec::new()));
 }
 
 /// A configuration of 60 KB must fit into a datagram, so that not every host has to ask the store.
@@ -29,19 +36,122 @@
     });
     let text: String = workspaces.collect();
     assert!(text.len() > 30_000);
-    let payload = relay::encode(&[written("op/config", text.as_bytes(), 2)], 1).unwrap();
+    let payload = relay::encode(&[written("op/config", text.as_bytes(), 2)]).unwrap();
     assert!(payload.len() < text.len() / 3, "{} bytes of {}", payload.len(), text.len());
 }
 
 /// Malformed payloads, and such that grow without end, are not used.
 #[test]
 fn malformed_payloads_are_ignored() {
-    let payload = relay::encode(&[written("a", b"x", 3)], 0).unwrap();
+    let payload = relay::encode(&[written("a", b"x", 3)]).unwrap();
     assert_eq!(relay::decode(&payload[..payload.len() / 2]), None);
     assert_eq!(relay::decode(b""), None);
     assert_eq!(relay::decode(b"[]"), None);
     let zeros = vec![b'0'; 5 * 1024 * 1024];
-    let bomb = relay::encode(&[written("a", &zeros, 3)], 0).unwrap();
+    let bomb = relay::encode(&[written("a", &zeros, 3)]).unwrap();
     assert!(bomb.len() < 60_000);
     assert_eq!(relay::decode(&bomb), None);
 }
+
+/// A host of an earlier version must get all changes in one stream, as it reads no second one.
+#[test]
+fn an_earlier_version_reads_all_changes() {
+    let mut recent = Recent::default();
+    recent.restart(2);
+    recent.record(written("a", b"1", 3));
+    recent.record_plan(written_item("op/config", b"{}", 4), 1);
+    let payload = recent.payload(2, false).unwrap().unwrap();
+    let mut text = String::new();
+    flate2::read::ZlibDecoder::new(&payload[..]).read_to_string(&mut text).unwrap();
+    assert!(text.contains("\"a\"") && text.contains("op/config"), "{text}");
+    assert_eq!(relay::decode(&payload), decoded(&recent, 2));
+}
+
+/// An answer held every configuration that its receiver had missed; it must hold the last one, and all
+/// other changes: a removal that a write followed tells of the end of a lease.
+#[test]
+fn an_answer_holds_the_last_configuration_and_all_other_changes() {
+    let mut recent = Recent::default();
+    recent.restart(2);
+    let removed = Change::Removed { key: "a".to_owned(), revision: 4 };
+    for version in [3, 5, 7] {
+        recent.record_plan(
+            written_item("op/config", &[b'0' + version], version.into()),
+            version.into(),
+        );
+    }
+    // Hosts do not go back to an earlier version.
+    recent.record_plan(written_item("op/config", b"3", 8), 3);
+    recent.record(removed.clone());
+    recent.record(written("a", b"2", 6));
+    let last = written("op/config", b"7", 7);
+    let expected = vec![removed, written("a", b"2", 6), last.clone()];
+    assert_eq!(decoded(&recent, 2), Some(expected));
+    assert_eq!(decoded(&recent, 6), Some(vec![last]));
+    assert_eq!(decoded(&recent, 7), Some(Vec::new()));
+    assert_eq!(decoded(&recent, 1), None, "a change before the first one is unknown");
+}
+
+/// A host that has missed changes that are no longer kept must not be told that there were none.
+#[test]
+fn changes_that_were_dropped_are_not_passed_over() {
+    const CHANGES: u64 = 10_000;
+    let mut recent = Recent::default();
+    for revision in 1..=CHANGES {
+        recent.record(written("a", b"x", revision));
+    }
+    let first_known = (0..CHANGES).find(|after| decoded(&recent, *after).is_some()).unwrap();
+    assert!(first_known > 0);
+    let kept = decoded(&recent, first_known).unwrap();
+    assert_eq!(kept.len() as u64, CHANGES - first_known);
+    recent.record(written("a", &[b'x'; 2 * 1024 * 1024], CHANGES + 1));
+    assert_eq!(decoded(&recent, CHANGES), None);
+    recent.restart(1);
+    assert_eq!(decoded(&recent, 1), Some(Vec::new()));
+}
+
+/// Parts may arrive in any order and more than once, and some may be lost; those of different answers must
+/// never be taken for one.
+#[test]
+fn parts_make_a_payload_only_if_all_of_one_answer_arrive() {
+    let payload: Vec<u8> = (0..PART_BYTES * 2 + 7).map(|index| (index % 251) as u8).collect();
+    let pieces: Vec<_> = parts::split(&payload).collect();
+    assert_eq!(pieces.len(), 3);
+    let answer = |until, index: usize| Answer { part: pieces[index].0, ..whole_answer(until) };
+    let mut assembly = Assembly::default();
+    let mut add =
+        |until, index: usize| assembly.add(&answer(until, index), pieces[index].1.to_vec());
+    assert_eq!([add(8, 0), add(8, 1), add(9, 2), add(9, 2), add(9, 0)], [const { None }; 5]);
+    assert_eq!(add(9, 1), Some(payload.clone()));
+    for (index, count) in [(3, 3), (0, 0), (0, usize::MAX), (MAX_PARTS, MAX_PARTS + 1)] {
+        let answer = Answer { part: Some(Part { index, count }), ..whole_answer(9) };
+        assert_eq!(Assembly::default().add(&answer, Vec::new()), None);
+    }
+    assert_eq!(Assembly::default().add(&whole_answer(9), vec![1]), Some(vec![1]));
+}
+
+/// Hosts of an earlier version state neither a configuration nor whether they take parts, and must be able
+/// to read an answer that is not in parts.
+#[test]
+fn messages_of_earlier_versions_are_read() {
+    let question = r#"{"asked_at":1,"revision":2}"#;
+    let question: Question = serde_json::from_str(question).unwrap();
+    assert_eq!((question.plan, question.takes_parts), (0, false));
+    let answer = r#"{"asked_at":1,"after":2,"until":9,"era":3}"#;
+    let answer: Answer = serde_json::from_str(answer).unwrap();
+    assert_eq!((answer.plan, answer.part), (0, None));
+    assert!(!serde_json::to_string(&whole_answer(9)).unwrap().contains("part"));
+}
+
+fn whole_answer(until: u64) -> Answer {
+    Answer { id: 1, after: 2, until, era: Era(3), plan: 4, part: None }
+}
+
+fn written_item(key: &str, value: &[u8], revision: u64) -> Item {
+    Item { key: key.to_owned(), value: value.to_vec(), revision }
+}
+
+fn decoded(recent: &Recent, after: u64) -> Option<Vec<Change>> {
+    let payload = recent.payload(after, true)?.unwrap();
+    Some(relay::decode(&payload).unwrap())
+}
