--- a/crates/steer/src/feed/read.rs
+++ b/crates/steer/src/feed/read.rs
@@ -25,10 +25,8 @@
     pub(super) era: Era,
 }
 
-/// All changes from one revision to another.
+/// All changes after a revision.
 pub(super) struct Batch {
-    /// Revision after which the changes begin.
-    pub(super) after: u64,
     pub(super) changes: Vec<Change>,
     /// Revision up to which they are complete.
     pub(super) until: u64,
@@ -72,7 +70,7 @@
         let reply = self.client.call_up_to(&call, self.max_history_bytes()).await;
         metrics::record_store_call("watch", reply.is_ok());
         match reply? {
-            Reply::Changes { changes, revision: until } => Ok(Batch { after, changes, until }),
+            Reply::Changes { changes, revision: until } => Ok(Batch { changes, until }),
             _ => Err(Fault::Malformed("the response has no changes".to_owned())),
         }
     }
