steer: an instance that has left stays away when its entry returns

Cause: the removal dropped the instance and left no trace, so that its return was taken for a new instance.

Change: core::steering::departure remembers the start whose registration ended while the store was there. When the registration returns, that start gets no request until it has stood for 7 s, as far as the host has read: the store removes an entry of which it hears nothing after three heartbeats, so a longer one has an instance that reports itself. A silence, a restore or another removal begin the time anew. A later start, and entries that are missing after an outage or that another writer spoiled, count at once as before. Such an instance is no capacity of its side either. New log line instance_returned.

--- a/crates/core/src/steering/fleet.rs
+++ b/crates/core/src/steering/fleet.rs
@@ -194,6 +194,7 @@
         let id = endpoint.id.clone();
         self.service_by_id.insert(id.clone(), endpoint.service.clone());
         self.limits.restart(&id, endpoint.incarnation);
+        self.departures.stand(now, &id, endpoint.incarnation);
         // Whatever becomes of its entry, this start has said that it leaves.
         if endpoint.is_draining {
             let Endpoint { incarnation, address, .. } = endpoint;
@@ -241,9 +242,11 @@
         is_changed
     }
 
-    /// Handles the removal of an instance's registration. The instance is kept until `expires_at`,
-    /// in case it registers again, or removed at once if that is `None`.
+    /// Handles the loss of an instance's registration that does not say that the instance left, see
+    /// [`Self::depart`]. The instance is kept until `expires_at`, in case it registers again, or removed at
+    /// once if that is `None`.
     pub fn deregister(&mut self, id: &str, expires_at: Option<Duration>) {
+        self.departures.miss(id);
         match (expires_at, self.instance(id)) {
             (Some(expires_at), Some(instance)) => {
                 instance.expires_at.get_or_insert(expires_at);
--- a/crates/core/src/steering/fleet/choice.rs
+++ b/crates/core/src/steering/fleet/choice.rs
@@ -146,7 +146,9 @@
         candidates: &[&Instance],
     ) -> bool {
         let is_local = |instance: &&Instance| instance.is_local;
-        let is_serving = |instance: &Instance| is_serving(now, &self.evacuated_domains, instance);
+        let is_serving = |instance: &Instance| {
+            is_serving(now, &self.evacuated_domains, instance) && !self.is_leaving(now, instance)
+        };
         let has_serving_local = upstream.instances.iter().filter(is_local).any(is_serving);
         has_serving_local && !candidates.iter().any(is_local)
     }
--- a/crates/core/src/steering/fleet/departures.rs
+++ b/crates/core/src/steering/fleet/departures.rs
@@ -1,4 +1,4 @@
-//! Announcements of other hosts that instances leave, applied to the choice of an instance.
+//! Departures of instances, read or announced by other hosts, applied to the choice of an instance.
 
 use std::time::Duration;
 
@@ -24,6 +24,30 @@
         (!self.departures.is_announced(&departure)).then_some(departure)
     }
 
+    /// Handles the end of an instance's registration while the store was there: this start has left, whatever
+    /// brings its registration back, unless it stands for [`STANDING_TIME`] again.
+    ///
+    /// [`STANDING_TIME`]: crate::steering::departure::STANDING_TIME
+    pub fn depart(&mut self, now: Duration, id: &str) {
+        self.departures.miss(id);
+        let start = self.endpoint(id).map(|endpoint| (endpoint.id.clone(), endpoint.incarnation));
+        if let Some((id, incarnation)) = start {
+            self.departures.end(now, &id, incarnation);
+            self.remove(&id);
+        }
+    }
+
+    /// Records that this host has learned what the store holds, after a silence of this length.
+    pub fn learn_registrations(&mut self, now: Duration, silence: Duration) {
+        self.departures.learn(now, silence);
+    }
+
+    /// Whether this start of the instance has left, though it is registered.
+    pub fn has_departed(&self, now: Duration, id: &str) -> bool {
+        let endpoint = self.endpoint(id);
+        endpoint.is_some_and(|endpoint| self.departures.contains(now, id, endpoint.incarnation))
+    }
+
     /// Whether an instance with this id is known.
     pub fn contains(&self, id: &str) -> bool {
         self.service_by_id.contains_key(id)
--- a/crates/core/src/steering/fleet/side.rs
+++ b/crates/core/src/steering/fleet/side.rs
@@ -11,7 +11,7 @@
     choice::DEFAULT_RESPONSE_SECONDS,
     upstream::Upstream,
 };
-use crate::steering::contention::Standing;
+use crate::steering::{contention::Standing, instance::Instance};
 
 /// Initial local share of a service's requests, relative to the share that the slots of the own
 /// region can serve if all regions receive the same number of requests.
@@ -97,7 +97,13 @@
         let response = upstream.response_seconds.unwrap_or(DEFAULT_RESPONSE_SECONDS);
         let (mut local, mut remote) = (Side::default(), Side::default());
         let instances = upstream.instances.iter();
-        for instance in instances.filter(|i| is_serving(now, &self.evacuated_domains, i)) {
+        let departures = &self.departures;
+        let has_left = |instance: &Instance| {
+            departures.contains(now, &instance.endpoint.id, instance.endpoint.incarnation)
+        };
+        let serving =
+            instances.filter(|i| is_serving(now, &self.evacuated_domains, i) && !has_left(i));
+        for instance in serving {
             let side = if instance.is_local { &mut local } else { &mut remote };
             let slots = f64::from(instance.endpoint.slots);
             let limit = self.limits.rate(&instance.endpoint.id);
--- a/crates/core/src/steering/tests/departure.rs
+++ b/crates/core/src/steering/tests/departure.rs
@@ -9,8 +9,8 @@
 
 use super::{
     super::{
-        departure::{Departure, MAX_TIME},
-        fleet::Criteria,
+        departure::{Departure, MAX_TIME, STANDING_TIME},
+        fleet::{Choice, Criteria, Fleet},
         history::Era,
         instance::Endpoint,
     },
@@ -20,6 +20,9 @@
 /// Era of the store before any restore.
 const ERA: Era = Era(1);
 
+/// Time between two reads of the store, and more.
+const SECOND: Duration = Duration::from_secs(1);
+
 fn departure(incarnation: u64, revision: u64) -> Departure {
     Departure { id: name("n1"), incarnation, revision, era: ERA }
 }
@@ -101,6 +104,62 @@
     assert!(fleet.choose(at(10_000), &criteria).is_ok(), "a later one");
 }
 
+/// A registration that a restore of the store or a late heartbeat had brought back counted at once (review/2).
+/// It counts for a live instance that was cut off from the store, once it has stood without a gap.
+#[test]
+fn a_departed_instance_that_is_registered_again_must_stand_first() {
+    let mut fleet = four_instances();
+    let choice = fleet.choose(at(0), &criteria()).unwrap();
+    let registered = endpoint(&choice.id, "north-a");
+    let learn_until = |fleet: &mut Fleet, from: u64, until: Duration| {
+        let times = (1..).map(|second| at(from + second * 1_000));
+        times.take_while(|now| *now <= until).for_each(|now| {
+            fleet.register(now, registered.clone());
+            fleet.learn_registrations(now, SECOND);
+            assert!(!fleet.may_send(now, &choice), "at {now:?}");
+        });
+        fleet.learn_registrations(until, SECOND);
+    };
+    fleet.depart(at(0), &choice.id);
+    fleet.remove_expired(at(2_000));
+    fleet.register(at(2_700), registered.clone());
+    learn_until(&mut fleet, 2_700, at(2_700) + STANDING_TIME - SECOND);
+    // The instance, or the platform, has removed it again, also while entries may be missing by an outage.
+    fleet.deregister(&choice.id, Some(at(10_000)));
+    fleet.learn_registrations(at(9_700), SECOND);
+    assert!(!fleet.may_send(at(9_700), &choice), "it is missing");
+    fleet.register(at(9_800), registered.clone());
+    learn_until(&mut fleet, 9_800, at(9_800) + STANDING_TIME - SECOND);
+    fleet.depart(at(16_000), &choice.id);
+    fleet.register(at(16_000), registered.clone());
+    // The host does not hear whether it stands.
+    fleet.learn_registrations(at(60_000), Duration::from_secs(44));
+    assert!(!fleet.may_send(at(60_000), &choice), "after an outage");
+    let counts_at = at(60_000) + STANDING_TIME;
+    fleet.learn_registrations(counts_at - at(1), SECOND);
+    assert!(!fleet.may_send(counts_at, &choice), "nothing was read");
+    fleet.learn_registrations(counts_at, SECOND);
+    assert!(fleet.may_send(counts_at, &choice), "a live instance");
+}
+
+/// Only the end of a registration while the store was there says that this start has left.
+#[test]
+fn an_instance_that_has_not_departed_counts_at_once() {
+    let mut fleet = four_instances();
+    let choice = fleet.choose(at(0), &criteria()).unwrap();
+    for expires_at in [Some(at(2_300)), None] {
+        fleet.deregister(&choice.id, expires_at);
+        fleet.register(at(100), endpoint(&choice.id, "north-a"));
+        assert!(fleet.may_send(at(100), &choice), "missing until {expires_at:?}");
+    }
+    fleet.depart(at(200), &choice.id);
+    let later = Endpoint { incarnation: 2, ..endpoint(&choice.id, "north-a") };
+    fleet.register(at(300), later);
+    assert!(fleet.may_send(at(300), &Choice { incarnation: 2, ..choice.clone() }), "a later start");
+    fleet.register(at(400), endpoint(&choice.id, "north-a"));
+    assert!(!fleet.may_send(at(400), &choice), "an entry of the start that left");
+}
+
 /// What goes wrong in a replay.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Trouble {
--- a/crates/steer/src/events.rs
+++ b/crates/steer/src/events.rs
@@ -165,6 +165,13 @@
         /// Revision of the change in the store.
         revision: u64,
     },
+    /// The registration of an instance that has left stands in the store again. It does not count yet.
+    InstanceReturned {
+        /// Id of the instance.
+        id: &'a str,
+        /// Revision of the change in the store.
+        revision: u64,
+    },
     /// The registration of an instance was removed, or did not return after an outage.
     InstanceGone {
         /// Id of the instance.
--- a/crates/steer/src/feed/contact.rs
+++ b/crates/steer/src/feed/contact.rs
@@ -37,6 +37,7 @@
         if self.progress == Progress::Complete {
             self.recovery.record(now, silence, others);
         }
+        self.state.fleet.borrow_mut().learn_registrations(now, silence);
         self.last_response_at = self.last_response_at.max(at);
         self.state.store_last_response_at.set(self.last_response_at);
         silence
--- a/crates/steer/src/feed/entries.rs
+++ b/crates/steer/src/feed/entries.rs
@@ -178,6 +178,10 @@
             };
             self.state.log.write(Rank::Notice, event);
         }
+        if is_changed && self.state.fleet.borrow().has_departed(clock::now(), &endpoint.id) {
+            let event = Event::InstanceReturned { id: &endpoint.id, revision };
+            self.state.log.write(Rank::Notice, event);
+        }
     }
 
     /// Logs an invalid item. An instance with an invalid item is removed, even if an earlier
@@ -185,8 +189,9 @@
     fn ignore(&self, item: &Item, reason: &str) {
         let event = Event::Ignored { key: &item.key, reason, revision: item.revision };
         self.state.log.write(Rank::Notice, event);
-        if let subject @ Subject::Instance(_) = (self.state.codec.parse_key)(&item.key) {
-            self.remove_entry(&Kind::Platform(subject), item.revision);
+        if let Subject::Instance(id) = (self.state.codec.parse_key)(&item.key) {
+            // The next heartbeat may write it again, so that this is no departure.
+            self.remove_instance(&id, item.revision, false);
         }
     }
 
@@ -231,16 +236,7 @@
             Kind::Limit(id) => limits::remove_record(&self.state, id, revision),
             Kind::Sentence(request) => quarantine::remove_record(&self.state, *request),
             Kind::Platform(Subject::Instance(id)) => {
-                let is_known = self.state.fleet.borrow().contains(id);
-                if expires_at.is_none() && !self.state.fleet.borrow().is_draining(id) {
-                    self.departures.add(&self.state, id, self.era, revision);
-                }
-                self.state.fleet.borrow_mut().deregister(id, expires_at);
-                let reason =
-                    if expires_at.is_some() { "missing after an outage" } else { "removed" };
-                if is_known {
-                    self.state.log.write(Rank::Notice, Event::InstanceGone { id, reason });
-                }
+                self.remove_instance(id, revision, true);
             }
             Kind::Platform(Subject::Evacuation(domain)) => {
                 self.set_evacuated(domain, false, revision);
@@ -250,6 +246,25 @@
         }
     }
 
+    /// Removes an instance whose entry is gone or, if not `is_gone`, cannot be read.
+    fn remove_instance(&self, id: &str, revision: u64, is_gone: bool) {
+        let now = clock::now();
+        let expires_at = self.recovery.reregistration_deadline(now);
+        let is_known = self.state.fleet.borrow().contains(id);
+        if expires_at.is_none() && !self.state.fleet.borrow().is_draining(id) {
+            self.departures.add(&self.state, id, self.era, revision);
+        }
+        let mut fleet = self.state.fleet.borrow_mut();
+        match expires_at {
+            None if is_gone => fleet.depart(now, id),
+            _ => fleet.deregister(id, expires_at),
+        }
+        let reason = if expires_at.is_some() { "missing after an outage" } else { "removed" };
+        if is_known {
+            self.state.log.write(Rank::Notice, Event::InstanceGone { id, reason });
+        }
+    }
+
     /// Returns the instances, evacuations, hosts, limits and condemned requests that this host knows from
     /// earlier reads and changes, but not the seats.
     pub(super) fn known_entries(&self) -> Vec<Entry> {
--- a/crates/steer/src/feed/restore.rs
+++ b/crates/steer/src/feed/restore.rs
@@ -4,13 +4,16 @@
 //! write it again: registrations of instances and hosts up to [`REREGISTRATION_GRACE`], evacuations up to
 //! [`REWRITE_TIME`], limits and condemned requests until a host that knows them has written them. What the
 //! copy holds and this host knows to be over does not return: configurations are compared by their version,
-//! departures by the start of the instance. See docs/incidents/inc-restored-store.md.
+//! departures by the start of the instance (`core::steering::departure`). See docs/incidents/inc-restored-store.md.
 //!
 //! [`REREGISTRATION_GRACE`]: marjorampick_core::steering::outage::REREGISTRATION_GRACE
 
 use std::{collections::BTreeMap, time::Duration};
 
-use marjorampick_core::steering::history::{Era, REWRITE_TIME};
+use marjorampick_core::steering::{
+    history::{Era, REWRITE_TIME},
+    outage::OUTAGE_THRESHOLD,
+};
 
 use super::{
     Feed, Progress,
@@ -66,6 +69,8 @@
     pub(super) fn start_era(&mut self, era: Era, revision: u64, missing: Vec<Entry>) {
         let now = clock::now();
         self.recovery.record_restore(now);
+        // What has returned to the earlier history may have returned once more.
+        self.state.fleet.borrow_mut().learn_registrations(now, OUTAGE_THRESHOLD);
         let event = Event::StoreReread { era: era.0, revision, missing: missing.len() };
         self.state.log.write(Rank::Notice, event);
         let known = std::mem::take(&mut self.unconfirmed);
