feed: a host that gets no changes from others still gets their configuration

Cause: hosts that have read everything anew know no changes from before, and decline all questions. Change: in place of a decline an asker with an earlier configuration gets the latest one, in an answer that says nothing else of the store.

--- a/crates/steer/src/feed.rs
+++ b/crates/steer/src/feed.rs
@@ -267,24 +267,16 @@
 
     /// Applies the changes that are new, in the order of their revisions.
     fn apply_changes(&mut self, changes: Vec<Change>, revision: u64) {
-        let is_plan = |change: &Change| {
-            matches!(change, Change::Written(_))
-                && (self.state.codec.parse_key)(change.key()) == Subject::Plan
-        };
+        let is_plan = |change: &Change| self.is_plan(change);
         let is_new = |change: &Change| change.revision() > self.revision;
-        let (mut plans, others): (Vec<Change>, Vec<Change>) =
+        let (plans, others): (Vec<Change>, Vec<Change>) =
             changes.into_iter().filter(is_new).partition(is_plan);
         let plan_revision = plans.last().map(Change::revision);
         let mut others = others.into_iter().peekable();
         while let Some(change) = others.next_if(|change| Some(change.revision()) < plan_revision) {
             self.apply_change(change);
         }
-        // The latest configuration replaces the others, unless it is invalid or of an earlier version.
-        while let Some(Change::Written(item)) = plans.pop() {
-            if self.apply_plan_item(item) {
-                break;
-            }
-        }
+        self.apply_plans(plans);
         others.for_each(|change| self.apply_change(change));
         self.revision = self.revision.max(revision);
         self.read_ahead.reach(self.revision);
@@ -292,6 +284,22 @@
         self.departures.flush(&self.state, true);
     }
 
+    /// Whether a change is the write of a configuration.
+    fn is_plan(&self, change: &Change) -> bool {
+        matches!(change, Change::Written(_))
+            && (self.state.codec.parse_key)(change.key()) == Subject::Plan
+    }
+
+    /// Applies the last one of these writes of the configuration, which replaces the others, unless it is
+    /// invalid or of an earlier version.
+    fn apply_plans(&mut self, mut plans: Vec<Change>) {
+        while let Some(Change::Written(item)) = plans.pop() {
+            if self.apply_plan_item(item) {
+                break;
+            }
+        }
+    }
+
     /// Applies the write of a configuration, and returns whether it is in force now.
     fn apply_plan_item(&mut self, item: Item) -> bool {
         self.measure(&item);
@@ -342,14 +350,16 @@
         }
         self.era = *era;
         self.read_ahead.clear();
+        self.recent.restart(*revision);
         for item in items {
-            self.measure(item);
-            self.apply(item);
+            match (self.state.codec.parse_key)(&item.key) {
+                Subject::Plan => drop(self.apply_plan_item(item.clone())),
+                _ => self.apply(item),
+            }
             self.read_ahead.record(&item.key, item.revision, *revision);
         }
         self.state.fleet.borrow_mut().finish_initial_sync();
         self.revision = *revision;
-        self.recent.restart(*revision);
         self.state.fleet.borrow_mut().reach_revision(self.era, self.revision);
         self.departures.flush(&self.state, false);
         self.progress = Progress::Complete;
--- a/crates/steer/src/feed/questions.rs
+++ b/crates/steer/src/feed/questions.rs
@@ -75,29 +75,53 @@
     }
 
     fn send_answer(&self, question: &Question, payload: &[u8], host: SocketAddr) {
+        let is_sent = self.send_parts(question, self.revision, payload, host);
+        metrics::record_relay(if is_sent { "answered" } else { "unanswered" });
+    }
+
+    /// Sends changes up to a revision, and returns whether all parts were sent.
+    fn send_parts(
+        &self,
+        question: &Question,
+        until: u64,
+        payload: &[u8],
+        host: SocketAddr,
+    ) -> bool {
         let mut parts = parts::split(payload);
         // The other parts are of no use without one that cannot be sent.
-        let is_sent = parts.all(|(part, bytes)| {
+        parts.all(|(part, bytes)| {
             let answer = Answer {
                 id: question.id,
                 after: question.revision,
-                until: self.revision,
+                until,
                 era: self.era,
                 plan: self.state.version(),
+                is_plan_alone: until == question.revision && until < self.revision,
                 part,
             };
             self.socket.send_with_payload(&Message::Changes(answer), bytes, host)
-        });
-        metrics::record_relay(if is_sent { "answered" } else { "unanswered" });
+        })
     }
 
-    /// Tells hosts that they get no changes, and which configuration this host has in force. An earlier
-    /// version gets no answer.
+    /// Sends the configuration to a host that gets no changes and has an earlier one. Returns whether it was
+    /// sent.
+    fn send_plan(&self, question: &Question, host: SocketAddr) -> bool {
+        let Some((version, Ok(payload))) = self.recent.plan_payload() else {
+            return false;
+        };
+        version > question.plan
+            && payload.len() <= MAX_PARTS * PART_BYTES
+            && question.revision < self.revision
+            && self.send_parts(question, question.revision, &payload, host)
+    }
+
+    /// Tells hosts that they get no changes, and which configuration this host has in force, or sends it to those
+    /// that have an earlier one. An earlier version of the program gets no answer.
     pub(super) fn decline(&self, questions: &[(SocketAddr, Question)]) {
         for (host, question) in questions {
             let outcome = if question.takes_parts { "declined" } else { "unanswered" };
             metrics::record_relay(outcome);
-            if question.takes_parts {
+            if question.takes_parts && !self.send_plan(question, *host) {
                 let decline = Decline { id: question.id, plan: self.state.version() };
                 self.socket.send(&Message::Decline(decline), *host);
             }
@@ -137,6 +161,12 @@
             self.schedule.record_gap();
             return;
         }
+        if answer.is_plan_alone {
+            let plans = changes.into_iter().filter(|change| self.is_plan(change)).collect();
+            self.apply_plans(plans);
+            self.publish();
+            return;
+        }
         // A relay of an earlier version tells no era. This host hears of a restore when it renews its
         // lease, and then reads everything anew.
         let is_other_era = answer.era != self.era && !answer.era.is_untold();
--- a/crates/steer/src/feed/read.rs
+++ b/crates/steer/src/feed/read.rs
@@ -78,7 +78,7 @@
     /// Size of changes, as the store encodes them, from which on the state takes less. Most of it is the
     /// configuration, which each change to it contains as a whole.
     fn max_history_bytes(&self) -> usize {
-        MAX_HISTORY_BYTES + CONFIGURATIONS_IN_HISTORY * self.configuration_bytes
+        MAX_HISTORY_BYTES.max(CONFIGURATIONS_IN_HISTORY * self.configuration_bytes)
     }
 
     /// Reads all items. `may_be_stale` allows items of an earlier revision. Fails if the store is restored
--- a/crates/steer/src/feed/recent.rs
+++ b/crates/steer/src/feed/recent.rs
@@ -73,6 +73,12 @@
         (after >= self.complete_after).then(|| self.encode(after, takes_parts))
     }
 
+    /// The payload of an answer with the configuration alone, and its version; `None` before the first one.
+    pub fn plan_payload(&self) -> Option<(u64, io::Result<Vec<u8>>)> {
+        let plan = self.plan.as_ref()?;
+        Some((plan.version, plan.encoded().map(<[u8]>::to_vec)))
+    }
+
     /// Revision of the last change after a revision; that revision if there is none.
     pub fn last_revision(&self, after: u64) -> u64 {
         let plan = self.plan.as_ref().map(|plan| plan.change.revision());
--- a/crates/steer/src/feed/relay.rs
+++ b/crates/steer/src/feed/relay.rs
@@ -75,11 +75,20 @@
     /// Version of the configuration in force; 0 without one, and of earlier versions.
     #[serde(default)]
     pub plan: u64,
+    /// Whether the payload is the latest configuration alone. The changes are then complete up to
+    /// [`Self::after`] only, and the answer says nothing of what the store holds.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub is_plan_alone: bool,
     /// Which part of the payload follows; `None` if all of it does.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub part: Option<Part>,
 }
 
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde calls it with a reference")]
+fn is_false(flag: &bool) -> bool {
+    !flag
+}
+
 /// Tells the sender of a question that it gets no changes. It says nothing of what the store holds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Decline {
--- a/crates/steer/tests/relay.rs
+++ b/crates/steer/tests/relay.rs
@@ -144,7 +144,7 @@
 }
 
 fn whole_answer(until: u64) -> Answer {
-    Answer { id: 1, after: 2, until, era: Era(3), plan: 4, part: None }
+    Answer { id: 1, after: 2, until, era: Era(3), plan: 4, is_plan_alone: false, part: None }
 }
 
 fn written_item(key: &str, value: &[u8], revision: u64) -> Item {
