--- a/crates/core/src/steering/lag.rs
+++ b/crates/core/src/steering/lag.rs
@@ -19,10 +19,11 @@
     at: Duration,
 }
 
-/// Versions that are later than the one in force, in their order.
+/// Versions that are later than the one in force, in their order, and the latest ones that were put in force.
 #[derive(Clone, Debug, Default)]
 pub struct Lag {
     later: VecDeque<Heard>,
+    reached: VecDeque<Heard>,
 }
 
 impl Lag {
@@ -40,8 +41,22 @@
     }
 
     /// Records that this host has put a version in force.
-    pub fn reach(&mut self, in_force: u64) {
+    pub fn reach(&mut self, now: Duration, in_force: u64) {
+        let first = self.later.front().filter(|heard| heard.version <= in_force);
+        let at = first.map_or(now, |heard| heard.at);
         self.later.retain(|heard| heard.version > in_force);
+        self.reached.push_back(Heard { version: in_force, at });
+        if self.reached.len() > MAX_VERSIONS {
+            self.reached.pop_front();
+        }
+    }
+
+    /// The latest version that this host has known for `time`, so that others must have it by now; 0 if there is
+    /// none.
+    pub fn known_for(&self, now: Duration, time: Duration) -> u64 {
+        let known = self.reached.iter().chain(&self.later);
+        let settled = known.filter(|heard| now >= heard.at + time);
+        settled.map(|heard| heard.version).max().unwrap_or_default()
     }
 
     /// Records that this host knows all that the store held at `at`. What it heard before and does not have
--- a/crates/core/src/steering/tests/lag.rs
+++ b/crates/core/src/steering/tests/lag.rs
@@ -13,9 +13,9 @@
     lag.hear(at(1000), 8, 7);
     lag.hear(at(1400), 9, 7);
     assert_eq!(lag.time(at(1500)), Some(at(500)));
-    lag.reach(8);
+    lag.reach(at(1450), 8);
     assert_eq!((lag.newest(), lag.time(at(1500))), (Some(9), Some(at(100))));
-    lag.reach(9);
+    lag.reach(at(1500), 9);
     assert_eq!(lag.time(at(1500)), None);
 }
 
@@ -46,3 +46,17 @@
     (8..1000).for_each(|version| lag.hear(at(version), version, 7));
     assert_eq!((lag.newest(), lag.time(at(2000))), (Some(999), Some(at(1992))));
 }
+
+/// Hosts that had a new version a moment earlier demanded it of those that read it in time, which then refused
+/// requests that were passed on.
+#[test]
+fn a_version_is_demanded_of_others_only_after_a_while() {
+    let mut lag = Lag::default();
+    lag.reach(at(1000), 7);
+    lag.reach(at(2000), 8);
+    lag.hear(at(2500), 9, 8);
+    assert_eq!(lag.known_for(at(1400), at(500)), 0);
+    assert_eq!(lag.known_for(at(2400), at(500)), 7);
+    assert_eq!(lag.known_for(at(2500), at(500)), 8);
+    assert_eq!(lag.known_for(at(3000), at(500)), 9);
+}
--- a/crates/steer/src/callers/carry.rs
+++ b/crates/steer/src/callers/carry.rs
@@ -275,7 +275,7 @@
     let names = &state.codec.headers;
     let remaining = milliseconds(call.deadline.saturating_sub(clock::now()));
     let (attempts, version) =
-        (HeaderValue::from(attempts), HeaderValue::from(state.newest_version()));
+        (HeaderValue::from(attempts), HeaderValue::from(state.settled_version()));
     let mut headers = vec![
         (names.time_left.as_str(), remaining.as_bytes()),
         (ATTEMPTS_HEADER, attempts.as_bytes()),
--- a/crates/steer/src/feed/entries.rs
+++ b/crates/steer/src/feed/entries.rs
@@ -154,7 +154,7 @@
         fleet.set_large_answer_routes(plan.large_answer_routes().map(|route| route.name.clone()));
         let names = plan.large_answer_routes().map(|route| route.host.clone()).collect();
         self.state.snapshot.large_answer_names.store(Arc::new(names));
-        self.state.lag.borrow_mut().reach(plan.version);
+        self.state.lag.borrow_mut().reach(now, plan.version);
         *self.state.plan.borrow_mut() = Some(Rc::new(plan));
     }
 
--- a/crates/steer/src/state.rs
+++ b/crates/steer/src/state.rs
@@ -387,16 +387,22 @@
         self.lag.borrow_mut().hear(clock::now(), version, self.version());
     }
 
-    /// The latest version that this host knows any host to have in force.
-    pub fn newest_version(&self) -> u64 {
-        self.lag.borrow().newest().unwrap_or_default().max(self.version())
+    /// The latest version that all hosts must have in force by now, as this host has known it for a while; 0
+    /// without one.
+    pub fn settled_version(&self) -> u64 {
+        self.lag.borrow().known_for(clock::now(), self.propagation_allowance())
+    }
+
+    /// Time in which a host that has heard of a later configuration has to put it in force.
+    fn propagation_allowance(&self) -> Duration {
+        self.settings.store.propagation.mul_f64(BEHIND_RATIO)
     }
 
     /// Whether other hosts have had a later configuration in force for so long that this host may no longer
     /// act on its own.
     pub fn is_behind(&self) -> bool {
-        let allowed = self.settings.store.propagation.mul_f64(BEHIND_RATIO);
-        self.lag.borrow().time(clock::now()).is_some_and(|time| time >= allowed)
+        let time = self.lag.borrow().time(clock::now());
+        time.is_some_and(|time| time >= self.propagation_allowance())
     }
 
     /// Whether this host and the others have had time to learn of each other, so that they hear what each
