steer: an instance counts as crashed only if it refuses connections before and after another one is reached

What callers saw: nothing yet by itself; three such reports condemn a request, which all hosts then refuse. Cause: a host that was cut off from all instances saw one refuse, waited 0.1 s and then asked whether it reaches another one. If the process stood still in between while the cut ended, it did, and the refusal of the cut counted as a crash. Change: the address is tried once more, 0.1 s after another instance was reached. A crashed instance is away for seconds.

--- a/crates/steer/src/callers/crash.rs
+++ b/crates/steer/src/callers/crash.rs
@@ -1,8 +1,9 @@
 //! Tells an instance that crashed from a connection that was lost.
 //!
 //! A broken connection may have been idle, reset on the way, or ended by an instance that is well. Only an
-//! instance whose address refuses connections right afterwards may have crashed, and only if this host
-//! reaches another one: a host that is cut off sees the same of all instances.
+//! instance whose address refuses connections may have crashed, and only if this host reaches another one in the
+//! meantime: a host that is cut off sees the same of all instances. The address is tried before and after the
+//! others, as a host may stand still between the two while a cut ends.
 
 use std::{io::ErrorKind, rc::Rc, time::Duration};
 
@@ -56,39 +57,55 @@
 }
 
 async fn report_crash(state: Rc<State>, run: Run) {
-    let Run { id, request, choice, started_at, ended_at } = run;
+    if !is_refused(&state, &run.choice).await {
+        return;
+    }
+    // The links to other instances may fail a moment later.
+    sleep(CONFIRMATION_DELAY).await;
+    if !reach::is_another_reached(&state, &run.choice.id).await {
+        log::debug!("crash: cannot tell whether {} runs: no instance is reached", run.choice.id);
+        return;
+    }
+    // A cut of all links may have ended since the instance refused.
+    sleep(CONFIRMATION_DELAY).await;
+    if is_refused(&state, &run.choice).await {
+        record_crash(&state, run);
+    }
+}
+
+/// Whether the address of an instance refuses connections. One that opens is kept for later requests.
+async fn is_refused(state: &State, choice: &Choice) -> bool {
     match Connection::open(choice.address).await {
         Ok(connection) => {
-            let key = (choice.id, choice.incarnation);
+            let key = (choice.id.clone(), choice.incarnation);
             state.pool.borrow_mut().put(clock::now(), key, connection, None);
+            false
         }
-        Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
-            // The links to other instances may fail a moment later.
-            sleep(CONFIRMATION_DELAY).await;
-            if !reach::is_another_reached(&state, &choice.id).await {
-                log::debug!(
-                    "crash: cannot tell whether {} runs: no instance is reached",
-                    choice.id
-                );
-                return;
-            }
-            let event = Event::InstanceCrashed {
-                id: &choice.id,
-                request: &id,
-                fingerprint: &request.to_string(),
-                ran_ms: ended_at.saturating_sub(started_at).as_millis(),
-            };
-            state.log.write(Rank::Failure, event);
-            let crash = Crash {
-                instance: choice.id.clone(),
-                incarnation: choice.incarnation,
-                request,
-                ran_for: ended_at.saturating_sub(started_at),
-                ended_ago: clock::now().saturating_sub(ended_at),
-            };
-            quarantine::record_crash(&state, crash);
+        Err(error) if error.kind() == ErrorKind::ConnectionRefused => true,
+        Err(error) => {
+            // An instance that does not answer may be cut off.
+            log::debug!("crash: cannot tell whether {} runs: {error}", choice.id);
+            false
         }
-        // An instance that does not answer may be cut off.
-        Err(error) => log::debug!("crash: cannot tell whether {} runs: {error}", choice.id),
     }
 }
+
+fn record_crash(state: &Rc<State>, run: Run) {
+    let Run { id, request, choice, started_at, ended_at } = run;
+    let ran_for = ended_at.saturating_sub(started_at);
+    let event = Event::InstanceCrashed {
+        id: &choice.id,
+        request: &id,
+        fingerprint: &request.to_string(),
+        ran_ms: ran_for.as_millis(),
+    };
+    state.log.write(Rank::Failure, event);
+    let crash = Crash {
+        instance: choice.id,
+        incarnation: choice.incarnation,
+        request,
+        ran_for,
+        ended_ago: clock::now().saturating_sub(ended_at),
+    };
+    quarantine::record_crash(state, crash);
+}
--- a/crates/steer/src/constants.rs
+++ b/crates/steer/src/constants.rs
@@ -219,5 +219,6 @@
 /// Time without any answer of an instance, while requests wait for one, after which the network is checked.
 pub(crate) const SILENCE_TIME: Duration = Duration::from_millis(800);
 
-/// Time after an instance refused a connection after which the host finds out whether it reaches others.
+/// Time after an instance refused a connection after which the host finds out whether it reaches others, and
+/// then until it tries the instance once more.
 pub(crate) const CONFIRMATION_DELAY: Duration = Duration::from_millis(100);
