relay: hosts that the store refuses ask different hosts, those with fast links first

Cause: all hosts that the store refused asked the same few hosts in the same order, first a relay on a link of 10 Mbit/s. An answer that came after 1.6 s was dropped, as its question was forgotten. Change: relays and substitutes are ranked with slow links last, each host asks the substitutes in an order of its own, their number grows with that of the hosts, and eight questions are remembered. Evidence: refused_hosts_ask_different_hosts_with_fast_links (does not compile before, as links were unknown to the schedule).

--- a/crates/core/src/steering/relay.rs
+++ b/crates/core/src/steering/relay.rs
@@ -9,7 +9,11 @@
 //! the store does not serve asks others as well, whatever the size of its region. See
 //! docs/platform.md.
 
-use std::{collections::VecDeque, sync::Arc, time::Duration};
+use std::{
+    collections::{HashSet, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
 
 use crate::rendezvous;
 
@@ -30,9 +34,15 @@
 /// time without a fresh state. A third of those that it asks may not be served either.
 const SUBSTITUTE_TIME_RATIO: f64 = 0.3;
 
-/// Most hosts that are asked in turn by a host that the store does not serve. Some of them may not be
-/// served either.
-const MAX_SUBSTITUTES: usize = 8;
+/// Fewest hosts of all regions that are asked in turn by those that the store does not serve. Some of them may
+/// not be served either.
+const MIN_SUBSTITUTES: usize = 8;
+
+/// Number of hosts for each of which one more is asked.
+const HOSTS_PER_SUBSTITUTE: usize = 25;
+
+/// Smallest bandwidth of a fast link, relative to the fastest one.
+const FAST_LINK_RATIO: f64 = 0.5;
 
 /// Most questions that are remembered until they are answered.
 const MAX_QUESTIONS: usize = 4;
@@ -62,6 +72,52 @@
     pub region: Vec<Arc<str>>,
     /// Those of all regions.
     pub all: Vec<Arc<str>>,
+    /// Those with slow links, which others ask last: an answer with a large configuration takes such a link
+    /// for a tenth of a second.
+    pub slow: HashSet<Arc<str>>,
+}
+
+impl Hosts {
+    /// Names of the hosts whose links are much slower than the fastest one, from the bandwidth of each if it is
+    /// known.
+    pub fn find_slow<'a>(
+        links: impl Iterator<Item = (&'a Arc<str>, Option<u32>)> + Clone,
+    ) -> HashSet<Arc<str>> {
+        let fastest = links.clone().filter_map(|(_, mbps)| mbps).max().map_or(0.0, f64::from);
+        let is_slow = |mbps: u32| f64::from(mbps) < fastest * FAST_LINK_RATIO;
+        links.filter(|(_, mbps)| mbps.is_some_and(is_slow)).map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Hosts of the region that are asked, the first one first, in an order that all hosts know.
+    pub fn relays(&self) -> impl Iterator<Item = Arc<str>> {
+        self.rank(&self.region).into_iter().take(MAX_RELAYS)
+    }
+
+    /// Hosts that are asked by `host`, which the store does not serve: the relays of its region and others of all
+    /// regions. All such hosts ask the same few, so that these share their calls, but not in the same order, so that
+    /// they share the answers.
+    fn substitutes(&self, host: &Arc<str>) -> Vec<Arc<str>> {
+        let count = MIN_SUBSTITUTES.max(self.all.len() / HOSTS_PER_SUBSTITUTE);
+        let near = self.relays().filter(|_| self.region.len() >= MIN_HOSTS);
+        let mut substitutes: Vec<Arc<str>> = near.collect();
+        for other in self.rank(&self.all).into_iter().take(count) {
+            if !substitutes.contains(&other) {
+                substitutes.push(other);
+            }
+        }
+        substitutes.sort_by_key(|other| rendezvous::weight(host, other));
+        substitutes.retain(|other| other != host);
+        substitutes
+    }
+
+    /// Hosts in an order that all hosts know, those with slow links last.
+    fn rank(&self, hosts: &[Arc<str>]) -> Vec<Arc<str>> {
+        let ranked = rendezvous::rank("relay", hosts.iter().map(AsRef::as_ref));
+        let mut ranked: Vec<Arc<str>> =
+            ranked.into_iter().map(|index| hosts[index].clone()).collect();
+        ranked.sort_by_key(|host| self.slow.contains(host));
+        ranked
+    }
 }
 
 /// Times at which a host learned, and has to learn, what the store holds.
@@ -152,9 +208,9 @@
     /// The host to ask now.
     fn relay(&self, hosts: &Hosts) -> Option<Arc<str>> {
         if !self.has_failed {
-            return relays(&hosts.region).nth(self.unanswered % MAX_RELAYS);
+            return hosts.relays().nth(self.unanswered % MAX_RELAYS);
         }
-        let others: Vec<Arc<str>> = substitutes(hosts).filter(|host| *host != self.host).collect();
+        let others = hosts.substitutes(&self.host);
         let index = self.unanswered.checked_rem(others.len())?;
         others.get(index).cloned()
     }
@@ -213,19 +269,3 @@
         self.was_asked_at = Some(now);
     }
 }
-
-/// Hosts that a host which the store does not serve asks instead: the relays of its region, and then
-/// those of all regions together, so that all such hosts share their calls.
-fn substitutes(hosts: &Hosts) -> impl Iterator<Item = Arc<str>> {
-    let is_followed = hosts.region.len() >= MIN_HOSTS;
-    let near = relays(&hosts.region).filter(move |_| is_followed);
-    let ranked = rendezvous::rank("relay", hosts.all.iter().map(AsRef::as_ref));
-    let far = ranked.into_iter().take(MAX_SUBSTITUTES).map(|index| hosts.all[index].clone());
-    near.chain(far)
-}
-
-/// Hosts of a region that are asked, the first one first, in an order that all hosts know.
-pub fn relays(region_hosts: &[Arc<str>]) -> impl Iterator<Item = Arc<str>> {
-    let ranked = rendezvous::rank("relay", region_hosts.iter().map(AsRef::as_ref));
-    ranked.into_iter().take(MAX_RELAYS).map(|index| region_hosts[index].clone())
-}
--- a/crates/core/src/steering/tests/departure/world.rs
+++ b/crates/core/src/steering/tests/departure/world.rs
@@ -107,6 +107,7 @@
         let of_region = |region: usize| Hosts {
             region: all.iter().skip(region).step_by(regions).cloned().collect(),
             all: all.clone(),
+            ..Hosts::default()
         };
         let names = (0..regions).map(of_region).collect();
         let (messages, departures) = (Vec::new(), Vec::new());
@@ -119,7 +120,7 @@
 
     /// Index of the host that the others of a region ask first.
     pub(super) fn relay(&self, region: usize) -> usize {
-        let relay = super::super::super::relay::relays(&self.names[region].region).next();
+        let relay = self.names[region].relays().next();
         self.hosts.iter().position(|host| Some(&host.name) == relay.as_ref()).unwrap()
     }
 
--- a/crates/core/src/steering/tests/relay.rs
+++ b/crates/core/src/steering/tests/relay.rs
@@ -6,7 +6,7 @@
 use arbtest::{arbitrary, arbtest};
 
 use super::{
-    super::relay::{Hosts, Schedule, Step, relays},
+    super::relay::{Hosts, Schedule, Step},
     support::name,
 };
 
@@ -64,6 +64,10 @@
         Self { names, hosts, messages, calls, delay: CALL_TIME, is_lossy: false }
     }
 
+    fn known_hosts(&self) -> Hosts {
+        Hosts { region: self.names.clone(), all: self.names.clone(), ..Hosts::default() }
+    }
+
     fn index(&self, host: &str) -> usize {
         self.names.iter().position(|other| **other == *host).unwrap()
     }
@@ -99,6 +103,7 @@
     }
 
     fn run(&mut self, now: Duration, index: usize, is_lost: &mut impl FnMut() -> bool) {
+        let hosts = self.known_hosts();
         let host = &mut self.hosts[index];
         if let Some((ends_at, questions)) = host.call.take() {
             if now < ends_at {
@@ -118,9 +123,7 @@
             }
             return;
         }
-        let names = self.names.clone();
         let has_questions = !host.questions.is_empty();
-        let hosts = Hosts { region: names.clone(), all: names };
         match host.schedule.next(now, &hosts, has_questions) {
             Step::CallStore => {
                 self.calls += 1;
@@ -173,7 +176,8 @@
     arbtest(|random| {
         let count = random.int_in_range(5..=30)?;
         let mut region = Region::new(count);
-        let order: Vec<usize> = relays(&region.names).map(|relay| region.index(&relay)).collect();
+        let order: Vec<usize> =
+            region.known_hosts().relays().map(|relay| region.index(&relay)).collect();
         let mut now = Duration::from_secs(100);
         for phase in 0..6 {
             let is_calm = phase % 2 == 0;
@@ -231,7 +235,8 @@
 #[test]
 fn refused_hosts_follow_through_a_relay() {
     let mut region = Region::new(12);
-    let order: Vec<usize> = relays(&region.names).map(|relay| region.index(&relay)).collect();
+    let order: Vec<usize> =
+        region.known_hosts().relays().map(|relay| region.index(&relay)).collect();
     let mut now = Duration::from_secs(100);
     let mut refused = BTreeSet::new();
     for step in 0..1_500 {
@@ -290,3 +295,27 @@
     }
     assert!(region.calls <= alone + 2, "{} calls in 10 s, {alone} before", region.calls);
 }
+
+/// All hosts that the store refused asked the same one first, over a slow link: most answers with a large
+/// configuration were lost there, and hosts stayed behind for over 10 s.
+#[test]
+fn refused_hosts_ask_different_hosts_with_fast_links() {
+    let names: Vec<Arc<str>> = (0..75).map(|index| name(&format!("host-{index}"))).collect();
+    let links = names.iter().enumerate().map(|(index, name)| {
+        let mbps = if index % 6 == 0 { 200 } else { 10 };
+        (name, Some(mbps))
+    });
+    let slow = Hosts::find_slow(links);
+    let hosts = Hosts { region: names[..25].to_vec(), all: names.clone(), slow };
+    let first_asked = names.iter().map(|name| {
+        let mut schedule = Schedule::new(name.clone(), INTERVAL);
+        schedule.record_failure(Duration::ZERO, INTERVAL);
+        schedule.next(TICK, &hosts, false)
+    });
+    let first_asked: Vec<Step> = first_asked.collect();
+    let is_slow = |step: &Step| matches!(step, Step::Ask(host) if hosts.slow.contains(host));
+    assert!(!first_asked.iter().any(is_slow), "{first_asked:?}");
+    let count = |step: &Step| first_asked.iter().filter(|other| *other == step).count();
+    let most = first_asked.iter().map(count).max().unwrap();
+    assert!(most <= names.len() / 4, "{most} of {} hosts ask the same one first", names.len());
+}
--- a/crates/steer/src/feed.rs
+++ b/crates/steer/src/feed.rs
@@ -184,9 +184,12 @@
 
     /// Hosts that may be asked for changes.
     fn hosts_to_ask(&self) -> Hosts {
+        let hosts = self.state.hosts.borrow();
+        let links = hosts.iter().map(|(name, host)| (name, host.registration.link_mbps));
         Hosts {
             region: self.state.fleet.borrow().region_hosts().to_vec(),
-            all: self.state.hosts.borrow().keys().cloned().collect(),
+            all: hosts.keys().cloned().collect(),
+            slow: Hosts::find_slow(links),
         }
     }
 
--- a/crates/steer/src/feed/questions.rs
+++ b/crates/steer/src/feed/questions.rs
@@ -12,8 +12,9 @@
     peers::{Message, record_dropped},
 };
 
-/// Most questions without an answer; the oldest one is forgotten.
-const MAX_OUTSTANDING: usize = 4;
+/// Most questions without an answer; the oldest one is forgotten. An answer with a large configuration may take
+/// seconds, in which the host asks others.
+const MAX_OUTSTANDING: usize = 8;
 
 impl Feed {
     /// Asks another host for the changes.
