feed: a read of all items keeps a later configuration for others

What callers saw: nothing by itself. A host that reads all items anew gets a later configuration from another host meanwhile and puts it in force. It then forgot it as what it sends to hosts that it declines: they got the earlier configuration of the read, and went on by their own.

Cause: `Recent::restart` dropped the latest configuration along with the changes, whatever its version.

Change: it stays across a read in the same history. After a restore, whose revisions count anew, all is forgotten as before.

Evidence: a_read_of_all_items_takes_no_later_configuration_back fails with the former `restart` (version 1, 2 expected).

--- a/crates/steer/src/feed/recent.rs
+++ b/crates/steer/src/feed/recent.rs
@@ -39,9 +39,15 @@
 }
 
 impl Recent {
-    /// Forgets all changes, as the host has read all items up to a revision.
+    /// Forgets all changes but the latest configuration, as the host has read all items up to a revision. It
+    /// may have learned of a later configuration from another host while it read them.
     pub fn restart(&mut self, revision: u64) {
-        *self = Self { complete_after: revision, ..Self::default() };
+        *self = Self { complete_after: revision, plan: self.plan.take(), ..Self::default() };
+    }
+
+    /// Forgets everything, as the store's revisions count anew.
+    pub fn clear(&mut self) {
+        *self = Self::default();
     }
 
     /// Records that a change of this revision is not kept, so that no earlier revision can be answered from.
--- a/crates/steer/src/feed/restore.rs
+++ b/crates/steer/src/feed/restore.rs
@@ -68,6 +68,7 @@
     /// that this host knows from the earlier one and the store lacks.
     pub(super) fn start_era(&mut self, era: Era, revision: u64, missing: Vec<Entry>) {
         let now = clock::now();
+        self.recent.clear();
         self.recovery.record_restore(now);
         // What has returned to the earlier history may have returned once more.
         self.state.fleet.borrow_mut().learn_registrations(now, OUTAGE_THRESHOLD);
--- a/crates/steer/tests/relay.rs
+++ b/crates/steer/tests/relay.rs
@@ -110,6 +110,20 @@
     assert_eq!(decoded(&recent, 1), Some(Vec::new()));
 }
 
+/// A host that read all items forgot the later configuration that another host had sent it meanwhile, and
+/// sent those that it declined the earlier one.
+#[test]
+fn a_read_of_all_items_takes_no_later_configuration_back() {
+    let mut recent = Recent::default();
+    recent.record_plan(written_item("op/config", b"2", 9), 2);
+    recent.restart(7);
+    recent.record_plan(written_item("op/config", b"1", 5), 1);
+    assert_eq!(recent.plan_payload().map(|(version, _)| version), Some(2));
+    assert_eq!(decoded(&recent, 7), Some(vec![written("op/config", b"2", 9)]));
+    recent.clear();
+    assert!(recent.plan_payload().is_none(), "revisions of an earlier era count");
+}
+
 /// Parts may arrive in any order and more than once, and some may be lost; those of different answers must
 /// never be taken for one.
 #[test]
