feed: a host learns from others while its own read of the store lasts

Cause: the feed awaited each read of the store. Meanwhile it applied no answers, asked nobody, and neither answered nor declined questions.

Change: a read runs on a task of its own (`feed::reading`), one at a time, and the feed applies its result to what it knows by then. The schedule knows that a read is under way; once it has lasted longer than the longest time without a fresh state, the host asks others as one that the store does not serve, and declines the questions that wait for it. A read that ends in time starts no call and sends no message more than before.

The model of the schedule's tests goes on while a call runs, and checks that there is no second one.

--- a/crates/core/src/steering/relay.rs
+++ b/crates/core/src/steering/relay.rs
@@ -6,8 +6,8 @@
 //! missing. An answer shows what the store held after the question was sent, by the clock of the host
 //! that sent it: neither a delayed message nor a frozen relay can pass off an old state as a new one. A
 //! host that has no answer in time asks the store itself, as soon as it would without a relay. A host that
-//! the store does not serve asks others as well, whatever the size of its region. See
-//! docs/platform.md.
+//! the store does not serve, or whose read of the store lasts too long, asks others as well, whatever the
+//! size of its region. See docs/platform.md.
 
 use std::{collections::VecDeque, sync::Arc, time::Duration};
 
@@ -78,6 +78,10 @@
     retry_at: Duration,
     /// Whether the last call of the store failed.
     has_failed: bool,
+    /// When the read that is under way began; `None` without one.
+    read_at: Option<Duration>,
+    /// Whether that read has lasted longer than [`Self::interval`].
+    is_overdue: bool,
     /// When the last question to a relay was sent; `None` if it was answered.
     asked_at: Option<Duration>,
     /// The latest questions: when they were sent, and [`Self::unanswered`] at that time.
@@ -100,6 +104,8 @@
             called_at: Duration::ZERO,
             retry_at: Duration::ZERO,
             has_failed: false,
+            read_at: None,
+            is_overdue: false,
             asked_at: None,
             questions: VecDeque::new(),
             unanswered: 0,
@@ -111,21 +117,24 @@
     /// Returns what to do now. `hosts` are those that may be asked, including this one, and
     /// `has_questions` says whether other hosts wait for an answer.
     pub fn next(&mut self, now: Duration, hosts: &Hosts, has_questions: bool) -> Step {
-        let relay_due = self.called_at + self.interval.mul_f64(RELAY_INTERVAL_RATIO);
-        let own_due = self.fresh_at.map_or(Duration::ZERO, |fresh_at| fresh_at + self.interval);
-        let due = if has_questions { relay_due.min(own_due) } else { own_due };
-        // Whatever others answer, a host that has failed tries the store again.
-        let call_at = if self.has_failed { self.retry_at } else { due.max(self.retry_at) };
+        let call_at = self.call_at(has_questions);
         if now >= call_at {
             return Step::CallStore;
         }
+        if let Some(read_at) = self.read_at {
+            let overdue_at = read_at + self.interval;
+            self.is_overdue = now >= overdue_at;
+            if !self.is_unserved() {
+                return Step::Wait(overdue_at);
+            }
+        }
         let is_relay = self.was_asked_at.is_some_and(|at| now < at + RELAY_TIME);
-        let is_served = !self.has_failed;
+        let is_served = !self.is_unserved();
         if is_served && (has_questions || is_relay || hosts.region.len() < MIN_HOSTS) {
             self.asked_at = None;
             return Step::Wait(call_at);
         }
-        let ratio = if self.has_failed { SUBSTITUTE_TIME_RATIO } else { ANSWER_TIME_RATIO };
+        let ratio = if is_served { ANSWER_TIME_RATIO } else { SUBSTITUTE_TIME_RATIO };
         let answer_time = self.interval.mul_f64(ratio);
         match self.asked_at {
             Some(asked_at) if now < asked_at + answer_time => {
@@ -149,9 +158,22 @@
         }
     }
 
+    /// When the store is called next; never while a read is under way.
+    fn call_at(&self, has_questions: bool) -> Duration {
+        let relay_due = self.called_at + self.interval.mul_f64(RELAY_INTERVAL_RATIO);
+        let own_due = self.fresh_at.map_or(Duration::ZERO, |fresh_at| fresh_at + self.interval);
+        let due = if has_questions { relay_due.min(own_due) } else { own_due };
+        match self.read_at {
+            Some(_) => Duration::MAX,
+            // Whatever others answer, a host that has failed tries the store again.
+            None if self.has_failed => self.retry_at,
+            None => due.max(self.retry_at),
+        }
+    }
+
     /// The host to ask now.
     fn relay(&self, hosts: &Hosts) -> Option<Arc<str>> {
-        if !self.has_failed {
+        if !self.is_unserved() {
             return relays(&hosts.region).nth(self.unanswered % MAX_RELAYS);
         }
         let others: Vec<Arc<str>> = substitutes(hosts).filter(|host| *host != self.host).collect();
@@ -174,6 +196,24 @@
         self.retry_at = now + delay;
     }
 
+    /// Records the start of a read, until whose end the store is not called again.
+    pub fn record_read(&mut self, now: Duration) {
+        self.read_at = Some(now);
+        self.is_overdue = false;
+    }
+
+    /// Records the end of the read that was under way, whatever came of it.
+    pub fn record_read_end(&mut self) {
+        self.read_at = None;
+        self.is_overdue = false;
+    }
+
+    /// Whether the store does not serve the host, as far as it knows: the last call failed, or the read that is
+    /// under way lasts too long. Such a host asks others, and has nothing to answer them with.
+    pub fn is_unserved(&self) -> bool {
+        self.has_failed || self.is_overdue
+    }
+
     /// Whether the last call of the store failed, so that the next one is made beside questions to others.
     pub fn is_failing(&self) -> bool {
         self.has_failed
@@ -201,7 +241,7 @@
         self.fresh_at = self.fresh_at.max(Some(asked_at));
         let question = self.questions.iter().find(|(at, _)| *at == asked_at);
         let is_last = self.asked_at == Some(asked_at);
-        if let Some((_, unanswered)) = question.filter(|_| is_last || self.has_failed) {
+        if let Some((_, unanswered)) = question.filter(|_| is_last || self.is_unserved()) {
             // It answers, though perhaps after another one was asked.
             self.unanswered = *unanswered;
             self.asked_at = None;
--- a/crates/core/src/steering/tests/relay.rs
+++ b/crates/core/src/steering/tests/relay.rs
@@ -24,6 +24,8 @@
     questions: Vec<(usize, Duration)>,
     /// Running call of the store: when it ends, and the questions that it answers.
     call: Option<(Duration, Vec<(usize, Duration)>)>,
+    /// Time of its calls of the store.
+    call_time: Duration,
     is_frozen: bool,
     is_refused: bool,
 }
@@ -56,6 +58,7 @@
             known: Duration::ZERO,
             questions: Vec::new(),
             call: None,
+            call_time: CALL_TIME,
             is_frozen: false,
             is_refused: false,
         };
@@ -100,17 +103,14 @@
 
     fn run(&mut self, now: Duration, index: usize, is_lost: &mut impl FnMut() -> bool) {
         let host = &mut self.hosts[index];
-        if let Some((ends_at, questions)) = host.call.take() {
-            if now < ends_at {
-                host.call = Some((ends_at, questions));
-                return;
-            }
+        if let Some((ends_at, questions)) = host.call.take_if(|(ends_at, _)| now >= *ends_at) {
+            host.schedule.record_read_end();
             if host.is_refused {
                 host.schedule.record_failure(now, Duration::from_millis(400));
                 return;
             }
             // The state is that of the moment at which the call began.
-            let state = ends_at - CALL_TIME;
+            let state = ends_at - host.call_time;
             host.known = host.known.max(state);
             host.schedule.record_response(ends_at);
             for (to, asked_at) in questions {
@@ -123,8 +123,10 @@
         let hosts = Hosts { region: names.clone(), all: names };
         match host.schedule.next(now, &hosts, has_questions) {
             Step::CallStore => {
+                assert!(host.call.is_none(), "a second call beside the first one");
                 self.calls += 1;
-                host.call = Some((now + CALL_TIME, std::mem::take(&mut host.questions)));
+                host.schedule.record_read(now);
+                host.call = Some((now + host.call_time, std::mem::take(&mut host.questions)));
             }
             Step::Ask(relay) => {
                 let to = self.index(&relay);
@@ -290,3 +292,21 @@
     }
     assert!(region.calls <= alone + 2, "{} calls in 10 s, {alone} before", region.calls);
 }
+
+/// A host whose read of the store took seconds asked no other host until the end of it, and fell behind.
+#[test]
+fn a_host_with_a_slow_read_follows_through_another() {
+    for count in [3, 12] {
+        let mut region = Region::new(count);
+        let relay = relays(&region.names).next().unwrap();
+        let slow = region.index(&relay);
+        region.hosts[slow].call_time = INTERVAL * 4;
+        let mut now = Duration::from_secs(100);
+        for step in 0..2_000 {
+            region.step(now, &mut || false);
+            now += TICK;
+            let age = now.saturating_sub(region.hosts[slow].known);
+            assert!(step < 1_000 || age <= INTERVAL * 2, "the state is {age:?} old");
+        }
+    }
+}
--- a/crates/steer/src/feed.rs
+++ b/crates/steer/src/feed.rs
@@ -11,6 +11,7 @@
 mod probe;
 mod questions;
 mod read;
+mod reading;
 pub mod recent;
 pub mod relay;
 mod restore;
@@ -27,6 +28,7 @@
 };
 use probe::Probe;
 use read::Snapshot;
+use reading::Reading;
 use recent::Recent;
 use relay::{Inbox, Outstanding};
 use restore::Unconfirmed;
@@ -35,10 +37,7 @@
 use crate::{
     clock,
     codec::Subject,
-    constants::{
-        MAX_STORE_RETRY_DELAY, MIN_STORE_RETRY_DELAY, RELAY_WATCH_WAIT, WATCH_INTERVAL_RATIO,
-        WATCH_WAIT,
-    },
+    constants::{MAX_STORE_RETRY_DELAY, MIN_STORE_RETRY_DELAY, WATCH_INTERVAL_RATIO},
     departures::Outbox,
     events::{Event, Rank},
     peers::Socket,
@@ -75,6 +74,7 @@
         departures: Outbox::default(),
         probe: Probe::default(),
         is_probed: false,
+        reading: None,
     };
     loop {
         feed.step().await;
@@ -129,11 +129,14 @@
     probe: Probe,
     /// Whether the store has answered a probe since the last read.
     is_probed: bool,
+    /// The read that is under way.
+    reading: Option<Reading>,
 }
 
 impl Feed {
     /// Does the next thing that is due.
     async fn step(&mut self) {
+        self.take_read();
         let is_other_era = self.client.check_era(self.era).is_err();
         if is_other_era && self.progress != Progress::Unread && !self.is_restored {
             // Another call has heard of the restore.
@@ -146,8 +149,8 @@
         for (sender, decline) in self.inbox.take_declines() {
             self.record_decline(sender, &decline);
         }
-        if self.schedule.is_failing() {
-            self.decline(&self.inbox.decline_questions());
+        if self.schedule.is_unserved() {
+            self.decline_all();
         }
         if let Some(asked_at) = self.inbox.take_asked_at() {
             self.schedule.record_question(asked_at);
@@ -172,7 +175,7 @@
                 self.schedule.record_probe(now, probe::MAX_TIME);
                 self.probe.start(&self.state, &self.client, &self.inbox);
             }
-            Step::CallStore => self.call_store().await,
+            Step::CallStore => self.start_read(),
             Step::Ask(relay) => self.ask(&relay, now),
             Step::Wait(until) => {
                 let wait = until.saturating_sub(clock::now());
@@ -190,81 +193,12 @@
         }
     }
 
-    /// Reads all items, or the changes since the last call.
-    async fn call_store(&mut self) {
-        let is_probed = std::mem::take(&mut self.is_probed);
-        match self.read().await {
-            Ok(()) => {
-                self.retry_delay = MIN_STORE_RETRY_DELAY;
-                self.schedule.record_response(clock::now());
-            }
-            Err(fault) => {
-                self.record_call_failure(&fault);
-                if is_probed && matches!(fault, Fault::Unknown(_)) {
-                    // The store has just answered a probe: what was missed takes too long to read.
-                    self.progress = Progress::Incomplete;
-                }
-            }
-        }
-    }
-
     fn record_call_failure(&mut self, fault: &Fault) {
         self.record_failure(fault);
         self.schedule.record_failure(clock::now(), self.retry_delay);
         self.retry_delay = (self.retry_delay * 2).min(MAX_STORE_RETRY_DELAY);
     }
 
-    /// Reads what is missing.
-    async fn read(&mut self) -> Result<(), Fault> {
-        let asked_at = clock::now();
-        match self.progress {
-            Progress::Unread => self.start().await,
-            Progress::Incomplete => {
-                let snapshot = self.read_all(false).await?;
-                self.apply_snapshot(&snapshot);
-                Ok(())
-            }
-            Progress::Complete => self.watch(WATCH_WAIT).await,
-        }?;
-        self.state.lag.borrow_mut().forget_before(asked_at);
-        self.publish();
-        Ok(())
-    }
-
-    /// Reads everything for the first time.
-    ///
-    /// The items may be of an earlier state, which costs less. Nothing of it counts until the changes
-    /// after it are known too: instances may have left and keys been withdrawn since then.
-    async fn start(&mut self) -> Result<(), Fault> {
-        let snapshot = self.read_all(true).await?;
-        snapshot.items.iter().for_each(|item| self.measure(item));
-        let batch = self.read_batch(snapshot.revision, RELAY_WATCH_WAIT).await?;
-        self.client.check_era(snapshot.era)?;
-        self.apply_snapshot(&snapshot);
-        self.record_response(clock::now(), self.others_after(&batch.changes));
-        self.apply_changes(batch.changes, batch.until);
-        Ok(())
-    }
-
-    /// Waits for changes, applies them and passes them on to the hosts that have asked for them.
-    async fn watch(&mut self, wait: Duration) -> Result<(), Fault> {
-        let questions = self.inbox.take_questions();
-        let wait = if questions.is_empty() { wait } else { RELAY_WATCH_WAIT };
-        let read = self.read_batch(self.revision, wait).await;
-        let checked = read.and_then(|batch| self.client.check_era(self.era).map(|()| batch));
-        let batch = match checked {
-            Ok(batch) => batch,
-            Err(fault) => {
-                self.decline(&questions);
-                return Err(fault);
-            }
-        };
-        self.record_response(clock::now(), self.others_after(&batch.changes));
-        self.apply_changes(batch.changes, batch.until);
-        self.answer(&questions);
-        Ok(())
-    }
-
     /// Applies the changes that are new, in the order of their revisions.
     fn apply_changes(&mut self, changes: Vec<Change>, revision: u64) {
         let is_plan = |change: &Change| self.is_plan(change);
--- a/crates/steer/src/feed/read.rs
+++ b/crates/steer/src/feed/read.rs
@@ -1,21 +1,51 @@
 //! Reads of the store: all items, and the changes after a revision.
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use futures_util::future::try_join_all;
 use marjorampick_core::steering::history::Era;
+use tokio::time::timeout;
 
-use super::{ALL_KEYS_PREFIX, Feed};
+use super::ALL_KEYS_PREFIX;
 use crate::{
-    constants::{MAX_COMPLETE_BYTES, MAX_COMPLETE_CHANGES, MAX_HISTORY_BYTES, RELAY_WATCH_WAIT},
+    codec::Subject,
+    constants::{
+        MAX_COMPLETE_BYTES, MAX_COMPLETE_CHANGES, MAX_HISTORY_BYTES, MAX_STORE_READ_TIME,
+        RELAY_WATCH_WAIT,
+    },
     metrics,
     registration::KEY_PREFIX,
-    store::{Call, Change, Fault, Item, Reply},
+    state::State,
+    store::{Call, Change, Client, Fault, Item, Reply},
 };
 
 /// Size of the largest history that is read, relative to that of the configuration: two of them, in Base64.
 const CONFIGURATIONS_IN_HISTORY: usize = 3;
 
+/// Longest time for all calls of one read: the longest one for the items, and as long for what follows.
+const MAX_READ_TIME: Duration = MAX_STORE_READ_TIME.saturating_mul(2);
+
+/// What to read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Target {
+    /// Everything for the first time.
+    Start,
+    /// All items as they are now.
+    Items,
+    /// All changes after a revision; the store waits up to `wait` for one.
+    Changes { after: u64, wait: Duration },
+}
+
+/// What was read.
+pub(super) enum Content {
+    /// All items, perhaps of an earlier state, and the changes after them.
+    Start(Snapshot, Batch),
+    /// All items as they were at the time of the read.
+    Items(Snapshot),
+    /// All changes after a revision.
+    Changes(Batch),
+}
+
 /// All items of the store.
 pub(super) struct Snapshot {
     pub(super) items: Vec<Item>,
@@ -45,10 +75,46 @@
     }
 }
 
-impl Feed {
+/// Reads the store.
+pub(super) struct Reader {
+    pub(super) state: Rc<State>,
+    pub(super) client: Client,
+    /// Size of the configuration as it was last read, in bytes.
+    pub(super) configuration_bytes: usize,
+}
+
+impl Reader {
+    /// Reads something, in a bounded time.
+    pub(super) async fn read(mut self, target: Target) -> Result<Content, Fault> {
+        let reading = async {
+            match target {
+                Target::Start => self.read_start().await,
+                Target::Items => self.read_all(false).await.map(Content::Items),
+                Target::Changes { after, wait } => {
+                    self.read_batch(after, wait).await.map(Content::Changes)
+                }
+            }
+        };
+        let ended = timeout(MAX_READ_TIME, reading).await;
+        ended.map_err(|_| Fault::Unknown(format!("the read took over {MAX_READ_TIME:?}")))?
+    }
+
+    /// Reads everything for the first time.
+    ///
+    /// The items may be of an earlier state, which costs less. Nothing of it counts until the changes
+    /// after it are known too: instances may have left and keys been withdrawn since then.
+    async fn read_start(&mut self) -> Result<Content, Fault> {
+        let snapshot = self.read_all(true).await?;
+        let is_plan = |item: &&Item| (self.state.codec.parse_key)(&item.key) == Subject::Plan;
+        let plan = snapshot.items.iter().rfind(is_plan);
+        self.configuration_bytes = plan.map_or(self.configuration_bytes, |plan| plan.value.len());
+        let batch = self.read_batch(snapshot.revision, RELAY_WATCH_WAIT).await?;
+        Ok(Content::Start(snapshot, batch))
+    }
+
     /// Returns all changes after a revision, which the store may report in parts. Fails if all parts together
     /// are larger than the state: a failure in a later part would lose the earlier ones, time after time.
-    pub(super) async fn read_batch(&self, after: u64, wait: Duration) -> Result<Batch, Fault> {
+    async fn read_batch(&self, after: u64, wait: Duration) -> Result<Batch, Fault> {
         let mut batch = self.read_changes(after, wait).await?;
         let mut is_complete = batch.is_complete();
         while !is_complete {
@@ -64,7 +130,7 @@
     }
 
     /// Returns the changes after a revision. Fails if they are larger than the state that they lead to.
-    pub(super) async fn read_changes(&self, after: u64, wait: Duration) -> Result<Batch, Fault> {
+    async fn read_changes(&self, after: u64, wait: Duration) -> Result<Batch, Fault> {
         let prefix = ALL_KEYS_PREFIX.to_owned();
         let call = Call::Watch { prefix, after, wait };
         let reply = self.client.call_up_to(&call, self.max_history_bytes()).await;
@@ -83,7 +149,7 @@
 
     /// Reads all items. `may_be_stale` allows items of an earlier revision. Fails if the store is restored
     /// between two pages.
-    pub(super) async fn read_all(&self, may_be_stale: bool) -> Result<Snapshot, Fault> {
+    async fn read_all(&self, may_be_stale: bool) -> Result<Snapshot, Fault> {
         let asked_in = self.client.era();
         let mut items = Vec::new();
         let mut revision = u64::MAX;
@@ -104,7 +170,7 @@
 
     /// Reads all pages of the items under a prefix. Returns the lowest revision of the pages, as
     /// items may change between two pages.
-    pub(super) async fn read_prefix(
+    async fn read_prefix(
         &self,
         prefix: &str,
         may_be_stale: bool,
--- a/crates/steer/src/feed/restore.rs
+++ b/crates/steer/src/feed/restore.rs
@@ -51,6 +51,7 @@
 impl Feed {
     /// Records that the store has been restored: all that was read of it is of an earlier history.
     pub(super) fn record_restore(&mut self) {
+        self.abandon_read();
         self.progress = Progress::Incomplete;
         self.is_restored = true;
         self.schedule.record_gap();
