--- a/crates/core/src/steering/tests/relay.rs
+++ b/crates/core/src/steering/tests/relay.rs
@@ -24,6 +24,8 @@
     questions: Vec<(usize, Duration)>,
     /// Running call of the store: when it ends, and the questions that it answers.
     call: Option<(Duration, Vec<(usize, Duration)>)>,
+    /// Time of its calls of the store.
+    call_time: Duration,
     is_frozen: bool,
     is_refused: bool,
 }
@@ -56,6 +58,7 @@
             known: Duration::ZERO,
             questions: Vec::new(),
             call: None,
+            call_time: CALL_TIME,
             is_frozen: false,
             is_refused: false,
         };
@@ -105,17 +108,14 @@
     fn run(&mut self, now: Duration, index: usize, is_lost: &mut impl FnMut() -> bool) {
         let hosts = self.known_hosts();
         let host = &mut self.hosts[index];
-        if let Some((ends_at, questions)) = host.call.take() {
-            if now < ends_at {
-                host.call = Some((ends_at, questions));
-                return;
-            }
+        if let Some((ends_at, questions)) = host.call.take_if(|(ends_at, _)| now >= *ends_at) {
+            host.schedule.record_read_end();
             if host.is_refused {
                 host.schedule.record_failure(now, Duration::from_millis(400));
                 return;
             }
             // The state is that of the moment at which the call began.
-            let state = ends_at - CALL_TIME;
+            let state = ends_at - host.call_time;
             host.known = host.known.max(state);
             host.schedule.record_response(ends_at);
             for (to, asked_at) in questions {
@@ -126,8 +126,10 @@
         let has_questions = !host.questions.is_empty();
         match host.schedule.next(now, &hosts, has_questions) {
             Step::CallStore => {
+                assert!(host.call.is_none(), "a second call beside the first one");
                 self.calls += 1;
-                host.call = Some((now + CALL_TIME, std::mem::take(&mut host.questions)));
+                host.schedule.record_read(now);
+                host.call = Some((now + host.call_time, std::mem::take(&mut host.questions)));
             }
             Step::Ask(relay) => {
                 let to = self.index(&relay);
@@ -319,3 +321,21 @@
     let most = first_asked.iter().map(count).max().unwrap();
     assert!(most <= names.len() / 4, "{most} of {} hosts ask the same one first", names.len());
 }
+
+/// A host whose read of the store took seconds asked no other host until the end of it, and fell behind.
+#[test]
+fn a_host_with_a_slow_read_follows_through_another() {
+    for count in [3, 12] {
+        let mut region = Region::new(count);
+        let relay = region.known_hosts().relays().next().unwrap();
+        let slow = region.index(&relay);
+        region.hosts[slow].call_time = INTERVAL * 4;
+        let mut now = Duration::from_secs(100);
+        for step in 0..2_000 {
+            region.step(now, &mut || false);
+            now += TICK;
+            let age = now.saturating_sub(region.hosts[slow].known);
+            assert!(step < 1_000 || age <= INTERVAL * 2, "the state is {age:?} old");
+        }
+    }
+}
