feed: a configuration in parts arrives although each answer loses one

What callers saw: a host that the store did not serve went on by an earlier configuration, and with it without all other changes since, for as long as each answer of the other hosts lost one of its datagrams.

The next question, to another host, began anew.

Now a configuration that does not fit into a datagram with the other changes is an answer of its own, for hosts that say what they have of it (`Question::held`, absent in earlier versions, which get what they got). Its parts count by the name of the payload (version, length, checksum, number of parts), whichever host sent them, and the next question says which of them have arrived. The other changes count at once, but the host has read the store only up to the write before the configuration until it has that, too: it goes on asking, and later changes are held to be read ahead.

--- a/crates/steer/src/feed.rs
+++ b/crates/steer/src/feed.rs
@@ -5,6 +5,7 @@
 //! store has compacted that history, or has been restored to an earlier copy, everything is read again.
 //! See docs/platform.md.
 
+mod answers;
 mod contact;
 mod entries;
 pub mod parts;
@@ -25,6 +26,7 @@
     relay::{Hosts, Schedule, Step},
     seats::SEAT_PROPAGATION_TIME,
 };
+use parts::Collection;
 use probe::Probe;
 use read::Snapshot;
 use recent::Recent;
@@ -60,6 +62,7 @@
         socket,
         inbox,
         outstanding: Vec::new(),
+        collection: Collection::default(),
         era: Era::UNTOLD,
         revision: 0,
         configuration_bytes: 0,
@@ -101,6 +104,8 @@
     schedule: Schedule,
     /// Questions to relays without an answer, the oldest first.
     outstanding: Vec<Outstanding>,
+    /// Parts of a configuration that other hosts send.
+    collection: Collection,
     /// Era of the store in which [`Self::revision`] was read.
     era: Era,
     /// Revision up to which changes have been applied.
@@ -315,17 +320,29 @@
     /// Applies any other change.
     fn apply_change(&mut self, change: Change) {
         if !self.read_ahead.is_over(change.key(), change.revision()) {
-            match &change {
-                Change::Written(item) => {
-                    self.unconfirmed.confirm(&item.key);
-                    self.apply(item);
-                }
-                Change::Removed { key, revision } => self.remove_key(key, *revision),
-            }
+            self.apply_state(&change);
         }
         self.recent.record(change);
     }
 
+    fn apply_state(&mut self, change: &Change) {
+        match change {
+            Change::Written(item) => {
+                self.unconfirmed.confirm(&item.key);
+                self.apply(item);
+            }
+            Change::Removed { key, revision } => self.remove_key(key, *revision),
+        }
+    }
+
+    /// Applies a change after which earlier ones are still to come.
+    fn apply_ahead(&mut self, change: &Change) {
+        if !self.read_ahead.is_over(change.key(), change.revision()) {
+            self.apply_state(change);
+            self.read_ahead.record(change.key(), change.revision(), self.revision);
+        }
+    }
+
     /// Applies all items, and removes the entries of [`Self::known_entries`] that are no longer in the
     /// store. Of those that a restored store lacks, none is removed at once.
     fn apply_snapshot(&mut self, snapshot: &Snapshot) {
--- a/crates/steer/src/feed/questions.rs
+++ b/crates/steer/src/feed/questions.rs
@@ -1,15 +1,16 @@
-//! Questions to other hosts for the changes of the store, and the answers to theirs.
+//! Questions to other hosts for the changes of the store, and what becomes of their answers.
 
-use std::{net::SocketAddr, slice, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use super::{
     Feed, Progress,
-    parts::{self, Assembly, MAX_PARTS, PART_BYTES},
-    relay::{self, Answer, Decline, MAX_REVISIONS_WITHOUT_CHANGE, Outstanding, Question, Received},
+    parts::{Assembly, Holding, Name},
+    relay::{self, Answer, Decline, Outstanding, Question, Received},
 };
 use crate::{
     metrics,
     peers::{Message, record_dropped},
+    store::Change,
 };
 
 /// Most questions without an answer; the oldest one is forgotten.
@@ -29,6 +30,7 @@
             era: self.era,
             plan: self.state.version(),
             takes_parts: true,
+            held: Some(self.held()),
         };
         self.socket.send(&Message::Follow(question.clone()), address);
         if self.outstanding.len() >= MAX_OUTSTANDING {
@@ -39,96 +41,14 @@
             relay: address,
             asked_at: now,
             assembly: Assembly::default(),
+            waiting: None,
         });
     }
 
-    /// Answers the questions of other hosts with what this host has just read of the store.
-    pub(super) fn answer(&self, questions: &[(SocketAddr, Question)]) {
-        let key = |question: &Question| (question.era, question.revision, question.takes_parts);
-        let mut sorted: Vec<&(SocketAddr, Question)> = questions.iter().collect();
-        sorted.sort_unstable_by_key(|(_, question)| key(question));
-        // One payload at a time, as each may take a megabyte.
-        for alike in sorted.chunk_by(|(_, one), (_, other)| key(one) == key(other)) {
-            let payload = alike.first().and_then(|(_, question)| self.payload(question));
-            for asked in alike {
-                let (host, question) = asked;
-                match &payload {
-                    Some(payload) => self.send_answer(question, payload, *host),
-                    None => self.decline(slice::from_ref(asked)),
-                }
-            }
-        }
-    }
-
-    /// Payload of the answer to a question. `None` for a host that has missed changes which this one no
-    /// longer knows, or has read further than the store that this one reads.
-    fn payload(&self, question: &Question) -> Option<Vec<u8>> {
-        let after = question.revision;
-        // An earlier version asks without an era.
-        let is_same_era = question.era == self.era || question.era.is_untold();
-        // Its receiver would not believe an answer that goes further.
-        let last = self.recent.last_revision(after);
-        let believed = last.saturating_add(MAX_REVISIONS_WITHOUT_CHANGE);
-        if !is_same_era || after > self.revision || self.revision > believed {
-            return None;
-        }
-        let payload = self.recent.payload(after, question.takes_parts)?.ok()?;
-        let max_parts = if question.takes_parts { MAX_PARTS } else { 1 };
-        (payload.len() <= max_parts * PART_BYTES).then_some(payload)
-    }
-
-    fn send_answer(&self, question: &Question, payload: &[u8], host: SocketAddr) {
-        let is_sent = self.send_parts(question, Some(self.revision), payload, host);
-        metrics::record_relay(if is_sent { "answered" } else { "unanswered" });
-    }
-
-    /// Sends changes up to a revision, or the configuration alone without one. Returns whether all parts were
-    /// sent.
-    fn send_parts(
-        &self,
-        question: &Question,
-        until: Option<u64>,
-        payload: &[u8],
-        host: SocketAddr,
-    ) -> bool {
-        let mut parts = parts::split(payload);
-        // The other parts are of no use without one that cannot be sent.
-        parts.all(|(part, bytes)| {
-            let answer = Answer {
-                id: question.id,
-                after: question.revision,
-                until: until.unwrap_or(question.revision),
-                era: self.era,
-                plan: self.state.version(),
-                is_plan_alone: until.is_none(),
-                part,
-            };
-            self.socket.send_with_payload(&Message::Changes(answer), bytes, host)
-        })
-    }
-
-    /// Sends the configuration to a host that gets no changes and has an earlier one. Returns whether it was
-    /// sent.
-    fn send_plan(&self, question: &Question, host: SocketAddr) -> bool {
-        let Some((version, Ok(payload))) = self.recent.plan_payload() else {
-            return false;
-        };
-        version > question.plan
-            && payload.len() <= MAX_PARTS * PART_BYTES
-            && self.send_parts(question, None, &payload, host)
-    }
-
-    /// Tells hosts that they get no changes, and which configuration this host has in force, or sends it to those
-    /// that have an earlier one. An earlier version of the program gets no answer.
-    pub(super) fn decline(&self, questions: &[(SocketAddr, Question)]) {
-        for (host, question) in questions {
-            let outcome = if question.takes_parts { "declined" } else { "unanswered" };
-            metrics::record_relay(outcome);
-            if question.takes_parts && !self.send_plan(question, *host) {
-                let decline = Decline { id: question.id, plan: self.state.version() };
-                self.socket.send(&Message::Decline(decline), *host);
-            }
-        }
+    /// What this host has of the configuration.
+    fn held(&mut self) -> Holding {
+        self.collection.forget_until(self.recent.plan_version());
+        self.collection.holding(self.recent.plan_version())
     }
 
     /// Records that another host has no changes for this one. Its answer may still follow.
@@ -149,33 +69,41 @@
             return;
         };
         let Received { sender, answer, payload } = received;
-        let assembled = self.outstanding[index].assembly.add(&answer, payload);
-        let Some(payload) = assembled else {
+        if let Some(name) = answer.configuration {
+            self.collect(&answer, name, &payload, sender);
+            return;
+        }
+        let Some(payload) = self.outstanding[index].assembly.add(&answer, payload) else {
             self.state.hear_version(answer.plan);
             return;
         };
-        let asked_at = self.outstanding.swap_remove(index).asked_at;
         let Some(changes) = relay::decode(&payload) else {
+            self.outstanding.swap_remove(index);
             record_dropped(&self.state, sender, "malformed");
             return;
         };
         if !answer.is_plausible(&changes) {
+            self.outstanding.swap_remove(index);
             record_dropped(&self.state, sender, "implausible");
             self.schedule.record_gap();
             return;
         }
-        // A configuration counts by its version, whatever else this host has missed.
-        let is_incomplete = self.progress == Progress::Incomplete && !self.is_restored;
-        if answer.is_plan_alone || is_incomplete {
-            let plans = changes.into_iter().filter(|change| self.is_plan(change)).collect();
-            self.apply_plans(plans);
-            self.publish();
+        let held = self.held();
+        if answer.apart.as_ref().is_some_and(|apart| !held.has(&apart.configuration)) {
+            self.apply_without_plan(&answer, &changes, self.outstanding[index].asked_at);
+            self.outstanding[index].waiting = Some((answer, changes));
             return;
         }
-        // A relay of an earlier version tells no era. This host hears of a restore when it renews its
-        // lease, and then reads everything anew.
-        let is_other_era = answer.era != self.era && !answer.era.is_untold();
-        if self.progress == Progress::Complete && !is_other_era {
+        let asked_at = self.outstanding.swap_remove(index).asked_at;
+        self.apply_whole(&answer.completed(), changes, asked_at);
+    }
+
+    /// Applies an answer that lacks nothing.
+    fn apply_whole(&mut self, answer: &Answer, changes: Vec<Change>, asked_at: Duration) {
+        // A configuration counts by its version, whatever else this host has missed.
+        if answer.is_plan_alone || self.is_incomplete() {
+            self.apply_plans_of(changes);
+        } else if self.follows(answer) {
             metrics::record_relay("followed");
             self.schedule.record_answer(asked_at);
             self.record_knowledge(asked_at, self.others_after(&changes));
@@ -185,4 +113,71 @@
         }
         self.state.hear_version(answer.plan);
     }
+
+    fn is_incomplete(&self) -> bool {
+        self.progress == Progress::Incomplete && !self.is_restored
+    }
+
+    /// Whether an answer continues what this host has read. A relay of an earlier version tells no era. This
+    /// host hears of a restore when it renews its lease, and then reads everything anew.
+    fn follows(&self, answer: &Answer) -> bool {
+        let is_other_era = answer.era != self.era && !answer.era.is_untold();
+        self.progress == Progress::Complete && !is_other_era
+    }
+
+    /// Applies changes whose configuration is still under way. The host is behind until it has that, too, and
+    /// goes on asking.
+    fn apply_without_plan(&mut self, answer: &Answer, changes: &[Change], asked_at: Duration) {
+        if self.follows(answer) {
+            self.record_knowledge(asked_at, self.others_after(changes));
+            let is_complete = |change: &&Change| change.revision() <= answer.until;
+            let (complete, ahead): (Vec<&Change>, Vec<&Change>) =
+                changes.iter().partition(is_complete);
+            self.apply_changes(complete.into_iter().cloned().collect(), answer.until);
+            // A late answer may end before what the store has told since.
+            let is_new = |change: &&Change| change.revision() > self.revision;
+            let ahead: Vec<&Change> = ahead.into_iter().filter(is_new).collect();
+            ahead.into_iter().for_each(|change| self.apply_ahead(change));
+            self.departures.flush(&self.state, true);
+            self.publish();
+        }
+        self.state.hear_version(answer.plan);
+    }
+
+    /// Adds a part of a configuration, and puts it in force once it is whole.
+    fn collect(&mut self, answer: &Answer, name: Name, payload: &[u8], sender: SocketAddr) {
+        self.state.hear_version(answer.plan);
+        let index = answer.part.map_or(0, |part| part.index);
+        let Some(payload) = self.collection.add(name, index, payload) else { return };
+        let plans = relay::decode(&payload).unwrap_or_default();
+        if !plans.iter().any(|change| self.is_plan(change)) {
+            self.collection.clear();
+            record_dropped(&self.state, sender, "malformed");
+            return;
+        }
+        self.apply_plans_of(plans);
+        self.apply_waiting();
+    }
+
+    /// Puts the configuration among these changes in force.
+    fn apply_plans_of(&mut self, changes: Vec<Change>) {
+        let plans = changes.into_iter().filter(|change| self.is_plan(change)).collect();
+        self.apply_plans(plans);
+        self.publish();
+    }
+
+    /// Completes the answers whose configuration has arrived.
+    fn apply_waiting(&mut self) {
+        let held = self.held();
+        let is_complete = |asked: &mut Outstanding| {
+            let apart = asked.waiting.as_ref().and_then(|(answer, _)| answer.apart.as_ref());
+            apart.is_some_and(|apart| held.has(&apart.configuration))
+        };
+        let complete: Vec<Outstanding> = self.outstanding.extract_if(.., is_complete).collect();
+        for Outstanding { asked_at, waiting, .. } in complete {
+            if let Some((answer, changes)) = waiting {
+                self.apply_whole(&answer.completed(), changes, asked_at);
+            }
+        }
+    }
 }
--- a/crates/steer/src/feed/recent.rs
+++ b/crates/steer/src/feed/recent.rs
@@ -6,9 +6,18 @@
 //! All other changes are kept up to a bound: a removal that was followed by a write still says that a
 //! lease has ended. See docs/platform.md.
 
-use std::{cell::OnceCell, collections::VecDeque, io};
-
-use super::{parts::PART_BYTES, relay};
+use std::{
+    cell::OnceCell,
+    collections::{VecDeque, vec_deque},
+    io,
+};
+
+use bytes::Bytes;
+
+use super::{
+    parts::{Name, PART_BYTES},
+    relay,
+};
 use crate::store::{Change, Item};
 
 /// Most changes that are kept, besides the configuration.
@@ -23,7 +32,18 @@
     version: u64,
     change: Change,
     /// It alone, encoded when it is first asked for.
-    payload: OnceCell<Vec<u8>>,
+    payload: OnceCell<Payload>,
+}
+
+/// The latest configuration alone, as it is sent.
+#[derive(Clone, Debug)]
+pub struct Payload {
+    /// Name of [`Self::bytes`].
+    pub name: Name,
+    /// The encoded write of the configuration.
+    pub bytes: Bytes,
+    /// Revision of the write.
+    pub revision: u64,
 }
 
 /// All changes after a revision, but for configurations that were replaced.
@@ -78,46 +98,71 @@
         (after >= self.complete_after).then(|| self.encode(after, takes_parts))
     }
 
-    /// The payload of an answer with the configuration alone, and its version; `None` before the first one.
-    pub fn plan_payload(&self) -> Option<(u64, io::Result<Vec<u8>>)> {
-        let plan = self.plan.as_ref()?;
-        Some((plan.version, plan.encoded().map(<[u8]>::to_vec)))
+    /// The payload of an answer with all changes after `after` but the configuration. `None` if changes after
+    /// that revision are no longer known.
+    pub fn payload_without_plan(&self, after: u64) -> Option<io::Result<Vec<u8>>> {
+        (after >= self.complete_after).then(|| relay::encode(self.changes_after(after)))
+    }
+
+    /// The configuration alone; `None` before the first one.
+    pub fn plan_payload(&self) -> Option<io::Result<&Payload>> {
+        self.plan.as_ref().map(Plan::encoded)
+    }
+
+    /// Whether the configuration was written after a revision.
+    pub fn has_plan_after(&self, after: u64) -> bool {
+        self.plan.as_ref().is_some_and(|plan| plan.change.revision() > after)
+    }
+
+    /// Version of the configuration; 0 before the first one.
+    pub fn plan_version(&self) -> u64 {
+        self.plan.as_ref().map_or(0, |plan| plan.version)
     }
 
     /// Revision of the last change after a revision; that revision if there is none.
     pub fn last_revision(&self, after: u64) -> u64 {
-        let plan = self.plan.as_ref().map(|plan| plan.change.revision());
-        let last = self.changes.back().map(Change::revision);
-        plan.max(last).map_or(after, |revision| revision.max(after))
+        let plan = self.plan.as_ref().map_or(after, |plan| plan.change.revision());
+        self.last_revision_without_plan(after).max(plan)
     }
 
-    fn encode(&self, after: u64, takes_parts: bool) -> io::Result<Vec<u8>> {
+    /// Revision of the last change after a revision, but for the configuration.
+    pub fn last_revision_without_plan(&self, after: u64) -> u64 {
+        self.changes.back().map_or(after, |change| change.revision().max(after))
+    }
+
+    fn changes_after(&self, after: u64) -> vec_deque::Iter<'_, Change> {
         let first = self.changes.partition_point(|change| change.revision() <= after);
-        let changes = self.changes.range(first..);
+        self.changes.range(first..)
+    }
+
+    fn encode(&self, after: u64, takes_parts: bool) -> io::Result<Vec<u8>> {
+        let changes = self.changes_after(after);
         let Some(plan) = self.plan.as_ref().filter(|plan| plan.change.revision() > after) else {
             return relay::encode(changes);
         };
         if changes.len() == 0 {
-            return plan.encoded().map(<[u8]>::to_vec);
+            return plan.encoded().map(|payload| payload.bytes.to_vec());
         }
         // An earlier version reads no second stream, and no second datagram.
         if !takes_parts {
-            let is_small = plan.encoded()?.len() <= PART_BYTES;
+            let is_small = plan.encoded()?.bytes.len() <= PART_BYTES;
             let all = || relay::encode(changes.chain([&plan.change]));
             return if is_small { all() } else { Err(io::ErrorKind::FileTooLarge.into()) };
         }
         let mut payload = relay::encode(changes)?;
-        payload.extend_from_slice(plan.encoded()?);
+        payload.extend_from_slice(&plan.encoded()?.bytes);
         Ok(payload)
     }
 }
 
 impl Plan {
-    fn encoded(&self) -> io::Result<&[u8]> {
+    fn encoded(&self) -> io::Result<&Payload> {
         if let Some(payload) = self.payload.get() {
             return Ok(payload);
         }
-        let payload = relay::encode([&self.change])?;
+        let bytes = Bytes::from(relay::encode([&self.change])?);
+        let name = Name::new(self.version, &bytes);
+        let payload = Payload { name, bytes, revision: self.change.revision() };
         Ok(self.payload.get_or_init(|| payload))
     }
 }
--- a/crates/steer/src/feed/relay.rs
+++ b/crates/steer/src/feed/relay.rs
@@ -17,7 +17,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
-use super::parts::{Assembly, MAX_PARTS, Part};
+use super::parts::{Assembly, Holding, MAX_PARTS, Name, Part};
 use crate::{
     clock,
     store::{Change, Item},
@@ -57,6 +57,10 @@
     /// versions do not.
     #[serde(default)]
     pub takes_parts: bool,
+    /// What that host has of the configuration, which it takes as an answer of its own; `None` of earlier
+    /// versions, which take it together with the other changes.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub held: Option<Holding>,
 }
 
 /// Answers a question. The changes follow as the payload of the message, see [`encode`].
@@ -79,11 +83,27 @@
     /// [`Self::after`] only, and the answer says nothing of what the store holds.
     #[serde(default, skip_serializing_if = "is_false")]
     pub is_plan_alone: bool,
+    /// Name of that configuration; `None` for earlier versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub configuration: Option<Name>,
+    /// The configuration that the payload lacks.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub apart: Option<Apart>,
     /// Which part of the payload follows; `None` if all of it does.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub part: Option<Part>,
 }
 
+/// A configuration that is sent as an answer of its own. The other changes are complete up to
+/// [`Answer::until`] without it, and hold what follows as far as it is known.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Apart {
+    /// Which one.
+    pub configuration: Name,
+    /// Revision up to which the changes are complete together with it.
+    pub until: u64,
+}
+
 #[expect(clippy::trivially_copy_pass_by_ref, reason = "serde calls it with a reference")]
 fn is_false(flag: &bool) -> bool {
     !flag
@@ -184,6 +204,8 @@
     pub(super) asked_at: Duration,
     /// Parts of the answer that have arrived.
     pub(super) assembly: Assembly,
+    /// An answer that waits for its configuration, and its changes.
+    pub(super) waiting: Option<(Answer, Vec<Change>)>,
 }
 
 impl Outstanding {
@@ -202,11 +224,19 @@
 }
 
 impl Answer {
-    /// Whether the store can have reached the revision up to which these changes are complete: it counts
+    /// Whether the store can have reached the revisions up to which these changes are complete: it counts
     /// one revision for each change.
     pub(super) fn is_plausible(&self, changes: &[Change]) -> bool {
         let last = changes.iter().map(Change::revision).fold(self.after, u64::max);
+        let believed = last.max(self.until).saturating_add(MAX_REVISIONS_WITHOUT_CHANGE);
         self.until <= last.saturating_add(MAX_REVISIONS_WITHOUT_CHANGE)
+            && self.apart.as_ref().is_none_or(|apart| apart.until <= believed)
+    }
+
+    /// The answer together with the configuration that it lacks.
+    pub(super) fn completed(self) -> Self {
+        let until = self.apart.as_ref().map_or(self.until, |apart| apart.until);
+        Self { until, apart: None, ..self }
     }
 }
 
--- a/crates/steer/tests/relay.rs
+++ b/crates/steer/tests/relay.rs
@@ -5,7 +5,7 @@
 use marjorampick_core::steering::history::Era;
 use marjorampick_steer::{
     feed::{
-        parts::{self, Assembly, MAX_PARTS, PART_BYTES, Part},
+        parts::{self, Assembly, Collection, Holding, MAX_PARTS, Name, PART_BYTES, Part},
         recent::Recent,
         relay::{self, Answer, Question},
     },
@@ -136,15 +136,95 @@
 fn messages_of_earlier_versions_are_read() {
     let question = r#"{"asked_at":1,"revision":2}"#;
     let question: Question = serde_json::from_str(question).unwrap();
-    assert_eq!((question.plan, question.takes_parts), (0, false));
+    assert_eq!((question.plan, question.takes_parts, &question.held), (0, false, &None));
     let answer = r#"{"asked_at":1,"after":2,"until":9,"era":3}"#;
     let answer: Answer = serde_json::from_str(answer).unwrap();
     assert_eq!((answer.plan, answer.part), (0, None));
     assert!(!serde_json::to_string(&whole_answer(9)).unwrap().contains("part"));
+    assert_eq!(serde_json::to_string(&whole_answer(9)).unwrap().matches(':').count(), 5);
+}
+
+/// Each answer with a large configuration lost a part, and the next one began anew: parts that have arrived
+/// must count whichever host sent them.
+#[test]
+fn a_configuration_arrives_although_each_answer_loses_a_part() {
+    const PARTS: usize = 5;
+    let payload: Vec<u8> = (0..PART_BYTES * PARTS - 9).map(|index| (index % 251) as u8).collect();
+    let name = Name::new(7, &payload);
+    let pieces: Vec<&[u8]> = parts::split(&payload).map(|(_, bytes)| bytes).collect();
+    let mut collection = Collection::default();
+    let mut answers = Vec::new();
+    let whole = loop {
+        let held = collection.holding(6);
+        assert!(!held.has(&name) && answers.len() <= PARTS, "{held:?}");
+        let lacking: Vec<usize> = (0..PARTS).filter(|index| held.lacks(&name, *index)).collect();
+        answers.push(lacking.len());
+        let arriving = lacking.iter().skip(usize::from(lacking.len() > 1)).step_by(2);
+        let added = arriving.map(|index| collection.add(name, *index, pieces[*index]));
+        if let Some(whole) = added.flatten().next() {
+            break whole;
+        }
+    };
+    assert!(whole == payload && collection.is_whole(&name));
+    assert_eq!(answers, [5, 3, 2, 1]);
+    assert_eq!(collection.add(name, 0, pieces[0]), None, "a late part begins anew");
+}
+
+/// Parts that are not of one payload must neither be put together nor take memory without bound.
+#[test]
+fn parts_of_different_configurations_are_kept_apart() {
+    let payload = |byte: u8| vec![byte; PART_BYTES + 1];
+    let name = |version, byte| Name::new(version, &payload(byte));
+    let mut collection = Collection::default();
+    assert_eq!(collection.add(name(7, 1), 0, &payload(1)[1..]), None);
+    assert_eq!(collection.add(name(7, 2), 1, &[2]), None);
+    assert!(
+        collection.holding(0).lacks(&name(7, 1), 0),
+        "another payload of the version replaces it"
+    );
+    assert_eq!(collection.add(name(6, 1), 1, &[1]), None);
+    assert!(
+        !collection.holding(0).lacks(&name(7, 2), 1),
+        "an earlier version replaces a later one"
+    );
+    assert_eq!(collection.add(name(7, 2), 0, &payload(9)[1..]), None);
+    assert!(collection.holding(0).lacks(&name(7, 2), 1), "a wrong checksum is used");
+    let huge = Name { bytes: usize::MAX, parts: usize::MAX, ..name(8, 1) };
+    let empty = Name { bytes: 0, parts: 0, ..name(8, 1) };
+    assert_eq!(collection.add(huge, usize::MAX, &[]), None);
+    assert_eq!(collection.add(name(8, 1), 0, &[1]), None, "a part is too short");
+    assert_eq!(collection.holding(0), Holding::default());
+    assert!(!collection.holding(0).has(&huge) && !collection.holding(0).has(&empty));
+}
+
+/// An answer without the configuration must hold all other changes, before and after it.
+#[test]
+fn a_configuration_is_left_out_of_the_other_changes() {
+    let mut recent = Recent::default();
+    recent.restart(2);
+    recent.record(written("a", b"1", 3));
+    recent.record_plan(written_item("op/config", b"{}", 4), 9);
+    recent.record(written("b", b"2", 5));
+    let payload = recent.payload_without_plan(2).unwrap().unwrap();
+    assert_eq!(relay::decode(&payload), Some(vec![written("a", b"1", 3), written("b", b"2", 5)]));
+    assert!(recent.payload_without_plan(1).is_none() && recent.has_plan_after(3));
+    let plan = recent.plan_payload().unwrap().unwrap();
+    assert_eq!((plan.revision, plan.name), (4, Name::new(9, &plan.bytes)));
+    assert_eq!(relay::decode(&plan.bytes), Some(vec![written("op/config", b"{}", 4)]));
 }
 
 fn whole_answer(until: u64) -> Answer {
-    Answer { id: 1, after: 2, until, era: Era(3), plan: 4, is_plan_alone: false, part: None }
+    Answer {
+        id: 1,
+        after: 2,
+        until,
+        era: Era(3),
+        plan: 4,
+        is_plan_alone: false,
+        configuration: None,
+        apart: None,
+        part: None,
+    }
 }
 
 fn written_item(key: &str, value: &[u8], revision: u64) -> Item {
