peers: parts of large answers leave as the links have room

What callers would see: a relay sent all parts of all answers at once, up to 16 datagrams of 60 kB to each host that asked. On a link of 10 Mbit/s 16 of them take 0.77 s (worked out). The platform loses datagrams when a link is full, and callers' traffic shares the queue.

Cause: each datagram went to the socket when the answer was made.

Now answers in parts, and the configuration alone, wait in a queue (`peers::queue`), from which a task sends them until the socket is dropped. They take half of the own link and of the receiver's, as the settings and registrations tell them, or of 10 Mbit/s. A host with a slow link holds up no other one, a batch for a later question replaces the one before, and one of which nothing has left after 1.5 s is dropped. A host that says what it lacks gets as many parts of a configuration as arrive before it asks the next host. Answers of one datagram with changes leave at once, as before.

Not measured: a slow link with callers' traffic.

--- a/crates/steer/src/feed/answers.rs
+++ b/crates/steer/src/feed/answers.rs
@@ -1,6 +1,6 @@
 //! Answers to the questions of other hosts for the changes of the store.
 
-use std::{net::SocketAddr, slice};
+use std::{collections::VecDeque, net::SocketAddr, slice, time::Duration};
 
 use bytes::Bytes;
 
@@ -9,7 +9,17 @@
     parts::{self, Holding, MAX_PARTS, PART_BYTES},
     relay::{Answer, Apart, Decline, MAX_REVISIONS_WITHOUT_CHANGE, Question},
 };
-use crate::{metrics, peers::Message};
+use crate::{
+    metrics,
+    peers::{
+        MAX_DATAGRAM_BYTES, Message,
+        queue::{self, Batch, Datagram},
+    },
+};
+
+/// Longest time for which a host sends another one parts of a configuration: that one asks the next host soon
+/// after, and then names the parts that it lacks.
+const PLAN_TIME: Duration = Duration::from_millis(300);
 
 impl Feed {
     /// Answers the questions of other hosts with what this host has just read of the store.
@@ -104,7 +114,7 @@
         };
         let mut messages = messages(&answer, &changes.payload);
         if changes.apart.is_some() {
-            messages.extend(self.plan_messages(question));
+            messages.extend(self.plan_messages(question, host));
         }
         let is_sent = self.send_messages(messages, host);
         metrics::record_relay(if is_sent { "answered" } else { "unanswered" });
@@ -126,8 +136,8 @@
     }
 
     /// The configuration alone, or those parts of it which a host lacks. That host names what it lacks then in
-    /// its next question, to another host.
-    fn plan_messages(&self, question: &Question) -> Vec<(Answer, Bytes)> {
+    /// its next question, to another host, so that it gets no more than its link carries until that one.
+    fn plan_messages(&self, question: &Question, host: SocketAddr) -> Vec<(Answer, Bytes)> {
         let plan = self.recent.plan_payload().and_then(Result::ok);
         let Some(plan) = plan.filter(|plan| plan.name.is_sendable()) else { return Vec::new() };
         let answer = self.plan_answer(question);
@@ -135,15 +145,43 @@
         let answer = Answer { configuration: Some(plan.name), ..answer };
         let all = messages(&answer, &plan.bytes).into_iter().enumerate();
         let lacking = all.filter(|(index, _)| held.lacks(&plan.name, *index));
-        lacking.map(|(_, message)| message).collect()
+        let part_time = self.link_time(host);
+        let is_in_time = |(sent, _): &(u32, _)| *sent == 0 || part_time * *sent < PLAN_TIME;
+        (0..).zip(lacking).take_while(is_in_time).map(|(_, (_, message))| message).collect()
     }
 
-    /// Sends the messages of an answer. Returns whether all were sent.
+    /// Time that the largest datagram takes to a host.
+    fn link_time(&self, host: SocketAddr) -> Duration {
+        let links = [self.state.settings.limits.link_mbps, self.link_mbps(host)];
+        let times = links.map(|link| queue::link_time(MAX_DATAGRAM_BYTES, link));
+        times.into_iter().max().unwrap_or_default()
+    }
+
+    /// Bandwidth of the link of a host in Mbit/s, if it has told it.
+    fn link_mbps(&self, host: SocketAddr) -> Option<u32> {
+        let peers = self.state.peers.borrow();
+        let hosts = self.state.hosts.borrow();
+        hosts.get(&peers.get(&host)?.name)?.registration.link_mbps
+    }
+
+    /// Sends the messages of an answer: changes of one datagram at once, and all others as the links have
+    /// room. Returns whether all were sent, or wait.
     fn send_messages(&self, messages: Vec<(Answer, Bytes)>, host: SocketAddr) -> bool {
-        let mut messages = messages.into_iter();
-        messages.all(|(answer, payload)| {
-            self.socket.send_with_payload(&Message::Changes(answer), &payload, host)
-        })
+        let (mut is_sent, mut datagrams) = (true, VecDeque::new());
+        for (answer, payload) in messages {
+            let is_large = answer.part.is_some() || answer.is_plan_alone;
+            let message = Message::Changes(answer);
+            if !is_large {
+                is_sent &= self.socket.send_with_payload(&message, &payload, host);
+            } else if let Some(head) = message.head() {
+                datagrams.push_back(Datagram { head, payload });
+            }
+        }
+        if datagrams.is_empty() {
+            return is_sent;
+        }
+        let batch = Batch { host, link_mbps: self.link_mbps(host), datagrams };
+        self.socket.send_batch(batch) && is_sent
     }
 
     /// Sends the configuration to a host that gets no changes and has an earlier one. Returns whether it was
@@ -152,7 +190,7 @@
         if self.recent.plan_version() <= question.plan {
             return false;
         }
-        let messages = self.plan_messages(question);
+        let messages = self.plan_messages(question, host);
         !messages.is_empty() && self.send_messages(messages, host)
     }
 
--- a/crates/steer/src/peers.rs
+++ b/crates/steer/src/peers.rs
@@ -6,16 +6,19 @@
 //! without any message: a lost, late or duplicated one costs a retry or a call of the store and never leads
 //! to a wrong state.
 
+pub mod queue;
+
 use std::{net::SocketAddr, rc::Rc, sync::Arc};
 
 use eyre::WrapErr as _;
 use marjorampick_core::steering::departure::Departure;
+use queue::{Batch, Queue, Step};
 use serde::{Deserialize, Serialize};
 use socket2::SockRef;
-use tokio::{net::UdpSocket, sync::mpsc};
+use tokio::{net::UdpSocket, sync::mpsc, time::sleep};
 
 use crate::{
-    departures,
+    clock, departures,
     events::{Event, Rank},
     feed::relay::{Answer, Decline, Inbox, Question, Received},
     lending::Lending,
@@ -31,6 +34,9 @@
 /// Datagrams that wait until this host reads them, in bytes. The kernel may allow less.
 const RECEIVE_BUFFER_BYTES: usize = 1024 * 1024;
 
+/// Most batches of large answers that wait until they are queued; further ones are lost.
+const MAX_BATCHES: usize = 1024;
+
 /// Message between two hosts, encoded as JSON. A payload follows after a line break.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -65,6 +71,22 @@
     Leaving(Vec<Departure>),
 }
 
+impl Message {
+    /// The message as it is sent before a payload; `None` if it cannot be encoded.
+    pub(crate) fn head(&self) -> Option<Vec<u8>> {
+        match serde_json::to_vec(self) {
+            Ok(mut bytes) => {
+                bytes.push(b'\n');
+                Some(bytes)
+            }
+            Err(error) => {
+                log::error!("peers: cannot encode a message: {error}");
+                None
+            }
+        }
+    }
+}
+
 /// Limit that an instance has stated in an answer to the sender.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
 pub struct Limit {
@@ -78,17 +100,23 @@
 
 /// Socket for messages of other hosts.
 #[derive(Debug)]
-pub struct Socket(UdpSocket);
+pub struct Socket {
+    datagrams: Rc<UdpSocket>,
+    batches: mpsc::Sender<Batch>,
+}
 
 impl Socket {
     /// Binds the UDP socket to `address`.
-    pub async fn open(address: SocketAddr) -> eyre::Result<Self> {
+    pub async fn open(address: SocketAddr) -> eyre::Result<(Self, Sender)> {
         let socket = UdpSocket::bind(address).await;
         let socket = socket.wrap_err_with(|| format!("cannot bind the UDP socket to {address}"))?;
         if let Err(error) = SockRef::from(&socket).set_recv_buffer_size(RECEIVE_BUFFER_BYTES) {
             log::debug!("peers: cannot enlarge the receive buffer: {error}");
         }
-        Ok(Self(socket))
+        let datagrams = Rc::new(socket);
+        let (sender, batches) = mpsc::channel(MAX_BATCHES);
+        let sending = Sender { datagrams: datagrams.clone(), batches };
+        Ok((Self { datagrams, batches: sender }, sending))
     }
 
     /// Sends a message without a payload. One that cannot be sent is handled like a lost one.
@@ -103,35 +131,71 @@
         payload: &[u8],
         address: SocketAddr,
     ) -> bool {
-        let mut bytes = match serde_json::to_vec(message) {
-            Ok(bytes) => bytes,
-            Err(error) => {
-                log::error!("peers: cannot encode a message: {error}");
-                return false;
-            }
-        };
-        if !payload.is_empty() {
-            bytes.push(b'\n');
-            bytes.extend_from_slice(payload);
+        let Some(mut bytes) = message.head() else { return false };
+        if payload.is_empty() {
+            bytes.pop();
         }
+        bytes.extend_from_slice(payload);
         if bytes.len() > MAX_DATAGRAM_BYTES {
             log::debug!("peers: a message of {} bytes is too large", bytes.len());
             return false;
         }
-        let sent = self.0.try_send_to(&bytes, address);
-        if let Err(error) = &sent {
-            log::debug!("peers: cannot send a datagram to {address}: {error}");
+        send(&self.datagrams, &bytes, address)
+    }
+
+    /// Sends the datagrams of a large answer one after another ([`queue`]). Returns whether they are under way.
+    pub(crate) fn send_batch(&self, batch: Batch) -> bool {
+        self.batches.try_send(batch).is_ok()
+    }
+}
+
+/// Sends the large answers of a [`Socket`].
+#[derive(Debug)]
+pub struct Sender {
+    datagrams: Rc<UdpSocket>,
+    batches: mpsc::Receiver<Batch>,
+}
+
+impl Sender {
+    /// Sends datagrams as fast as the links allow, until the socket is dropped. One that cannot be sent is
+    /// handled like a lost one.
+    pub async fn run(mut self, state: Rc<State>) {
+        let mut queue = Queue::new(state.settings.limits.link_mbps);
+        loop {
+            let wait = match queue.next(clock::now()) {
+                Step::Send(host, datagram) => {
+                    let bytes = [datagram.head.as_slice(), &datagram.payload].concat();
+                    send(&self.datagrams, &bytes, host);
+                    continue;
+                }
+                Step::Wait(until) => Some(until.saturating_sub(clock::now())),
+                Step::Idle => None,
+            };
+            let batch = tokio::select! {
+                batch = self.batches.recv() => batch,
+                () = sleep(wait.unwrap_or_default()), if wait.is_some() => continue,
+            };
+            let Some(batch) = batch else { return };
+            queue.add(batch, clock::now());
         }
-        sent.is_ok()
     }
 }
 
+/// Sends a datagram. Returns whether it was sent.
+fn send(socket: &UdpSocket, bytes: &[u8], address: SocketAddr) -> bool {
+    let sent = socket.try_send_to(bytes, address);
+    if let Err(error) = &sent {
+        log::debug!("peers: cannot send a datagram to {address}: {error}");
+    }
+    sent.is_ok()
+}
+
 /// Handles messages of other hosts until the process ends. Those of strangers are dropped, as they would
 /// be told what hosts know, or change it.
 pub async fn run(state: Rc<State>, socket: Rc<Socket>, lending: Rc<Lending>, inbox: Rc<Inbox>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
-        let (length, sender) = match socket.0.recv_from(&mut buffer).await {
+        let (length, sender) = match socket.datagrams.recv_from(&mut buffer).await {
             Ok(received) => received,
             Err(error) => {
                 log::debug!("peers: cannot receive a datagram: {error}");
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -68,13 +68,15 @@
     let client = Client::new(state.settings.store.address, state.codec.store.clone());
     let (stopping_sender, stopping) = watch::channel(false);
     let (closing_sender, closing) = watch::channel(false);
-    let socket = Rc::new(Socket::open(state.settings.listeners.peers).await?);
+    let (socket, sender) = Socket::open(state.settings.listeners.peers).await?;
+    let socket = Rc::new(socket);
     let lending = Rc::new(Lending::new(socket.clone()));
     let inbox = Rc::new(Inbox::default());
     let (supervisor, mut ended) = Supervisor::new();
     start_listeners(&state, &supervisor, metrics_handle.clone()).await?;
     let feed = feed::run(state.clone(), client.clone(), socket.clone(), inbox.clone());
     supervisor.spawn("feed", feed);
+    supervisor.spawn("parts", sender.run(state.clone()));
     supervisor.spawn("announce", peers::announce(state.clone(), socket.clone(), announcements));
     supervisor.spawn("limits", limits::run(state.clone(), client.clone()));
     supervisor.spawn("reach", reach::run(state.clone()));
--- a/crates/steer/tests/relay.rs
+++ b/crates/steer/tests/relay.rs
@@ -1,6 +1,6 @@
 //! Tests the encoding of changes that hosts pass on.
 
-use std::io::Read as _;
+use std::{io::Read as _, net::SocketAddr, time::Duration};
 
 use marjorampick_core::steering::history::Era;
 use marjorampick_steer::{
@@ -9,6 +9,7 @@
         recent::Recent,
         relay::{self, Answer, Question},
     },
+    peers::queue::{self, Batch, Datagram, Queue, Step},
     store::{Change, Item},
 };
 
@@ -213,6 +214,42 @@
     assert_eq!(relay::decode(&plan.bytes), Some(vec![written("op/config", b"{}", 4)]));
 }
 
+/// A relay sent all parts of all answers at once, which filled the queue of a slow link. A host with a slow
+/// link must not hold up the others.
+#[test]
+fn parts_leave_as_the_links_have_room() {
+    const MEGABYTE: usize = 1_000_000;
+    assert_eq!(queue::link_time(MEGABYTE, Some(80)), Duration::from_millis(200));
+    assert_eq!(queue::link_time(MEGABYTE, None), queue::link_time(MEGABYTE, Some(10)));
+    let host = |port| SocketAddr::from(([127, 0, 0, 1], port));
+    let batch = |port, link_mbps, payload: &'static [u8], count| Batch {
+        host: host(port),
+        link_mbps: Some(link_mbps),
+        datagrams: vec![Datagram { head: vec![0], payload: payload.into() }; count].into(),
+    };
+    let part = Box::leak(vec![0; MEGABYTE - 1].into_boxed_slice());
+    let mut queue = Queue::new(Some(800));
+    queue.add(batch(1, 8, part, 9), Duration::ZERO);
+    queue.add(batch(2, 800, part, 2), Duration::ZERO);
+    // The batch of a later question replaces the one before.
+    queue.add(batch(1, 8, part, 2), Duration::ZERO);
+    let (mut now, mut sent) = (Duration::ZERO, Vec::new());
+    loop {
+        match queue.next(now) {
+            Step::Send(host, _) => sent.push((host.port(), now.as_millis())),
+            Step::Wait(until) => now = until,
+            Step::Idle => break,
+        }
+    }
+    assert_eq!(sent, [(1, 0), (2, 20), (2, 40), (1, 2000)]);
+    queue.add(batch(2, 800, part, 1), now);
+    assert_eq!(
+        queue.next(now + Duration::from_secs(2)),
+        Step::Idle,
+        "nobody waits for it any more"
+    );
+}
+
 fn whole_answer(until: u64) -> Answer {
     Answer {
         id: 1,
