feed: large configurations between hosts, part by part

Joins the answers in parts that outlast a loss, and their pace, with reads beside answers of others.

--- a/crates/steer/tests/relay.rs
+++ b/crates/steer/tests/relay.rs
@@ -1,14 +1,15 @@
 //! Tests the encoding of changes that hosts pass on.
 
-use std::io::Read as _;
+use std::{io::Read as _, net::SocketAddr, time::Duration};
 
 use marjorampick_core::steering::history::Era;
 use marjorampick_steer::{
     feed::{
-        parts::{self, Assembly, MAX_PARTS, PART_BYTES, Part},
+        parts::{self, Assembly, Collection, Holding, MAX_PARTS, Name, PART_BYTES, Part},
         recent::Recent,
         relay::{self, Answer, Question},
     },
+    peers::queue::{self, Batch, Datagram, Queue, Step},
     store::{Change, Item},
 };
 
@@ -118,7 +119,7 @@
     recent.record_plan(written_item("op/config", b"2", 9), 2);
     recent.restart(7);
     recent.record_plan(written_item("op/config", b"1", 5), 1);
-    assert_eq!(recent.plan_payload().map(|(version, _)| version), Some(2));
+    assert_eq!(recent.plan_payload().unwrap().unwrap().name.version, 2);
     assert_eq!(decoded(&recent, 7), Some(vec![written("op/config", b"2", 9)]));
     recent.clear();
     assert!(recent.plan_payload().is_none(), "revisions of an earlier era count");
@@ -150,15 +151,131 @@
 fn messages_of_earlier_versions_are_read() {
     let question = r#"{"asked_at":1,"revision":2}"#;
     let question: Question = serde_json::from_str(question).unwrap();
-    assert_eq!((question.plan, question.takes_parts), (0, false));
+    assert_eq!((question.plan, question.takes_parts, &question.held), (0, false, &None));
     let answer = r#"{"asked_at":1,"after":2,"until":9,"era":3}"#;
     let answer: Answer = serde_json::from_str(answer).unwrap();
     assert_eq!((answer.plan, answer.part), (0, None));
     assert!(!serde_json::to_string(&whole_answer(9)).unwrap().contains("part"));
+    assert_eq!(serde_json::to_string(&whole_answer(9)).unwrap().matches(':').count(), 5);
+}
+
+/// Each answer with a large configuration lost a part, and the next one began anew: parts that have arrived
+/// must count whichever host sent them.
+#[test]
+fn a_configuration_arrives_although_each_answer_loses_a_part() {
+    const PARTS: usize = 5;
+    let payload: Vec<u8> = (0..PART_BYTES * PARTS - 9).map(|index| (index % 251) as u8).collect();
+    let name = Name::new(7, &payload);
+    let pieces: Vec<&[u8]> = parts::split(&payload).map(|(_, bytes)| bytes).collect();
+    let mut collection = Collection::default();
+    let mut answers = Vec::new();
+    let whole = loop {
+        let held = collection.holding(6);
+        assert!(!held.has(&name) && answers.len() <= PARTS, "{held:?}");
+        let lacking: Vec<usize> = (0..PARTS).filter(|index| held.lacks(&name, *index)).collect();
+        answers.push(lacking.len());
+        let arriving = lacking.iter().skip(usize::from(lacking.len() > 1)).step_by(2);
+        let added = arriving.map(|index| collection.add(name, *index, pieces[*index]));
+        if let Some(whole) = added.flatten().next() {
+            break whole;
+        }
+    };
+    assert!(whole == payload && collection.is_whole(&name));
+    assert_eq!(answers, [5, 3, 2, 1]);
+    assert_eq!(collection.add(name, 0, pieces[0]), None, "a late part begins anew");
+}
+
+/// Parts that are not of one payload must neither be put together nor take memory without bound.
+#[test]
+fn parts_of_different_configurations_are_kept_apart() {
+    let payload = |byte: u8| vec![byte; PART_BYTES + 1];
+    let name = |version, byte| Name::new(version, &payload(byte));
+    let mut collection = Collection::default();
+    assert_eq!(collection.add(name(7, 1), 0, &payload(1)[1..]), None);
+    assert_eq!(collection.add(name(7, 2), 1, &[2]), None);
+    assert!(
+        collection.holding(0).lacks(&name(7, 1), 0),
+        "another payload of the version replaces it"
+    );
+    assert_eq!(collection.add(name(6, 1), 1, &[1]), None);
+    assert!(
+        !collection.holding(0).lacks(&name(7, 2), 1),
+        "an earlier version replaces a later one"
+    );
+    assert_eq!(collection.add(name(7, 2), 0, &payload(9)[1..]), None);
+    assert!(collection.holding(0).lacks(&name(7, 2), 1), "a wrong checksum is used");
+    let huge = Name { bytes: usize::MAX, parts: usize::MAX, ..name(8, 1) };
+    let empty = Name { bytes: 0, parts: 0, ..name(8, 1) };
+    assert_eq!(collection.add(huge, usize::MAX, &[]), None);
+    assert_eq!(collection.add(name(8, 1), 0, &[1]), None, "a part is too short");
+    assert_eq!(collection.holding(0), Holding::default());
+    assert!(!collection.holding(0).has(&huge) && !collection.holding(0).has(&empty));
+}
+
+/// An answer without the configuration must hold all other changes, before and after it.
+#[test]
+fn a_configuration_is_left_out_of_the_other_changes() {
+    let mut recent = Recent::default();
+    recent.restart(2);
+    recent.record(written("a", b"1", 3));
+    recent.record_plan(written_item("op/config", b"{}", 4), 9);
+    recent.record(written("b", b"2", 5));
+    let payload = recent.payload_without_plan(2).unwrap().unwrap();
+    assert_eq!(relay::decode(&payload), Some(vec![written("a", b"1", 3), written("b", b"2", 5)]));
+    assert!(recent.payload_without_plan(1).is_none() && recent.has_plan_after(3));
+    let plan = recent.plan_payload().unwrap().unwrap();
+    assert_eq!((plan.revision, plan.name), (4, Name::new(9, &plan.bytes)));
+    assert_eq!(relay::decode(&plan.bytes), Some(vec![written("op/config", b"{}", 4)]));
+}
+
+/// A relay sent all parts of all answers at once, which filled the queue of a slow link. A host with a slow
+/// link must not hold up the others.
+#[test]
+fn parts_leave_as_the_links_have_room() {
+    const MEGABYTE: usize = 1_000_000;
+    assert_eq!(queue::link_time(MEGABYTE, Some(80)), Duration::from_millis(200));
+    assert_eq!(queue::link_time(MEGABYTE, None), queue::link_time(MEGABYTE, Some(10)));
+    let host = |port| SocketAddr::from(([127, 0, 0, 1], port));
+    let batch = |port, link_mbps, payload: &'static [u8], count| Batch {
+        host: host(port),
+        link_mbps: Some(link_mbps),
+        datagrams: vec![Datagram { head: vec![0], payload: payload.into() }; count].into(),
+    };
+    let part = Box::leak(vec![0; MEGABYTE - 1].into_boxed_slice());
+    let mut queue = Queue::new(Some(800));
+    queue.add(batch(1, 8, part, 9), Duration::ZERO);
+    queue.add(batch(2, 800, part, 2), Duration::ZERO);
+    // The batch of a later question replaces the one before.
+    queue.add(batch(1, 8, part, 2), Duration::ZERO);
+    let (mut now, mut sent) = (Duration::ZERO, Vec::new());
+    loop {
+        match queue.next(now) {
+            Step::Send(host, _) => sent.push((host.port(), now.as_millis())),
+            Step::Wait(until) => now = until,
+            Step::Idle => break,
+        }
+    }
+    assert_eq!(sent, [(1, 0), (2, 20), (2, 40), (1, 2000)]);
+    queue.add(batch(2, 800, part, 1), now);
+    assert_eq!(
+        queue.next(now + Duration::from_secs(2)),
+        Step::Idle,
+        "nobody waits for it any more"
+    );
 }
 
 fn whole_answer(until: u64) -> Answer {
-    Answer { id: 1, after: 2, until, era: Era(3), plan: 4, is_plan_alone: false, part: None }
+    Answer {
+        id: 1,
+        after: 2,
+        until,
+        era: Era(3),
+        plan: 4,
+        is_plan_alone: false,
+        configuration: None,
+        apart: None,
+        part: None,
+    }
 }
 
 fn written_item(key: &str, value: &[u8], revision: u64) -> Item {
