steer: a version far ahead counts once two hosts have told it

Found by reading, in a review. A host that told a version far above the real one, or a corrupt message, made all hosts that heard it refuse requests with homes (`behind`) for as long as the store was away. Cause: any version that any host told counted at once, and was passed on as if it were known to be in force.

--- a/crates/steer/src/callers/carry.rs
+++ b/crates/steer/src/callers/carry.rs
@@ -275,7 +275,7 @@
     let names = &state.codec.headers;
     let remaining = milliseconds(call.deadline.saturating_sub(clock::now()));
     let (attempts, version) =
-        (HeaderValue::from(attempts), HeaderValue::from(state.settled_version()));
+        (HeaderValue::from(attempts), HeaderValue::from(demanded_version(state, call)));
     let mut headers = vec![
         (names.time_left.as_str(), remaining.as_bytes()),
         (ATTEMPTS_HEADER, attempts.as_bytes()),
@@ -285,6 +285,15 @@
     encode(call, body, &headers, &names.request_id)
 }
 
+/// Version of the configuration that a helper must have. One that this host has only heard of is demanded for
+/// requests with homes: this host runs all others itself by the configuration that it has.
+fn demanded_version(state: &State, call: &Call) -> u64 {
+    match Homes::in_force(state, call).bind() {
+        true => state.settled_version(),
+        false => state.settled_own_version(),
+    }
+}
+
 /// The refusal in an answer by which a helper says that the request has not run, and what it says of the
 /// helper; `None` for any other answer.
 fn refusal_of(answer: &Answer) -> Option<(Outcome, Refusal)> {
--- a/crates/steer/src/callers/carry/tests.rs
+++ b/crates/steer/src/callers/carry/tests.rs
@@ -11,8 +11,11 @@
 use tokio::{io::AsyncReadExt as _, net::TcpListener, task::LocalSet};
 
 use super::{
-    super::{body, routing},
-    Carried, run,
+    super::{
+        body,
+        routing::{self, Call},
+    },
+    Carried, demanded_version, run,
 };
 use crate::{
     clock,
@@ -94,8 +97,8 @@
     State::new(settings, codec(), Log::start("entry-1".into(), 0).unwrap()).0
 }
 
-/// A configuration with one route, whose only home is a region.
-fn plan(version: u64, home: &str) -> Option<Rc<Plan>> {
+/// A configuration with one route, whose homes are these regions.
+fn plan(version: u64, homes: &[&str]) -> Option<Rc<Plan>> {
     let route = Route {
         name: "route".into(),
         host: "shop.example".into(),
@@ -109,7 +112,7 @@
         is_public: true,
         is_sticky: false,
         has_large_answers: false,
-        home_regions: vec![home.into()],
+        home_regions: homes.iter().map(|home| (*home).into()).collect(),
     };
     let limits = Limits {
         max_header_bytes: 8192,
@@ -121,6 +124,29 @@
     Some(Rc::new(Plan::new(version, vec![route], services, workspaces, keys, limits)))
 }
 
+/// A request of a caller.
+fn call(state: &State) -> Call {
+    let request = Request::post("/").header(header::HOST, "shop.example").body(()).unwrap();
+    let (parts, ()) = request.into_parts();
+    routing::resolve(state, parts, clock::now(), None)
+        .unwrap_or_else(|refusal| panic!("{refusal:?}"))
+}
+
+/// A host passed a version that it had only heard of on to its helpers, which refused what it would have run itself.
+#[test]
+fn a_version_that_was_only_heard_is_demanded_for_requests_with_homes() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let _entered = runtime.enter();
+    let state = state();
+    let before = clock::now().saturating_sub(state.settings.store.propagation);
+    state.lag.borrow_mut().reach(before, 1);
+    state.lag.borrow_mut().hear(before, &"entry-2".into(), 2, 1);
+    for (homes, demanded) in [(&["north"][..], 2), (&[], 1)] {
+        *state.plan.borrow_mut() = plan(1, homes);
+        assert_eq!(demanded_version(&state, &call(&state)), demanded, "{homes:?}");
+    }
+}
+
 /// The homes were looked at before the connection to a helper was opened, and its region got the body after
 /// they had moved (HOME).
 #[test]
@@ -128,7 +154,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     LocalSet::new().block_on(&runtime, async {
         let state = state();
-        *state.plan.borrow_mut() = plan(1, "north");
+        *state.plan.borrow_mut() = plan(1, &["north"]);
         let helper = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let peers = helper.local_addr().unwrap();
         let registration = Registration {
@@ -141,17 +167,14 @@
         };
         let name: Arc<str> = "entry-2".into();
         state.hosts.borrow_mut().insert(name, Host { registration, expires_at: None });
-        let request = Request::post("/").header(header::HOST, "shop.example").body(()).unwrap();
-        let (parts, ()) = request.into_parts();
-        let call = routing::resolve(&state, parts, clock::now(), None)
-            .unwrap_or_else(|refusal| panic!("{refusal:?}"));
+        let call = call(&state);
         let (sink, _started) = body::sink(Version::HTTP_11);
         let body = Bytes::from_static(b"body");
         let receiving = async {
             let (mut stream, _) = helper.accept().await.unwrap();
             stream.read(&mut [0; 1024]).await.unwrap()
         };
-        let moving = async { *state.plan.borrow_mut() = plan(2, "south") };
+        let moving = async { *state.plan.borrow_mut() = plan(2, &["south"]) };
         // The homes move while the connection is being opened.
         let (carried, (), received) =
             tokio::join!(biased; run(&state, &call, &body, 0, &sink), moving, receiving);
--- a/crates/steer/src/callers/homes.rs
+++ b/crates/steer/src/callers/homes.rs
@@ -83,7 +83,7 @@
     }
 
     /// Whether the request may not run everywhere.
-    fn bind(&self) -> bool {
+    pub(super) fn bind(&self) -> bool {
         !self.of_route().is_empty() || !self.of_workspace().is_empty()
     }
 
--- a/crates/steer/src/callers/routing.rs
+++ b/crates/steer/src/callers/routing.rs
@@ -139,8 +139,8 @@
     let plan = state.plan.borrow().clone();
     let plan =
         plan.ok_or_else(|| Refusal::with_retry_after(Reason::Starting, STARTUP_RETRY_AFTER))?;
-    if peer.is_some() {
-        check_version(state, &plan, &parts.headers)?;
+    if let Some(peer) = &peer {
+        check_version(state, &plan, peer, &parts.headers)?;
     }
     let target = parts.uri.path_and_query().map_or("/", |target| target.as_str());
     if target.len() > MAX_TARGET_BYTES || parts.uri.authority().is_some() {
@@ -187,9 +187,14 @@
 
 /// Refuses a request of a host that knows of a later configuration, by which it may have another route, key
 /// or home than here. An earlier version of the program does not tell.
-fn check_version(state: &State, plan: &Plan, headers: &HeaderMap) -> Result<(), Refusal> {
+fn check_version(
+    state: &State,
+    plan: &Plan,
+    peer: &Arc<str>,
+    headers: &HeaderMap,
+) -> Result<(), Refusal> {
     let version = number(headers, VERSION_HEADER).unwrap_or_default();
-    state.hear_version(version);
+    state.hear_version(peer, version);
     match version <= plan.version {
         true => Ok(()),
         false => Err(Refusal::behind()),
--- a/crates/steer/src/feed/questions.rs
+++ b/crates/steer/src/feed/questions.rs
@@ -134,7 +134,7 @@
     /// Records that another host has no changes for this one. Its answer may still follow.
     pub(super) fn record_decline(&self, sender: SocketAddr, decline: &Decline) {
         if self.outstanding.iter().any(|asked| asked.is_declined_by(sender, decline)) {
-            self.state.hear_version(decline.plan);
+            self.state.hear_version_at(sender, decline.plan);
         } else {
             record_dropped(&self.state, sender, "unasked");
         }
@@ -151,7 +151,7 @@
         let Received { sender, answer, payload } = received;
         let assembled = self.outstanding[index].assembly.add(&answer, payload);
         let Some(payload) = assembled else {
-            self.state.hear_version(answer.plan);
+            self.state.hear_version_at(sender, answer.plan);
             return;
         };
         let asked_at = self.outstanding.swap_remove(index).asked_at;
@@ -183,6 +183,6 @@
             self.state.lag.borrow_mut().forget_before(asked_at);
             self.publish();
         }
-        self.state.hear_version(answer.plan);
+        self.state.hear_version_at(sender, answer.plan);
     }
 }
--- a/crates/steer/src/peers.rs
+++ b/crates/steer/src/peers.rs
@@ -175,7 +175,7 @@
         }
         Ok(Message::Lend { id, tokens }) => lending.accept_loan(state, id, tokens),
         Ok(Message::Follow(question)) => {
-            state.hear_version(question.plan);
+            state.hear_version(host, question.plan);
             inbox.add_question(question, *sender);
         }
         Ok(Message::Changes(answer)) => {
--- a/crates/steer/src/state.rs
+++ b/crates/steer/src/state.rs
@@ -382,9 +382,17 @@
         self.plan.borrow().as_ref().map_or(0, |plan| plan.version)
     }
 
-    /// Records the version that another host has in force; 0 if it did not tell.
-    pub fn hear_version(&self, version: u64) {
-        self.lag.borrow_mut().hear(clock::now(), version, self.version());
+    /// Records the version that the host with this name has in force; 0 if it did not tell.
+    pub fn hear_version(&self, teller: &Arc<str>, version: u64) {
+        self.lag.borrow_mut().hear(clock::now(), teller, version, self.version());
+    }
+
+    /// The same of the host that sends messages from this address.
+    pub fn hear_version_at(&self, sender: SocketAddr, version: u64) {
+        let peers = self.peers.borrow();
+        if let Some(peer) = peers.get(&sender) {
+            self.hear_version(&peer.name, version);
+        }
     }
 
     /// The latest version that all hosts must have in force by now, as this host has known it for a while; 0
@@ -393,6 +401,11 @@
         self.lag.borrow().known_for(clock::now(), self.propagation_allowance())
     }
 
+    /// The same of the versions that this host has had in force itself.
+    pub fn settled_own_version(&self) -> u64 {
+        self.lag.borrow().reached_for(clock::now(), self.propagation_allowance())
+    }
+
     /// Time in which a host that has heard of a later configuration has to put it in force.
     fn propagation_allowance(&self) -> Duration {
         self.settings.store.propagation.mul_f64(BEHIND_RATIO)
