callers: the line of a request that is refused before it has a route has its id

`grep ID` did not lead to the host that refused, which docs/OPERATIONS.md promises. Cause: the id was read from the head only after all checks that may refuse the request. Change: the id, and the host that passed the request on, are taken from the head first. A request for whose head there is no memory still has none. Test: behind::a_host_that_is_behind_does_not_run_what_is_passed_on, before: id "" and no `carried_for`; after: both.

--- a/crates/steer/src/callers/handle.rs
+++ b/crates/steer/src/callers/handle.rs
@@ -59,6 +59,15 @@
     Host(SocketAddr),
 }
 
+/// Head of a request that is refused before it has a route.
+#[derive(Debug, Default)]
+struct Unrouted {
+    /// Id that the caller gave the request.
+    id: Option<HeaderValue>,
+    /// Name of the host that passed the request on; `None` if a caller sent it.
+    peer: Option<Arc<str>>,
+}
+
 /// Sender of a request whose right to send is checked.
 struct From {
     ip: Option<IpAddr>,
@@ -129,7 +138,8 @@
         respond_to(state, lending, from, request, has_ambiguous_framing, sink).await
     } else {
         peers::record_dropped(state, address, Reason::Stranger.name());
-        Some(refuse(state, None, Refusal::new(Reason::Stranger), clock::now()))
+        let head = Unrouted { id: id.clone(), peer: None };
+        Some(refuse_unrouted(state, &head, Refusal::new(Reason::Stranger), clock::now()))
     };
     response.map(|response| mark_for_host(state, response, id))
 }
@@ -138,7 +148,7 @@
 pub(crate) fn refuse_for_memory(state: &Rc<State>, body: Incoming) -> Response<Full<Bytes>> {
     discard_body(state, body);
     let refusal = Refusal::with_retry_after(Reason::NoMemory, BUSY_RETRY_AFTER);
-    refuse(state, None, refusal, clock::now())
+    refuse_unrouted(state, &Unrouted::default(), refusal, clock::now())
 }
 
 /// Adds the request's id, without which the other host would take a refusal for an answer to another
@@ -174,14 +184,16 @@
     let arrived_at = clock::now();
     state.wait_until_ready().await;
     let (parts, body) = request.into_parts();
+    let id = parts.headers.get(&state.codec.headers.request_id).cloned();
+    let head = Unrouted { id, peer: from.peer.clone() };
     let mut response = if has_ambiguous_framing {
-        refuse(state, None, Refusal::new(Reason::BadRequest), arrived_at)
+        refuse_unrouted(state, &head, Refusal::new(Reason::BadRequest), arrived_at)
     } else {
         match routing::resolve(state, parts, arrived_at, from.peer) {
             Ok(call) => handle(state, lending, &call, from.ip, body, sink).await?,
             Err(refusal) => {
                 discard_body(state, body);
-                refuse(state, None, refusal, arrived_at)
+                refuse_unrouted(state, &head, refusal, arrived_at)
             }
         }
     };
@@ -207,7 +219,7 @@
     sink: &Sink,
 ) -> Option<Response<Full<Bytes>>> {
     if receive::is_too_long(call, &body) {
-        return Some(refuse(state, Some(call), Refusal::new(Reason::TooLong), call.arrived_at));
+        return Some(refuse(state, call, Refusal::new(Reason::TooLong)));
     }
     // Before the body, which may take long to arrive.
     let room =
@@ -216,12 +228,12 @@
         Ok(room) => room,
         Err(refusal) => {
             discard_body(state, body);
-            return Some(refuse(state, Some(call), refusal, call.arrived_at));
+            return Some(refuse(state, call, refusal));
         }
     };
     if let Err(refusal) = acquire_token(state, lending, call).await {
         discard_body(state, body);
-        return Some(refuse(state, Some(call), refusal, call.arrived_at));
+        return Some(refuse(state, call, refusal));
     }
     let received = match receive::read_body(state, call, ip, &mut body).await {
         Ok(received) => received,
@@ -231,7 +243,7 @@
                 refund_token(state, call);
                 discard_body(state, body);
             }
-            return Some(refuse(state, Some(call), refusal, call.arrived_at));
+            return Some(refuse(state, call, refusal));
         }
     };
     let outcome = forward::forward(state, call, &received.body, sink).await;
@@ -299,43 +311,47 @@
     response
 }
 
-/// Records a refusal and returns the response. `call` is `None` if the request has no route.
-fn refuse(
+/// Records a refusal and returns the response.
+fn refuse(state: &State, call: &Call, refusal: Refusal) -> Response<Full<Bytes>> {
+    let reason = refusal.reason.name();
+    metrics::record_refusal(reason);
+    let response = refusal.into_response();
+    record_end(state, call, reason, response.status(), &End::default());
+    response
+}
+
+/// The same for a request without a route.
+fn refuse_unrouted(
     state: &State,
-    call: Option<&Call>,
+    head: &Unrouted,
     refusal: Refusal,
     arrived_at: Duration,
 ) -> Response<Full<Bytes>> {
     let reason = refusal.reason.name();
     metrics::record_refusal(reason);
     let response = refusal.into_response();
-    match call {
-        Some(call) => record_end(state, call, reason, response.status(), &End::default()),
-        None => {
-            let elapsed_ms = clock::now().saturating_sub(arrived_at).as_millis();
-            let event = Event::Request {
-                id: "",
-                route: "",
-                workspace: "",
-                service: "",
-                instance: "",
-                remote: false,
-                known: false,
-                expected_ms: 0,
-                helper: "",
-                carried_for: "",
-                status: response.status().as_u16(),
-                reason,
-                attempts: 0,
-                elapsed_ms,
-                limit_ms: 0,
-                plan: state.plan.borrow().as_ref().map_or(0, |plan| plan.version),
-                store_age_ms: state.store_age_ms(),
-                fingerprint: None,
-            };
-            state.log.write(Rank::Failure, event);
-        }
-    }
+    let id = head.id.as_ref().and_then(|id| id.to_str().ok());
+    let event = Event::Request {
+        id: id.unwrap_or_default(),
+        route: "",
+        workspace: "",
+        service: "",
+        instance: "",
+        remote: false,
+        known: false,
+        expected_ms: 0,
+        helper: "",
+        carried_for: head.peer.as_deref().unwrap_or_default(),
+        status: response.status().as_u16(),
+        reason,
+        attempts: 0,
+        elapsed_ms: clock::now().saturating_sub(arrived_at).as_millis(),
+        limit_ms: 0,
+        plan: state.version(),
+        store_age_ms: state.store_age_ms(),
+        fingerprint: None,
+    };
+    state.log.write(Rank::Failure, event);
     response
 }
 
