--- a/crates/steer/src/feed/questions.rs
+++ b/crates/steer/src/feed/questions.rs
@@ -55,7 +55,7 @@
     /// Records that another host has no changes for this one. Its answer may still follow.
     pub(super) fn record_decline(&self, sender: SocketAddr, decline: &Decline) {
         if self.outstanding.iter().any(|asked| asked.is_declined_by(sender, decline)) {
-            self.state.hear_version(decline.plan);
+            self.state.hear_version_at(sender, decline.plan);
         } else {
             record_dropped(&self.state, sender, "unasked");
         }
@@ -70,14 +70,12 @@
             return;
         };
         let Received { sender, answer, payload } = received;
+        self.state.hear_version_at(sender, answer.plan);
         if let Some(name) = answer.configuration {
             self.collect(&answer, name, &payload, sender);
             return;
         }
-        let Some(payload) = self.outstanding[index].assembly.add(&answer, payload) else {
-            self.state.hear_version(answer.plan);
-            return;
-        };
+        let Some(payload) = self.outstanding[index].assembly.add(&answer, payload) else { return };
         let Some(changes) = relay::decode(&payload) else {
             self.outstanding.swap_remove(index);
             record_dropped(&self.state, sender, "malformed");
@@ -112,7 +110,6 @@
             self.state.lag.borrow_mut().forget_before(asked_at);
             self.publish();
         }
-        self.state.hear_version(answer.plan);
     }
 
     fn is_incomplete(&self) -> bool {
@@ -142,12 +139,10 @@
             self.departures.flush(&self.state, true);
             self.publish();
         }
-        self.state.hear_version(answer.plan);
     }
 
     /// Adds a part of a configuration, and puts it in force once it is whole.
     fn collect(&mut self, answer: &Answer, name: Name, payload: &[u8], sender: SocketAddr) {
-        self.state.hear_version(answer.plan);
         let index = answer.part.map_or(0, |part| part.index);
         let Some(payload) = self.collection.add(name, index, payload) else { return };
         let plans = relay::decode(&payload).unwrap_or_default();
