intake: a next request's body is not taken for that of the one being handled

Callers that sent a request together with a part of the next one's body lost the connection after 5 s while the first request was still with its instance, and with it the answer.

Cause: a connection is judged by the position in the bytes that have arrived. A body that arrives before the response was held to be that of the request being handled, which had stalled.

The scanner of the framing counts the requests that have wholly arrived. A body belongs to the request being handled only if more requests have been started than have arrived. That replaces the rule that a body which arrives during a response is the next one's.

--- a/crates/link/src/wire/framing.rs
+++ b/crates/link/src/wire/framing.rs
@@ -12,6 +12,8 @@
     line: Vec<u8>,
     line_limit_bytes: usize,
     head: Head,
+    /// Requests whose last byte has been scanned.
+    request_count: u64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,14 +53,20 @@
 impl Scanner {
     /// Creates a scanner for a new connection. Lines of more than `line_limit_bytes` are rejected.
     pub fn new(line_limit_bytes: usize) -> Self {
-        Self { state: State::Head, line: Vec::new(), line_limit_bytes, head: Head::default() }
+        Self {
+            state: State::Head,
+            line: Vec::new(),
+            line_limit_bytes,
+            head: Head::default(),
+            request_count: 0,
+        }
     }
 
     /// Scans `bytes`, the next ones that were read from the connection.
     pub fn scan(&mut self, mut bytes: &[u8]) -> Result<(), Ambiguous> {
         while !bytes.is_empty() {
             bytes = match self.state {
-                State::Body(remaining) => self.skip(bytes, remaining, State::Body, State::Head),
+                State::Body(remaining) => self.skip_body(bytes, remaining),
                 State::Chunk(remaining) => {
                     self.skip(bytes, remaining, State::Chunk, State::ChunkSize)
                 }
@@ -77,11 +85,25 @@
         }
     }
 
+    /// Number of requests that have arrived to their last byte.
+    pub fn request_count(&self) -> u64 {
+        self.request_count
+    }
+
     /// Lines of the request head that is being scanned.
     pub fn head_lines(&self) -> usize {
         self.head.line_count
     }
 
+    /// Skips bytes of a body with a `Content-Length`, of which `remaining` are left, and returns the rest.
+    fn skip_body<'a>(&mut self, bytes: &'a [u8], remaining: u64) -> &'a [u8] {
+        let rest = self.skip(bytes, remaining, State::Body, State::Head);
+        if self.state == State::Head {
+            self.end_request();
+        }
+        rest
+    }
+
     /// Skips up to `remaining` bytes and returns the rest of `bytes`. The next state is `current`
     /// with the remaining number, or `next` after the last byte.
     fn skip<'a>(
@@ -118,20 +140,26 @@
             State::Head if line.is_empty() => self.end_head(),
             State::Head => self.head.add_line(line)?,
             State::ChunkSize => self.state = parse_chunk_size(line)?,
-            State::Trailers if line.is_empty() => self.state = State::Head,
+            State::Trailers if line.is_empty() => self.end_request(),
             State::Trailers | State::Body(_) | State::Chunk(_) => {}
         }
         Ok(())
     }
 
     fn end_head(&mut self) {
-        // An empty head is an empty line before a request, which HTTP/1.1 allows.
         let head = std::mem::take(&mut self.head);
-        self.state = match (head.is_chunked, head.content_length) {
-            (true, _) => State::ChunkSize,
-            (false, Some(length)) if length > 0 => State::Body(length),
-            (false, _) => State::Head,
-        };
+        match (head.is_chunked, head.content_length) {
+            (true, _) => self.state = State::ChunkSize,
+            (false, Some(length)) if length > 0 => self.state = State::Body(length),
+            // An empty head is an empty line before a request, which HTTP/1.1 allows.
+            (false, _) if head.line_count == 0 => {}
+            (false, _) => self.end_request(),
+        }
+    }
+
+    fn end_request(&mut self) {
+        self.request_count += 1;
+        self.state = State::Head;
     }
 }
 
--- a/crates/link/src/wire/stream.rs
+++ b/crates/link/src/wire/stream.rs
@@ -54,6 +54,11 @@
         self.scanner.position()
     }
 
+    /// Number of requests that have arrived to their last byte.
+    pub fn request_count(&self) -> u64 {
+        self.scanner.request_count()
+    }
+
     /// Lines of the request head that is being read.
     pub fn head_lines(&self) -> usize {
         self.scanner.head_lines()
--- a/crates/link/tests/framing.rs
+++ b/crates/link/tests/framing.rs
@@ -74,3 +74,25 @@
         Ok(())
     });
 }
+
+/// Guards against a body that is taken for that of an earlier request: the time limits of bodies would end the
+/// connection while that request is being handled.
+#[test]
+fn requests_are_counted_at_their_last_byte() {
+    arbtest::arbtest(|input| {
+        let mut scanner = Scanner::new(LINE_LIMIT_BYTES);
+        for count in 0..input.int_in_range(0..=5)? {
+            let text = match input.int_in_range(0..=2)? {
+                0 => b"\r\nGET / HTTP/1.1\r\n\r\n".to_vec(),
+                1 => b"PUT / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc".to_vec(),
+                _ => chunked_request(1, &input.arbitrary::<Vec<u8>>()?),
+            };
+            let (last, start) = text.split_last().unwrap();
+            scanner.scan(start).unwrap();
+            assert_eq!(scanner.request_count(), count);
+            scanner.scan(&[*last]).unwrap();
+            assert_eq!(scanner.request_count(), count + 1);
+        }
+        Ok(())
+    });
+}
--- a/crates/steer/src/intake/connection.rs
+++ b/crates/steer/src/intake/connection.rs
@@ -58,7 +58,6 @@
                 gate.pace_pipelined().await;
             }
             let response = responding.await;
-            handling.0.start_response();
             response.map(|response| response.map(|body| Answer { body, _handling: handling }))
         })
     });
--- a/crates/steer/src/intake/progress.rs
+++ b/crates/steer/src/intake/progress.rs
@@ -17,8 +17,10 @@
     /// Requests whose responses are not at their end. The HTTP library may read the next request just before it
     /// drops the body of a response that it has sent.
     requests: Cell<u32>,
-    /// Whether the last request has its response, of which parts may still come.
-    is_responding: Cell<bool>,
+    /// Requests that have been handed to the service.
+    started: Cell<u64>,
+    /// Requests that have arrived to their last byte, handed to the service or not.
+    arrived: Cell<u64>,
     is_blocked: Cell<bool>,
     has_served: Cell<bool>,
     /// Whether bytes were read since the last request started.
@@ -39,7 +41,8 @@
             address,
             position: Cell::new(Position::Start),
             requests: Cell::new(0),
-            is_responding: Cell::new(false),
+            started: Cell::new(0),
+            arrived: Cell::new(0),
             is_blocked: Cell::new(false),
             has_served: Cell::new(false),
             has_read: Cell::new(false),
@@ -57,9 +60,10 @@
         self.address
     }
 
-    /// Records that bytes of requests were read.
-    pub(super) fn record_read(&self, length: usize, position: Position) {
+    /// Records that bytes of requests were read, and how many requests have wholly arrived with them.
+    pub(super) fn record_read(&self, length: usize, position: Position, arrived: u64) {
         self.position.set(position);
+        self.arrived.set(arrived);
         self.has_read.set(true);
         self.record_bytes(length);
     }
@@ -82,17 +86,11 @@
     pub(crate) fn start_request(&self) -> bool {
         let is_pipelined = !self.has_read.replace(false);
         self.requests.set(self.requests.get().saturating_add(1));
-        self.is_responding.set(false);
+        self.started.set(self.started.get().saturating_add(1));
         self.update_phase(clock::now());
         is_pipelined
     }
 
-    /// Records that the head of a response is there.
-    pub(super) fn start_response(&self) {
-        self.is_responding.set(true);
-        self.update_phase(clock::now());
-    }
-
     /// Records that the last byte of a response was taken, or that there will be none.
     pub(super) fn end_request(&self) {
         self.requests.set(self.requests.get().saturating_sub(1));
@@ -144,10 +142,11 @@
 
     fn update_phase(&self, now: Duration) {
         let is_serving = self.requests.get() > 0;
+        // The body of the next request may arrive while the last one is being handled.
+        let is_arriving = self.started.get() > self.arrived.get();
         let phase = match (self.is_blocked.get(), is_serving, self.position.get()) {
             (true, _, _) => Phase::Writing,
-            // A body that arrives while parts of a response are awaited is that of the next request.
-            (false, true, Position::Body) if !self.is_responding.get() => Phase::Body,
+            (false, true, Position::Body) if is_arriving => Phase::Body,
             (false, true, _) => Phase::Running,
             (false, false, Position::Body) => Phase::Rest,
             (false, false, Position::Head) => Phase::Head,
--- a/crates/steer/src/intake/stream.rs
+++ b/crates/steer/src/intake/stream.rs
@@ -144,7 +144,7 @@
         } else {
             this.head_bytes = 0;
         }
-        this.progress.record_read(length, position);
+        this.progress.record_read(length, position, this.inner.request_count());
         Poll::Ready(Ok(()))
     }
 }
