steer: a request is not sent on once its caller has left

Cause: a host's thread stood still for 0.64 s after a large configuration, and a request and the close of its connection waited in the kernel. After a read that does not fill its buffer, the runtime takes a connection for unreadable until it asks the kernel for events, which it does after up to 61 tasks. A task that is ready before reads the request, sees no end, and sends it on.

The tests of passing on have moved to callers/tests.rs, as they now share their host with one of sending; none of them is changed in what it checks.

--- a/crates/steer/src/callers.rs
+++ b/crates/steer/src/callers.rs
@@ -14,3 +14,6 @@
 pub(crate) mod routing;
 mod statement;
 mod stream;
+
+#[cfg(test)]
+mod tests;
--- a/crates/steer/src/callers/accept.rs
+++ b/crates/steer/src/callers/accept.rs
@@ -164,7 +164,9 @@
                     return Ok(handle::refuse_for_memory(&state, body).map(Body::Full));
                 };
                 let request = Request::from_parts(parts, body);
-                let responding = handle::respond(&state, &lending, sender, request, is_ambiguous);
+                let presence = progress.presence();
+                let responding =
+                    handle::respond(&state, &lending, sender, presence, request, is_ambiguous);
                 Ok::<_, Infallible>(responding.await)
             }
         })
--- a/crates/steer/src/callers/attempt.rs
+++ b/crates/steer/src/callers/attempt.rs
@@ -17,7 +17,7 @@
     homes::{Homes, Target},
     routing::{Call, milliseconds},
     statement,
-    stream::{self, End},
+    stream::{self, CALLER_LEFT, End},
 };
 use crate::{
     backend::{
@@ -43,6 +43,8 @@
     pub(crate) is_unreached: bool,
     /// Whether the connection could not be opened in time, rather than being refused.
     pub(crate) has_hung: bool,
+    /// Whether the caller closed its connection before the request was sent.
+    pub(crate) has_caller_left: bool,
     /// Suggested delay before the caller repeats the request if it has not run.
     pub(crate) retry_after: Duration,
     /// The instance's server error, which the caller gets if this was the last attempt.
@@ -59,6 +61,7 @@
             has_timed_out: false,
             is_unreached: false,
             has_hung: false,
+            has_caller_left: false,
             retry_after: retry::delay_after_rejection(None),
             answer: None,
             reason,
@@ -76,6 +79,7 @@
             has_timed_out: false,
             is_unreached: false,
             has_hung: false,
+            has_caller_left: false,
             retry_after: retry::delay_after_rejection(None),
             answer: None,
             reason,
@@ -167,6 +171,12 @@
         let failure = Failure::not_run(reason.to_owned(), false);
         return Err(record_failure(state, call, choice, failure));
     }
+    if sink.is_abandoned() {
+        guard.end(Outcome::Cancelled, None);
+        let failure = Failure::not_run(CALLER_LEFT.to_owned(), false);
+        let failure = Failure { has_caller_left: true, ..failure };
+        return Err(record_failure(state, call, choice, failure));
+    }
     let homes = match Homes::judge(state, call) {
         Ok(homes) if homes.allow(choice.region.as_ref()) => homes,
         judged => {
--- a/crates/steer/src/callers/body.rs
+++ b/crates/steer/src/callers/body.rs
@@ -19,9 +19,12 @@
 use marjorampick_link::wire::headers::strip_hop_by_hop;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::backend::{
-    answer::Head,
-    memory::{Exhausted, Room, Window},
+use crate::{
+    backend::{
+        answer::Head,
+        memory::{Exhausted, Room, Window},
+    },
+    intake::presence::Presence,
 };
 
 /// Body of a response.
@@ -107,6 +110,7 @@
 
 /// Where the response to one request may be started before its body is complete.
 pub(crate) struct Sink {
+    caller: Presence,
     /// Whether the caller can tell that a body without a length broke off.
     allows_chunks: bool,
     start: RefCell<Option<oneshot::Sender<Response<Body>>>>,
@@ -118,14 +122,22 @@
     window: Window,
 }
 
-/// A sink for the response to a request of this version, and the response if it is started.
-pub(crate) fn sink(version: Version) -> (Sink, oneshot::Receiver<Response<Body>>) {
+/// A sink for the response to a caller's request of this version, and the response if it is started.
+pub(crate) fn sink(
+    version: Version,
+    caller: Presence,
+) -> (Sink, oneshot::Receiver<Response<Body>>) {
     let (sender, started) = oneshot::channel();
     let allows_chunks = version >= Version::HTTP_11;
-    (Sink { allows_chunks, start: RefCell::new(Some(sender)) }, started)
+    (Sink { caller, allows_chunks, start: RefCell::new(Some(sender)) }, started)
 }
 
 impl Sink {
+    /// Whether the caller has closed its connection, so that nobody gets the response.
+    pub(crate) fn is_abandoned(&self) -> bool {
+        self.caller.has_left()
+    }
+
     /// Whether an answer with this head may be streamed. Before HTTP/1.1 the end of the connection
     /// ends a body without a length, so that one that broke off would look complete.
     pub(crate) fn allows(&self, head: &Head) -> bool {
--- a/crates/steer/src/callers/carry.rs
+++ b/crates/steer/src/callers/carry.rs
@@ -152,6 +152,11 @@
             guard.end(Outcome::Failed);
             continue;
         };
+        if sink.is_abandoned() {
+            guard.end(Outcome::Cancelled);
+            refusal = Some(Refusal::new(Reason::CallerLeft));
+            break;
+        }
         let homes = Homes::in_force(state, call);
         if !criteria(call, &homes, &asked).allow(&chosen.region) {
             guard.end(Outcome::Cancelled);
@@ -324,6 +329,3 @@
         Outcome::Cancelled => "cancelled",
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/crates/steer/src/callers/forward.rs
+++ b/crates/steer/src/callers/forward.rs
@@ -76,7 +76,11 @@
             Ok(reply) => return progress.answered(reply, choice),
             Err(failure) => failure,
         };
+        let has_caller_left = failure.has_caller_left;
         let is_retried = progress.record_failure(state, call, choice, failure);
+        if has_caller_left {
+            return progress.refused(Refusal::new(Reason::CallerLeft));
+        }
         if progress.is_unreached(state, call) {
             let refusal = Refusal::with_retry_after(Reason::Unreached, NO_INSTANCE_RETRY_AFTER);
             if call.is_carried() {
--- a/crates/steer/src/callers/handle.rs
+++ b/crates/steer/src/callers/handle.rs
@@ -28,6 +28,7 @@
     clock,
     constants::BUSY_RETRY_AFTER,
     events::{Event, Rank},
+    intake::presence::Presence,
     lending::Lending,
     metrics, peers,
     state::State,
@@ -74,10 +75,11 @@
     state: &Rc<State>,
     lending: &Rc<Lending>,
     sender: Sender,
+    presence: Presence,
     request: Request<Incoming>,
     has_ambiguous_framing: bool,
 ) -> Response<Body> {
-    let (sink, mut started) = body::sink(request.version());
+    let (sink, mut started) = body::sink(request.version(), presence);
     let (task_state, lending) = (state.clone(), lending.clone());
     let mut responding = Box::pin(async move {
         let (state, sink) = (&task_state, &sink);
--- a/crates/steer/src/callers/refusal.rs
+++ b/crates/steer/src/callers/refusal.rs
@@ -6,6 +6,7 @@
 use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::Full;
 
+use super::stream::CALLER_LEFT;
 use crate::constants::BEHIND_RETRY_AFTER;
 
 /// Why the host refuses a request. The statuses 429 and 503 guarantee that the request has not run.
@@ -52,6 +53,8 @@
     Shed,
     /// The deadline passed, or was too close, before the request was sent.
     LateUnsent,
+    /// The caller closed its connection before the request was sent.
+    CallerLeft,
     /// The request may have run, but there was no valid answer.
     Lost,
     /// The request may have run, and the deadline passed without an answer.
@@ -82,6 +85,7 @@
             Self::Unsupported => "unsupported",
             Self::Shed => "shed",
             Self::LateUnsent => "late_unsent",
+            Self::CallerLeft => CALLER_LEFT,
             Self::Lost => "lost",
             Self::Late => "late",
         }
@@ -113,7 +117,8 @@
             | Self::Quarantined
             | Self::Unsupported
             | Self::Shed
-            | Self::LateUnsent => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::LateUnsent
+            | Self::CallerLeft => StatusCode::SERVICE_UNAVAILABLE,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::Late => StatusCode::GATEWAY_TIMEOUT,
         }
--- a/crates/steer/src/callers/stream.rs
+++ b/crates/steer/src/callers/stream.rs
@@ -13,7 +13,7 @@
 /// Reason of a request whose response broke off after its head had been sent.
 pub(super) const BROKEN_OFF: &str = "broken_off";
 
-/// Reason of a request whose caller left before the end of a streamed response.
+/// Reason of a request whose caller left before the request was sent, or before the end of a streamed response.
 pub(super) const CALLER_LEFT: &str = "caller_left";
 
 /// How the exchange behind a streamed response ended.
--- a/crates/steer/src/intake.rs
+++ b/crates/steer/src/intake.rs
@@ -12,6 +12,7 @@
 pub(crate) mod machine;
 pub mod pace;
 pub(crate) mod pool;
+pub(crate) mod presence;
 pub(crate) mod progress;
 pub(crate) mod stream;
 
--- a/crates/steer/src/intake/gate.rs
+++ b/crates/steer/src/intake/gate.rs
@@ -18,6 +18,7 @@
     ledger::{Owner, network},
     pace::Pace,
     pool::{Pool, Reservation},
+    presence::Shared,
     progress::Progress,
     stream::Metered,
 };
@@ -202,6 +203,8 @@
         max_line_bytes: usize,
         has_ambiguous_framing: Arc<AtomicBool>,
     ) -> Option<Metered> {
+        let stream = Shared::new(stream);
+        self.progress.set_presence(stream.presence());
         let stream = Stream::new(stream, max_line_bytes, WRITE_TIMEOUT, has_ambiguous_framing);
         Some(Metered::new(stream, self.progress.clone(), self.reservation.take()?))
     }
--- a/crates/steer/src/intake/progress.rs
+++ b/crates/steer/src/intake/progress.rs
@@ -1,11 +1,18 @@
 //! What one connection is doing, recorded by its stream and read by the sweep.
 
-use std::{cell::Cell, net::IpAddr, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::IpAddr,
+    time::Duration,
+};
 
 use marjorampick_link::wire::framing::Position;
 use tokio::sync::Notify;
 
-use super::connections::{Cause, Phase, View};
+use super::{
+    connections::{Cause, Phase, View},
+    presence::Presence,
+};
 use crate::clock;
 
 /// Progress of one connection.
@@ -13,6 +20,7 @@
 pub(crate) struct Progress {
     id: u64,
     address: IpAddr,
+    presence: RefCell<Presence>,
     position: Cell<Position>,
     /// Requests whose responses are not at their end. The HTTP library may read the next request just before it
     /// drops the body of a response that it has sent.
@@ -39,6 +47,7 @@
         Self {
             id,
             address,
+            presence: RefCell::default(),
             position: Cell::new(Position::Start),
             requests: Cell::new(0),
             started: Cell::new(0),
@@ -60,6 +69,15 @@
         self.address
     }
 
+    pub(super) fn set_presence(&self, presence: Presence) {
+        self.presence.replace(presence);
+    }
+
+    /// Tells whether the caller is still there.
+    pub(crate) fn presence(&self) -> Presence {
+        self.presence.borrow().clone()
+    }
+
     /// Records that bytes of requests were read, and how many requests have wholly arrived with them.
     pub(super) fn record_read(&self, length: usize, position: Position, arrived: u64) {
         self.position.set(position);
--- a/crates/steer/src/intake/stream.rs
+++ b/crates/steer/src/intake/stream.rs
@@ -12,13 +12,12 @@
 use marjorampick_link::wire::{framing::Position, stream::Stream};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
     time::{Sleep, sleep},
 };
 
 use super::{
     CONNECTION_BYTES, UNREAD_RESPONSE_BYTES, connections::Cause, pool::Reservation,
-    progress::Progress,
+    presence::Shared, progress::Progress,
 };
 
 /// Bytes of a request head that need no memory beyond [`CONNECTION_BYTES`].
@@ -47,7 +46,7 @@
 
 /// Stream of one connection.
 pub(crate) struct Metered {
-    inner: Stream<TcpStream>,
+    inner: Stream<Shared>,
     progress: Rc<Progress>,
     reservation: Reservation,
     /// Bytes that were read in a row.
@@ -61,7 +60,7 @@
 
 impl Metered {
     pub(super) fn new(
-        inner: Stream<TcpStream>,
+        inner: Stream<Shared>,
         progress: Rc<Progress>,
         reservation: Reservation,
     ) -> Self {
--- a/crates/steer/src/intake/tests.rs
+++ b/crates/steer/src/intake/tests.rs
@@ -1,6 +1,7 @@
-//! Tests of the decisions, without a network but in [`answer`].
+//! Tests of the decisions, without a network but in [`answer`] and [`presence`].
 
 mod answer;
+mod presence;
 
 use std::{net::IpAddr, sync::Arc, time::Duration};
 
--- a/crates/steer/src/intake/tests/answer.rs
+++ b/crates/steer/src/intake/tests/answer.rs
@@ -48,7 +48,7 @@
     }
 }
 
-async fn connect(listener: &TcpListener) -> (TcpStream, TcpStream) {
+pub(super) async fn connect(listener: &TcpListener) -> (TcpStream, TcpStream) {
     let address = listener.local_addr().unwrap();
     let (caller, accepted) = tokio::join!(TcpStream::connect(address), listener.accept());
     (caller.unwrap(), accepted.unwrap().0)
