--- a/crates/steer/src/callers/carry.rs
+++ b/crates/steer/src/callers/carry.rs
@@ -152,6 +152,11 @@
             guard.end(Outcome::Failed);
             continue;
         };
+        if sink.is_abandoned() {
+            guard.end(Outcome::Cancelled);
+            refusal = Some(Refusal::new(Reason::CallerLeft));
+            break;
+        }
         let homes = Homes::in_force(state, call);
         if !criteria(call, &homes, &asked).allow(&chosen.region) {
             guard.end(Outcome::Cancelled);
@@ -287,7 +292,7 @@
 
 /// Version of the configuration that a helper must have. One that this host has only heard of is demanded for
 /// requests with homes: this host runs all others itself by the configuration that it has.
-fn demanded_version(state: &State, call: &Call) -> u64 {
+pub(super) fn demanded_version(state: &State, call: &Call) -> u64 {
     match Homes::in_force(state, call).bind() {
         true => state.settled_version(),
         false => state.settled_own_version(),
@@ -333,6 +338,3 @@
         Outcome::Cancelled => "cancelled",
     }
 }
-
-#[cfg(test)]
-mod tests;
