--- a/crates/core/src/steering/relay.rs
+++ b/crates/core/src/steering/relay.rs
@@ -45,7 +45,7 @@
 const FAST_LINK_RATIO: f64 = 0.5;
 
 /// Most questions that are remembered until they are answered.
-const MAX_QUESTIONS: usize = 4;
+const MAX_QUESTIONS: usize = 8;
 
 /// Time after an unanswered question after which the first host is asked again. All hosts that ask the
 /// same one share its calls.
--- a/crates/steer/src/feed/answers.rs
+++ b/crates/steer/src/feed/answers.rs
@@ -91,7 +91,10 @@
         };
         let is_sendable = changes.payload.len() <= MAX_PARTS * PART_BYTES;
         let last = self.recent.last_revision_without_plan(after);
-        (is_sendable && is_believed(last, changes.until)).then_some(changes)
+        let apart = changes.apart.as_ref().map_or(changes.until, |apart| apart.until);
+        let is_believed =
+            is_believed(last, changes.until) && is_believed(last.max(changes.until), apart);
+        (is_sendable && is_believed).then_some(changes)
     }
 
     /// Changes that a large configuration follows. `None` if one datagram holds both.
--- a/crates/steer/src/feed/questions.rs
+++ b/crates/steer/src/feed/questions.rs
@@ -54,9 +54,8 @@
 
     /// Records that another host has no changes for this one. Its answer may still follow.
     pub(super) fn record_decline(&self, sender: SocketAddr, decline: &Decline) {
-        if self.outstanding.iter().any(|asked| asked.is_declined_by(sender, decline)) {
-            self.state.hear_version_at(sender, decline.plan);
-        } else {
+        self.state.hear_version_at(sender, decline.plan);
+        if !self.outstanding.iter().any(|asked| asked.is_declined_by(sender, decline)) {
             record_dropped(&self.state, sender, "unasked");
         }
     }
@@ -64,25 +63,26 @@
     /// Applies the answer of another host to a question of this process, once all parts have arrived. One
     /// that claims more than the store can have reached is not used; the host asks the store.
     pub(super) fn apply_answer(&mut self, received: Received) {
+        // Also a late answer tells that this host is behind.
+        self.state.hear_version_at(received.sender, received.answer.plan);
         let asked = self.outstanding.iter().position(|asked| asked.is_answered_by(&received));
         let Some(index) = asked else {
             record_dropped(&self.state, received.sender, "unasked");
             return;
         };
         let Received { sender, answer, payload } = received;
-        self.state.hear_version_at(sender, answer.plan);
         if let Some(name) = answer.configuration {
             self.collect(&answer, name, &payload, sender);
             return;
         }
         let Some(payload) = self.outstanding[index].assembly.add(&answer, payload) else { return };
         let Some(changes) = relay::decode(&payload) else {
-            self.outstanding.swap_remove(index);
+            self.outstanding.remove(index);
             record_dropped(&self.state, sender, "malformed");
             return;
         };
         if !answer.is_plausible(&changes) {
-            self.outstanding.swap_remove(index);
+            self.outstanding.remove(index);
             record_dropped(&self.state, sender, "implausible");
             self.schedule.record_gap();
             return;
@@ -93,7 +93,7 @@
             self.outstanding[index].waiting = Some((answer, changes));
             return;
         }
-        let asked_at = self.outstanding.swap_remove(index).asked_at;
+        let asked_at = self.outstanding.remove(index).asked_at;
         self.apply_whole(&answer.completed(), changes, asked_at);
     }
 
--- a/crates/steer/src/feed/reading.rs
+++ b/crates/steer/src/feed/reading.rs
@@ -11,7 +11,7 @@
 use super::{
     Feed, Progress,
     read::{Content, Reader, Target},
-    relay::{Inbox, Question},
+    relay::{Inbox, MAX_QUESTION_AGE, Question},
 };
 use crate::{
     clock,
@@ -27,6 +27,8 @@
     asked_at: Duration,
     /// Questions of other hosts that it answers.
     questions: Vec<(SocketAddr, Question)>,
+    /// Whether their senders were told to ask another host.
+    are_declined: bool,
     /// Whether the store had answered a probe right before it.
     is_probed: bool,
     /// The task that reads ends when this is dropped.
@@ -91,6 +93,7 @@
             target,
             asked_at,
             questions,
+            are_declined: false,
             is_probed: std::mem::take(&mut self.is_probed),
             result: spawn(reader, target, self.inbox.clone()),
         });
@@ -104,19 +107,24 @@
             return;
         };
         self.schedule.record_read_end();
-        let Reading { target, asked_at, questions, is_probed, .. } = reading;
+        let Reading { target, asked_at, questions, are_declined, is_probed, .. } = reading;
         match result.and_then(|content| self.apply_content(content)) {
             Ok(()) => {
                 self.state.lag.borrow_mut().forget_before(asked_at);
                 self.publish();
-                self.answer(&questions);
+                // Nobody waits for a later answer.
+                if clock::now() < asked_at + MAX_QUESTION_AGE {
+                    self.answer(&questions);
+                }
                 self.retry_delay = MIN_STORE_RETRY_DELAY;
                 self.schedule.record_response(clock::now());
             }
             Err(fault) => {
-                self.decline(&questions);
+                if !are_declined {
+                    self.decline(&questions);
+                }
                 if !self.is_filled(target, &fault) {
-                    self.record_read_failure(&fault, is_probed);
+                    self.record_read_failure(target, &fault, is_probed);
                 }
             }
         }
@@ -129,12 +137,14 @@
         self.decline(&reading.questions);
     }
 
-    /// Declines the questions that wait for the next read, and for the one under way. Their senders have asked
-    /// others before that one can end.
+    /// Declines the questions that wait for the next read, and for the one under way. They go on waiting for an
+    /// answer: their senders may hear of nobody else.
     pub(super) fn decline_all(&mut self) {
         self.decline(&self.inbox.decline_questions());
-        if let Some(reading) = &mut self.reading {
-            let questions = std::mem::take(&mut reading.questions);
+        let reading = self.reading.as_mut().filter(|reading| !reading.are_declined);
+        if let Some(reading) = reading {
+            reading.are_declined = true;
+            let questions = reading.questions.clone();
             self.decline(&questions);
         }
     }
@@ -142,15 +152,17 @@
     /// Whether the changes that the store did not tell, as they were too many or too long ago, have been learned
     /// from another host meanwhile.
     fn is_filled(&self, target: Target, fault: &Fault) -> bool {
-        let Target::Changes { after, .. } = target else {
-            return false;
-        };
-        matches!(fault, Fault::Compacted | Fault::TooManyChanges) && self.revision > after
+        matches!(fault, Fault::Compacted | Fault::TooManyChanges) && self.has_passed(target)
+    }
+
+    /// Whether others have told changes that were to be read.
+    fn has_passed(&self, target: Target) -> bool {
+        matches!(target, Target::Changes { after, .. } if self.revision > after)
     }
 
-    fn record_read_failure(&mut self, fault: &Fault, is_probed: bool) {
+    fn record_read_failure(&mut self, target: Target, fault: &Fault, is_probed: bool) {
         self.record_call_failure(fault);
-        if is_probed && matches!(fault, Fault::Unknown(_)) {
+        if is_probed && matches!(fault, Fault::Unknown(_)) && !self.has_passed(target) {
             // The store has just answered a probe: what was missed takes too long to read.
             self.progress = Progress::Incomplete;
         }
--- a/crates/steer/src/feed/relay.rs
+++ b/crates/steer/src/feed/relay.rs
@@ -28,7 +28,7 @@
 
 /// Time for which a question waits for the next call of the store. Its sender asks others meanwhile, and
 /// after an outage all of them would answer with the same changes.
-const MAX_QUESTION_AGE: Duration = Duration::from_secs(2);
+pub(super) const MAX_QUESTION_AGE: Duration = Duration::from_secs(2);
 
 /// Most answers, and parts of them, that wait until the feed applies them; further ones are dropped.
 const MAX_ANSWERS: usize = 2 * MAX_PARTS;
--- a/crates/steer/src/feed/restore.rs
+++ b/crates/steer/src/feed/restore.rs
@@ -52,6 +52,8 @@
     /// Records that the store has been restored: all that was read of it is of an earlier history.
     pub(super) fn record_restore(&mut self) {
         self.abandon_read();
+        // Versions may be given out again.
+        self.collection.clear();
         self.progress = Progress::Incomplete;
         self.is_restored = true;
         self.schedule.record_gap();
