--- /dev/null
+++ b/review/standin-2/src/doors.rs
@@ -0,0 +1,206 @@
+//! Callers look hosts up while a crowd sends very slowly at the listener that says ready.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    path::Path,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use serde_json::json;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpSocket, TcpStream},
+    task::JoinSet,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    instance::{Instance, Settings},
+    record::Record,
+    world::{World, address},
+};
+
+/// Callers of the crowd.
+const CROWD: usize = 600;
+
+/// Pause between two of its bytes, and before it connects again.
+const DRIP: Duration = Duration::from_millis(350);
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Callers that look hosts up, and the time between two of their attempts.
+const CALLERS: usize = 8;
+const ATTEMPT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time that a caller allows for one look-up, and the platform for one question.
+const ANSWER_TIME: Duration = Duration::from_secs(1);
+
+/// Time until the crowd is there, and how long it is watched then.
+const GATHERING: Duration = Duration::from_secs(3);
+const WATCHED: Duration = Duration::from_secs(25);
+
+/// `stable` of the site.
+const STABLE: f64 = 3.0;
+
+const LOOK_UP: &str = "/api/lookup?name=shop.example&region=north&zone=north-a";
+
+/// Connects from a loopback address of its own.
+async fn connect(number: usize, host: SocketAddr) -> std::io::Result<TcpStream> {
+    let own = Ipv4Addr::new(127, 201, (number / 250) as u8, (number % 250) as u8 + 1);
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(SocketAddr::from((own, 0)))?;
+    timeout(ANSWER_TIME, socket.connect(host)).await?
+}
+
+/// Sends a request byte by byte until the host closes the connection, again and again.
+async fn misbehave(number: usize, host: SocketAddr) {
+    let text = format!("GET /api/ready HTTP/1.1\r\nHost: x\r\nX-Text: {}", "x".repeat(1000));
+    loop {
+        if let Ok(mut stream) = connect(number, host).await {
+            let mut byte = [0];
+            for sent in text.as_bytes() {
+                if stream.write_all(&[*sent]).await.is_err() {
+                    break;
+                }
+                // An answer, or the end of the connection.
+                if timeout(DRIP, stream.read(&mut byte)).await.is_ok() {
+                    break;
+                }
+            }
+        }
+        sleep(PAUSE).await;
+    }
+}
+
+/// Asks on a new connection. Returns whether the answer is 200.
+async fn ask(number: usize, host: SocketAddr, path: &str) -> bool {
+    let asking = async {
+        let mut stream = connect(number, host).await?;
+        let text = format!("GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        stream.write_all(text.as_bytes()).await?;
+        let mut bytes = Vec::new();
+        stream.read_to_end(&mut bytes).await?;
+        std::io::Result::Ok(bytes.starts_with(b"HTTP/1.1 200"))
+    };
+    timeout(ANSWER_TIME, asking).await.is_ok_and(|answer| answer.unwrap_or(false))
+}
+
+/// Times at which questions were answered, and the number of those that were not.
+#[derive(Default)]
+struct Answers {
+    at: Mutex<Vec<f64>>,
+    unanswered: Mutex<usize>,
+}
+
+impl Answers {
+    fn add(&self, record: &Record, what: &str, is_answered: bool) {
+        let at =
+            record.write(&format!("{what}: {}", if is_answered { "200" } else { "no answer" }));
+        if is_answered {
+            self.at.lock().unwrap().push(at);
+        } else {
+            *self.unanswered.lock().unwrap() += 1;
+        }
+    }
+
+    /// Longest time without an answer.
+    fn longest_gap(&self, start: f64, end: f64) -> f64 {
+        let mut times = vec![start, end];
+        times.extend(self.at.lock().unwrap().iter().filter(|at| **at > start && **at < end));
+        times.sort_by(f64::total_cmp);
+        times.windows(2).map(|pair| pair[1] - pair[0]).fold(0.0, f64::max)
+    }
+
+    fn counts(&self) -> (usize, usize) {
+        (self.at.lock().unwrap().len(), *self.unanswered.lock().unwrap())
+    }
+}
+
+/// Plays the case. Returns whether the rule held.
+pub async fn run(record: &Arc<Record>, folder: &Path, is_trouble: bool) -> Result<bool, String> {
+    let mut world = World::start(folder).await;
+    world.store.put(
+        "op/config",
+        &json!({
+            "version": "r1",
+            "routes": {
+                "read": {
+                    "host": "shop.example", "prefix": "/read/", "route_type": "idempotent",
+                    "timeout": "2500ms", "target_latency": "600ms", "priority": 1,
+                    "service": "statusdesk", "max_attempts": 2, "public": true,
+                },
+            },
+            "services": {
+                "statusdesk": {
+                    "health_path": "/health", "max_conns": 330, "warmup": "3s", "cold_per_s": 7.5,
+                },
+            },
+            "limits": {
+                "max_header_bytes": 16384, "max_body_bytes": 67_108_864, "header_timeout": "3000ms",
+                "idle_timeout": "15000ms",
+            },
+        }),
+    );
+    let settings = Settings {
+        id: "i-1".to_owned(),
+        service: "statusdesk".to_owned(),
+        zone: "north-a".to_owned(),
+        slots: 9,
+        queue: 27,
+        work: Duration::from_millis(20),
+        warmup: Duration::from_secs(3),
+    };
+    Instance::new(settings, address(100, 8600), record, &world.store).start(false);
+    world.add_host(1, 260);
+    if !world.wait_until_ready().await {
+        return Err("the host is not ready".to_owned());
+    }
+    let (look_ups, readiness) = (world.hosts[0].look_ups, world.hosts[0].readiness);
+    let mut crowd = JoinSet::new();
+    if is_trouble {
+        record.say(&format!("{CROWD} callers send byte by byte to the listener that says ready"));
+        for number in 0..CROWD {
+            crowd.spawn(misbehave(number, readiness));
+        }
+    }
+    sleep(GATHERING).await;
+    let (found, ready) = (Arc::new(Answers::default()), Arc::new(Answers::default()));
+    let start = record.now();
+    let mut asking = JoinSet::new();
+    for number in 0..CALLERS {
+        let (record, found) = (record.clone(), found.clone());
+        asking.spawn(async move {
+            sleep(ATTEMPT_INTERVAL * number as u32 / CALLERS as u32).await;
+            loop {
+                let is_answered = ask(5000 + number, look_ups, LOOK_UP).await;
+                found.add(&record, &format!("look-up of caller {number}"), is_answered);
+                sleep(ATTEMPT_INTERVAL).await;
+            }
+        });
+    }
+    let (ready_record, asked) = (record.clone(), ready.clone());
+    asking.spawn(async move {
+        loop {
+            let is_answered = ask(6000, readiness, "/api/ready").await;
+            asked.add(&ready_record, "question whether the host is ready", is_answered);
+            sleep(Duration::from_secs(1)).await;
+        }
+    });
+    sleep(WATCHED).await;
+    drop((asking, crowd));
+    let end = record.now();
+    let is_running = !world.hosts[0].has_ended();
+    let (answered, unanswered) = ready.counts();
+    record.say(&format!(
+        "ready: {answered} questions answered and {unanswered} not, for up to {:.1} s in a row; the process \
+         runs: {is_running}",
+        ready.longest_gap(start, end)
+    ));
+    let (answered, unanswered) = found.counts();
+    let gap = found.longest_gap(start, end);
+    record.say(&format!(
+        "RECOVER: {answered} look-ups answered and {unanswered} not, while {CALLERS} callers tried on new \
+         connections; none was answered for up to {gap:.1} s, {STABLE} s are allowed"
+    ));
+    Ok(gap <= STABLE && is_running)
+}
