--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -4,10 +4,11 @@
 
 mod caller;
 mod crowd;
-mod doors;
+
 mod instance;
 mod quota;
 mod record;
+mod slow;
 mod world;
 
 use std::{path::PathBuf, process::ExitCode, time::Duration};
@@ -36,7 +37,7 @@
     let playing = async {
         match case.as_str() {
             "crowd" => crowd::run(&record, &folder, is_trouble).await,
-            "doors" => doors::run(&record, &folder, is_trouble).await,
+            "slow" => slow::run(&record, &folder, is_trouble).await,
             "quota" => quota::run(&record, &folder, is_trouble).await,
             _ => Err(format!("unknown case {case}")),
         }
