--- a/review/standin-2/src/caller.rs
+++ b/review/standin-2/src/caller.rs
@@ -1,10 +1,14 @@
 //! Requests as callers send them.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
-    net::TcpStream,
+    net::{TcpSocket, TcpStream},
     time::{sleep, timeout},
 };
 
@@ -68,8 +72,8 @@
         let reading = async {
             let mut bytes = Vec::new();
             loop {
-                if let Some(status) = status_of(&bytes) {
-                    return Some(status);
+                if is_whole(&bytes) {
+                    return head(&bytes).map(|(status, _, _)| status);
                 }
                 if reader.read_buf(&mut bytes).await.ok()? == 0 {
                     return None;
@@ -87,13 +91,90 @@
     Sent { id, sent_at, status }
 }
 
-/// Status of a response that is complete.
-fn status_of(bytes: &[u8]) -> Option<u16> {
-    let text = std::str::from_utf8(bytes).ok()?;
-    let (head, body) = text.split_once("\r\n\r\n")?;
-    let status = head.split(' ').nth(1)?.parse().ok()?;
-    let mut lines = head.lines().filter_map(|line| line.split_once(':'));
+/// How an answer ended at its caller.
+#[derive(Clone, Debug)]
+pub enum End {
+    Whole(u16),
+    /// It has not the announced length.
+    Cut,
+}
+
+/// Link over which a caller reads, a piece at a time.
+#[derive(Clone, Copy, Debug)]
+pub struct Link {
+    pub piece_bytes: usize,
+    pub interval: Duration,
+}
+
+/// Connects from this address, with a receive buffer of this size; `None` for the usual one.
+pub async fn connect(
+    own: Ipv4Addr,
+    host: SocketAddr,
+    buffer_bytes: Option<u32>,
+) -> std::io::Result<TcpStream> {
+    let socket = TcpSocket::new_v4()?;
+    if let Some(bytes) = buffer_bytes {
+        socket.set_recv_buffer_size(bytes)?;
+    }
+    socket.bind(SocketAddr::from((own, 0)))?;
+    timeout(CONNECT_TIME, socket.connect(host)).await?
+}
+
+/// Sends a GET request on an open connection and reads the answer as the link allows.
+pub async fn read_over(
+    record: &Record,
+    stream: &mut TcpStream,
+    request: (&str, &str, &str),
+    limit: Duration,
+    link: Link,
+) -> End {
+    let (path, id, key) = request;
+    let text = format!(
+        "GET {path} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {id}\r\nDeadline-Ms: {}\r\n\
+         Credential: {key}\r\n\r\n",
+        limit.as_millis()
+    );
+    record.write(&format!("sent {id} {path}"));
+    let mut bytes = Vec::new();
+    let mut piece = vec![0; link.piece_bytes];
+    let reading = async {
+        stream.write_all(text.as_bytes()).await?;
+        while !is_whole(&bytes) {
+            let length = stream.read(&mut piece).await?;
+            if length == 0 {
+                break;
+            }
+            bytes.extend_from_slice(&piece[..length]);
+            if length > link.piece_bytes / 2 {
+                sleep(link.interval).await;
+            }
+        }
+        std::io::Result::Ok(())
+    };
+    let result = timeout(limit, reading).await;
+    let status = head(&bytes).map(|(status, _, _)| status);
+    let end = match (is_whole(&bytes), status) {
+        (true, Some(status)) => End::Whole(status),
+        _ => End::Cut,
+    };
+    record.write(&format!(
+        "ended {id} {end:?}, status {status:?}, {} bytes, {result:?}",
+        bytes.len()
+    ));
+    end
+}
+
+/// Status of an answer, size of its head and length of its body.
+fn head(bytes: &[u8]) -> Option<(u16, usize, usize)> {
+    let window = &bytes[..bytes.len().min(4096)];
+    let end = window.windows(4).position(|four| four == b"\r\n\r\n")?;
+    let text = std::str::from_utf8(&window[..end]).ok()?;
+    let status = text.split(' ').nth(1)?.parse().ok()?;
+    let mut lines = text.lines().filter_map(|line| line.split_once(':'));
     let length = lines.find(|(key, _)| key.eq_ignore_ascii_case("content-length"));
-    let length = length.and_then(|(_, value)| value.trim().parse().ok()).unwrap_or(0);
-    (body.len() >= length).then_some(status)
+    Some((status, end + 4, length.and_then(|(_, value)| value.trim().parse().ok()).unwrap_or(0)))
+}
+
+fn is_whole(bytes: &[u8]) -> bool {
+    head(bytes).is_some_and(|(_, head_bytes, length)| bytes.len() >= head_bytes + length)
 }
--- a/review/standin-2/src/crowd.rs
+++ b/review/standin-2/src/crowd.rs
@@ -13,12 +13,13 @@
 use serde_json::{Value, json};
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
-    net::{TcpSocket, TcpStream},
+    net::TcpStream,
     task::JoinSet,
-    time::{Instant, sleep, timeout},
+    time::{Instant, sleep},
 };
 
 use crate::{
+    caller::{self, End, Link, read_over},
     instance::{Fate, Instance, Settings},
     record::Record,
     world::{World, address},
@@ -39,8 +40,7 @@
 /// Callers that read large answers, each over a link of 8 Mbit/s.
 const READERS: usize = 12;
 const LARGE_BYTES: usize = 6_000_000;
-const READ_BYTES: usize = 50_000;
-const READ_INTERVAL: Duration = Duration::from_millis(50);
+const LINK: Link = Link { piece_bytes: 50_000, interval: Duration::from_millis(50) };
 
 const TIME_LIMIT: Duration = Duration::from_secs(20);
 
@@ -71,9 +71,7 @@
 /// Connects from a loopback address of its own.
 async fn connect(number: usize, host: SocketAddr) -> std::io::Result<TcpStream> {
     let own = Ipv4Addr::new(127, 200, (number / 250) as u8, (number % 250) as u8 + 1);
-    let socket = TcpSocket::new_v4()?;
-    socket.bind(SocketAddr::from((own, 0)))?;
-    timeout(Duration::from_secs(1), socket.connect(host)).await?
+    caller::connect(own, host, None).await
 }
 
 /// Opens a connection, sends half of a request's head and waits until the host closes it, again and again.
@@ -90,66 +88,6 @@
     }
 }
 
-/// How an answer ended at its caller.
-#[derive(Clone, Debug)]
-enum End {
-    Whole(u16),
-    /// It has not the announced length.
-    Cut {
-        status: Option<u16>,
-        bytes: usize,
-    },
-}
-
-/// Sends a request on an open connection and reads the answer as the link allows.
-async fn exchange(record: &Record, stream: &mut TcpStream, path: &str, id: &str) -> End {
-    let text = format!(
-        "GET {path} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {id}\r\nDeadline-Ms: {}\r\n\
-         Credential: {KEY}\r\n\r\n",
-        TIME_LIMIT.as_millis()
-    );
-    record.write(&format!("sent {id} {path}"));
-    let mut bytes = Vec::new();
-    let mut piece = vec![0; READ_BYTES];
-    let reading = async {
-        stream.write_all(text.as_bytes()).await?;
-        while !is_whole(&bytes) {
-            let length = stream.read(&mut piece).await?;
-            if length == 0 {
-                break;
-            }
-            bytes.extend_from_slice(&piece[..length]);
-            if length > READ_BYTES / 2 {
-                sleep(READ_INTERVAL).await;
-            }
-        }
-        std::io::Result::Ok(())
-    };
-    let result = timeout(TIME_LIMIT, reading).await;
-    let status = head(&bytes).map(|(status, _, _)| status);
-    let end = match (is_whole(&bytes), status) {
-        (true, Some(status)) => End::Whole(status),
-        _ => End::Cut { status, bytes: bytes.len() },
-    };
-    record.write(&format!("ended {id} {end:?} {result:?}"));
-    end
-}
-
-/// Status of an answer, size of its head and length of its body.
-fn head(bytes: &[u8]) -> Option<(u16, usize, usize)> {
-    let window = &bytes[..bytes.len().min(4096)];
-    let end = window.windows(4).position(|four| four == b"\r\n\r\n")?;
-    let text = std::str::from_utf8(&window[..end]).ok()?;
-    let status = text.split(' ').nth(1)?.parse().ok()?;
-    let mut lines = text.lines().filter_map(|line| line.split_once(':'));
-    let length = lines.find(|(key, _)| key.eq_ignore_ascii_case("content-length"));
-    Some((status, end + 4, length.and_then(|(_, value)| value.trim().parse().ok()).unwrap_or(0)))
-}
-
-fn is_whole(bytes: &[u8]) -> bool {
-    head(bytes).is_some_and(|(_, head_bytes, length)| bytes.len() >= head_bytes + length)
-}
-
 /// Plays the case. Returns whether the rule held.
 pub async fn run(record: &Arc<Record>, folder: &Path, is_trouble: bool) -> Result<bool, String> {
     let mut world = World::start(folder).await;
@@ -178,7 +116,10 @@
     let mut readers = Vec::new();
     for number in 0..READERS {
         let mut stream = connect(2000 + number, host).await.map_err(|error| error.to_string())?;
-        let first = exchange(record, &mut stream, "/video/1", &format!("small-{number}")).await;
+        let first = {
+            let id = format!("small-{number}");
+            read_over(record, &mut stream, ("/video/1", &id, KEY), TIME_LIMIT, LINK).await
+        };
         record.write(&format!("caller {number} is connected: {first:?}"));
         readers.push(stream);
     }
@@ -197,7 +138,10 @@
         let record = record.clone();
         reading.spawn(async move {
             let path = format!("/video/large-{LARGE_BYTES}");
-            exchange(&record, &mut stream, &path, &format!("large-{number}")).await
+            {
+                let id = format!("large-{number}");
+                read_over(&record, &mut stream, (&path, &id, KEY), TIME_LIMIT, LINK).await
+            }
         });
     }
     let ends = tokio::time::timeout_at(until, reading.join_all()).await;
@@ -209,7 +153,7 @@
         arrivals.filter(|arrival| arrival.fate == Fate::Ran && arrival.id.starts_with("large"));
     let ran = ran.count();
     let whole = ends.iter().filter(|end| matches!(end, End::Whole(200))).count();
-    let cut = ends.iter().filter(|end| matches!(end, End::Cut { .. })).count();
+    let cut = ends.iter().filter(|end| matches!(end, End::Cut)).count();
     record.say(&format!(
         "LOST: of {READERS} requests from kept connections, {ran} ran at an instance, {whole} were answered \
          whole and {cut} ended without a whole answer; {ALLOWED} may; the host is ready: {is_host_well}"
--- a/review/standin-2/src/instance.rs
+++ b/review/standin-2/src/instance.rs
@@ -1,4 +1,4 @@
-//! An instance with slots and a queue, which may turn slow, crash and start again.
+//! An instance with slots and a queue, which may turn cold.
 
 use std::{
     net::SocketAddr,
@@ -72,8 +72,6 @@
     slots: Semaphore,
     running: AtomicU32,
     waiting: AtomicU32,
-    /// Factor of the work, in percent.
-    factor: AtomicU32,
     born: AtomicU64,
     sequence: AtomicU64,
     cold_until: Mutex<Option<Instant>>,
@@ -97,7 +95,6 @@
             store: store.clone(),
             running: AtomicU32::new(0),
             waiting: AtomicU32::new(0),
-            factor: AtomicU32::new(100),
             born: AtomicU64::new(0),
             sequence: AtomicU64::new(0),
             cold_until: Mutex::default(),
@@ -123,15 +120,10 @@
         self.record.write(&format!("instance {} starts", self.settings.id));
     }
 
-    /// Ends the lifetime with all connections. The store is told nothing.
-    pub fn crash(&self) {
-        drop(self.tasks.lock().unwrap().take());
-        self.record.write(&format!("instance {} crashes", self.settings.id));
-    }
-
-    /// Makes work last `percent` of its usual time.
-    pub fn set_factor(&self, percent: u32) {
-        self.factor.store(percent, Ordering::SeqCst);
+    /// Makes the instance cold for its warm-up. Its next entry says so.
+    pub fn chill(&self) {
+        *self.cold_until.lock().unwrap() = Some(Instant::now() + self.settings.warmup);
+        self.record.write(&format!("instance {} is cold", self.settings.id));
     }
 
     /// Requests that arrived.
@@ -193,6 +185,7 @@
                 self.record.write(&format!("the answer to {id} broke off at {}", self.settings.id));
                 return;
             }
+            self.record.write(&format!("sent the answer to {id} at {}", self.settings.id));
         }
     }
 
@@ -237,7 +230,7 @@
         };
         let running = Count::one(&self.running);
         self.decide(index, Fate::Ran);
-        let work = self.settings.work * self.factor.load(Ordering::SeqCst) / 100;
+        let work = self.settings.work;
         let is_done = tokio::select! {
             done = timeout_at(deadline, sleep(work)) => done.is_ok(),
             () = closed(stream) => return None,
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -3,12 +3,14 @@
 //! Exits with 0 if the rule held, 1 if it was broken and 2 if the case could not run.
 
 mod caller;
+mod cold;
 mod crowd;
 
 mod instance;
 mod quota;
 mod record;
 mod slow;
+mod stop;
 mod world;
 
 use std::{path::PathBuf, process::ExitCode, time::Duration};
@@ -36,7 +38,9 @@
     let folder = PathBuf::from(folder);
     let playing = async {
         match case.as_str() {
+            "cold" => cold::run(&record, &folder, is_trouble).await,
             "crowd" => crowd::run(&record, &folder, is_trouble).await,
+            "stop" => stop::run(&record, &folder, is_trouble).await,
             "slow" => slow::run(&record, &folder, is_trouble).await,
             "quota" => quota::run(&record, &folder, is_trouble).await,
             _ => Err(format!("unknown case {case}")),
--- a/review/standin-2/src/slow.rs
+++ b/review/standin-2/src/slow.rs
@@ -10,12 +10,13 @@
 use serde_json::json;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
-    net::{TcpSocket, TcpStream},
+    net::TcpStream,
     task::JoinSet,
     time::{sleep, timeout},
 };
 
 use crate::{
+    caller,
     instance::{Instance, Settings},
     record::Record,
     world::{World, address},
@@ -25,7 +26,7 @@
 const MEMORY_MB: u32 = 112;
 
 /// Callers of the crowd.
-const CROWD: usize = 2000;
+const CROWD: usize = 3000;
 
 /// Pause between two of its bytes, and before it connects again.
 const DRIP: Duration = Duration::from_millis(350);
@@ -48,9 +49,7 @@
 /// Connects from a loopback address of its own.
 async fn connect(number: usize, host: SocketAddr) -> std::io::Result<TcpStream> {
     let own = Ipv4Addr::new(127, 201, (number / 250) as u8, (number % 250) as u8 + 1);
-    let socket = TcpSocket::new_v4()?;
-    socket.bind(SocketAddr::from((own, 0)))?;
-    timeout(ANSWER_TIME, socket.connect(host)).await?
+    caller::connect(own, host, None).await
 }
 
 /// Sends a request byte by byte until the host closes the connection, again and again.
--- a/review/standin-2/src/world.rs
+++ b/review/standin-2/src/world.rs
@@ -70,6 +70,7 @@
         let text = format!(
             "[host]\nname = \"{name}\"\nregion = \"north\"\nfailure_domain = \"north-a\"\n\
              [[failure_domain]]\nname = \"north-a\"\nregion = \"north\"\n\
+             [[failure_domain]]\nname = \"north-b\"\nregion = \"north\"\n\
              [listen]\ncallers = \"{ip}:7001\"\nlookup = \"{ip}:7002\"\nreadiness = \"{ip}:7003\"\n\
              peers = \"{ip}:7004\"\nmetrics = \"{ip}:7005\"\n\
              [limits]\nmemory_mb = {memory_mb}\ndescriptors = 4100\nlink_mbps = 1000\n\
@@ -119,16 +120,15 @@
         timeout(Duration::from_secs(1), asking).await.is_ok_and(|answer| answer.unwrap_or(false))
     }
 
-    /// Kills the process and starts it again.
-    pub fn restart(&mut self) {
-        self.child.kill().ok();
-        self.child.wait().ok();
-        self.child = spawn(&self.settings, &self.log);
+    /// Sends the process a SIGTERM.
+    pub fn terminate(&self) {
+        let id = self.child.id().to_string();
+        Command::new("kill").args(["-TERM", &id]).status().ok();
     }
 
-    /// Id of the process.
-    pub fn process(&self) -> u32 {
-        self.child.id()
+    /// Starts the process again after it has ended.
+    pub fn restart(&mut self) {
+        self.child = spawn(&self.settings, &self.log);
     }
 
     /// Whether the process has ended.
