--- a/review/standin-2/src/cold.rs
+++ b/review/standin-2/src/cold.rs
@@ -30,6 +30,8 @@
 const COLD_PER_SECOND: f64 = 7.5;
 const COLD_OVERAGE: f64 = 1.5;
 const COLD_SLACK: f64 = 5.0;
+/// Requests in a second with which a cold instance crashes: four times what it tolerates.
+const COLD_CRASH: usize = 30;
 const WARMUP: Duration = Duration::from_secs(3);
 
 /// Requests per second at all hosts together.
@@ -53,14 +55,14 @@
     json!({
         "version": "r1",
         "routes": {
-            "read": {
-                "host": "shop.example", "prefix": "/read/", "route_type": "idempotent",
-                "timeout": "2500ms", "target_latency": "600ms", "priority": 1, "service": "statusdesk",
+            "sign": {
+                "host": "shop.example", "prefix": "/sign/", "route_type": "non_idempotent",
+                "timeout": "2500ms", "target_latency": "600ms", "priority": 1, "service": "signhall",
                 "max_attempts": 2, "public": true,
             },
         },
         "services": {
-            "statusdesk": {
+            "signhall": {
                 "health_path": "/health", "max_conns": 330, "warmup": "3s",
                 "cold_per_s": COLD_PER_SECOND,
             },
@@ -80,12 +82,13 @@
     for number in 0..4 {
         let settings = Settings {
             id: format!("i-{number}"),
-            service: "statusdesk".to_owned(),
+            service: "signhall".to_owned(),
             zone: ["north-a", "north-b"][usize::from(number) % 2].to_owned(),
             slots: 9,
             queue: 27,
             work: Duration::from_millis(60),
             warmup: WARMUP,
+            cold_crash: Some(COLD_CRASH),
         };
         let instance = Instance::new(settings, address(100 + number, 8600), record, &world.store);
         instance.start(false);
@@ -137,7 +140,7 @@
     for index in 0..(PER_SECOND * TRAFFIC_TIME) as usize {
         sleep_until(started + Duration::from_secs_f64(index as f64 / PER_SECOND)).await;
         let host = if is_away.load(Ordering::SeqCst) { hosts[0] } else { hosts[index % 2] };
-        let (path, id) = (format!("/read/{index}"), format!("read-{index}"));
+        let (path, id) = (format!("/sign/{index}"), format!("sign-{index}"));
         let body = Body::default();
         sending.spawn(caller::send(record.clone(), host, path, id, KEY, TIME_LIMIT, body));
     }
@@ -168,7 +171,11 @@
     }
     let answered = |status| sent.iter().filter(|sent| sent.status == Some(status)).count();
     let counts = [200, 502, 503, 504].map(|status| format!("{status}: {}", answered(status)));
-    record.say(&format!("{} requests; {}", sent.len(), counts.join(", ")));
+    record.say(&format!(
+        "{} requests that must not run twice; {} (a 502 says that one may have run, and its work is lost)",
+        sent.len(),
+        counts.join(", ")
+    ));
     let (count, start, id) = most;
     record.say(&format!(
         "FAILBACK: {count} requests were sent to and arrived at {id} while it was cold, in the second \
--- a/review/standin-2/src/instance.rs
+++ b/review/standin-2/src/instance.rs
@@ -40,6 +40,8 @@
     pub work: Duration,
     /// Time for which it is cold after a start during traffic.
     pub warmup: Duration,
+    /// Requests in a second with which it crashes while it is cold; `None` if it bears any rate.
+    pub cold_crash: Option<usize>,
 }
 
 /// What became of a request that arrived.
@@ -230,6 +232,7 @@
         };
         let running = Count::one(&self.running);
         self.decide(index, Fate::Ran);
+        self.crash_if_overrun();
         let work = self.settings.work;
         let is_done = tokio::select! {
             done = timeout_at(deadline, sleep(work)) => done.is_ok(),
@@ -249,6 +252,18 @@
         })
     }
 
+    /// Ends the instance with all connections, for good, if it is cold and gets too many requests.
+    fn crash_if_overrun(&self) {
+        let Some(limit) = self.settings.cold_crash else { return };
+        let now = self.record.now();
+        let arrivals = self.arrivals.lock().unwrap();
+        let recent = arrivals.iter().rev().take_while(|arrival| arrival.at > now - 1.0);
+        if recent.filter(|arrival| arrival.is_cold).count() >= limit {
+            self.record.say(&format!("instance {} crashes", self.settings.id));
+            drop(self.tasks.lock().unwrap().take());
+        }
+    }
+
     fn arrive(&self, id: &str) -> usize {
         let is_cold = self.cold_ms() > 0;
         let at = self.record.write(&format!("arrives {id} at {}", self.settings.id));
--- a/review/standin-2/src/slow.rs
+++ b/review/standin-2/src/slow.rs
@@ -153,6 +153,7 @@
         queue: 27,
         work: Duration::from_millis(20),
         warmup: Duration::from_secs(3),
+        cold_crash: None,
     };
     Instance::new(settings, address(100, 8600), record, &world.store).start(false);
     world.add_host(1, MEMORY_MB);
--- a/review/standin-2/src/stop.rs
+++ b/review/standin-2/src/stop.rs
@@ -76,6 +76,7 @@
             queue: 18,
             work: Duration::from_millis(100),
             warmup: Duration::from_secs(3),
+            cold_crash: None,
         };
         let instance = Instance::new(settings, address(100 + number, 8600), record, &world.store);
         instance.start(false);
