--- a/review/standin-2/src/caller.rs
+++ b/review/standin-2/src/caller.rs
@@ -95,8 +95,10 @@
 #[derive(Clone, Debug)]
 pub enum End {
     Whole(u16),
-    /// It has not the announced length.
+    /// The connection ended before the announced length.
     Cut,
+    /// The time limit came first.
+    Late,
 }
 
 /// Link over which a caller reads, a piece at a time.
@@ -155,6 +157,7 @@
     let status = head(&bytes).map(|(status, _, _)| status);
     let end = match (is_whole(&bytes), status) {
         (true, Some(status)) => End::Whole(status),
+        _ if result.is_err() => End::Late,
         _ => End::Cut,
     };
     record.write(&format!(
--- a/review/standin-2/src/instance.rs
+++ b/review/standin-2/src/instance.rs
@@ -1,6 +1,7 @@
 //! An instance with slots and a queue, which may turn cold.
 
 use std::{
+    collections::HashMap,
     net::SocketAddr,
     sync::{
         Arc, Mutex,
@@ -78,6 +79,8 @@
     sequence: AtomicU64,
     cold_until: Mutex<Option<Instant>>,
     arrivals: Mutex<Vec<Arrival>>,
+    /// When the last byte of an answer was handed to the connection, by the id of the request.
+    answered: Mutex<HashMap<String, f64>>,
     tasks: Mutex<Option<JoinSet<()>>>,
 }
 
@@ -101,6 +104,7 @@
             sequence: AtomicU64::new(0),
             cold_until: Mutex::default(),
             arrivals: Mutex::default(),
+            answered: Mutex::default(),
             tasks: Mutex::default(),
         })
     }
@@ -128,6 +132,11 @@
         self.record.write(&format!("instance {} is cold", self.settings.id));
     }
 
+    /// When the whole answer to a request had been sent; `None` if it has not.
+    pub fn answered_at(&self, id: &str) -> Option<f64> {
+        self.answered.lock().unwrap().get(id).copied()
+    }
+
     /// Requests that arrived.
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.arrivals.lock().unwrap().clone()
@@ -187,7 +196,8 @@
                 self.record.write(&format!("the answer to {id} broke off at {}", self.settings.id));
                 return;
             }
-            self.record.write(&format!("sent the answer to {id} at {}", self.settings.id));
+            let at = self.record.write(&format!("sent the answer to {id} at {}", self.settings.id));
+            self.answered.lock().unwrap().insert(id, at);
         }
     }
 
