steer: an answer that a reset cuts during the upload is not complete

Callers saw: an instance answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written.

Cause: the kernel reports the reset of a connection once, to the first call that meets it. While the request is being written that can be a write. The host dropped the error of a failed write and read on, as the answer may still follow. The read then returned the end of the stream, which completes a body without a length.

Change: the error of the write stays with the request. Where the end of the connection would complete a body, an attempt whose write failed fails with that error. A connection on which a write failed is no longer offered for reuse; it was rejected there by a look at its socket before.

--- a/crates/steer/src/backend/connection.rs
+++ b/crates/steer/src/backend/connection.rs
@@ -138,8 +138,49 @@
     Last(Bytes, bool),
 }
 
-/// Head and body of a request, as far as they have not been sent.
-type Unsent = Chain<Bytes, Bytes>;
+/// Request that is being sent.
+#[derive(Debug)]
+struct Unsent {
+    /// Head and body, as far as they have not been sent. Empty once a write has failed.
+    rest: Chain<Bytes, Bytes>,
+    /// Error of the write that failed.
+    failure: Option<io::Error>,
+}
+
+impl Unsent {
+    fn new(request: &Request) -> Self {
+        Self { rest: request.head.clone().chain(request.body.clone()), failure: None }
+    }
+
+    fn has_remaining(&self) -> bool {
+        self.rest.has_remaining()
+    }
+
+    /// Whether all of the request was sent.
+    fn is_sent(&self) -> bool {
+        !self.has_remaining() && self.failure.is_none()
+    }
+
+    /// Drops the rest after a failed write.
+    fn fail(&mut self, error: io::Error) {
+        log::debug!("backend: write failed: {error}");
+        self.rest.advance(self.rest.remaining());
+        self.failure = Some(error);
+    }
+
+    /// Fails if the end of the connection, which a read has met, may be a reset.
+    ///
+    /// The kernel reports the error of a connection once. If a write takes it, reads return the end of
+    /// the stream. Only a broken pipe says that the instance had closed its side in order before.
+    fn check_end(&mut self) -> Result<(), Fault> {
+        match self.failure.take() {
+            Some(error) if error.kind() != io::ErrorKind::BrokenPipe => {
+                Err(Fault::Transport(error))
+            }
+            _ => Ok(()),
+        }
+    }
+}
 
 impl Connection {
     /// Opens a connection to the instance at `address`.
@@ -203,11 +244,14 @@
     ) -> Result<Reply, Fault> {
         self.may_have_sent = false;
         self.is_exchanging = true;
-        let mut unsent = request.head.clone().chain(request.body.clone());
+        let mut unsent = Unsent::new(request);
         let received = self.send_and_receive(request, &mut unsent, memory, on_head).await?;
         self.is_used = true;
         Ok(match received {
             Received::Whole(answer) => {
+                if answer.is_ended_by_close {
+                    unsent.check_end()?;
+                }
                 let is_reusable = self.finish(&request.id, &answer, &unsent);
                 Reply::Whole(answer, is_reusable)
             }
@@ -228,6 +272,7 @@
             let is_closed = self.read_part(&mut large.unsent).await? == 0;
             let mut answer = large.parser.next(&mut self.buffer, &large.method)?;
             if answer.is_none() && is_closed {
+                large.unsent.check_end()?;
                 answer = Some(large.parser.end_of_stream().ok_or(Fault::Closed)?);
             }
             if let Some(answer) = answer {
@@ -263,7 +308,7 @@
             && !answer.is_ended_by_close
             && !marjorampick_link::wire::headers::says_close(&answer.head.headers);
         let has_room = self.failed_ids.len() < MAX_FAILED_IDS;
-        is_persistent && !unsent.has_remaining() && has_room && self.buffer.is_empty()
+        is_persistent && unsent.is_sent() && has_room && self.buffer.is_empty()
     }
 
     /// Sends and reads concurrently, as the answer may arrive before the whole body has been sent.
@@ -308,8 +353,7 @@
 /// dropped and reading continues.
 async fn send(write_half: &mut WriteHalf<'_>, unsent: &mut Unsent, may_have_sent: &mut bool) {
     if let Err(error) = try_send(write_half, unsent, may_have_sent).await {
-        log::debug!("backend: write failed: {error}");
-        unsent.advance(unsent.remaining());
+        unsent.fail(error);
     }
 }
 
@@ -322,7 +366,7 @@
     // From here on, bytes of the request may have been sent.
     *may_have_sent = true;
     while unsent.has_remaining() {
-        if write_half.write_buf(unsent).await? == 0 {
+        if write_half.write_buf(&mut unsent.rest).await? == 0 {
             return Err(io::ErrorKind::WriteZero.into());
         }
     }
--- a/crates/steer/tests/connection.rs
+++ b/crates/steer/tests/connection.rs
@@ -1,13 +1,18 @@
 //! Tests of how connections to backend servers are closed.
 
-use std::{io::ErrorKind, net::SocketAddr, time::Duration};
+use std::{
+    io::{ErrorKind, Write as _},
+    net::{Shutdown, SocketAddr},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{HeaderName, Method};
 use marjorampick_steer::backend::{
-    connection::{Connection, Request},
+    connection::{Connection, Fault, Part, Reply, Request},
     memory::Memory,
 };
+use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpSocket, TcpStream},
@@ -85,3 +90,52 @@
         assert_eq!(error, None, "used: {is_used}");
     }
 }
+
+/// What a connection gave of an answer without a length, or why there is none.
+async fn receive_answer(connection: &mut Connection, request: &Request) -> Result<usize, Fault> {
+    let memory = Memory::new(ANSWER_BYTES);
+    let mut large = match connection.exchange(request, &memory, &mut |_, _| true).await? {
+        Reply::Whole(answer, is_reusable) => {
+            assert!(!is_reusable);
+            return Ok(answer.body.len());
+        }
+        Reply::Large(large) => large,
+    };
+    let mut length = 0;
+    loop {
+        match connection.next_part(&mut large).await? {
+            Part::Piece(piece) => length += piece.len(),
+            Part::Last(piece, is_reusable) => {
+                assert!(!is_reusable);
+                return Ok(length + piece.len());
+            }
+        }
+    }
+}
+
+/// The kernel reports a reset once. A write that met it took the report from the read, which then saw an orderly
+/// end, so that a part of an answer without a length was taken for all of it.
+#[tokio::test]
+async fn a_reset_that_a_write_meets_does_not_complete_an_answer() {
+    for (length, is_ended_in_order) in [(10, false), (40_000, false), (10, true), (40_000, true)] {
+        let (listener, address) = listen();
+        let mut connection = Connection::open(address).await.unwrap();
+        let (peer, _) = listener.accept().await.unwrap();
+        // The host does not look at its sockets meanwhile, as if it were busy, and then writes first.
+        let mut peer = peer.into_std().unwrap();
+        let head = b"HTTP/1.1 200 OK\r\nrequest-id: 1\r\n\r\n";
+        peer.write_all(&[head, vec![b'x'; length].as_slice()].concat()).unwrap();
+        if is_ended_in_order {
+            peer.shutdown(Shutdown::Write).unwrap();
+        }
+        SockRef::from(&peer).set_linger(Some(Duration::ZERO)).unwrap();
+        drop(peer);
+        let request = request(BODY_BYTES);
+        let received = receive_answer(&mut connection, &request);
+        match timeout(Duration::from_secs(5), received).await.unwrap() {
+            Ok(received) => assert!(is_ended_in_order && received == length, "{received} bytes"),
+            Err(Fault::Transport(_)) => assert!(!is_ended_in_order, "{length} bytes"),
+            Err(fault) => panic!("{length} bytes: {fault:?}"),
+        }
+    }
+}
