steer: a length with a sign is no length of an answer

Callers saw: an answer whose head was spoilt to `Content-Length: +18` came to them as a complete 200, with the spoilt field passed on. Where no body follows (HEAD, 304), any spoilt length was passed on: `9x`, `-9`, an empty one, two that differ.

Cause: the standard parser of numbers takes a sign, and answers without a body ended before their length was looked at.

Change: `wire::framing::body_length` reads what the headers of a message state about its body, with the same parser of digits as for requests, and the parser of answers asks it for every answer. What was refused before still is.

--- a/crates/steer/src/backend/answer.rs
+++ b/crates/steer/src/backend/answer.rs
@@ -5,7 +5,8 @@
 //! support this.
 
 use bytes::{Buf as _, Bytes, BytesMut};
-use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
+use marjorampick_link::wire::framing::{self, Ambiguous, Length};
 
 use crate::constants::{
     MAX_ANSWER_BYTES, MAX_ANSWER_HEAD_BYTES, MAX_ANSWER_HEADERS, MAX_BUFFERED_ANSWER_BYTES,
@@ -270,28 +271,26 @@
     Ok(Some(Head { status, headers, is_persistent }))
 }
 
+/// Checks that a length does not exceed the limit.
+fn accepted_bytes(length: u64) -> Result<usize, Malformed> {
+    let length = usize::try_from(length).ok().filter(|length| *length <= MAX_ANSWER_BYTES);
+    length.ok_or(Malformed("the body exceeds the size limit"))
+}
+
 /// Determines the framing of the body. Answers whose framing is ambiguous are rejected, as the rest
-/// of the body could be taken for another answer.
+/// of the body could be taken for another answer. That holds also where the length is that of a body
+/// which does not follow, since the caller gets it.
 fn body_framing(head: &Head, method: &Method) -> Result<Framing, Malformed> {
+    let length = framing::body_length(&head.headers);
+    let length = length.map_err(|Ambiguous| Malformed("ambiguous or invalid body length"))?;
     let has_no_body = method == Method::HEAD
         || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
     if has_no_body {
         return Ok(Framing::Length(0));
     }
-    let mut lengths = head.headers.get_all(header::CONTENT_LENGTH).iter();
-    let mut codings = head.headers.get_all(header::TRANSFER_ENCODING).iter();
-    match (lengths.next(), codings.next(), lengths.next().is_some(), codings.next().is_some()) {
-        (None, None, ..) => Ok(Framing::UntilClose),
-        (Some(length), None, false, _) => {
-            let length = length.to_str().ok().and_then(|text| text.parse::<usize>().ok());
-            match length {
-                Some(length) if length <= MAX_ANSWER_BYTES => Ok(Framing::Length(length)),
-                _ => Err(Malformed("invalid or excessive content-length")),
-            }
-        }
-        (None, Some(coding), _, false) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => {
-            Ok(Framing::Chunked)
-        }
-        _ => Err(Malformed("ambiguous or unsupported body framing")),
+    match length {
+        Length::Unstated => Ok(Framing::UntilClose),
+        Length::Chunked => Ok(Framing::Chunked),
+        Length::Bytes(length) => accepted_bytes(length).map(Framing::Length),
     }
 }
--- a/crates/steer/tests/answer.rs
+++ b/crates/steer/tests/answer.rs
@@ -57,6 +57,7 @@
         &b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\ntransfer-encoding: chunked\r\n\r\n"[..],
         &b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\ncontent-length: 4\r\n\r\n"[..],
         &b"HTTP/1.1 200 OK\r\ncontent-length: -3\r\n\r\n"[..],
+        &b"HTTP/1.1 200 OK\r\ncontent-length: +3\r\n\r\nabc"[..],
         &b"HTTP/1.1 200 OK\r\ntransfer-encoding: gzip\r\n\r\n"[..],
         &b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n"[..],
         &b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1\r\nabc\r\n"[..],
@@ -74,6 +75,21 @@
     let answer = parser.next(&mut buffer, &Method::HEAD).unwrap().unwrap();
     assert!(answer.body.is_empty());
     assert_eq!(bodies(b"HTTP/1.1 204 No Content\r\n\r\n"), [""]);
+    assert_eq!(bodies(b"HTTP/1.1 204 No Content\r\ncontent-length: 0\r\n\r\n"), [""]);
+    assert_eq!(bodies(b"HTTP/1.1 304 Not Modified\r\ncontent-length: 9\r\n\r\n"), [""]);
+    assert_eq!(bodies(b"HTTP/1.1 304 Not Modified\r\ntransfer-encoding: chunked\r\n\r\n"), [""]);
+}
+
+/// A spoilt length was passed on to the caller where no body follows.
+#[test]
+fn a_spoilt_length_is_no_length_of_an_answer_without_a_body() {
+    for value in ["+9", "-9", "9x", "", "9, 9", "9\r\ncontent-length: 8"] {
+        for status in ["200 OK", "304 Not Modified", "204 No Content"] {
+            let head = format!("HTTP/1.1 {status}\r\ncontent-length: {value}\r\n\r\n");
+            let mut buffer = BytesMut::from(head.as_bytes());
+            assert!(Parser::default().next(&mut buffer, &Method::HEAD).is_err(), "{head:?}");
+        }
+    }
 }
 
 /// Guards against panics on invalid bytes from a faulty instance.
