steer: an answer before HTTP/1.1 has no chunks

Callers saw: an answer whose version was spoilt to HTTP/1.0 and whose body came in chunks, small or large, as a complete 200.

Cause: the parser of answers looked at the coding alone. Chunks are unknown before HTTP/1.1, and RFC 9112 (6.1) has such a message treated as one with faulty framing: who sent the version did not mean the chunks, or the reverse.

Evidence: `broken::an_answer_before_http_1_1_has_no_chunks` failed before, with all four answers passed on.

Change: such an answer is malformed. HTTP/1.0 with a length or an end by the connection is passed on as before.

--- a/crates/steer/src/backend/answer.rs
+++ b/crates/steer/src/backend/answer.rs
@@ -283,6 +283,9 @@
 fn body_framing(head: &Head, method: &Method) -> Result<Framing, Malformed> {
     let length = framing::body_length(&head.headers);
     let length = length.map_err(|Ambiguous| Malformed("ambiguous or invalid body length"))?;
+    if length == Length::Chunked && !head.is_persistent {
+        return Err(Malformed("chunks before HTTP/1.1"));
+    }
     let has_no_body = method == Method::HEAD
         || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
     if has_no_body {
