steer: an answer with 204 announces no body

Callers saw: an instance sent 204 with `Content-Length: 5` or with chunks, and the caller got an empty answer as the complete one, although the instance had announced a body.

Cause: the parser took the status for the end of the answer, without a look at the fields that contradict it.

Evidence: `an_answer_that_can_have_no_body_announces_none` failed before.

--- a/crates/steer/tests/answer.rs
+++ b/crates/steer/tests/answer.rs
@@ -92,6 +92,17 @@
     }
 }
 
+/// An answer whose status allows no body announced one, which was cut off: the caller got an empty answer as the
+/// complete one.
+#[test]
+fn an_answer_that_can_have_no_body_announces_none() {
+    for field in ["content-length: 5", "transfer-encoding: chunked"] {
+        let head = format!("HTTP/1.1 204 No Content\r\n{field}\r\n\r\n");
+        let mut buffer = BytesMut::from(head.as_bytes());
+        assert!(Parser::default().next(&mut buffer, &Method::GET).is_err(), "{head:?}");
+    }
+}
+
 /// Guards against panics on invalid bytes from a faulty instance.
 #[test]
 fn arbitrary_bytes_cause_no_panic() {
