steer: a line before a chunk that holds no size ends no body

Callers saw: a complete 200 with a part of the body, or with none, where the line before a chunk was spoilt: empty, blank, `;x=y` or ` ;5`. Lines with a control byte or a line break in their extension were accepted as well.

Cause: the library's parser of such lines returns 0 for a line without a digit, and 0 marks the last chunk. It takes any byte in an extension.

Evidence: `broken::a_spoilt_line_before_a_chunk_ends_no_body` tries 24 spoilt lines before the first chunk, after a small one and after a large one that is streamed.

Change: the line is read as a whole, must begin with a digit and may hold no control byte but a tab. Extensions, leading zeros and blanks behind the size are accepted as before (`unusual_answers_that_are_valid_are_passed_on`).

--- a/crates/steer/src/backend/answer.rs
+++ b/crates/steer/src/backend/answer.rs
@@ -13,6 +13,9 @@
     MAX_CHUNK_LINE_BYTES, MAX_FAILURE_BYTES, MAX_INTERIM_ANSWERS,
 };
 
+/// End of a line in a chunked body.
+const LINE_BREAK: &[u8] = b"\r\n";
+
 /// Head of an answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Head {
@@ -186,24 +189,20 @@
     fn read_chunked_body(&mut self, buffer: &mut BytesMut) -> Result<bool, Malformed> {
         loop {
             match self.chunk_position {
-                Position::Size => match httparse::parse_chunk_size(buffer) {
-                    Ok(httparse::Status::Complete((length, size))) => {
-                        buffer.advance(length);
-                        let size = usize::try_from(size).unwrap_or(usize::MAX);
-                        if size > MAX_ANSWER_BYTES {
-                            return Err(Malformed("the body exceeds the size limit"));
+                Position::Size => {
+                    let Some(end) = line_end(buffer) else {
+                        if buffer.len() > MAX_CHUNK_LINE_BYTES {
+                            return Err(Malformed(
+                                "the line with a chunk's size exceeds the size limit",
+                            ));
                         }
-                        self.chunk_position =
-                            if size == 0 { Position::Trailer } else { Position::Data(size) };
-                    }
-                    Ok(httparse::Status::Partial) if buffer.len() > MAX_CHUNK_LINE_BYTES => {
-                        return Err(Malformed(
-                            "the line with a chunk's size exceeds the size limit",
-                        ));
-                    }
-                    Ok(httparse::Status::Partial) => return Ok(false),
-                    Err(_) => return Err(Malformed("invalid chunk size")),
-                },
+                        return Ok(false);
+                    };
+                    let size = parse_chunk_line(&buffer[..end])?;
+                    buffer.advance(end + LINE_BREAK.len());
+                    self.chunk_position =
+                        if size == 0 { Position::Trailer } else { Position::Data(size) };
+                }
                 Position::Data(missing) => {
                     let data = buffer.split_to(missing.min(buffer.len()));
                     self.body.extend_from_slice(&data);
@@ -214,18 +213,18 @@
                     self.chunk_position = Position::DataEnd;
                 }
                 Position::DataEnd => {
-                    if buffer.len() < 2 {
+                    if buffer.len() < LINE_BREAK.len() {
                         return Ok(false);
                     }
-                    if &buffer[..2] != b"\r\n" {
+                    if !buffer.starts_with(LINE_BREAK) {
                         return Err(Malformed("missing line break after a chunk"));
                     }
-                    buffer.advance(2);
+                    buffer.advance(LINE_BREAK.len());
                     self.chunk_position = Position::Size;
                 }
                 Position::Trailer => {
-                    let end = buffer.windows(2).position(|pair| pair == b"\r\n");
-                    let line_bytes = end.map_or(buffer.len(), |end| end + 2);
+                    let end = line_end(buffer);
+                    let line_bytes = end.map_or(buffer.len(), |end| end + LINE_BREAK.len());
                     if self.trailer_bytes + line_bytes > MAX_ANSWER_HEAD_BYTES {
                         return Err(Malformed("the trailers exceed the size limit"));
                     }
@@ -243,6 +242,28 @@
     }
 }
 
+/// Position of the next line break.
+fn line_end(buffer: &[u8]) -> Option<usize> {
+    buffer.windows(LINE_BREAK.len()).position(|bytes| bytes == LINE_BREAK)
+}
+
+/// Size of a chunk according to the line before it, whose extensions are ignored. A line without a size
+/// must not pass for that of the last chunk.
+fn parse_chunk_line(line: &[u8]) -> Result<usize, Malformed> {
+    let has_control = line.iter().any(|byte| byte.is_ascii_control() && *byte != b'\t');
+    let size = line.split(|byte| *byte == b';').next().unwrap_or_default();
+    match framing::parse_number(size.trim_ascii_end(), 16) {
+        Ok(size) if !has_control => accepted_bytes(size),
+        _ => Err(Malformed("invalid line with a chunk's size")),
+    }
+}
+
+/// Checks that a length does not exceed the limit.
+fn accepted_bytes(length: u64) -> Result<usize, Malformed> {
+    let length = usize::try_from(length).ok().filter(|length| *length <= MAX_ANSWER_BYTES);
+    length.ok_or(Malformed("the body exceeds the size limit"))
+}
+
 /// Removes the next head from the start of `buffer`, or returns `None` if it is not complete yet.
 fn parse_head(buffer: &mut BytesMut) -> Result<Option<Head>, Malformed> {
     let mut parsed = [httparse::EMPTY_HEADER; MAX_ANSWER_HEADERS];
@@ -271,12 +292,6 @@
     Ok(Some(Head { status, headers, is_persistent }))
 }
 
-/// Checks that a length does not exceed the limit.
-fn accepted_bytes(length: u64) -> Result<usize, Malformed> {
-    let length = usize::try_from(length).ok().filter(|length| *length <= MAX_ANSWER_BYTES);
-    length.ok_or(Malformed("the body exceeds the size limit"))
-}
-
 /// Determines the framing of the body. Answers whose framing is ambiguous are rejected, as the rest
 /// of the body could be taken for another answer. That holds also where the length is that of a body
 /// which does not follow, since the caller gets it.
