steer: a body ends with trailers that are fields

Callers saw: a complete 200 although the lines after the last chunk were spoilt: lines that are no field, names with a blank or a control byte, values with a control byte.

Cause: the parser skipped these lines unseen up to an empty one. So it cannot have known that the body ended there.

Evidence: `broken::a_trailer_that_is_no_field_is_no_end` failed before with all 116 answers passed on, and four of `a_broken_answer_of_another_host_is_no_answer`.

Change: each line must be a field, as in the head. An answer that is streamed breaks off there, and a buffered one is refused with 502. Trailers that are fields are dropped as before.

--- a/crates/steer/src/backend/answer.rs
+++ b/crates/steer/src/backend/answer.rs
@@ -232,10 +232,13 @@
                         return Ok(false);
                     };
                     self.trailer_bytes += line_bytes;
-                    buffer.advance(line_bytes);
+                    let line = buffer.split_to(line_bytes);
                     if end == 0 {
                         return Ok(true);
                     }
+                    if !is_field(&line[..end]) {
+                        return Err(Malformed("invalid trailer"));
+                    }
                 }
             }
         }
@@ -264,6 +267,15 @@
     length.ok_or(Malformed("the body exceeds the size limit"))
 }
 
+/// Whether a line is a header field.
+fn is_field(line: &[u8]) -> bool {
+    let Some(colon) = line.iter().position(|byte| *byte == b':') else {
+        return false;
+    };
+    HeaderName::from_bytes(&line[..colon]).is_ok()
+        && HeaderValue::from_bytes(line[colon + 1..].trim_ascii()).is_ok()
+}
+
 /// Removes the next head from the start of `buffer`, or returns `None` if it is not complete yet.
 fn parse_head(buffer: &mut BytesMut) -> Result<Option<Head>, Malformed> {
     let mut parsed = [httparse::EMPTY_HEADER; MAX_ANSWER_HEADERS];
