steer: statuses above 599 are no answer

Callers saw: an answer whose status was spoilt to 600, 666 or 999 reached them with that status and its body. 000 and the other spoilt ones were refused before.

Cause: the type of the HTTP library accepts any number from 100 to 999. RFC 9110 (15) has none outside of 100 to 599, so that nobody can tell whether such a request succeeded.

Change: `wire::status::is_final` says which statuses a final response may have, and a head with another one that is not an interim one is malformed.

--- a/crates/link/src/wire.rs
+++ b/crates/link/src/wire.rs
@@ -4,4 +4,5 @@
 pub mod framing;
 pub mod headers;
 pub mod socket;
+pub mod status;
 pub mod stream;
--- a/crates/steer/src/backend/answer.rs
+++ b/crates/steer/src/backend/answer.rs
@@ -6,7 +6,10 @@
 
 use bytes::{Buf as _, Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
-use marjorampick_link::wire::framing::{self, Ambiguous, Length};
+use marjorampick_link::wire::{
+    framing::{self, Ambiguous, Length},
+    status,
+};
 
 use crate::constants::{
     MAX_ANSWER_BYTES, MAX_ANSWER_HEAD_BYTES, MAX_ANSWER_HEADERS, MAX_BUFFERED_ANSWER_BYTES,
@@ -289,7 +292,9 @@
         Err(_) => return Err(Malformed("the head is not valid HTTP")),
     };
     let status = StatusCode::from_u16(response.code.unwrap_or_default())
-        .map_err(|_| Malformed("invalid status code"))?;
+        .ok()
+        .filter(|status| status.is_informational() || status::is_final(*status))
+        .ok_or(Malformed("invalid status code"))?;
     let is_persistent = response.version == Some(1);
     let mut headers = HeaderMap::with_capacity(response.headers.len());
     for field in response.headers.iter() {
