entry: 101 and statuses above 599 are no answers of a backend server

Callers saw: an answer of a backend server whose status was spoilt to 600 or 999, or that switched protocols although nobody had asked for it (101), reached them as an answer.

Cause: the type of the HTTP library accepts any number from 100 to 999, and the library returns a 101 as the final response.

Evidence: `broken::a_spoilt_head_is_no_answer` failed before, with these three passed on; 000 and the other spoilt statuses, lines that are no field and spoilt names were refused by the library. So were spoilt lines of chunks and trailers, and answers that are reset during an upload; their tests passed before and stay.

Change: such an answer ends with 502 and counts as a failure of the backend server, as one whose end can't be told.

--- a/crates/entry/src/callers/attempt.rs
+++ b/crates/entry/src/callers/attempt.rs
@@ -11,6 +11,7 @@
 use http_body::Body as _;
 use http_body_util::{BodyExt as _, Limited};
 use hyper::{body::Incoming, client::conn::TrySendError};
+use marjorampick_link::wire::status;
 use tokio::time::{timeout, timeout_at};
 
 use super::{
@@ -236,8 +237,7 @@
         }
     }
 
-    /// Fails the attempt if the end of the response body can't be told or the backend server shed
-    /// the request.
+    /// Fails the attempt if the response is malformed or the backend server shed the request.
     async fn check_response(
         &self,
         response: Response<Incoming>,
@@ -245,8 +245,7 @@
     ) -> Result<Reply, Failure> {
         let is_shed = is_shed(&response);
         self.update_status(&response, is_shed, sent.at);
-        if !is_framed(&response) {
-            let detail = "the end of the answer can't be told";
+        if let Some(detail) = defect(&response) {
             return Err(Failure {
                 refusal: Refusal::unknown(Code::BackendFailed, detail),
                 retry: Retry::Never,
@@ -279,7 +278,7 @@
         }
         if is_shed {
             status.record_load_shed(now);
-        } else if response.status().is_server_error() || !is_framed(response) {
+        } else if response.status().is_server_error() || defect(response).is_some() {
             status.record_failure(now, sent_at);
         } else {
             status.record_success(now, sent_at);
@@ -294,6 +293,17 @@
         && outcome.is_some_and(|outcome| outcome == "not-run")
 }
 
+/// Why a response is malformed, although the HTTP library accepts it; `None` for a valid one.
+fn defect(response: &Response<Incoming>) -> Option<&'static str> {
+    if !status::is_final(response.status()) {
+        Some("the answer has no valid status")
+    } else if !is_framed(response) {
+        Some("the end of the answer can't be told")
+    } else {
+        None
+    }
+}
+
 /// Whether the headers state the end of the body in exactly one way. A body that ends with the
 /// connection can't be told from one that was cut short.
 fn is_framed(response: &Response<Incoming>) -> bool {
--- a/crates/entry/tests/callers/main.rs
+++ b/crates/entry/tests/callers/main.rs
@@ -1,5 +1,6 @@
 //! The request path of an entry host, in process, between callers and backend servers on loopback.
 
+mod broken;
 mod budgets;
 mod claims;
 mod common;
