entry: a spoilt length of an answer without a body is not passed on

Callers saw: where no body follows (HEAD), a backend server's spoilt `Content-Length`, such as `3x`, `-3` or an empty one, came to them as it was, in a 200.

Cause: the HTTP library does not read the length of an answer that has no body, and the host looked at the coding alone.

Evidence: `broken::a_spoilt_length_is_no_length` failed before: of 12 spoilt lengths in answers to HEAD, 11 were passed on. The twelfth, two lengths that differ, ended the caller's connection. Answers to GET were refused before as well.

Change: the host reads the headers with `wire::framing::body_length`, as the other readers of answers do. What it refused before it still refuses.

--- a/crates/entry/src/callers/attempt.rs
+++ b/crates/entry/src/callers/attempt.rs
@@ -11,7 +11,10 @@
 use http_body::Body as _;
 use http_body_util::{BodyExt as _, Limited};
 use hyper::{body::Incoming, client::conn::TrySendError};
-use marjorampick_link::wire::status;
+use marjorampick_link::wire::{
+    framing::{Ambiguous, Length, body_length},
+    status,
+};
 use tokio::time::{timeout, timeout_at};
 
 use super::{
@@ -307,15 +310,10 @@
 /// Whether the headers state the end of the body in exactly one way. A body that ends with the
 /// connection can't be told from one that was cut short.
 fn is_framed(response: &Response<Incoming>) -> bool {
-    let headers = response.headers();
-    let mut encodings = headers.get_all(header::TRANSFER_ENCODING).iter();
-    match (encodings.next(), encodings.next()) {
-        (None, _) => response.body().size_hint().exact().is_some(),
-        (Some(encoding), None) => {
-            let is_chunked = encoding.as_bytes().eq_ignore_ascii_case(b"chunked");
-            is_chunked && !headers.contains_key(header::CONTENT_LENGTH)
-        }
-        (Some(_), Some(_)) => false,
+    match body_length(response.headers()) {
+        Ok(Length::Chunked) => true,
+        Ok(Length::Bytes(_) | Length::Unstated) => response.body().size_hint().exact().is_some(),
+        Err(Ambiguous) => false,
     }
 }
 
--- a/crates/entry/tests/callers/broken.rs
+++ b/crates/entry/tests/callers/broken.rs
@@ -75,6 +75,42 @@
     (status.unwrap_or(0), true)
 }
 
+/// A length that is none was passed on to the caller where no body follows.
+#[tokio::test]
+async fn a_spoilt_length_is_no_length() {
+    let sized = [
+        "+3",
+        "-3",
+        "3x",
+        "x3",
+        "0x3",
+        "3.0",
+        "3 3",
+        "3,4",
+        "3;",
+        "\"3\"",
+        "",
+        "3\r\nContent-Length: 4",
+    ];
+    let sized = sized.map(|value| format!("HTTP/1.1 200 OK\r\nContent-Length: {value}\r\n\r\n"));
+    expect_failures("HEAD", sized.clone()).await;
+    expect_failures("GET", sized.map(|head| head + "abc")).await;
+    let codings = [
+        "",
+        "chunke",
+        "xchunked",
+        "chunked;",
+        "\"chunked\"",
+        "chunked, chunked",
+        "gzip",
+        "identity",
+    ];
+    let chunked =
+        codings.map(|value| format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: {value}\r\n\r\n"));
+    expect_failures("HEAD", chunked.clone()).await;
+    expect_failures("GET", chunked.map(|head| head + "3\r\nabc\r\n0\r\n\r\n")).await;
+}
+
 /// Guards against bodies that end at a spoilt line of a chunk, and against those whose trailer is none.
 #[tokio::test]
 async fn a_spoilt_line_ends_no_chunked_body() {
