entry: an answer with 204 announces no body

Callers saw: a backend server's 204 that announced a body, by a length or in chunks, as a complete empty answer.

Cause: the HTTP library ends an answer with 204 at its head, whatever its fields say.

Evidence: `broken::an_answer_that_can_have_no_body_announces_none` failed before, with both answers passed on.

Change: such an answer ends with 502, as at the host on the users' platform, which asks `Length::is_empty` as well now.

--- a/crates/entry/src/callers/attempt.rs
+++ b/crates/entry/src/callers/attempt.rs
@@ -311,6 +311,7 @@
 /// connection can't be told from one that was cut short.
 fn is_framed(response: &Response<Incoming>) -> bool {
     match body_length(response.headers()) {
+        Ok(length) if response.status() == StatusCode::NO_CONTENT => length.is_empty(),
         Ok(Length::Chunked) => true,
         Ok(Length::Bytes(_) | Length::Unstated) => response.body().size_hint().exact().is_some(),
         Err(Ambiguous) => false,
--- a/crates/entry/tests/callers/broken.rs
+++ b/crates/entry/tests/callers/broken.rs
@@ -111,6 +111,14 @@
     expect_failures("GET", chunked.map(|head| head + "3\r\nabc\r\n0\r\n\r\n")).await;
 }
 
+/// A body that a 204 announced was cut off, and the caller got an empty answer as the complete one.
+#[tokio::test]
+async fn an_answer_that_can_have_no_body_announces_none() {
+    let fields = ["Content-Length: 3", "Transfer-Encoding: chunked"];
+    let answers = fields.map(|field| format!("HTTP/1.1 204 No Content\r\n{field}\r\n\r\n3\r\nabc"));
+    expect_failures("GET", answers).await;
+}
+
 /// Guards against bodies that end at a spoilt line of a chunk, and against those whose trailer is none.
 #[tokio::test]
 async fn a_spoilt_line_ends_no_chunked_body() {
--- a/crates/link/src/wire/framing.rs
+++ b/crates/link/src/wire/framing.rs
@@ -63,6 +63,13 @@
     Chunked,
 }
 
+impl Length {
+    /// Whether no body is announced.
+    pub fn is_empty(self) -> bool {
+        matches!(self, Self::Unstated | Self::Bytes(0))
+    }
+}
+
 /// Reads the length of the body from the headers of a message, which must state it in one way at most. The
 /// HTTP library takes an unknown transfer coding for a body that ends with the connection.
 pub fn body_length(headers: &HeaderMap) -> Result<Length, Ambiguous> {
--- a/crates/steer/src/backend/answer.rs
+++ b/crates/steer/src/backend/answer.rs
@@ -318,14 +318,13 @@
     if length == Length::Chunked && !head.is_persistent {
         return Err(Malformed("chunks before HTTP/1.1"));
     }
-    if method == Method::HEAD || head.status == StatusCode::NOT_MODIFIED {
-        return Ok(Framing::Length(0));
+    if head.status == StatusCode::NO_CONTENT && !length.is_empty() {
+        return Err(Malformed("a body of an answer that can have none"));
     }
-    if head.status == StatusCode::NO_CONTENT {
-        return match length {
-            Length::Unstated | Length::Bytes(0) => Ok(Framing::Length(0)),
-            _ => Err(Malformed("a body of an answer that can have none")),
-        };
+    let has_no_body = method == Method::HEAD
+        || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+    if has_no_body {
+        return Ok(Framing::Length(0));
     }
     match length {
         Length::Unstated => Ok(Framing::UntilClose),
