link: the length that headers state has a module of its own

`wire::framing` scans the requests of callers; what the headers of an answer say about its body is read by others. No behaviour changes: the tests of steer, link, load and entry that read broken answers pass as before.

--- a/crates/entry/src/callers/attempt.rs
+++ b/crates/entry/src/callers/attempt.rs
@@ -11,10 +11,7 @@
 use http_body::Body as _;
 use http_body_util::{BodyExt as _, Limited};
 use hyper::{body::Incoming, client::conn::TrySendError};
-use marjorampick_link::wire::{
-    framing::{Ambiguous, Length, body_length},
-    status,
-};
+use marjorampick_link::wire::{framing::Ambiguous, length::Length, status};
 use tokio::time::{timeout, timeout_at};
 
 use super::{
@@ -310,7 +307,7 @@
 /// Whether the headers state the end of the body in exactly one way. A body that ends with the
 /// connection can't be told from one that was cut short.
 fn is_framed(response: &Response<Incoming>) -> bool {
-    match body_length(response.headers()) {
+    match Length::read(response.headers()) {
         Ok(length) if response.status() == StatusCode::NO_CONTENT => length.is_empty(),
         Ok(Length::Chunked) => true,
         Ok(Length::Bytes(_) | Length::Unstated) => response.body().size_hint().exact().is_some(),
--- a/crates/link/src/http_client.rs
+++ b/crates/link/src/http_client.rs
@@ -15,7 +15,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
 
-use crate::wire::framing::{Ambiguous, body_length};
+use crate::wire::{framing::Ambiguous, length::Length};
 
 /// Largest accepted response body.
 pub const BODY_LIMIT_BYTES: usize = 8 * 1024 * 1024;
@@ -155,7 +155,7 @@
         };
         let sent = timeout(limits.head, sending).await.map_err(|_| Fault::TimedOut)?;
         let (parts, body) = sent.map_err(|error| Fault::failed(&error))?.into_parts();
-        body_length(&parts.headers).map_err(|Ambiguous| {
+        Length::read(&parts.headers).map_err(|Ambiguous| {
             Fault::ConnectionFailed("the end of the response can't be told".to_owned())
         })?;
         let body = read_body(body, limits).await?;
--- a/crates/link/src/wire.rs
+++ b/crates/link/src/wire.rs
@@ -3,6 +3,7 @@
 
 pub mod framing;
 pub mod headers;
+pub mod length;
 pub mod socket;
 pub mod status;
 pub mod stream;
--- a/crates/link/src/wire/framing.rs
+++ b/crates/link/src/wire/framing.rs
@@ -1,12 +1,10 @@
-//! Detects messages with ambiguous framing, whose end two parties may see at different places.
+//! Detects requests with ambiguous framing, which allow request smuggling.
 //!
-//! Such requests allow request smuggling. The HTTP library resolves such requests silently: it drops `Content-Length` when there is a
+//! The HTTP library resolves such requests silently: it drops `Content-Length` when there is a
 //! `Transfer-Encoding`, and accepts repeated equal lengths. A server behind or before us may
 //! resolve them differently and then treat the rest of one request as the start of another. The
 //! scanner sees the bytes of a caller's connection before the library does. See docs/design.md §10.
 
-use http::{HeaderMap, header};
-
 /// Parses the framing of the requests on one connection.
 #[derive(Debug)]
 pub struct Scanner {
@@ -52,39 +50,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Ambiguous;
 
-/// What the head of a message states about the length of its body.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Length {
-    /// Nothing.
-    Unstated,
-    /// The number of bytes.
-    Bytes(u64),
-    /// The body comes in chunks.
-    Chunked,
-}
-
-impl Length {
-    /// Whether no body is announced.
-    pub fn is_empty(self) -> bool {
-        matches!(self, Self::Unstated | Self::Bytes(0))
-    }
-}
-
-/// Reads the length of the body from the headers of a message, which must state it in one way at most. The
-/// HTTP library takes an unknown transfer coding for a body that ends with the connection.
-pub fn body_length(headers: &HeaderMap) -> Result<Length, Ambiguous> {
-    let mut lengths = headers.get_all(header::CONTENT_LENGTH).iter();
-    let mut codings = headers.get_all(header::TRANSFER_ENCODING).iter();
-    match (lengths.next(), codings.next(), lengths.next(), codings.next()) {
-        (None, None, ..) => Ok(Length::Unstated),
-        (Some(length), None, None, _) => parse_number(length.as_bytes(), 10).map(Length::Bytes),
-        (None, Some(coding), _, None) if coding.as_bytes().eq_ignore_ascii_case(b"chunked") => {
-            Ok(Length::Chunked)
-        }
-        _ => Err(Ambiguous),
-    }
-}
-
 impl Scanner {
     /// Creates a scanner for a new connection. Lines of more than `line_limit_bytes` are rejected.
     pub fn new(line_limit_bytes: usize) -> Self {
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -16,7 +16,7 @@
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
 };
-use marjorampick_link::wire::{framing::body_length, status};
+use marjorampick_link::wire::{length::Length, status};
 use serde::Deserialize;
 
 use crate::plan::Stream;
@@ -132,7 +132,7 @@
             Err(_) => return Attempt::Completed(Outcome::Unknown(Arc::from("connection-lost"))),
         };
         let (head, body) = response.into_parts();
-        if !status::is_final(head.status) || body_length(&head.headers).is_err() {
+        if !status::is_final(head.status) || Length::read(&head.headers).is_err() {
             return Attempt::Completed(Outcome::Unknown(Arc::from("malformed-answer")));
         }
         match body.collect().await {
--- a/crates/steer/src/backend/answer.rs
+++ b/crates/steer/src/backend/answer.rs
@@ -7,7 +7,8 @@
 use bytes::{Buf as _, Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode};
 use marjorampick_link::wire::{
-    framing::{self, Ambiguous, Length},
+    framing::{Ambiguous, parse_number},
+    length::Length,
     status,
 };
 
@@ -258,7 +259,7 @@
 fn parse_chunk_line(line: &[u8]) -> Result<usize, Malformed> {
     let has_control = line.iter().any(|byte| byte.is_ascii_control() && *byte != b'\t');
     let size = line.split(|byte| *byte == b';').next().unwrap_or_default();
-    match framing::parse_number(size.trim_ascii_end(), 16) {
+    match parse_number(size.trim_ascii_end(), 16) {
         Ok(size) if !has_control => accepted_bytes(size),
         _ => Err(Malformed("invalid line with a chunk's size")),
     }
@@ -313,7 +314,7 @@
 /// of the body could be taken for another answer. That holds also where the length is that of a body
 /// which does not follow, since the caller gets it.
 fn body_framing(head: &Head, method: &Method) -> Result<Framing, Malformed> {
-    let length = framing::body_length(&head.headers);
+    let length = Length::read(&head.headers);
     let length = length.map_err(|Ambiguous| Malformed("ambiguous or invalid body length"))?;
     if length == Length::Chunked && !head.is_persistent {
         return Err(Malformed("chunks before HTTP/1.1"));
