steer: a line feed alone ends no line of a head

Callers saw: an answer into whose head a line feed had come, as an empty line in its middle. They got a complete 200 whose body was the rest of the head and the body, where the connection was closed, and 504 where it stayed open.

Cause: the library's parser takes a line feed alone for a line break, which HTTP allows, but does not ask for. An empty line of that kind ended the head before the fields that state the length.

Evidence: `broken::a_line_feed_alone_ends_no_line_of_a_head` failed before: 28 of 32 answers were passed on or ended late, four of them as a complete 200 with a body that was not the instance's.

Change: each line of a head must end with CR LF, as the lines of chunks and trailers. The other tests of answers pass.

--- a/crates/steer/src/backend/answer.rs
+++ b/crates/steer/src/backend/answer.rs
@@ -17,7 +17,7 @@
     MAX_CHUNK_LINE_BYTES, MAX_FAILURE_BYTES, MAX_INTERIM_ANSWERS,
 };
 
-/// End of a line in a chunked body.
+/// End of a line in a head and in a chunked body.
 const LINE_BREAK: &[u8] = b"\r\n";
 
 /// Head of an answer.
@@ -292,6 +292,9 @@
         Ok(httparse::Status::Partial) => return Ok(None),
         Err(_) => return Err(Malformed("the head is not valid HTTP")),
     };
+    if !has_whole_line_breaks(&buffer[..length]) {
+        return Err(Malformed("a line of the head ends without a carriage return"));
+    }
     let status = StatusCode::from_u16(response.code.unwrap_or_default())
         .ok()
         .filter(|status| status.is_informational() || status::is_final(*status))
@@ -310,6 +313,12 @@
     Ok(Some(Head { status, headers, is_persistent }))
 }
 
+/// Whether each line ends with a whole line break. The library takes a line feed alone for one, so that a
+/// stray one could end the head in its middle.
+fn has_whole_line_breaks(head: &[u8]) -> bool {
+    head.split_inclusive(|byte| *byte == b'\n').all(|line| line.ends_with(LINE_BREAK))
+}
+
 /// Determines the framing of the body. Answers whose framing is ambiguous are rejected, as the rest
 /// of the body could be taken for another answer. That holds also where the length is that of a body
 /// which does not follow, since the caller gets it.
