link: a line feed alone ends no line of a response's head

Callers of `marjorampick-entry` saw: an answer into whose head a line feed had come as a complete 200, with the rest of the head as the start of a body cut to the stated length. The client of the store, the list of hosts, health checks and admin calls took such responses in the same way.

Cause: as in the parser of the host on the users' platform, the library takes a line feed alone for a line break.

Evidence: `broken::a_line_feed_alone_ends_no_line_of_a_head` of entry failed before with all five answers passed on, and the rows of `a_response_with_a_spoilt_line_is_none` with all four accepted, two of them with the bodies `X: ` and `Z: `.

Change: the socket that entry shares with the library checks the bytes of each head as they are read, and fails the read; the client uses that socket now. Behind the head a read costs one more load. All tests of entry, link, ctl and standin pass.

--- a/crates/entry/tests/callers/broken.rs
+++ b/crates/entry/tests/callers/broken.rs
@@ -130,6 +130,16 @@
     expect_failures("GET", lines.into_iter().chain(trailers)).await;
 }
 
+/// A line feed alone ended the head in its middle, and its rest was the start of the body.
+#[tokio::test]
+async fn a_line_feed_alone_ends_no_line_of_a_head() {
+    let lines = ["\nX: y", "X: y\n", "X: y\n\nZ: a", "X: y\nZ: a"];
+    let answers =
+        lines.map(|line| format!("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n{line}\r\n\r\nabc"));
+    let start = ["HTTP/1.1 200 OK\nContent-Length: 3\r\n\r\nabc".to_owned()];
+    expect_failures("GET", answers.into_iter().chain(start)).await;
+}
+
 /// Guards against heads with a status that is none, or with a line that is no field.
 #[tokio::test]
 async fn a_spoilt_head_is_no_answer() {
--- a/crates/link/src/http_client.rs
+++ b/crates/link/src/http_client.rs
@@ -15,7 +15,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, task::JoinHandle, time::timeout};
 
-use crate::wire::{framing::Ambiguous, length::Length};
+use crate::wire::{framing::Ambiguous, length::Length, socket::Socket};
 
 /// Largest accepted response body.
 pub const BODY_LIMIT_BYTES: usize = 8 * 1024 * 1024;
@@ -101,6 +101,7 @@
 /// Connection for requests that are sent one after the other.
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    socket: Socket,
     driver: JoinHandle<()>,
 }
 
@@ -111,11 +112,12 @@
         let connected = timeout(time_limit, TcpStream::connect(address)).await;
         let timed_out = || Fault::NotSent(std::io::ErrorKind::TimedOut.into());
         let stream = connected.map_err(|_| timed_out())?.map_err(Fault::NotSent)?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let socket = Socket::new(stream);
+        let handshake = http1::handshake(TokioIo::new(socket.clone())).await;
         let (sender, connection) =
             handshake.map_err(|error| Fault::NotSent(std::io::Error::other(error)))?;
         let driver = tokio::spawn(async move { drop(connection.await) });
-        Ok(Self { sender, driver })
+        Ok(Self { sender, socket, driver })
     }
 
     /// Sends `request`, whose URI must be absolute, and reads the whole response.
@@ -151,6 +153,7 @@
         *request.uri_mut() = target.map_or_else(|| Uri::from_static("/"), Uri::from);
         let sending = async {
             self.sender.ready().await?;
+            self.socket.start_request();
             self.sender.send_request(request.map(Full::new)).await
         };
         let sent = timeout(limits.head, sending).await.map_err(|_| Fault::TimedOut)?;
--- a/crates/link/src/wire.rs
+++ b/crates/link/src/wire.rs
@@ -4,6 +4,7 @@
 pub mod framing;
 pub mod headers;
 pub mod length;
+pub mod line_break;
 pub mod socket;
 pub mod status;
 pub mod stream;
--- a/crates/link/src/wire/socket.rs
+++ b/crates/link/src/wire/socket.rs
@@ -1,5 +1,5 @@
-//! Connection to a backend server that tracks whether a byte of the current request may have been
-//! sent, which decides whether the request may be retried elsewhere.
+//! Connection of a client that tracks whether a byte of the current request may have been sent, which
+//! decides whether the request may be retried elsewhere, and checks the line breaks of the response's head.
 
 use std::{
     io,
@@ -9,9 +9,10 @@
         Arc,
         atomic::{AtomicU8, Ordering},
     },
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
 };
 
+use super::line_break::{self, Stray};
 use crate::socket;
 use socket2::SockRef;
 use tokio::{
@@ -31,17 +32,23 @@
 pub struct Socket {
     stream: Arc<TcpStream>,
     request_state: Arc<AtomicU8>,
+    line_breaks: Arc<line_break::Checker>,
 }
 
 impl Socket {
     /// Wraps a new connection.
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream: Arc::new(stream), request_state: Arc::new(AtomicU8::new(UNSENT)) }
+        Self {
+            stream: Arc::new(stream),
+            request_state: Arc::new(AtomicU8::new(UNSENT)),
+            line_breaks: Arc::default(),
+        }
     }
 
     /// Marks the start of a request on an idle connection.
     pub fn start_request(&self) {
         self.request_state.store(UNSENT, Ordering::Release);
+        self.line_breaks.start();
     }
 
     /// Makes writes fail if no byte of the request was sent. Returns whether it is certain that
@@ -73,7 +80,12 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        socket::poll_read(&self.stream, context, buffer)
+        let filled_before = buffer.filled().len();
+        ready!(socket::poll_read(&self.stream, context, buffer))?;
+        let checked = self.line_breaks.check(&buffer.filled()[filled_before..]);
+        let stray =
+            |_: Stray| io::Error::new(io::ErrorKind::InvalidData, "stray line feed in a head");
+        Poll::Ready(checked.map_err(stray))
     }
 }
 
--- a/crates/link/tests/http_client.rs
+++ b/crates/link/tests/http_client.rs
@@ -102,12 +102,15 @@
         ["this is no field", ": value", " folded", "X Y: z", "X : y", "X\u{1}: y", "X\0: y"];
     let fields =
         fields.map(|line| format!("HTTP/1.1 200 OK\r\n{line}\r\nContent-Length: 3\r\n\r\nabc"));
+    let line_feeds = ["\nX: y", "X: y\n", "X: y\n\nZ: a", "X: y\nZ: a"];
+    let line_feeds =
+        line_feeds.map(|line| format!("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n{line}\r\n\r\nabc"));
     let chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     let chunks = ["", " ", ";x", " 3", "+3", "-3", "0x3", "3x", "3 3", "g", "3\0", "3;x\ny"];
     let chunks = chunks.map(|line| format!("{chunked}3\r\nabc\r\n{line}\r\ndef\r\n0\r\n\r\n"));
     let trailers = ["no field", "X Y: z", "X\u{1}: y", ": y"];
     let trailers = trailers.map(|line| format!("{chunked}3\r\nabc\r\n0\r\n{line}\r\n\r\n"));
-    let all = statuses.into_iter().chain(fields).chain(chunks).chain(trailers);
+    let all = statuses.into_iter().chain(fields).chain(line_feeds).chain(chunks).chain(trailers);
     let received = accepted(all).await;
     assert!(received.is_empty(), "{}", received.join("\n"));
 }
